--- /dev/null
+++ b/src/cowslipridge/ledger/Ledger.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "cowslipridge/core/Error.hpp"
+#include "cowslipridge/core/Ids.hpp"
+#include "cowslipridge/ledger/Records.hpp"
+#include "cowslipridge/platform/Store.hpp"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace cowslipridge::observe {
+class EventLog;
+} // namespace cowslipridge::observe
+
+namespace cowslipridge::ledger {
+
+/// The claim is committed: the call must be run now, by the asker, once.
+struct RunClaimed {};
+/// An earlier attempt ended: give its outcome and answer.
+struct ReplayOutcome {
+  ClaimOutcome Earlier;
+};
+/// An earlier attempt is running here; its outcome follows on the callback of
+/// `attach`.
+struct AlreadyRunning {};
+/// Nothing ran and nothing will: the caller may try again, elsewhere if
+/// `Owner` names another instance.
+struct ClaimRefused {
+  core::Errc Reason = core::Errc::StoreUnavailable;
+  core::InstanceId Owner;
+  core::Millis RetryAfter;
+};
+
+using ClaimDecision =
+    std::variant<RunClaimed, ReplayOutcome, AlreadyRunning, ClaimRefused>;
+
+struct LedgerSettings {
+  core::InstanceId Instance;
+  core::Incarnation Start;
+  core::ServiceId Service;
+  unsigned Shards = 64;
+  core::Millis DedupWindow{600'000};
+  core::Millis MinCommitInterval{2};
+  core::Millis MaxCommitInterval{1'000};
+  std::size_t MaxBufferedBills = 20'000; ///< held while the store is down
+  std::size_t MaxKeptAnswerBytes = 4'096;
+};
+
+/// Shell around the journal decisions: the one ledger of a sidecar. All
+/// methods are thread-safe and never block; callbacks come on any thread.
+class Ledger {
+public:
+  Ledger(LedgerSettings settings, std::shared_ptr<platform::Store> store,
+         const core::Clock &clock, observe::EventLog &events);
+  ~Ledger();
+
+  /// Opens the journal head of this incarnation and starts committing.
+  void start(std::function<void(std::error_code)> done);
+  /// Asks for the right to run a non-idempotent call.
+  void claim(const Claim &claim, std::function<void(ClaimDecision)> done);
+  /// Hears the outcome of a call that claim() found running.
+  void attach(const IdempotencyKey &key,
+              std::function<void(ClaimOutcome)> done);
+  /// The claimed call ended; `done` when that is in the journal.
+  void settle(const ClaimOutcome &outcome, std::function<void()> done);
+  /// Bills one request; kept in memory until it is in the journal.
+  void bill(const Bill &bill);
+  /// The version pinned to a bare session id; pins `wanted` if there is none.
+  void pin(const SessionPin &wanted,
+           std::function<void(core::Result<SessionPin>)> done);
+  /// Who owns a key's shard, as last read; empty when nobody is known.
+  [[nodiscard]] core::InstanceId ownerOf(const IdempotencyKey &key) const;
+  /// Suggests that an instance is dead: seals its journal and takes a part of
+  /// its shards. Safe when it is alive.
+  void takeOver(const core::InstanceId &dead,
+                std::function<void(std::error_code)> done);
+  /// Writes out all records and gives up all shards; `done` when written.
+  void close(std::function<void()> done);
+  /// Records not yet in the journal.
+  [[nodiscard]] std::size_t pending() const;
+
+private:
+  class Impl;
+  std::shared_ptr<Impl> Internals;
+};
+
+/// The shard of a key; stable across versions of the program.
+unsigned shardOf(const IdempotencyKey &key, unsigned shards);
+
+} // namespace cowslipridge::ledger
--- /dev/null
+++ b/src/cowslipridge/membership/Directory.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "cowslipridge/core/Clock.hpp"
+#include "cowslipridge/core/Ids.hpp"
+#include "cowslipridge/platform/InstanceList.hpp"
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <variant>
+#include <vector>
+
+/// Which instances are live, leaving or suspect: pure decisions.
+namespace cowslipridge::membership {
+
+enum class Liveness { Live, Suspect, Leaving, Gone };
+
+struct Member {
+  platform::InstanceRecord Record;
+  Liveness State = Liveness::Live;
+  core::Millis HeardAt; ///< monotonic; of the last direct reply
+  unsigned FailuresInRow = 0;
+};
+
+struct DirectorySettings {
+  unsigned SuspectAfterFailures = 2;
+  core::Millis ProbeInterval{1'000}; ///< for members that no traffic reaches
+  core::Millis GoneAfter{10'000};    ///< silent and unlisted for this long
+};
+
+/// Connect to the member.
+struct ConnectMember {
+  platform::InstanceRecord Record;
+};
+/// Drop the connection to the member.
+struct DropMember {
+  core::InstanceId Name;
+};
+/// Ask the member for its status.
+struct ProbeMember {
+  core::InstanceId Name;
+};
+
+using DirectoryAction = std::variant<ConnectMember, DropMember, ProbeMember>;
+using DirectoryActions = std::vector<DirectoryAction>;
+
+/// Merges the lagging instance list with what replies say directly. A direct
+/// word (leaving, a newer incarnation) wins over the list.
+class Directory {
+public:
+  explicit Directory(DirectorySettings settings);
+
+  DirectoryActions onList(const std::vector<platform::InstanceRecord> &records,
+                          core::Millis now);
+  void onReply(const core::InstanceId &name, core::Incarnation start,
+               bool leaving, core::Millis now);
+  void onFailure(const core::InstanceId &name, core::Millis now);
+  DirectoryActions tick(core::Millis now);
+
+  [[nodiscard]] const Member *find(const core::InstanceId &name) const;
+  /// Members that may be given new work for `service`, in order of name.
+  [[nodiscard]] std::vector<Member>
+  usable(const core::ServiceId &service) const;
+  [[nodiscard]] std::vector<Member> all() const;
+
+private:
+  struct Slot {
+    Member Value;
+    core::Millis ListedAt;
+    core::Millis ProbedAt;
+  };
+  DirectorySettings Settings;
+  std::map<core::InstanceId, Slot> Members;
+};
+
+} // namespace cowslipridge::membership
--- /dev/null
+++ b/src/cowslipridge/observe/EventCatalogue.cpp
@@ -0,0 +1,89 @@
+#include "cowslipridge/observe/EventCatalogue.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace cowslipridge::observe {
+
+namespace {
+
+using enum EventNumber;
+using enum Severity;
+
+constexpr std::array Catalogue = {
+    CatalogueEntry{ProcessStarted, Info, "process-started",
+                   "The daemon read its settings and began to start."},
+    CatalogueEntry{ProcessReady, Info, "process-ready",
+                   "The daemon takes work."},
+    CatalogueEntry{ProcessLeaving, Info, "process-leaving",
+                   "The daemon drains: it refuses new work."},
+    CatalogueEntry{ProcessStopped, Info, "process-stopped",
+                   "The daemon ended after its work was done."},
+    CatalogueEntry{
+        SettingsRefused, Error, "settings-refused",
+        "The settings file has findings; the daemon does not start."},
+    CatalogueEntry{PauseDetected, Warning, "pause-detected",
+                   "The process was not scheduled for longer than the limit."},
+    CatalogueEntry{ConfigurationInForce, Info, "configuration-in-force",
+                   "A newer configuration generation took effect here."},
+    CatalogueEntry{ConfigurationStale, Warning, "configuration-stale",
+                   "Neither the store nor a peer confirmed the configuration."},
+    CatalogueEntry{ConfigurationRefused, Error, "configuration-refused",
+                   "A published configuration could not be read."},
+    CatalogueEntry{PeerConnected, Info, "peer-connected",
+                   "A peer proved the fleet key."},
+    CatalogueEntry{PeerRefused, Warning, "peer-refused",
+                   "A connection failed to prove the fleet key."},
+    CatalogueEntry{PeerLost, Warning, "peer-lost",
+                   "The connection to a peer ended."},
+    CatalogueEntry{RequestReceived, Info, "request-received",
+                   "A caller's request arrived."},
+    CatalogueEntry{RequestRouted, Info, "request-routed",
+                   "A version and a runner were chosen."},
+    CatalogueEntry{RequestRetried, Warning, "request-retried",
+                   "The request goes to another runner after a failure."},
+    CatalogueEntry{RequestEnded, Info, "request-ended",
+                   "The caller got its whole answer."},
+    CatalogueEntry{RequestRefused, Warning, "request-refused",
+                   "The caller got an error."},
+    CatalogueEntry{RequestEscalated, Info, "request-escalated",
+                   "A cascade went on to its better version."},
+    CatalogueEntry{RunStarted, Info, "run-started",
+                   "The runner was given a request."},
+    CatalogueEntry{RunEnded, Info, "run-ended", "The runner's answer ended."},
+    CatalogueEntry{RunRefused, Warning, "run-refused",
+                   "The sidecar refused to run a request."},
+    CatalogueEntry{RunReplayed, Info, "run-replayed",
+                   "A retry got the answer of an earlier attempt."},
+    CatalogueEntry{ClaimCommitted, Info, "claim-committed",
+                   "The claim of a non-idempotent request is in the journal."},
+    CatalogueEntry{JournalSealed, Warning, "journal-sealed",
+                   "A journal was sealed; its owner can append no more."},
+    CatalogueEntry{JournalTakenOver, Warning, "journal-taken-over",
+                   "The shards of a sealed journal have a new owner."},
+    CatalogueEntry{StoreUnavailable, Warning, "store-unavailable",
+                   "The key-value service stopped answering."},
+    CatalogueEntry{StoreAvailable, Info, "store-available",
+                   "The key-value service answers again."},
+    CatalogueEntry{BillWritten, Info, "bill-written",
+                   "Bill lines are in the journal."},
+    CatalogueEntry{VersionCutOff, Warning, "version-cut-off",
+                   "A version was cut off on evidence."},
+    CatalogueEntry{RolloutAdvanced, Info, "rollout-advanced",
+                   "A roll-out moved to its next step."},
+    CatalogueEntry{RolloutEnded, Info, "rollout-ended",
+                   "A roll-out reached its final state."},
+};
+
+} // namespace
+
+std::span<const CatalogueEntry> eventCatalogue() { return Catalogue; }
+
+const CatalogueEntry &describe(EventNumber number) {
+  const auto *it =
+      std::find_if(Catalogue.begin(), Catalogue.end(),
+                   [&](const CatalogueEntry &x) { return x.Number == number; });
+  return it == Catalogue.end() ? Catalogue.front() : *it;
+}
+
+} // namespace cowslipridge::observe
--- /dev/null
+++ b/src/cowslipridge/observe/EventCatalogue.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <span>
+#include <string_view>
+
+namespace cowslipridge::observe {
+
+/// Numbers of all events. A number is never reused for another meaning;
+/// docs/log-catalogue.md lists the same set.
+enum class EventNumber : int {
+  ProcessStarted = 100,
+  ProcessReady = 101,
+  ProcessLeaving = 102,
+  ProcessStopped = 103,
+  SettingsRefused = 104,
+  PauseDetected = 105,
+
+  ConfigurationInForce = 200,
+  ConfigurationStale = 201,
+  ConfigurationRefused = 202,
+
+  PeerConnected = 300,
+  PeerRefused = 301,
+  PeerLost = 302,
+
+  RequestReceived = 400,
+  RequestRouted = 401,
+  RequestRetried = 402,
+  RequestEnded = 403,
+  RequestRefused = 404,
+  RequestEscalated = 405,
+
+  RunStarted = 500,
+  RunEnded = 501,
+  RunRefused = 502,
+  RunReplayed = 503,
+
+  ClaimCommitted = 600,
+  JournalSealed = 601,
+  JournalTakenOver = 602,
+  StoreUnavailable = 603,
+  StoreAvailable = 604,
+  BillWritten = 605,
+
+  VersionCutOff = 700,
+  RolloutAdvanced = 701,
+  RolloutEnded = 702,
+};
+
+enum class Severity { Info, Warning, Error };
+
+struct CatalogueEntry {
+  EventNumber Number;
+  Severity Level;
+  std::string_view Name;    ///< stable, such as `request-routed`
+  std::string_view Meaning; ///< one sentence, as in the docs
+};
+
+/// All entries in order of number.
+std::span<const CatalogueEntry> eventCatalogue();
+/// The entry of one number.
+const CatalogueEntry &describe(EventNumber number);
+
+} // namespace cowslipridge::observe
--- /dev/null
+++ b/src/cowslipridge/observe/EventLog.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "cowslipridge/core/Clock.hpp"
+#include "cowslipridge/core/Ids.hpp"
+#include "cowslipridge/observe/EventCatalogue.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <mutex>
+#include <string>
+#include <vector>
+
+/// Numbered events, their bounded ring, logs and metrics.
+namespace cowslipridge::observe {
+
+/// One event of one process. `Sequence` orders the events of one incarnation;
+/// `Cause` names the event of another process that this one follows from.
+struct Event {
+  EventNumber Number = EventNumber::ProcessStarted;
+  core::Millis At; ///< wall time
+  std::uint64_t Sequence = 0;
+  core::InstanceId Instance;
+  core::Incarnation Start;
+  core::Generation Configuration;
+  core::RequestId Request; ///< empty when no request is meant
+  core::VersionId Version; ///< empty when no version is meant
+  std::string Cause;       ///< `instance/incarnation/sequence`, or empty
+  std::string Detail;      ///< free text for people
+};
+
+/// What a reporter fills in; the log adds time, sequence and identity.
+struct EventFacts {
+  core::RequestId Request;
+  core::VersionId Version;
+  std::string Cause;
+  std::string Detail;
+};
+
+/// Records events in a bounded ring and writes them to the log. Thread-safe.
+class EventLog {
+public:
+  EventLog(const core::Clock &clock, core::InstanceId instance,
+           core::Incarnation start, std::size_t capacity);
+
+  /// Records one event; returns its place, for use as a later `Cause`.
+  std::string report(EventNumber number, EventFacts facts);
+  void setGeneration(core::Generation generation);
+  /// Events with a sequence above `after`, oldest first.
+  [[nodiscard]] std::vector<Event> since(std::uint64_t after) const;
+
+private:
+  const core::Clock &Time;
+  const core::InstanceId Instance;
+  const core::Incarnation Start;
+  const std::size_t Capacity;
+  mutable std::mutex Guard;
+  core::Generation Configuration;
+  std::uint64_t NextSequence = 1;
+  std::deque<Event> Ring;
+};
+
+/// Directs log output to standard error, as text or as JSON lines.
+void configureLogging(bool json);
+
+} // namespace cowslipridge::observe
--- /dev/null
+++ b/src/cowslipridge/route/RunnerChooser.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "cowslipridge/core/Random.hpp"
+#include "cowslipridge/route/Types.hpp"
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace cowslipridge::route {
+
+/// What one answer taught about a runner.
+struct AnswerObservation {
+  core::RunnerId Runner;
+  std::vector<std::uint64_t> PrefixHashes;
+  std::uint64_t PromptTokens = 0;
+  std::uint64_t CachedTokens = 0;
+  core::Millis TimeToFirstToken;
+  bool Failed = false;
+};
+
+/// Chooses the runner with the shortest predicted time to first token among
+/// those that serve a version.
+class RunnerChooser {
+public:
+  explicit RunnerChooser(std::uint64_t seed);
+  ~RunnerChooser();
+
+  /// The runner for `version`, or nothing when none can take it. Runners in
+  /// `excluded` were tried before. Leaving runners are never chosen.
+  std::optional<core::RunnerId>
+  choose(const RequestFacts &facts, const core::VersionId &version,
+         const std::vector<RunnerView> &runners,
+         const std::vector<core::RunnerId> &excluded, core::Millis now);
+  void observe(const AnswerObservation &answer, core::Millis now);
+  void forget(const core::RunnerId &runner);
+
+private:
+  class State;
+  std::unique_ptr<State> Learnt;
+};
+
+} // namespace cowslipridge::route
--- /dev/null
+++ b/src/cowslipridge/session/TokenSealer.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "cowslipridge/core/Clock.hpp"
+#include "cowslipridge/core/Ids.hpp"
+#include "cowslipridge/core/Result.hpp"
+
+#include <compare>
+#include <string>
+#include <string_view>
+
+/// Session tokens: what pins a conversation to its version without a store.
+namespace cowslipridge::session {
+
+/// What a token says.
+struct SessionFacts {
+  core::SessionId Session;
+  core::OrganisationId Organisation;
+  core::ServiceId Service;
+  core::VersionId Version;
+  core::Millis StartedAt; ///< wall time
+  friend auto operator<=>(const SessionFacts &, const SessionFacts &) = default;
+};
+
+/// Seals and opens tokens with AES-256-GCM.
+class TokenSealer {
+public:
+  /// `key` holds 32 bytes.
+  explicit TokenSealer(std::string key);
+  /// The token's text, URL-safe.
+  [[nodiscard]] std::string seal(const SessionFacts &facts) const;
+  /// The facts, or Errc::InvalidSession for a forged or damaged token.
+  [[nodiscard]] core::Result<SessionFacts> open(std::string_view token) const;
+
+private:
+  std::string Key;
+};
+
+} // namespace cowslipridge::session
