--- /dev/null
+++ b/src/cowslipridge/ledger/BillReader.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "cowslipridge/core/Ids.hpp"
+#include "cowslipridge/core/Result.hpp"
+#include "cowslipridge/ledger/Records.hpp"
+#include "cowslipridge/platform/Store.hpp"
+
+#include <functional>
+#include <map>
+#include <vector>
+
+namespace cowslipridge::ledger {
+
+/// All bills of one service, one per request.
+struct BillReport {
+  std::map<core::RequestId, Bill> Bills;
+  /// Requests whose outcome is unknown: claimed by an incarnation that ended
+  /// without an outcome, or billed as Outcome::Unknown and not settled since.
+  std::vector<Bill> Unsettled;
+  /// Journal keys that could not be decoded. Never empty silently: a report
+  /// with damaged keys is incomplete.
+  std::vector<std::string> DamagedKeys;
+};
+
+/// Reads every journal of `service` and merges the bills by request. Only
+/// reads, so it may run at any time. Does not block; `done` is called once, on
+/// any thread.
+void readBills(platform::Store &store, const core::ServiceId &service,
+               std::function<void(core::Result<BillReport>)> done);
+
+} // namespace cowslipridge::ledger
--- a/src/cowslipridge/session/TokenSealer.hpp
+++ b/src/cowslipridge/session/TokenSealer.hpp
@@ -24,7 +24,7 @@
 /// Seals and opens tokens with AES-256-GCM.
 class TokenSealer {
 public:
-  /// `key` holds 32 bytes.
+  /// `key` holds 32 bytes; any other length throws std::invalid_argument.
   explicit TokenSealer(std::string key);
   /// The token's text, URL-safe.
   [[nodiscard]] std::string seal(const SessionFacts &facts) const;
--- /dev/null
+++ b/tests/property/session/TokenSealerProperties.cpp
@@ -0,0 +1,89 @@
+#include "cowslipridge/core/Error.hpp"
+#include "cowslipridge/session/Base64Url.hpp"
+#include "cowslipridge/session/TokenSealer.hpp"
+#include "support/Histories.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+using namespace cowslipridge;
+using namespace cowslipridge::session;
+
+namespace {
+
+constexpr int Cases = 10'000;
+
+std::string textOf() {
+  return *rc::gen::container<std::string>(rc::gen::inRange<char>(' ', '~'));
+}
+
+SessionFacts anyFacts() {
+  return {core::SessionId(textOf()), core::OrganisationId(textOf()),
+          core::ServiceId(textOf()), core::VersionId(textOf()),
+          core::Millis(*rc::gen::arbitrary<std::int64_t>())};
+}
+
+std::string anyKey() {
+  return *rc::gen::container<std::string>(32, rc::gen::arbitrary<char>());
+}
+
+TEST(TokenSealerProperties, roundTrip) {
+  support::expectHolds(Cases, [] {
+    const TokenSealer sealer(anyKey());
+    const SessionFacts facts = anyFacts();
+    const auto opened = sealer.open(sealer.seal(facts));
+    RC_ASSERT(opened.ok());
+    RC_ASSERT(*opened == facts);
+  });
+}
+
+TEST(TokenSealerProperties, anyFlippedBitIsRefused) {
+  support::expectHolds(Cases, [] {
+    const TokenSealer sealer(anyKey());
+    std::string bytes = *decodeBase64Url(sealer.seal(anyFacts()));
+    const auto bit = *rc::gen::inRange<std::size_t>(0, bytes.size() * 8);
+    bytes[bit / 8] = static_cast<char>(bytes[bit / 8] ^ (1 << bit % 8));
+    const auto opened = sealer.open(encodeBase64Url(bytes));
+    RC_ASSERT(opened.error() == core::Errc::InvalidSession);
+  });
+}
+
+TEST(TokenSealerProperties, anyChangedCharacterIsRefused) {
+  support::expectHolds(Cases, [] {
+    const TokenSealer sealer(anyKey());
+    std::string token = sealer.seal(anyFacts());
+    const auto at = *rc::gen::inRange<std::size_t>(0, token.size());
+    const char changed = *rc::gen::arbitrary<char>();
+    RC_PRE(changed != token[at]);
+    token[at] = changed;
+    RC_ASSERT(sealer.open(token).error() == core::Errc::InvalidSession);
+  });
+}
+
+TEST(TokenSealerProperties, garbageIsRefused) {
+  support::expectHolds(Cases, [] {
+    const TokenSealer sealer(anyKey());
+    const auto garbage = *rc::gen::arbitrary<std::string>();
+    RC_ASSERT(sealer.open(garbage).error() == core::Errc::InvalidSession);
+  });
+}
+
+TEST(TokenSealerProperties, anotherKeyIsRefused) {
+  support::expectHolds(Cases, [] {
+    const std::string key = anyKey();
+    const std::string other = anyKey();
+    RC_PRE(key != other);
+    const std::string token = TokenSealer(key).seal(anyFacts());
+    const auto opened = TokenSealer(other).open(token);
+    RC_ASSERT(opened.error() == core::Errc::InvalidSession);
+  });
+}
+
+TEST(TokenSealerProperties, base64UrlRoundTrip) {
+  support::expectHolds(Cases, [] {
+    const auto bytes = *rc::gen::arbitrary<std::string>();
+    RC_ASSERT(decodeBase64Url(encodeBase64Url(bytes)) == bytes);
+  });
+}
+
+} // namespace
