Plan versions, choose runners, admit requests: first whole slice

Cause: the daemon needs working decisions behind the contract headers. Cost, latency and overload are not measured yet.

--- a/src/cowslipridge/limits/Admission.hpp
+++ b/src/cowslipridge/limits/Admission.hpp
@@ -65,7 +65,8 @@
   /// A started request ended after `elapsed` on the runner.
   AdmissionActions finish(const core::RequestId &request, core::Millis elapsed,
                           bool failed, core::Millis now);
-  /// The caller of a queued or started request went away.
+  /// The caller of a queued or started request went away. The place of a
+  /// started one is free at once, so stop it on the runner first.
   AdmissionActions cancel(const core::RequestId &request, core::Millis now);
   /// Refuses what can no longer meet its deadline; call at least every 50 ms.
   AdmissionActions tick(core::Millis now);
--- /dev/null
+++ b/src/cowslipridge/limits/ConcurrencyLimit.cpp
@@ -0,0 +1,58 @@
+#include "cowslipridge/limits/ConcurrencyLimit.hpp"
+
+#include <algorithm>
+
+namespace cowslipridge::limits {
+
+namespace {
+
+constexpr double SlowdownGain = 0.1;
+/// Slowdown against a runner with little to do that counts as overload.
+constexpr double TolerableSlowdown = 1.6;
+constexpr double DecreaseFactor = 0.9;
+/// The no-load ratio falls to a lower one at once and rises slowly.
+constexpr double NoLoadRise = 0.002;
+/// Part of the limit that must be in use for it to rise.
+constexpr double BusyShare = 0.8;
+/// Bounds of one measured ratio, so that one outlier does little.
+constexpr double MinRatio = 0.05;
+constexpr double MaxRatio = 20;
+
+} // namespace
+
+ConcurrencyLimit::ConcurrencyLimit(ConcurrencyBounds bounds)
+    : Bounds{std::max(1U, bounds.Min), std::max(bounds.Max, bounds.Min)},
+      Limit(Bounds.Max) {}
+
+unsigned ConcurrencyLimit::current() const {
+  return static_cast<unsigned>(Limit);
+}
+
+void ConcurrencyLimit::onFinish(core::Millis elapsed, core::Millis expected,
+                                unsigned inFlight, bool failed) {
+  if (!failed) {
+    const auto took = static_cast<double>(elapsed.count());
+    const auto wanted = std::max(1.0, static_cast<double>(expected.count()));
+    const double ratio = std::clamp(took / wanted, MinRatio, MaxRatio);
+    Slowdown += SlowdownGain * (ratio - Slowdown);
+    NoLoadSlowdown = std::min(
+        Slowdown, NoLoadSlowdown + NoLoadRise * (Slowdown - NoLoadSlowdown));
+  }
+  ++FinishedInRound;
+  if (FinishedInRound < current())
+    return;
+  FinishedInRound = 0;
+  adjust(inFlight);
+}
+
+void ConcurrencyLimit::adjust(unsigned inFlight) {
+  if (Slowdown > TolerableSlowdown * NoLoadSlowdown) {
+    Limit *= DecreaseFactor;
+  } else if (inFlight >= BusyShare * Limit) {
+    Limit += 1;
+  }
+  Limit = std::clamp(Limit, static_cast<double>(Bounds.Min),
+                     static_cast<double>(Bounds.Max));
+}
+
+} // namespace cowslipridge::limits
--- /dev/null
+++ b/src/cowslipridge/route/FirstTokenModel.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+
+namespace cowslipridge::route {
+
+/// What the time to first token is predicted from.
+struct FirstTokenFactors {
+  double UncachedTokens = 0;
+  double Outstanding = 0; ///< requests running or waiting at the runner
+};
+
+/// Linear prediction of the time to first token, fitted to answers by
+/// recursive least squares with exponential forgetting.
+class FirstTokenModel {
+public:
+  /// Milliseconds; never below MinPrediction.
+  [[nodiscard]] double predict(const FirstTokenFactors &factors) const;
+  void observe(const FirstTokenFactors &factors, double elapsedMillis);
+
+  static constexpr double MinPrediction = 1;
+
+private:
+  static constexpr std::size_t Size = 3;
+  using Vector = std::array<double, Size>;
+
+  static Vector featuresOf(const FirstTokenFactors &factors);
+
+  /// Milliseconds: fixed, per thousand uncached tokens, per request ahead.
+  Vector Coefficients{20, 200, 20};
+  std::array<Vector, Size> Covariance{{{100, 0, 0}, {0, 1000, 0}, {0, 0, 100}}};
+};
+
+} // namespace cowslipridge::route
--- /dev/null
+++ b/src/cowslipridge/route/Planner.cpp
@@ -0,0 +1,252 @@
+#include "cowslipridge/route/Planner.hpp"
+
+#include "cowslipridge/core/Visit.hpp"
+#include "cowslipridge/route/DurationModel.hpp"
+#include "cowslipridge/route/PlanOptions.hpp"
+#include "cowslipridge/route/QualityControl.hpp"
+
+#include <algorithm>
+
+namespace cowslipridge::route {
+
+namespace {
+
+using config::ServiceDeclaration;
+using config::VersionDeclaration;
+using config::VersionState;
+using Candidates = std::vector<const VersionDeclaration *>;
+
+/// Share of requests that try a version only to learn its grades.
+constexpr double ExploreShare = 0.01;
+/// The same while some version has hardly any grades.
+constexpr double EarlyExploreShare = 0.08;
+/// Grades of a request class below which a version counts as hardly known.
+constexpr double HardlyKnownGrades = 10;
+/// Part of a service's deadline that a version is taken to need before any of
+/// its answers was timed.
+constexpr std::int64_t UntimedShareOfDeadline = 3;
+/// Longest time that a streamed answer may be held back for its check.
+constexpr core::Millis MaxStreamHold{500};
+
+bool isCutOff(const CutOffSet &cutOffs, const RequestFacts &facts,
+              const core::VersionId &version) {
+  return cutOffs.contains({facts.Service, version, {}}) ||
+         cutOffs.contains({facts.Service, version, facts.Organisation});
+}
+
+Plan planPinned(const RequestFacts &facts, const ServiceDeclaration &service,
+                const CutOffSet &cutOffs) {
+  const core::VersionId &version = *facts.PinnedVersion;
+  const VersionDeclaration *declared = service.findVersion(version);
+  if (declared == nullptr || declared->State == VersionState::Withdrawn)
+    return NoPlan{core::Errc::SessionEnded};
+  if (!service.permits(facts.Organisation, version))
+    return NoPlan{core::Errc::NotAllowed};
+  if (isCutOff(cutOffs, facts, version))
+    return NoPlan{core::Errc::SessionEnded};
+  return SinglePlan{version};
+}
+
+/// Versions that may answer now.
+struct Permitted {
+  Candidates Active;
+  const VersionDeclaration *Trial = nullptr;
+};
+
+Permitted findPermitted(const RequestFacts &facts,
+                        const ServiceDeclaration &service,
+                        const CutOffSet &cutOffs) {
+  Permitted found;
+  for (const VersionDeclaration &version : service.Versions) {
+    if (!service.permits(facts.Organisation, version.Name) ||
+        isCutOff(cutOffs, facts, version.Name))
+      continue;
+    if (version.State == VersionState::Active)
+      found.Active.push_back(&version);
+    else if (service.Rollout && service.Rollout->Trial == version.Name)
+      found.Trial = &version;
+  }
+  return found;
+}
+
+bool containsVersion(const Candidates &versions, const core::VersionId &name) {
+  return std::any_of(
+      versions.begin(), versions.end(),
+      [&](const auto *version) { return version->Name == name; });
+}
+
+core::Errc whyNothingIsPermitted(const RequestFacts &facts,
+                                 const ServiceDeclaration &service) {
+  const auto *tenant = service.findOrganisation(facts.Organisation);
+  if (tenant == nullptr || tenant->Allowed.empty())
+    return core::Errc::NotAllowed;
+  return core::Errc::VersionWithdrawn;
+}
+
+/// `plan` with `to` in the place of `from`.
+Plan substitute(const Plan &plan, const core::VersionId &from,
+                const core::VersionId &to) {
+  const auto replaced = [&](const core::VersionId &version) {
+    return version == from ? to : version;
+  };
+  return std::visit(
+      core::Overloaded{[&](const SinglePlan &single) -> Plan {
+                         return SinglePlan{replaced(single.Version)};
+                       },
+                       [&](const CascadePlan &cascade) -> Plan {
+                         return CascadePlan{replaced(cascade.Cheap),
+                                            replaced(cascade.Better),
+                                            cascade.AcceptAbove};
+                       },
+                       [](const NoPlan &none) -> Plan { return none; }},
+      plan);
+}
+
+} // namespace
+
+class Planner::State {
+public:
+  explicit State(std::uint64_t seed) : Generator(seed) {}
+
+  Plan plan(const RequestFacts &facts, const ServiceDeclaration &service,
+            const CutOffSet &cutOffs, double trialShare);
+  void observe(const GradeObservation &grade);
+
+  QualityModel Quality;
+  DurationModel Durations;
+
+private:
+  Plan planActive(const RequestFacts &facts, const ServiceDeclaration &service,
+                  const Candidates &versions);
+  std::set<CascadePair> fittingCascades(const RequestFacts &facts,
+                                        const ServiceDeclaration &service,
+                                        const Candidates &versions) const;
+  bool fits(const RequestFacts &facts, const ServiceDeclaration &service,
+            const CascadePair &pair) const;
+  const VersionDeclaration *drawExploration(const RequestFacts &facts,
+                                            const Candidates &versions);
+
+  core::Random Generator;
+  std::map<std::pair<core::ServiceId, core::OrganisationId>, QualityControl>
+      Controls;
+};
+
+bool Planner::State::fits(const RequestFacts &facts,
+                          const ServiceDeclaration &service,
+                          const CascadePair &pair) const {
+  const auto cheap = Durations.bound(facts.Service, pair.Cheap);
+  if (facts.Stream && (!cheap || *cheap > MaxStreamHold))
+    return false;
+  const core::Millis untimed = service.Deadline / UntimedShareOfDeadline;
+  const auto better = Durations.bound(facts.Service, pair.Better);
+  return cheap.value_or(untimed) + better.value_or(untimed) <= facts.Remaining;
+}
+
+std::set<CascadePair>
+Planner::State::fittingCascades(const RequestFacts &facts,
+                                const ServiceDeclaration &service,
+                                const Candidates &versions) const {
+  std::set<CascadePair> fitting;
+  for (const VersionDeclaration *cheap : versions) {
+    for (const VersionDeclaration *better : versions) {
+      const CascadePair pair{cheap->Name, better->Name};
+      if (cheap->CostPerThousandTokens < better->CostPerThousandTokens &&
+          fits(facts, service, pair))
+        fitting.insert(pair);
+    }
+  }
+  return fitting;
+}
+
+/// A version to try for its grades alone, or nullptr.
+const VersionDeclaration *
+Planner::State::drawExploration(const RequestFacts &facts,
+                                const Candidates &versions) {
+  const auto knownGrades = [&](const VersionDeclaration *version) {
+    return Quality.gradeWeight(
+        {facts.Service, version->Name, facts.RequestClass, facts.Organisation});
+  };
+  const auto *least = *std::min_element(
+      versions.begin(), versions.end(), [&](const auto *a, const auto *b) {
+        return knownGrades(a) < knownGrades(b);
+      });
+  const bool early = knownGrades(least) < HardlyKnownGrades;
+  if (core::uniform(Generator) >= (early ? EarlyExploreShare : ExploreShare))
+    return nullptr;
+  return early ? least
+               : versions[core::uniformIndex(Generator, versions.size())];
+}
+
+Plan Planner::State::planActive(const RequestFacts &facts,
+                                const ServiceDeclaration &service,
+                                const Candidates &versions) {
+  if (versions.size() == 1)
+    return SinglePlan{versions.front()->Name};
+  const auto cascades = fittingCascades(facts, service, versions);
+  const auto options = listOptions(Quality, service, facts.Organisation,
+                                   facts.RequestClass, versions, cascades);
+  const double target =
+      service.findOrganisation(facts.Organisation)->QualityTarget;
+  QualityControl &control = Controls[{facts.Service, facts.Organisation}];
+  control.arrive(target, {facts.RequestClass, !cascades.empty()}, options);
+  if (const auto *tried = drawExploration(facts, versions))
+    return SinglePlan{tried->Name};
+  return bestOption(options, control.drawPrice(Generator)).Choice;
+}
+
+Plan Planner::State::plan(const RequestFacts &facts,
+                          const ServiceDeclaration &service,
+                          const CutOffSet &cutOffs, double trialShare) {
+  if (facts.PinnedVersion)
+    return planPinned(facts, service, cutOffs);
+  const Permitted permitted = findPermitted(facts, service, cutOffs);
+  const bool drawsTrial =
+      permitted.Trial != nullptr && core::uniform(Generator) < trialShare;
+  if (permitted.Active.empty()) {
+    if (drawsTrial)
+      return SinglePlan{permitted.Trial->Name};
+    if (permitted.Trial != nullptr)
+      return NoPlan{core::Errc::NoRunner};
+    return NoPlan{whyNothingIsPermitted(facts, service)};
+  }
+  if (!drawsTrial)
+    return planActive(facts, service, permitted.Active);
+  const core::VersionId &replaced = service.Rollout->Replaces;
+  Candidates versions = permitted.Active;
+  // With nothing left to stand in for, the trial is weighed like the others.
+  if (!containsVersion(versions, replaced))
+    versions.push_back(permitted.Trial);
+  const Plan planned = planActive(facts, service, versions);
+  return substitute(planned, replaced, permitted.Trial->Name);
+}
+
+void Planner::State::observe(const GradeObservation &grade) {
+  Quality.observe(grade);
+  const auto it = Controls.find({grade.Service, grade.Organisation});
+  if (it != Controls.end())
+    it->second.observe(grade.Score);
+}
+
+Planner::Planner(std::uint64_t seed) : Learnt(std::make_unique<State>(seed)) {}
+
+Planner::~Planner() = default;
+
+Plan Planner::plan(const RequestFacts &facts, const ServiceDeclaration &service,
+                   const CutOffSet &cutOffs, double trialShare,
+                   core::Millis /*now*/) {
+  return Learnt->plan(facts, service, cutOffs, trialShare);
+}
+
+void Planner::observe(const GradeObservation &grade, core::Millis /*now*/) {
+  Learnt->observe(grade);
+}
+
+void Planner::observe(const CheckObservation &check) {
+  Learnt->Quality.observe(check);
+}
+
+void Planner::observe(const DurationObservation &duration) {
+  Learnt->Durations.observe(duration);
+}
+
+} // namespace cowslipridge::route
--- a/src/cowslipridge/route/Planner.hpp
+++ b/src/cowslipridge/route/Planner.hpp
@@ -15,6 +15,23 @@
   core::VersionId Version;
   double Score = 0;       ///< 0..1
   double CheckScore = -1; ///< the cascade check's score of it; -1: not checked
+  /// The answer replaced one that a cascade's check had rejected.
+  bool Escalated = false;
+};
+
+/// One run of a cascade's check, whether it kept the answer or not.
+struct CheckObservation {
+  core::ServiceId Service;
+  std::string RequestClass;
+  core::VersionId Version; ///< whose answer was checked
+  double CheckScore = 0;
+};
+
+/// How long one whole answer took, from sending to its last byte.
+struct DurationObservation {
+  core::ServiceId Service;
+  core::VersionId Version;
+  core::Millis Elapsed;
 };
 
 /// Chooses the cheapest plan that holds each organisation's quality target.
@@ -25,12 +42,18 @@
   ~Planner();
 
   /// The plan for one request. `trialShare` is the share of requests that a
-  /// roll-out gives its trial version now, 0..1.
+  /// roll-out gives its trial version now, 0..1: of the requests planned onto
+  /// the version that the trial replaces, that share goes to the trial.
   Plan plan(const RequestFacts &facts,
             const config::ServiceDeclaration &service, const CutOffSet &cutOffs,
             double trialShare, core::Millis now);
   /// Learns from one grade.
   void observe(const GradeObservation &grade, core::Millis now);
+  /// Learns how check scores are spread. Cascades are planned only onto
+  /// versions whose answers have been checked.
+  void observe(const CheckObservation &check);
+  /// Learns how long answers take, so that cascades fit their deadline.
+  void observe(const DurationObservation &duration);
 
 private:
   class State;
--- /dev/null
+++ b/src/cowslipridge/route/PrefixIndex.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "cowslipridge/core/Ids.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <unordered_map>
+#include <vector>
+
+namespace cowslipridge::route {
+
+/// Which runners probably keep which prompt blocks in their cache. Bounded: the
+/// blocks that were used least recently are dropped.
+class PrefixIndex {
+public:
+  explicit PrefixIndex(std::size_t maxBlocks) : MaxBlocks(maxBlocks) {}
+
+  void insert(std::uint64_t block, const core::RunnerId &runner);
+  void erase(std::uint64_t block, const core::RunnerId &runner);
+  void eraseRunner(const core::RunnerId &runner);
+  /// Number of leading blocks of `prefix` that `runner` keeps.
+  [[nodiscard]] std::size_t
+  matchedBlocks(const std::vector<std::uint64_t> &prefix,
+                const core::RunnerId &runner) const;
+  [[nodiscard]] std::size_t size() const { return Entries.size(); }
+
+private:
+  struct Entry {
+    std::vector<core::RunnerId> Holders;
+    std::list<std::uint64_t>::iterator Age;
+  };
+
+  [[nodiscard]] bool holds(std::uint64_t block,
+                           const core::RunnerId &runner) const;
+  void dropOldest();
+
+  std::size_t MaxBlocks;
+  std::unordered_map<std::uint64_t, Entry> Entries;
+  std::list<std::uint64_t> ByAge; ///< most recently used first
+};
+
+} // namespace cowslipridge::route
--- /dev/null
+++ b/src/cowslipridge/route/QualityModel.cpp
@@ -0,0 +1,128 @@
+#include "cowslipridge/route/QualityModel.hpp"
+
+#include <algorithm>
+#include <numeric>
+
+namespace cowslipridge::route {
+
+namespace {
+
+/// Share of its weight that a mean keeps at each new grade.
+constexpr double KeepPerGrade = 0.99;
+constexpr double KeepPerCheck = 0.998;
+/// Weight of a declared quality, in grades.
+constexpr double DeclaredWeight = 4;
+/// Weight of a coarser estimate within a finer one, in grades.
+constexpr double CoarserWeight = 8;
+/// Weight of the class's mean within one bin of check scores, in grades.
+constexpr double BinPriorWeight = 3;
+/// Checked answers from which a cascade may be planned.
+constexpr double MinChecksSeen = 20;
+
+QualityModel::Subject versionOnly(const QualityModel::Subject &subject) {
+  return {subject.Service, subject.Version, {}, {}};
+}
+
+QualityModel::Subject classOnly(const QualityModel::Subject &subject) {
+  return {subject.Service, subject.Version, subject.RequestClass, {}};
+}
+
+std::size_t binOf(double checkScore) {
+  const double scaled = std::clamp(checkScore, 0.0, 1.0) * CheckBins;
+  return std::min(CheckBins - 1, static_cast<std::size_t>(scaled));
+}
+
+ScoreMean meanOf(const std::map<QualityModel::Subject, ScoreMean> &means,
+                 const QualityModel::Subject &subject) {
+  const auto it = means.find(subject);
+  return it == means.end() ? ScoreMean() : it->second;
+}
+
+} // namespace
+
+void ScoreMean::add(double score, double keep) {
+  Sum = Sum * keep + score;
+  Weight = Weight * keep + 1;
+}
+
+double ScoreMean::towards(double prior, double priorWeight) const {
+  return (Sum + prior * priorWeight) / (Weight + priorWeight);
+}
+
+void QualityModel::addGrade(const Subject &subject, double score) {
+  Means[versionOnly(subject)].add(score, KeepPerGrade);
+  Means[classOnly(subject)].add(score, KeepPerGrade);
+  Means[subject].add(score, KeepPerGrade);
+}
+
+void QualityModel::observe(const GradeObservation &grade) {
+  const Subject subject{grade.Service, grade.Version, grade.RequestClass,
+                        grade.Organisation};
+  if (grade.Escalated) {
+    EscalatedMeans[classOnly(subject)].add(grade.Score, KeepPerGrade);
+    return;
+  }
+  if (grade.CheckScore >= 0) {
+    Calibration &known = Calibrations[classOnly(subject)];
+    known.Grades[binOf(grade.CheckScore)].add(grade.Score, KeepPerGrade);
+  }
+  addGrade(subject, grade.Score);
+}
+
+void QualityModel::observe(const CheckObservation &check) {
+  Calibration &known =
+      Calibrations[{check.Service, check.Version, check.RequestClass, {}}];
+  for (double &seen : known.Seen)
+    seen *= KeepPerCheck;
+  known.Seen[binOf(check.CheckScore)] += 1;
+}
+
+double QualityModel::classGrade(const Subject &subject, double declared) const {
+  const double version =
+      meanOf(Means, versionOnly(subject)).towards(declared, DeclaredWeight);
+  return meanOf(Means, classOnly(subject)).towards(version, CoarserWeight);
+}
+
+double QualityModel::grade(const Subject &subject, double declared) const {
+  const double coarse = classGrade(subject, declared);
+  return meanOf(Means, subject).towards(coarse, CoarserWeight);
+}
+
+double QualityModel::escalatedGrade(const Subject &subject,
+                                    double declared) const {
+  return meanOf(EscalatedMeans, classOnly(subject))
+      .towards(grade(subject, declared), CoarserWeight);
+}
+
+double QualityModel::gradeWeight(const Subject &subject) const {
+  return meanOf(Means, classOnly(subject)).Weight;
+}
+
+bool QualityModel::knowsChecks(const Subject &subject) const {
+  const auto it = Calibrations.find(classOnly(subject));
+  if (it == Calibrations.end())
+    return false;
+  const auto &seen = it->second.Seen;
+  return std::accumulate(seen.begin(), seen.end(), 0.0) >= MinChecksSeen;
+}
+
+std::array<CheckBin, CheckBins> QualityModel::checks(const Subject &subject,
+                                                     double declared) const {
+  std::array<CheckBin, CheckBins> bins;
+  const auto it = Calibrations.find(classOnly(subject));
+  if (it == Calibrations.end())
+    return bins;
+  const Calibration &known = it->second;
+  const double all = std::accumulate(known.Seen.begin(), known.Seen.end(), 0.0);
+  const double coarse = classGrade(subject, declared);
+  // The organisation's own level shifts the whole curve.
+  const double shift = grade(subject, declared) - coarse;
+  for (std::size_t n = 0; n < CheckBins; ++n) {
+    bins[n].Share = known.Seen[n] / all;
+    const double expected = known.Grades[n].towards(coarse, BinPriorWeight);
+    bins[n].Grade = std::clamp(expected + shift, 0.0, 1.0);
+  }
+  return bins;
+}
+
+} // namespace cowslipridge::route
--- /dev/null
+++ b/src/cowslipridge/route/RunnerChooser.cpp
@@ -0,0 +1,272 @@
+#include "cowslipridge/route/RunnerChooser.hpp"
+
+#include "cowslipridge/route/FirstTokenModel.hpp"
+#include "cowslipridge/route/PrefixIndex.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+
+namespace cowslipridge::route {
+
+namespace {
+
+using Views = std::vector<const RunnerView *>;
+
+/// Prompt blocks whose holders are remembered.
+constexpr std::size_t MaxBlocks = 50'000;
+/// Load over the mean at which a runner is no longer chosen for its cache.
+constexpr double AffinityLoadFactor = 1.25;
+constexpr double AffinityLoadSlack = 2;
+/// Runners drawn at random beside those chosen for their cache.
+constexpr std::size_t RandomChoices = 2;
+/// Runners considered because they keep the most of the prompt.
+constexpr std::size_t MaxHolders = 2;
+/// Gain of a runner's slowness, on the logarithm of actual over predicted.
+constexpr double SlownessGain = 0.2;
+constexpr double MaxLogSlowness = 4;
+/// Time in which a remembered slowness falls to a third, so that a runner that
+/// has recovered is tried again.
+constexpr double SlownessMemoryMillis = 20'000;
+/// Silence beyond the others' that is no sign of a stalled runner.
+constexpr core::Millis SilenceGrace{500};
+
+double outstandingOf(const RunnerView &view) {
+  return view.InFlight + view.Queued + view.SentSince;
+}
+
+bool serves(const RunnerView &view, const core::VersionId &version) {
+  return std::find(view.Versions.begin(), view.Versions.end(), version) !=
+         view.Versions.end();
+}
+
+/// Runners that may take the request; suspects only when there is no other.
+Views findEligible(const core::VersionId &version,
+                   const std::vector<RunnerView> &runners,
+                   const std::vector<core::RunnerId> &excluded) {
+  Views sound;
+  Views suspects;
+  for (const RunnerView &view : runners) {
+    const bool wasTried = std::find(excluded.begin(), excluded.end(),
+                                    view.Runner) != excluded.end();
+    if (view.Leaving || wasTried || !serves(view, version))
+      continue;
+    (view.Suspect ? suspects : sound).push_back(&view);
+  }
+  return sound.empty() ? suspects : sound;
+}
+
+/// Mixes the bits of two hashes (the finalizer of SplitMix64).
+std::uint64_t mixHashes(std::uint64_t a, std::uint64_t b) {
+  std::uint64_t mixed = a + 0x9e3779b97f4a7c15ULL * (b | 1);
+  mixed = (mixed ^ (mixed >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  mixed = (mixed ^ (mixed >> 27)) * 0x94d049bb133111ebULL;
+  return mixed ^ (mixed >> 31);
+}
+
+/// The runner that every entry gives a prompt that none has seen, by
+/// rendezvous hashing.
+const RunnerView *homeOf(const std::vector<std::uint64_t> &prefix,
+                         const Views &eligible) {
+  const std::uint64_t key = prefix[prefix.size() / 2];
+  const auto rank = [key](const RunnerView *view) {
+    return mixHashes(std::hash<core::RunnerId>()(view->Runner), key);
+  };
+  return *std::max_element(
+      eligible.begin(), eligible.end(),
+      [&](const auto *a, const auto *b) { return rank(a) < rank(b); });
+}
+
+double meanOutstanding(const Views &eligible) {
+  double sum = 0;
+  for (const RunnerView *view : eligible)
+    sum += outstandingOf(*view);
+  return sum / static_cast<double>(eligible.size());
+}
+
+/// The shortest time since any runner was heard: reports that are late for all
+/// say nothing about one.
+core::Millis commonSilence(const Views &eligible, core::Millis now) {
+  core::Millis least = now - eligible.front()->HeardAt;
+  for (const RunnerView *view : eligible)
+    least = std::min(least, now - view->HeardAt);
+  return least;
+}
+
+} // namespace
+
+class RunnerChooser::State {
+public:
+  explicit State(std::uint64_t seed) : Generator(seed) {}
+
+  std::optional<core::RunnerId> choose(const RequestFacts &facts,
+                                       const Views &eligible, core::Millis now);
+  void observe(const AnswerObservation &answer, core::Millis now);
+
+  PrefixIndex Prefixes{MaxBlocks};
+
+  struct RunnerRecord {
+    double LogSlowness = 0;
+    core::Millis SlownessAt;
+    double LastOutstanding = 0; ///< when it was last chosen
+  };
+  std::map<core::RunnerId, RunnerRecord> Records;
+
+private:
+  Views drawCandidates(const RequestFacts &facts, const Views &eligible);
+  void addHolders(const RequestFacts &facts, const Views &eligible,
+                  Views &candidates);
+  double predict(const RequestFacts &facts, const RunnerView &view,
+                 core::Millis silence, core::Millis now) const;
+  double slowness(const core::RunnerId &runner, core::Millis now) const;
+  double uncachedTokens(const RequestFacts &facts,
+                        const core::RunnerId &runner) const;
+
+  core::Random Generator;
+  FirstTokenModel FirstToken;
+};
+
+double RunnerChooser::State::slowness(const core::RunnerId &runner,
+                                      core::Millis now) const {
+  const auto it = Records.find(runner);
+  if (it == Records.end())
+    return 1;
+  const auto age = static_cast<double>((now - it->second.SlownessAt).count());
+  return std::exp(it->second.LogSlowness *
+                  std::exp(-age / SlownessMemoryMillis));
+}
+
+double
+RunnerChooser::State::uncachedTokens(const RequestFacts &facts,
+                                     const core::RunnerId &runner) const {
+  const auto tokens = static_cast<double>(facts.PromptTokens);
+  if (facts.PrefixHashes.empty())
+    return tokens;
+  const auto matched =
+      static_cast<double>(Prefixes.matchedBlocks(facts.PrefixHashes, runner));
+  const auto blocks = static_cast<double>(facts.PrefixHashes.size());
+  return tokens * (1 - matched / blocks);
+}
+
+double RunnerChooser::State::predict(const RequestFacts &facts,
+                                     const RunnerView &view,
+                                     core::Millis silence,
+                                     core::Millis now) const {
+  const double base = FirstToken.predict(
+      {uncachedTokens(facts, view.Runner), outstandingOf(view)});
+  const auto wait = static_cast<double>(view.PredictedWait.count());
+  double prediction = base * slowness(view.Runner, now) + wait;
+  const core::Millis ownSilence = now - view.HeardAt - silence;
+  if (view.SentSince > 0 && ownSilence > SilenceGrace)
+    prediction += static_cast<double>(ownSilence.count());
+  return prediction;
+}
+
+void RunnerChooser::State::addHolders(const RequestFacts &facts,
+                                      const Views &eligible,
+                                      Views &candidates) {
+  const double bound =
+      AffinityLoadFactor * meanOutstanding(eligible) + AffinityLoadSlack;
+  std::vector<std::pair<std::size_t, const RunnerView *>> holders;
+  for (const RunnerView *view : eligible) {
+    const auto matched =
+        Prefixes.matchedBlocks(facts.PrefixHashes, view->Runner);
+    if (matched > 0 && outstandingOf(*view) <= bound)
+      holders.emplace_back(matched, view);
+  }
+  std::shuffle(holders.begin(), holders.end(), Generator);
+  std::stable_sort(
+      holders.begin(), holders.end(),
+      [](const auto &a, const auto &b) { return a.first > b.first; });
+  for (std::size_t n = 0; n < std::min(MaxHolders, holders.size()); ++n)
+    candidates.push_back(holders[n].second);
+}
+
+Views RunnerChooser::State::drawCandidates(const RequestFacts &facts,
+                                           const Views &eligible) {
+  Views candidates;
+  if (!facts.PrefixHashes.empty()) {
+    addHolders(facts, eligible, candidates);
+    candidates.push_back(homeOf(facts.PrefixHashes, eligible));
+  }
+  for (std::size_t n = 0; n < RandomChoices; ++n)
+    candidates.push_back(
+        eligible[core::uniformIndex(Generator, eligible.size())]);
+  return candidates;
+}
+
+std::optional<core::RunnerId>
+RunnerChooser::State::choose(const RequestFacts &facts, const Views &eligible,
+                             core::Millis now) {
+  if (eligible.empty())
+    return std::nullopt;
+  const core::Millis silence = commonSilence(eligible, now);
+  const RunnerView *best = nullptr;
+  double bestPrediction = 0;
+  for (const RunnerView *view : drawCandidates(facts, eligible)) {
+    const double prediction = predict(facts, *view, silence, now);
+    if (best == nullptr || prediction < bestPrediction) {
+      best = view;
+      bestPrediction = prediction;
+    }
+  }
+  Records[best->Runner].LastOutstanding = outstandingOf(*best);
+  // Its cache will hold the prompt by the time that a similar one arrives.
+  for (const std::uint64_t block : facts.PrefixHashes)
+    Prefixes.insert(block, best->Runner);
+  return best->Runner;
+}
+
+void RunnerChooser::State::observe(const AnswerObservation &answer,
+                                   core::Millis now) {
+  if (answer.Failed)
+    return;
+  RunnerRecord &record = Records[answer.Runner];
+  const FirstTokenFactors factors{
+      static_cast<double>(answer.PromptTokens) -
+          static_cast<double>(
+              std::min(answer.CachedTokens, answer.PromptTokens)),
+      record.LastOutstanding};
+  const double elapsed =
+      std::max(1.0, static_cast<double>(answer.TimeToFirstToken.count()));
+  const double predicted = FirstToken.predict(factors);
+  const double known = std::log(slowness(answer.Runner, now));
+  record.LogSlowness =
+      std::clamp(known + SlownessGain * (std::log(elapsed / predicted) - known),
+                 -MaxLogSlowness, MaxLogSlowness);
+  record.SlownessAt = now;
+  FirstToken.observe(factors, elapsed);
+  for (const std::uint64_t block : answer.PrefixHashes)
+    Prefixes.insert(block, answer.Runner);
+}
+
+RunnerChooser::RunnerChooser(std::uint64_t seed)
+    : Learnt(std::make_unique<State>(seed)) {}
+
+RunnerChooser::~RunnerChooser() = default;
+
+std::optional<core::RunnerId>
+RunnerChooser::choose(const RequestFacts &facts, const core::VersionId &version,
+                      const std::vector<RunnerView> &runners,
+                      const std::vector<core::RunnerId> &excluded,
+                      core::Millis now) {
+  return Learnt->choose(facts, findEligible(version, runners, excluded), now);
+}
+
+void RunnerChooser::observe(const AnswerObservation &answer, core::Millis now) {
+  Learnt->observe(answer, now);
+}
+
+void RunnerChooser::observe(const CacheEvent &event) {
+  if (event.Evicted)
+    Learnt->Prefixes.erase(event.PrefixHash, event.Runner);
+  else
+    Learnt->Prefixes.insert(event.PrefixHash, event.Runner);
+}
+
+void RunnerChooser::forget(const core::RunnerId &runner) {
+  Learnt->Prefixes.eraseRunner(runner);
+  Learnt->Records.erase(runner);
+}
+
+} // namespace cowslipridge::route
--- a/src/cowslipridge/route/RunnerChooser.hpp
+++ b/src/cowslipridge/route/RunnerChooser.hpp
@@ -19,6 +19,14 @@
   bool Failed = false;
 };
 
+/// A runner's engine says that it keeps, or no longer keeps, a prompt block.
+/// Events are hints: they may be lost, late or out of order.
+struct CacheEvent {
+  core::RunnerId Runner;
+  std::uint64_t PrefixHash = 0;
+  bool Evicted = false;
+};
+
 /// Chooses the runner with the shortest predicted time to first token among
 /// those that serve a version.
 class RunnerChooser {
@@ -33,6 +41,7 @@
          const std::vector<RunnerView> &runners,
          const std::vector<core::RunnerId> &excluded, core::Millis now);
   void observe(const AnswerObservation &answer, core::Millis now);
+  void observe(const CacheEvent &event);
   void forget(const core::RunnerId &runner);
 
 private:
--- /dev/null
+++ b/tests/property/route/RunnerChooserProperties.cpp
@@ -0,0 +1,106 @@
+#include "cowslipridge/route/RunnerChooser.hpp"
+#include "support/Histories.hpp"
+
+#include <algorithm>
+
+using namespace cowslipridge;
+using namespace cowslipridge::route;
+
+namespace {
+
+constexpr int Histories = 10'000;
+constexpr int RequestsPerHistory = 15;
+
+core::VersionId drawVersion(core::Random &random) {
+  return core::VersionId("v" + std::to_string(core::uniformIndex(random, 3)));
+}
+
+std::vector<RunnerView> drawRunners(core::Random &random) {
+  std::vector<RunnerView> runners(core::uniformIndex(random, 8));
+  for (std::size_t n = 0; n < runners.size(); ++n) {
+    RunnerView &view = runners[n];
+    view.Runner = core::RunnerId("r" + std::to_string(n));
+    view.Versions = {drawVersion(random), drawVersion(random)};
+    view.InFlight = static_cast<unsigned>(core::uniformIndex(random, 40));
+    view.SentSince = static_cast<unsigned>(core::uniformIndex(random, 4));
+    view.HeardAt = core::Millis(
+        static_cast<std::int64_t>(core::uniformIndex(random, 5000)));
+    view.Leaving = core::uniform(random) < 0.3;
+    view.Suspect = core::uniform(random) < 0.3;
+  }
+  return runners;
+}
+
+RequestFacts drawFacts(core::Random &random) {
+  RequestFacts facts;
+  facts.PromptTokens = core::uniformIndex(random, 5000);
+  const std::size_t blocks = core::uniformIndex(random, 5);
+  for (std::size_t n = 0; n < blocks; ++n)
+    facts.PrefixHashes.push_back(core::uniformIndex(random, 20));
+  return facts;
+}
+
+bool mayTake(const RunnerView &view, const core::VersionId &version,
+             const std::vector<core::RunnerId> &excluded) {
+  return !view.Leaving &&
+         std::count(view.Versions.begin(), view.Versions.end(), version) > 0 &&
+         std::count(excluded.begin(), excluded.end(), view.Runner) == 0;
+}
+
+void checkChoice(const std::optional<core::RunnerId> &choice,
+                 const core::VersionId &version,
+                 const std::vector<RunnerView> &runners,
+                 const std::vector<core::RunnerId> &excluded) {
+  const auto eligible = [&](const RunnerView &view) {
+    return mayTake(view, version, excluded);
+  };
+  const bool someEligible =
+      std::any_of(runners.begin(), runners.end(), eligible);
+  RC_ASSERT(choice.has_value() == someEligible);
+  if (!choice)
+    return;
+  const auto chosen =
+      std::find_if(runners.begin(), runners.end(),
+                   [&](const auto &view) { return view.Runner == *choice; });
+  RC_ASSERT(chosen != runners.end());
+  RC_ASSERT(eligible(*chosen));
+  const bool soundExists =
+      std::any_of(runners.begin(), runners.end(), [&](const auto &view) {
+        return eligible(view) && !view.Suspect;
+      });
+  RC_ASSERT(!(chosen->Suspect && soundExists));
+}
+
+TEST(RunnerChooserProperties, choosesOnlyEligibleRunners) {
+  support::expectHolds(Histories, [](std::uint64_t seed) {
+    core::Random random(seed);
+    RunnerChooser chooser(seed);
+    for (int n = 0; n < RequestsPerHistory; ++n) {
+      const auto runners = drawRunners(random);
+      const auto facts = drawFacts(random);
+      const auto version = drawVersion(random);
+      std::vector<core::RunnerId> excluded;
+      if (core::uniform(random) < 0.5)
+        excluded.emplace_back("r0");
+      const core::Millis now(500LL * n);
+      const auto choice =
+          chooser.choose(facts, version, runners, excluded, now);
+      checkChoice(choice, version, runners, excluded);
+      if (!choice)
+        continue;
+      chooser.observe(
+          AnswerObservation{*choice, facts.PrefixHashes, facts.PromptTokens,
+                            core::uniformIndex(random, 6000),
+                            core::Millis(static_cast<std::int64_t>(
+                                core::uniformIndex(random, 60'000))),
+                            core::uniform(random) < 0.1},
+          now);
+      chooser.observe(CacheEvent{*choice, core::uniformIndex(random, 20),
+                                 core::uniform(random) < 0.5});
+      if (core::uniform(random) < 0.1)
+        chooser.forget(*choice);
+    }
+  });
+}
+
+} // namespace
--- /dev/null
+++ b/tests/unit/limits/AdmissionTest.cpp
@@ -0,0 +1,129 @@
+#include "cowslipridge/limits/Admission.hpp"
+
+#include <gtest/gtest.h>
+#include <set>
+
+using namespace cowslipridge;
+using namespace cowslipridge::limits;
+
+namespace {
+
+Arrival makeArrival(const std::string &name, const std::string &organisation,
+                    std::int64_t deadline = 100'000, std::int64_t work = 100) {
+  Arrival arrival;
+  arrival.Request = core::RequestId(name);
+  arrival.Organisation = core::OrganisationId(organisation);
+  arrival.Deadline = core::Millis(deadline);
+  arrival.ExpectedWork = core::Millis(work);
+  return arrival;
+}
+
+AdmissionActions started(const std::string &name) {
+  return {StartRequest{core::RequestId(name)}};
+}
+
+AdmissionActions queued(const std::string &name) {
+  return {QueueRequest{core::RequestId(name)}};
+}
+
+TEST(Admission, startsWhileThereIsRoomThenQueues) {
+  Admission admission({1, 1, 8}, 1);
+  EXPECT_EQ(admission.arrive(makeArrival("a", "x"), {}), started("a"));
+  EXPECT_EQ(admission.arrive(makeArrival("b", "x"), {}), queued("b"));
+  EXPECT_EQ(admission.finish(core::RequestId("a"), core::Millis(100), false,
+                             core::Millis(100)),
+            started("b"));
+}
+
+TEST(Admission, startsTheEarliestDeadlineOfAnOrganisationFirst) {
+  Admission admission({1, 1, 8}, 1);
+  admission.arrive(makeArrival("a", "x"), {});
+  admission.arrive(makeArrival("late", "x", 90'000), {});
+  admission.arrive(makeArrival("early", "x", 50'000), {});
+  EXPECT_EQ(admission.finish(core::RequestId("a"), core::Millis(100), false,
+                             core::Millis(100)),
+            started("early"));
+}
+
+TEST(Admission, floodDoesNotDelayAnotherOrganisation) {
+  Admission admission({1, 1, 64}, 1);
+  for (int n = 0; n < 40; ++n)
+    admission.arrive(makeArrival("f" + std::to_string(n), "flood"), {});
+  admission.arrive(makeArrival("q", "quiet"), {});
+  EXPECT_EQ(admission.finish(core::RequestId("f0"), core::Millis(100), false,
+                             core::Millis(100)),
+            started("q"));
+}
+
+TEST(Admission, fullQueueRefusesTheOrganisationWithTheMostWaiting) {
+  Admission admission({1, 1, 4}, 1);
+  for (int n = 0; n < 5; ++n)
+    admission.arrive(makeArrival("f" + std::to_string(n), "flood"), {});
+  const auto actions = admission.arrive(makeArrival("q", "quiet"), {});
+  ASSERT_EQ(actions.size(), 2U);
+  EXPECT_EQ(actions[0], AdmissionAction(QueueRequest{core::RequestId("q")}));
+  EXPECT_TRUE(std::holds_alternative<RefuseRequest>(actions[1]));
+}
+
+TEST(Admission, refusesAtOnceWhatCannotMeetItsDeadline) {
+  Admission admission({1, 1, 64}, 1);
+  for (int n = 0; n < 6; ++n)
+    EXPECT_FALSE(std::holds_alternative<RefuseRequest>(
+        admission.arrive(makeArrival("f" + std::to_string(n), "x", 600), {})
+            .front()));
+  const auto actions = admission.arrive(makeArrival("q", "x", 600), {});
+  ASSERT_EQ(actions.size(), 1U);
+  const auto &refusal = std::get<RefuseRequest>(actions[0]);
+  EXPECT_EQ(refusal.Reason, core::Errc::Overloaded);
+  EXPECT_GE(refusal.RetryAfter, core::Millis(350));
+}
+
+TEST(Admission, refusedCallersAreToldDifferentTimes) {
+  Admission admission({1, 1, 1}, 1);
+  std::set<core::Millis> times;
+  for (int n = 0; n < 20; ++n) {
+    for (const auto &action :
+         admission.arrive(makeArrival("r" + std::to_string(n), "x"), {})) {
+      if (const auto *refusal = std::get_if<RefuseRequest>(&action))
+        times.insert(refusal->RetryAfter);
+    }
+  }
+  EXPECT_GT(times.size(), 12U);
+}
+
+TEST(Admission, deferrableWorkLeavesRoomForOtherWork) {
+  Admission admission({8, 1, 64}, 1);
+  for (int n = 0; n < 20; ++n) {
+    Arrival draft = makeArrival("d" + std::to_string(n), "league", 1'000'000);
+    draft.Deferrable = true;
+    admission.arrive(draft, {});
+  }
+  EXPECT_EQ(admission.inFlight(), 7U);
+  EXPECT_EQ(admission.arrive(makeArrival("q", "quiet"), {}), started("q"));
+}
+
+TEST(Admission, deferrableWorkIsStartedInTimeForItsDeadline) {
+  Admission admission({2, 1, 64}, 1);
+  admission.arrive(makeArrival("a", "x"), {});
+  admission.arrive(makeArrival("b", "x"), {});
+  Arrival draft = makeArrival("draft", "league", 1000);
+  draft.Deferrable = true;
+  EXPECT_EQ(admission.arrive(draft, {}), queued("draft"));
+  admission.arrive(makeArrival("c", "x"), {});
+  admission.tick(core::Millis(700));
+  const auto actions = admission.finish(core::RequestId("a"), core::Millis(100),
+                                        false, core::Millis(710));
+  const auto next = admission.finish(core::RequestId("b"), core::Millis(100),
+                                     false, core::Millis(720));
+  EXPECT_TRUE(actions == started("draft") || next == started("draft"));
+}
+
+TEST(Admission, cancelledRequestFreesItsPlace) {
+  Admission admission({1, 1, 8}, 1);
+  admission.arrive(makeArrival("a", "x"), {});
+  admission.arrive(makeArrival("b", "x"), {});
+  EXPECT_EQ(admission.cancel(core::RequestId("a"), core::Millis(10)),
+            started("b"));
+}
+
+} // namespace
