Read settings and declarations, report all findings together

Cause: the daemon and the operators' tool need the INI files as typed aggregates, and a wrong file must be reported whole, not error by error.

Ruled out: INIReader, which keeps neither line numbers nor duplicate keys and silently cuts lines at 197 bytes. inih's own loop is kept and given a counting reader instead, so that every entry has its line and a long line is a finding. nlohmann's enum macro maps an unknown word to the first enumerator; a damaged state must not become `active`, so the codec converts by hand.

A finding on a secret never repeats its value.

--- /dev/null
+++ b/src/cowslipridge/config/Settings.cpp
@@ -0,0 +1,227 @@
+#include "cowslipridge/config/Settings.hpp"
+
+#include "cowslipridge/config/internal/IniText.hpp"
+#include "cowslipridge/config/internal/Names.hpp"
+#include "cowslipridge/config/internal/SectionReader.hpp"
+#include "cowslipridge/config/internal/Units.hpp"
+
+#include <arpa/inet.h>
+
+#include <algorithm>
+#include <array>
+
+namespace cowslipridge::config {
+
+namespace {
+
+using internal::Choice;
+using internal::IniDocument;
+using internal::IniSection;
+using internal::SectionReader;
+
+constexpr std::size_t MaxThreads = 256;
+constexpr std::size_t MinBodyBytes = 1'024;
+constexpr std::size_t MaxBodyBytes = 256UL * 1'024 * 1'024;
+constexpr std::uint64_t MaxPort = 65'535;
+constexpr std::size_t KeyDigits = 64;
+
+constexpr std::array<std::string_view, 5> SectionNames = {
+    "process", "listen", "platform", "security", "runner"};
+
+constexpr Choice<DaemonRole> Roles[] = {{"entry", DaemonRole::Entry},
+                                        {"sidecar", DaemonRole::Sidecar}};
+constexpr Choice<bool> LogFormats[] = {{"text", false}, {"json", true}};
+
+bool isIpNumber(const std::string &text) {
+  std::array<unsigned char, sizeof(in6_addr)> parsed{};
+  return inet_pton(AF_INET, text.c_str(), parsed.data()) == 1 ||
+         inet_pton(AF_INET6, text.c_str(), parsed.data()) == 1;
+}
+
+/// Fills the settings section by section.
+class Parser {
+public:
+  Parser(const IniDocument &document, core::Findings &findings)
+      : Document(document), Findings(findings) {}
+
+  DaemonSettings run() {
+    checkSections();
+    readProcess();
+    readListen();
+    readPlatform();
+    readSecurity();
+    readRunner();
+    return std::move(Settings);
+  }
+
+private:
+  void checkSections() {
+    std::vector<std::string> seen;
+    for (const IniSection &it : Document.Sections) {
+      const bool known = std::find(SectionNames.begin(), SectionNames.end(),
+                                   it.Name) != SectionNames.end();
+      if (!known)
+        addFinding(it.Line, it.Name, "unknown section",
+                   "[process], [listen], [platform], [security] or [runner]");
+      else if (std::find(seen.begin(), seen.end(), it.Name) != seen.end())
+        addFinding(it.Line, it.Name, "the section stands twice",
+                   "all its keys in one section");
+      seen.push_back(it.Name);
+    }
+  }
+
+  /// The section's reader; a missing one reads as empty, so that each key that
+  /// it must have is reported.
+  SectionReader open(std::string_view name) {
+    const auto it =
+        std::find_if(Document.Sections.begin(), Document.Sections.end(),
+                     [&](const IniSection &x) { return x.Name == name; });
+    if (it != Document.Sections.end())
+      return {Document.File, *it, Findings};
+    Missing.Name = name;
+    return {Document.File, Missing, Findings};
+  }
+
+  void readProcess() {
+    SectionReader reader = open("process");
+    if (!reader.has("role"))
+      reader.fail("role", "the key is missing",
+                  "role = entry or role = sidecar");
+    Settings.Role = reader.choice("role", Settings.Role, Roles);
+    Settings.Instance =
+        core::InstanceId(readName(reader, "instance", "entry-kochi-a-1"));
+    Settings.Domain =
+        core::FailureDomainId(readName(reader, "failure_domain", "kochi-a"));
+    Settings.Threads = reader.count("threads", Settings.Threads, 1, MaxThreads);
+    Settings.JsonLog = reader.choice("log", Settings.JsonLog, LogFormats);
+    reader.finish();
+  }
+
+  void readListen() {
+    SectionReader reader = open("listen");
+    Settings.Address = reader.requireText("address", "127.0.0.1");
+    if (!Settings.Address.empty() && !isIpNumber(Settings.Address))
+      reader.fail("address", "'" + Settings.Address + "' is not an IP number",
+                  "an IP number such as 127.0.0.1");
+    Settings.HttpPort = readPort(reader, "http_port", "8080", true);
+    const bool listensToPeers = Settings.Role == DaemonRole::Sidecar;
+    Settings.RpcPort = readPort(reader, "rpc_port", "9080", listensToPeers);
+    if (Settings.HttpPort != 0 && Settings.HttpPort == Settings.RpcPort)
+      reader.fail("rpc_port", "http_port and rpc_port are the same",
+                  "a port of its own");
+    Settings.MaxBodyBytes = reader.size("max_body", Settings.MaxBodyBytes,
+                                        MinBodyBytes, MaxBodyBytes);
+    reader.finish();
+  }
+
+  void readPlatform() {
+    SectionReader reader = open("platform");
+    Settings.StoreAddress = readUrl(reader, "store", true);
+    Settings.InstancesAddress = readUrl(reader, "instances", true);
+    Settings.RatingsAddress = readUrl(reader, "ratings", false);
+    Settings.WeightsAddress = readUrl(reader, "weights", false);
+    reader.finish();
+  }
+
+  void readSecurity() {
+    SectionReader reader = open("security");
+    Settings.FleetKey = readHex(reader, "fleet_key");
+    Settings.SessionKey = readHex(reader, "session_key");
+    Settings.AdminKeyHash = readHex(reader, "admin_key_hash");
+    reader.finish();
+  }
+
+  void readRunner() {
+    const bool declared =
+        std::any_of(Document.Sections.begin(), Document.Sections.end(),
+                    [](const IniSection &x) { return x.Name == "runner"; });
+    if (Settings.Role == DaemonRole::Entry) {
+      if (declared)
+        addFinding(open("runner").line(), "runner",
+                   "an entry has no runner of its own", "role = sidecar");
+      return;
+    }
+    SectionReader reader = open("runner");
+    RunnerSettings runner;
+    runner.Address = readUrl(reader, "address", true);
+    runner.Service = core::ServiceId(readName(reader, "service", "drafting"));
+    if (!reader.has("versions"))
+      reader.fail("versions", "the key is missing", "versions = small@1");
+    for (std::string &it : reader.list("versions")) {
+      if (!internal::isName(it))
+        reader.fail("versions", "'" + it + "' is not a name",
+                    std::string(internal::NameRule));
+      runner.Versions.emplace_back(std::move(it));
+    }
+    Settings.Runner = std::move(runner);
+    reader.finish();
+  }
+
+  static std::string readName(SectionReader &reader, std::string_view key,
+                              const std::string &example) {
+    std::string name = reader.requireText(key, example);
+    if (!name.empty() && !internal::isName(name))
+      reader.fail(key, "'" + name + "' is not a name",
+                  std::string(internal::NameRule));
+    return name;
+  }
+
+  static std::uint16_t readPort(SectionReader &reader, std::string_view key,
+                                const std::string &example, bool required) {
+    if (required && !reader.has(key))
+      reader.fail(key, "the key is missing",
+                  std::string(key) + " = " + example);
+    return static_cast<std::uint16_t>(reader.count(key, 0, 1, MaxPort));
+  }
+
+  static std::string readUrl(SectionReader &reader, std::string_view key,
+                             bool required) {
+    const std::string example = "http://127.0.0.1:8500";
+    std::string url =
+        required ? reader.requireText(key, example) : reader.text(key, "");
+    if (!url.empty() && !internal::isHttpUrl(url))
+      reader.fail(key, "'" + url + "' is not an HTTP address",
+                  "an address such as " + example);
+    return url;
+  }
+
+  static std::string readHex(SectionReader &reader, std::string_view key) {
+    std::string text =
+        reader.requireText(key, "64 lower-case hexadecimal digits");
+    // The value is a secret: the finding does not repeat it.
+    if (!text.empty() && !internal::isLowerHex(text, KeyDigits))
+      reader.fail(key, "the value is not a 32-byte key in hexadecimal",
+                  "64 lower-case hexadecimal digits");
+    return text;
+  }
+
+  void addFinding(int line, const std::string &section, std::string message,
+                  std::string suggestion) {
+    Findings.add({.File = Document.File,
+                  .Line = line,
+                  .Section = section,
+                  .Key = "",
+                  .Message = std::move(message),
+                  .Suggestion = std::move(suggestion)});
+  }
+
+  const IniDocument &Document;
+  core::Findings &Findings;
+  IniSection Missing;
+  DaemonSettings Settings;
+};
+
+} // namespace
+
+std::optional<DaemonSettings> parseSettings(std::string_view text,
+                                            const std::string &file,
+                                            core::Findings &findings) {
+  const std::size_t before = findings.items().size();
+  const IniDocument document = internal::readIni(text, file, findings);
+  DaemonSettings settings = Parser(document, findings).run();
+  if (findings.items().size() != before)
+    return std::nullopt;
+  return settings;
+}
+
+} // namespace cowslipridge::config
--- a/src/cowslipridge/config/Settings.hpp
+++ b/src/cowslipridge/config/Settings.hpp
@@ -31,10 +31,10 @@
   std::size_t Threads = 4;             ///< `threads = 4`
   bool JsonLog = false;                ///< `log = text` or `json`
   // [listen]
-  std::string Address;                        ///< `address = 127.0.0.1`
-  std::uint16_t HttpPort = 0;                 ///< `http_port = 8080`
-  std::uint16_t RpcPort = 0;                  ///< `rpc_port = 9080`
-  std::size_t MaxBodyBytes = 8 * 1024 * 1024; ///< `max_body = 8MiB`
+  std::string Address;                          ///< `address = 127.0.0.1`
+  std::uint16_t HttpPort = 0;                   ///< `http_port = 8080`
+  std::uint16_t RpcPort = 0;                    ///< `rpc_port = 9080`
+  std::size_t MaxBodyBytes = 8UL * 1024 * 1024; ///< `max_body = 8MiB`
   // [platform]; each `name = http://127.0.0.1:8500`
   std::string StoreAddress;     ///< `store`
   std::string InstancesAddress; ///< `instances`
--- /dev/null
+++ b/src/cowslipridge/config/internal/SectionReader.cpp
@@ -0,0 +1,220 @@
+#include "cowslipridge/config/internal/SectionReader.hpp"
+
+#include "cowslipridge/config/internal/Units.hpp"
+
+#include <algorithm>
+#include <numeric>
+#include <utility>
+
+namespace cowslipridge::config::internal {
+
+namespace {
+
+constexpr std::size_t NearestWordEdits = 3;
+
+std::string trim(std::string_view text) {
+  const std::size_t begin = text.find_first_not_of(' ');
+  if (begin == std::string_view::npos)
+    return {};
+  const std::size_t end = text.find_last_not_of(' ');
+  return std::string(text.substr(begin, end - begin + 1));
+}
+
+std::string showRange(const std::string &least, const std::string &most) {
+  return "a value from " + least + " to " + most;
+}
+
+std::string showMillis(core::Millis length) {
+  return std::to_string(length.count()) + "ms";
+}
+
+std::string showDecimal(double number) {
+  std::string text = std::to_string(number);
+  text.erase(text.find_last_not_of('0') + 1);
+  if (text.back() == '.')
+    text.pop_back();
+  return text;
+}
+
+std::size_t editDistance(std::string_view a, std::string_view b) {
+  std::vector<std::size_t> row(b.size() + 1);
+  std::iota(row.begin(), row.end(), 0U);
+  for (std::size_t i = 0; i < a.size(); ++i) {
+    std::size_t diagonal = row[0];
+    row[0] = i + 1;
+    for (std::size_t j = 0; j < b.size(); ++j) {
+      const std::size_t replaced = diagonal + (a[i] == b[j] ? 0 : 1);
+      diagonal = row[j + 1];
+      row[j + 1] = std::min({replaced, diagonal + 1, row[j] + 1});
+    }
+  }
+  return row[b.size()];
+}
+
+} // namespace
+
+SectionReader::SectionReader(std::string file, const IniSection &section,
+                             core::Findings &findings)
+    : File(std::move(file)), Section(section), Findings(findings) {}
+
+const IniEntry *SectionReader::take(std::string_view key) {
+  Known.emplace(key);
+  const auto it = std::find_if(Section.Entries.begin(), Section.Entries.end(),
+                               [&](const IniEntry &x) { return x.Key == key; });
+  return it == Section.Entries.end() ? nullptr : &*it;
+}
+
+bool SectionReader::has(std::string_view key) { return take(key) != nullptr; }
+
+std::string SectionReader::requireText(std::string_view key,
+                                       const std::string &example) {
+  const IniEntry *it = take(key);
+  if (it != nullptr && !it->Value.empty())
+    return it->Value;
+  fail(key, it == nullptr ? "the key is missing" : "the value is empty",
+       std::string(key) + " = " + example);
+  return {};
+}
+
+std::string SectionReader::text(std::string_view key,
+                                const std::string &fallback) {
+  const IniEntry *it = take(key);
+  return it == nullptr ? fallback : it->Value;
+}
+
+std::uint64_t SectionReader::count(std::string_view key, std::uint64_t fallback,
+                                   std::uint64_t least, std::uint64_t most) {
+  const IniEntry *it = take(key);
+  if (it == nullptr)
+    return fallback;
+  const auto number = parseCount(it->Value);
+  if (number && *number >= least && *number <= most)
+    return *number;
+  fail(key,
+       number ? "the number is out of range"
+              : "'" + it->Value + "' is not a whole number",
+       showRange(std::to_string(least), std::to_string(most)));
+  return fallback;
+}
+
+double SectionReader::decimal(std::string_view key, double fallback,
+                              double least, double most) {
+  const IniEntry *it = take(key);
+  if (it == nullptr)
+    return fallback;
+  const auto number = parseDecimal(it->Value);
+  if (number && *number >= least && *number <= most)
+    return *number;
+  fail(key,
+       number ? "the number is out of range"
+              : "'" + it->Value + "' is not a number",
+       showRange(showDecimal(least), showDecimal(most)));
+  return fallback;
+}
+
+core::Millis SectionReader::duration(std::string_view key,
+                                     core::Millis fallback, core::Millis least,
+                                     core::Millis most) {
+  const IniEntry *it = take(key);
+  if (it == nullptr)
+    return fallback;
+  const auto length = parseDuration(it->Value);
+  if (!length) {
+    fail(key, "'" + it->Value + "' is not a duration",
+         "a whole number with ms, s, min or h, such as 30s");
+    return fallback;
+  }
+  if (*length >= least && *length <= most)
+    return *length;
+  fail(key, "the duration is out of range",
+       showRange(showMillis(least), showMillis(most)));
+  return fallback;
+}
+
+std::size_t SectionReader::size(std::string_view key, std::size_t fallback,
+                                std::size_t least, std::size_t most) {
+  const IniEntry *it = take(key);
+  if (it == nullptr)
+    return fallback;
+  const auto bytes = parseSize(it->Value);
+  if (!bytes) {
+    fail(key, "'" + it->Value + "' is not a size",
+         "a whole number with B, KiB, MiB or GiB, such as 8MiB");
+    return fallback;
+  }
+  if (*bytes >= least && *bytes <= most)
+    return *bytes;
+  fail(key, "the size is out of range",
+       showRange(std::to_string(least) + "B", std::to_string(most) + "B"));
+  return fallback;
+}
+
+bool SectionReader::flag(std::string_view key, bool fallback) {
+  static constexpr Choice<bool> Words[] = {{"yes", true}, {"no", false}};
+  return choice(key, fallback, Words);
+}
+
+std::vector<std::string> SectionReader::list(std::string_view key) {
+  const IniEntry *it = take(key);
+  std::vector<std::string> items;
+  if (it == nullptr)
+    return items;
+  std::string_view rest = it->Value;
+  while (!rest.empty()) {
+    const std::size_t comma = std::min(rest.find(','), rest.size());
+    std::string item = trim(rest.substr(0, comma));
+    rest.remove_prefix(std::min(comma + 1, rest.size()));
+    if (item.empty())
+      fail(key, "the list has an empty item", "items separated by one comma");
+    else
+      items.push_back(std::move(item));
+  }
+  if (items.empty())
+    fail(key, "the list is empty", "at least one item, or no such key");
+  return items;
+}
+
+void SectionReader::fail(std::string_view key, std::string message,
+                         std::string suggestion) {
+  const IniEntry *it = take(key);
+  Findings.add({.File = File,
+                .Line = it == nullptr ? Section.Line : it->Line,
+                .Section = Section.Name,
+                .Key = std::string(key),
+                .Message = std::move(message),
+                .Suggestion = std::move(suggestion)});
+}
+
+void SectionReader::finish() {
+  const std::vector<std::string> words(Known.begin(), Known.end());
+  std::set<std::string> seen;
+  for (const IniEntry &it : Section.Entries) {
+    const bool unknown = !Known.contains(it.Key);
+    if (!unknown && seen.insert(it.Key).second)
+      continue;
+    Findings.add(
+        {.File = File,
+         .Line = it.Line,
+         .Section = Section.Name,
+         .Key = it.Key,
+         .Message =
+             unknown ? "unknown key" : "the key stands twice in this section",
+         .Suggestion = unknown ? nearestWord(it.Key, words) : "it once"});
+  }
+}
+
+std::string nearestWord(std::string_view text,
+                        const std::vector<std::string> &words) {
+  std::string nearest;
+  std::size_t least = NearestWordEdits + 1;
+  for (const std::string &word : words) {
+    const std::size_t edits = editDistance(text, word);
+    if (edits < least && edits < word.size()) {
+      least = edits;
+      nearest = word;
+    }
+  }
+  return nearest;
+}
+
+} // namespace cowslipridge::config::internal
--- /dev/null
+++ b/tests/support/Histories.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <cstdint>
+#include <cstdlib>
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <sstream>
+#include <string>
+
+/// Runs RapidCheck properties with a fixed seed and a stated number of
+/// generated histories.
+namespace cowslipridge::support {
+
+constexpr std::uint64_t DefaultSeed = 20'261'203;
+
+/// `COWSLIPRIDGE_HISTORIES` overrides the number that a test asks for.
+inline int historyCount(int wanted) {
+  const char *text = std::getenv("COWSLIPRIDGE_HISTORIES");
+  return text == nullptr ? wanted : std::atoi(text);
+}
+
+inline rc::detail::TestResult runHistories(int wanted,
+                                           const rc::detail::Property &property,
+                                           std::uint64_t seed = DefaultSeed) {
+  rc::detail::TestParams params;
+  params.seed = seed;
+  params.maxSuccess = historyCount(wanted);
+  return rc::detail::checkProperty(property, rc::detail::TestMetadata{},
+                                   params);
+}
+
+/// Fails the current test with the counterexample if `property` does not hold.
+template <typename Callable>
+void expectHolds(int wanted, Callable property,
+                 std::uint64_t seed = DefaultSeed) {
+  const rc::detail::TestResult result =
+      runHistories(wanted, rc::detail::toProperty(property), seed);
+  if (result.is<rc::detail::SuccessResult>())
+    return;
+  std::ostringstream out;
+  rc::detail::printResultMessage(result, out);
+  FAIL() << "seed " << seed << "\n" << out.str();
+}
+
+/// Fails the current test unless a counterexample to `property` is found.
+template <typename Callable>
+void expectViolated(int wanted, Callable property,
+                    std::uint64_t seed = DefaultSeed) {
+  const rc::detail::TestResult result =
+      runHistories(wanted, rc::detail::toProperty(property), seed);
+  ASSERT_TRUE(result.is<rc::detail::FailureResult>())
+      << "no violation found in " << historyCount(wanted) << " histories";
+  const auto &failure = result.get<rc::detail::FailureResult>();
+  std::cout << "violation found after " << failure.numSuccess
+            << " histories: " << failure.description << "\n";
+}
+
+} // namespace cowslipridge::support
