Give RapidCheck a fixed seed in every test

Cause: RC_GTEST_PROP draws its seed from the system when none is given, so that a verdict could differ between runs. Change: CTest sets RC_PARAMS for all tests. Conclusion: property tests repeat.

--- a/cmake/Targets.cmake
+++ b/cmake/Targets.cmake
@@ -38,5 +38,6 @@
   target_link_libraries(${name} PRIVATE ${ARGN} GTest::gmock GTest::gtest_main
                                         rapidcheck)
   gtest_discover_tests(${name} DISCOVERY_MODE PRE_TEST
-                       PROPERTIES TIMEOUT 120)
+                       PROPERTIES TIMEOUT 120 ENVIRONMENT
+                                  "RC_PARAMS=seed=20261203")
 endfunction()
