Guard exposure to trial versions by credits and a sequential test

Cause: a bad version must be cut off after few requests, with late and missing grades slowing the roll-out instead of raising exposure.

--- a/src/cowslipridge/rollout/ExposureGuard.hpp
+++ b/src/cowslipridge/rollout/ExposureGuard.hpp
@@ -42,7 +42,8 @@
   ExposureGuard(EvidenceSource self, std::uint64_t seed);
   ~ExposureGuard();
 
-  /// Takes a newer declaration; evidence on unchanged versions is kept.
+  /// Takes a newer declaration. Evidence is kept; cut-offs and the step are
+  /// kept unless the roll-out names other versions.
   void configure(const config::ServiceDeclaration &service);
   /// Whether one more request of `organisation` may run on `version` now. A
   /// version in steady service is always admitted unless it is cut off.
@@ -53,13 +54,21 @@
                const core::OrganisationId &organisation, core::Millis now);
   /// It never ran after all: its credit comes back.
   void onNotRun(const core::RequestId &request);
+  /// A grade of a request that was started here; others and repeated ones are
+  /// ignored.
   RolloutActions onGrade(const core::RequestId &request, double score,
                          core::Millis now);
   /// Evidence that a peer counted.
   RolloutActions onEvidence(const EvidenceRecord &record, core::Millis now);
   /// A cut-off that a peer or the store knows.
   void onCutOff(const CutOff &cutOff);
-  /// The step of the roll-out, as the store records it.
+  /// How many sidecars serve the trial version, and this one's place among
+  /// them (from 0): they share the exposure credits.
+  void setPeers(unsigned rank, unsigned count);
+  /// Notices lost grades; call it about once a second.
+  void advance(core::Millis now);
+  /// The step of the roll-out, as the store records it. A lower one than
+  /// before is ignored.
   void setStep(unsigned step);
   /// Share of requests that the trial version should get now, 0..1.
   [[nodiscard]] double trialShare() const;
--- /dev/null
+++ b/tests/property/rollout/ExposureProperties.cpp
@@ -0,0 +1,183 @@
+#include "cowslipridge/core/Random.hpp"
+#include "cowslipridge/rollout/ExposureGuard.hpp"
+#include "cowslipridge/rollout/QualityTest.hpp"
+#include "support/Histories.hpp"
+
+#include <cmath>
+#include <deque>
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+using namespace cowslipridge;
+using namespace cowslipridge::rollout;
+
+namespace {
+
+constexpr int Histories = 10'000;
+const core::VersionId Old("old");
+const core::VersionId Trial("new");
+const core::OrganisationId Club("club");
+
+config::ServiceDeclaration service(unsigned credits) {
+  config::ServiceDeclaration service;
+  service.Name = core::ServiceId("advice");
+  service.Organisations.resize(1);
+  service.Rollout.emplace();
+  service.Rollout->Trial = Trial;
+  service.Rollout->Replaces = Old;
+  service.Rollout->Steps = {0.5, 1};
+  service.Rollout->InitialCredits = credits;
+  service.Rollout->GradesPerStep = 5;
+  return service;
+}
+
+/// Credits that may have come back in a silence of this length.
+double returnsIn(core::Millis silence) {
+  const double spans = static_cast<double>(silence.count()) / 30'000;
+  return std::floor(std::log2(spans + 1)) + 1;
+}
+
+/// Serves as much as a guard admits, while grades come late, twice, in any
+/// order or not at all.
+class GuardedTraffic {
+public:
+  explicit GuardedTraffic(unsigned credits)
+      : Credits(credits),
+        Guard({core::InstanceId("a"), core::Incarnation(1)}, 1) {
+    Guard.configure(service(credits));
+    for (int i = 0; i < 100; ++i) {
+      const core::RequestId request("old-" + std::to_string(i));
+      Guard.onStart(request, Old, Club, Now);
+      Guard.onGrade(request, 0.9, Now);
+    }
+  }
+
+  void step(int kind, std::size_t pick, double score) {
+    if (kind < 4)
+      startAll();
+    else if (kind < 8)
+      grade(pick, score, kind == 7);
+    else if (kind == 8)
+      pass(core::Millis(static_cast<std::int64_t>(pick) * 3'000));
+    else
+      Guard.setStep(static_cast<unsigned>(pick % 3));
+    check();
+  }
+
+private:
+  void startAll() {
+    for (int i = 0; i < 50 && Guard.admits(Trial, Club); ++i) {
+      RC_ASSERT(!IsCutOff);
+      const core::RequestId request(std::to_string(Starts++));
+      Guard.onStart(request, Trial, Club, Now);
+      Open.push_back(request);
+    }
+  }
+
+  void grade(std::size_t pick, double score, bool again) {
+    if (Open.empty())
+      return;
+    const auto it =
+        Open.begin() + static_cast<std::ptrdiff_t>(pick % Open.size());
+    const RolloutActions actions = Guard.onGrade(*it, score, Now);
+    for (const RolloutAction &action : actions)
+      IsCutOff = IsCutOff || std::holds_alternative<CutOff>(action);
+    ++Grades;
+    Returns += returnsIn(Now - LastGrade);
+    LastGrade = Now;
+    if (!again)
+      Open.erase(it);
+  }
+
+  void pass(core::Millis time) {
+    const core::Millis end = Now + time;
+    while (Now < end) {
+      Now = Now + core::Millis(1'000);
+      Guard.advance(Now);
+      startAll();
+    }
+  }
+
+  void check() const {
+    const double bound =
+        Credits + 3.0 * Grades + Returns + returnsIn(Now - LastGrade);
+    RC_ASSERT(static_cast<double>(Starts) <= bound);
+    RC_ASSERT(!IsCutOff || !Guard.admits(Trial, Club));
+    RC_ASSERT(!IsCutOff || Guard.trialShare() == 0);
+  }
+
+  unsigned Credits;
+  ExposureGuard Guard;
+  core::Millis Now;
+  core::Millis LastGrade;
+  std::deque<core::RequestId> Open;
+  std::uint64_t Starts = 0;
+  int Grades = 0;
+  double Returns = 0;
+  bool IsCutOff = false;
+};
+
+TEST(ExposureProperties, boundedByGradesAndCutOffsNeverRevert) {
+  support::expectHolds(Histories, [] {
+    GuardedTraffic traffic(*rc::gen::inRange(1U, 6U));
+    const int low = *rc::gen::inRange(0, 100);
+    const auto kinds =
+        *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 10));
+    for (const int kind : kinds) {
+      const int score = *rc::gen::inRange(low, 101);
+      traffic.step(kind, *rc::gen::inRange<std::size_t>(0, 100), score / 100.0);
+    }
+  });
+}
+
+TEST(ExposureProperties, mergeOrderAndRepetitionDoNotMatter) {
+  support::expectHolds(Histories, [] {
+    std::vector<EvidenceRecord> records;
+    const int n = *rc::gen::inRange(1, 12);
+    for (int i = 0; i < n; ++i) {
+      EvidenceRecord record;
+      record.Source.Instance =
+          core::InstanceId(std::to_string(*rc::gen::inRange(0, 3)));
+      record.Key.Version = Trial;
+      record.Counters.Grades = *rc::gen::inRange<std::uint64_t>(0, 50);
+      record.Counters.ScoreSumMicro = *rc::gen::inRange<std::uint64_t>(0, 99);
+      records.push_back(record);
+    }
+    EvidenceTable inOrder;
+    for (const EvidenceRecord &it : records)
+      inOrder.merge(it);
+    EvidenceTable shuffled;
+    for (int i = 0; i < 3 * n; ++i)
+      shuffled.merge(
+          records[*rc::gen::inRange<std::size_t>(0, records.size())]);
+    for (auto it = records.rbegin(); it != records.rend(); ++it)
+      shuffled.merge(*it);
+    RC_ASSERT(inOrder.total({}, Trial) == shuffled.total({}, Trial));
+  });
+}
+
+// The chance that evidence of log(1/p) is ever reached at the bound itself is
+// at most p = 0.05; 2,000 sequences of 300 grades.
+TEST(ExposureProperties, qualityTestKeepsItsErrorRate) {
+  core::Random random(7);
+  constexpr int Sequences = 2'000;
+  constexpr double Bound = 0.8;
+  int falseAlarms = 0;
+  for (int i = 0; i < Sequences; ++i) {
+    QualityTest test;
+    GradeTotals totals;
+    bool alarmed = false;
+    for (int n = 0; n < 300 && !alarmed; ++n) {
+      test.update(totals);
+      ++totals.Grades;
+      totals.ScoreSum += core::uniform(random) < Bound ? 1 : 0;
+      test.update(totals);
+      alarmed = test.evidence(Bound) >= std::log(1 / 0.05);
+    }
+    falseAlarms += alarmed ? 1 : 0;
+  }
+  std::cout << falseAlarms << " of " << Sequences << " sequences\n";
+  EXPECT_LE(falseAlarms, Sequences * 0.05);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/property/rollout/StepperProperties.cpp
@@ -0,0 +1,181 @@
+#include "cowslipridge/core/Error.hpp"
+#include "cowslipridge/rollout/RolloutStepper.hpp"
+#include "support/Histories.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+using namespace cowslipridge;
+using namespace cowslipridge::rollout;
+
+namespace {
+
+constexpr int Histories = 10'000;
+
+/// One key; calls wait until the test lets them take effect.
+class SteppedStore final : public platform::Store {
+public:
+  using Entry = std::optional<platform::StoreEntry>;
+
+  void get(const std::string &,
+           std::function<void(core::Result<Entry>)> done) override {
+    Waiting.emplace_back([=, this](int fault) {
+      if (fault == 0)
+        done(core::Errc::StoreUnavailable);
+      else
+        done(Stored);
+    });
+  }
+  void list(const std::string &,
+            std::function<void(core::Result<std::vector<platform::StoreEntry>>)>
+                done) override {
+    done(core::Errc::StoreUnavailable);
+  }
+  void compareAndSwap(const std::string &key, const std::string &value,
+                      platform::Revision expected,
+                      std::function<void(platform::SwapResult)> done) override {
+    Waiting.emplace_back([=, this](int fault) {
+      if (fault == 0) {
+        done({platform::SwapStatus::Unavailable});
+        return;
+      }
+      const bool matches = (Stored ? Stored->ModifiedAt : 0) == expected;
+      if (matches && fault != 1)
+        Stored = platform::StoreEntry{key, value, ++Last};
+      if (fault <= 2)
+        done({platform::SwapStatus::LostReply});
+      else
+        done({matches ? platform::SwapStatus::Swapped
+                      : platform::SwapStatus::Mismatch});
+    });
+  }
+  void
+  compareAndDelete(const std::string &, platform::Revision,
+                   std::function<void(platform::SwapResult)> done) override {
+    done({platform::SwapStatus::Unavailable});
+  }
+  void watch(
+      const std::string &, std::uint64_t, core::Millis,
+      std::function<void(core::Result<platform::WatchResult>)> done) override {
+    done(core::Errc::StoreUnavailable);
+  }
+
+  /// Lets one waiting call go on; fault 0..2 fails or loses its reply.
+  void release(std::size_t pick, int fault) {
+    if (Waiting.empty())
+      return;
+    const auto it =
+        Waiting.begin() + static_cast<std::ptrdiff_t>(pick % Waiting.size());
+    const auto call = *it;
+    Waiting.erase(it);
+    call(fault);
+  }
+  [[nodiscard]] bool idle() const { return Waiting.empty(); }
+  [[nodiscard]] std::optional<RolloutRecord> record() const {
+    return Stored ? std::optional(*decodeRecord(Stored->Value)) : std::nullopt;
+  }
+
+private:
+  Entry Stored;
+  platform::Revision Last = 0;
+  std::vector<std::function<void(int)>> Waiting;
+};
+
+config::ServiceDeclaration service() {
+  config::ServiceDeclaration service;
+  service.Name = core::ServiceId("advice");
+  service.Rollout.emplace();
+  service.Rollout->Trial = core::VersionId("new");
+  service.Rollout->Replaces = core::VersionId("old");
+  service.Rollout->Steps = {0.1, 0.5, 1};
+  return service;
+}
+
+CutOff cutOffFor(const std::string &organisation) {
+  return {core::ServiceId("advice"), core::VersionId("new"),
+          core::OrganisationId(organisation), "bad"};
+}
+
+// Steps rise by one at a time, cut-offs stay, and every action that a living
+// stepper was given ends up in the record, whoever dies half-way.
+TEST(StepperProperties, severalSteppersDoNoHarm) {
+  support::expectHolds(Histories, [] {
+    const auto store = std::make_shared<SteppedStore>();
+    std::vector<std::shared_ptr<RolloutStepper>> steppers;
+    for (int i = 0; i < 3; ++i) {
+      steppers.push_back(std::make_shared<RolloutStepper>(
+          store, [](const RolloutRecord &) {}));
+      steppers.back()->configure(service(), core::Generation(4));
+    }
+    RolloutRecord seen;
+    bool cutForAll = false;
+    const auto observe = [&] {
+      const auto record = store->record();
+      if (!record)
+        return;
+      RC_ASSERT(record->Step == seen.Step || record->Step == seen.Step + 1);
+      for (const CutOff &it : seen.CutOffs)
+        RC_ASSERT(record->CutOffs.count(it) == 1);
+      seen = *record;
+    };
+    const auto steps =
+        *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 10));
+    for (const int step : steps) {
+      const auto pick = *rc::gen::inRange<std::size_t>(0, 3);
+      if (step == 0)
+        steppers[pick]->perform(AdvanceStep{core::ServiceId("advice"),
+                                            core::VersionId("new"), seen.Step});
+      else if (step == 1)
+        steppers[pick]->perform(cutOffFor(std::to_string(pick)));
+      else if (step == 2)
+        steppers[pick]->refresh();
+      else
+        store->release(pick, *rc::gen::inRange(0, 8));
+      observe();
+    }
+    const bool cutsOff = *rc::gen::arbitrary<bool>();
+    if (cutsOff) {
+      steppers[0]->perform(cutOffFor(""));
+      cutForAll = true;
+    }
+    for (int i = 0; i < 200 && !(store->idle() && i > 20); ++i) {
+      if (store->idle())
+        steppers[static_cast<std::size_t>(i) % 3]->refresh();
+      store->release(0, 9);
+      observe();
+    }
+    for (const auto &it : steppers)
+      RC_ASSERT(it->pending() == 0U);
+    RC_ASSERT(store->record().has_value());
+    const RolloutState state = stateOf(*store->record(), *service().Rollout);
+    RC_ASSERT(std::holds_alternative<RolloutCutOff>(state) == cutForAll);
+  });
+}
+
+TEST(StepperProperties, recordRoundTrip) {
+  support::expectHolds(Histories, [] {
+    RolloutRecord record{
+        core::Generation(*rc::gen::arbitrary<std::uint64_t>()),
+        core::VersionId(std::to_string(*rc::gen::arbitrary<int>())),
+        core::VersionId("old"),
+        *rc::gen::arbitrary<unsigned>(),
+        {cutOffFor(std::to_string(*rc::gen::arbitrary<int>()))}};
+    RC_ASSERT(*decodeRecord(encodeRecord(record)) == record);
+    const auto garbage = *rc::gen::arbitrary<std::string>();
+    RC_ASSERT(decodeRecord(garbage).error() == core::Errc::Malformed);
+  });
+}
+
+TEST(StepperProperties, anOlderConfigurationNeverReplacesANewerRollout) {
+  support::expectHolds(Histories, [] {
+    const auto stored =
+        core::Generation(*rc::gen::inRange<std::uint64_t>(0, 9));
+    const auto own = core::Generation(*rc::gen::inRange<std::uint64_t>(0, 9));
+    const RolloutRecord other{
+        stored, core::VersionId("newer"), core::VersionId("old"), 2, {}};
+    const auto current = currentRecord(other, *service().Rollout, own);
+    RC_ASSERT(current.has_value() == (own > stored));
+  });
+}
+
+} // namespace
