--- /dev/null
+++ b/src/cowslipridge/config/internal/BlockingStore.cpp
@@ -0,0 +1,48 @@
+#include "cowslipridge/config/internal/BlockingStore.hpp"
+
+#include <future>
+#include <memory>
+#include <utility>
+
+namespace cowslipridge::config::internal {
+
+namespace {
+
+/// Calls `start` with a callback and waits for what the callback is given.
+template <typename Value, typename Start> Value await(Start start) {
+  // Shared, because the callback may still be running when the wait ends.
+  const auto promise = std::make_shared<std::promise<Value>>();
+  std::future<Value> answer = promise->get_future();
+  start([promise](Value value) { promise->set_value(std::move(value)); });
+  return answer.get();
+}
+
+} // namespace
+
+BlockingStore::BlockingStore(platform::Store &store) : Store(store) {}
+
+core::Result<std::optional<platform::StoreEntry>>
+BlockingStore::get(const std::string &key) {
+  using Answer = core::Result<std::optional<platform::StoreEntry>>;
+  return await<Answer>([&](auto done) { Store.get(key, std::move(done)); });
+}
+
+platform::SwapStatus
+BlockingStore::compareAndSwap(const std::string &key, const std::string &value,
+                              platform::Revision expected) {
+  return await<platform::SwapResult>([&](auto done) {
+           Store.compareAndSwap(key, value, expected, std::move(done));
+         })
+      .Status;
+}
+
+platform::SwapStatus
+BlockingStore::compareAndDelete(const std::string &key,
+                                platform::Revision expected) {
+  return await<platform::SwapResult>([&](auto done) {
+           Store.compareAndDelete(key, expected, std::move(done));
+         })
+      .Status;
+}
+
+} // namespace cowslipridge::config::internal
