Follow the newest configuration of store and peers

Cause: every daemon must have an accepted configuration in force within seconds and never go back, through lost replies, outages, restarts and late answers, while the store's reads stay far below what the fleet could use.

Ruled out: a watch by each of 990 daemons (990 answers and as many content reads per change, against about 2000 reads a second); a fixed set of watchers (a role that must be assigned); time stamps of the senders (clocks differ).

Some 32 of the fleet watch, chosen by hash of the name; the others pull from a peer that is ahead and read the store themselves only when nothing has confirmed their configuration for 2.5 s. Ages of the last confirmation travel with the generation; after 10 s without one the process reports stale.

--- /dev/null
+++ b/src/cowslipridge/config/FollowerMachine.cpp
@@ -0,0 +1,275 @@
+#include "cowslipridge/config/FollowerMachine.hpp"
+
+#include "cowslipridge/config/BundleCodec.hpp"
+#include "cowslipridge/config/ContentHash.hpp"
+#include "cowslipridge/core/Error.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace cowslipridge::config {
+
+namespace {
+
+constexpr core::Millis Forever{std::numeric_limits<std::int32_t>::max()};
+constexpr std::uint64_t RankRange = std::uint64_t(1) << 32U;
+constexpr unsigned RankDigits = 8;
+
+/// A number in [0, RankRange) that is spread evenly over all names.
+std::uint64_t rankOf(const core::InstanceId &name) {
+  const std::string hash = contentHash(name.str());
+  return std::stoull(hash.substr(0, RankDigits), nullptr, 16);
+}
+
+} // namespace
+
+FollowerMachine::FollowerMachine(FollowerSettings settings,
+                                 const core::InstanceId &self)
+    : Settings(settings), Rank(rankOf(self)), Retry(settings.MinRetry) {}
+
+core::Generation FollowerMachine::generation() const {
+  return Current ? Current->Number : core::Generation();
+}
+
+core::Millis FollowerMachine::age(core::Millis now) const {
+  if (!ConfirmedAt)
+    return Forever;
+  return std::clamp(now - *ConfirmedAt, core::Millis(0), Forever);
+}
+
+bool FollowerMachine::stale(core::Millis now) const {
+  return age(now) > Settings.StaleAfter;
+}
+
+bool FollowerMachine::watches() const {
+  return Rank * FleetSize < Settings.WatchersWanted * RankRange;
+}
+
+FollowerActions FollowerMachine::tick(core::Millis now) {
+  FollowerActions out;
+  if (!StartedAt)
+    StartedAt = now;
+  if (Pulling && now - Pulling->IssuedAt > Settings.PullTimeout)
+    Pulling.reset();
+  continueReading(now, out);
+  const bool grace = !ConfirmedAt && now - *StartedAt <= Settings.StaleAfter;
+  if (!Stale && !grace && stale(now)) {
+    Stale = true;
+    out.emplace_back(ReportStale{age(now)});
+  }
+  return out;
+}
+
+void FollowerMachine::continueReading(core::Millis now, FollowerActions &out) {
+  if (Reading || Assembling || now < NextReadAt)
+    return;
+  if (watches())
+    startRead(Index == 0 ? core::Millis(0) : Settings.WatchWait, now, out);
+  else if (!Current ||
+           (Settings.ReadsWhenSilent && age(now) > Settings.ReadAfter))
+    startRead(core::Millis(0), now, out);
+}
+
+void FollowerMachine::startRead(core::Millis wait, core::Millis now,
+                                FollowerActions &out) {
+  const std::uint64_t index = wait == core::Millis(0) ? 0 : Index;
+  Reading = Read{now, wait, index, now};
+  out.emplace_back(ReadManifest{index, wait});
+}
+
+void FollowerMachine::backOff(core::Millis now) {
+  NextReadAt = now + Retry;
+  Retry = std::min(Retry * 2, Settings.MaxRetry);
+  Index = 0;
+}
+
+FollowerActions FollowerMachine::onManifest(
+    const core::Result<std::optional<std::string>> &text, std::uint64_t index,
+    core::Millis now) {
+  FollowerActions out;
+  Read read = Reading.value_or(Read{now, core::Millis(0), 0, now});
+  Reading.reset();
+  if (!text.ok()) {
+    backOff(now);
+    return out;
+  }
+  Retry = Settings.MinRetry;
+  Index = index;
+  read.AnsweredAfter = answeredAfter(read, index, now);
+  // A store that answers a long poll at once must not be asked in a loop.
+  if (now - read.IssuedAt < read.Wait / 2)
+    NextReadAt = now + Settings.MinRetry;
+  if (text->has_value()) {
+    takeManifest(**text, read, now, out);
+  } else if (!Current) {
+    NextReadAt = now + Settings.MinRetry;
+    confirm(read.AnsweredAfter, now, out);
+  } else {
+    reportUnreadable("the store holds no configuration", out);
+  }
+  continueReading(now, out);
+  return out;
+}
+
+core::Millis FollowerMachine::answeredAfter(const Read &read,
+                                            std::uint64_t index,
+                                            core::Millis now) const {
+  if (!Settings.DatesAnswers)
+    return now;
+  // A long poll without a change was answered at its end. Any other answer may
+  // have been given as early as the call, and have lain unread since.
+  const bool waited = read.Wait > core::Millis(0) && index == read.Index;
+  return waited ? std::min(now, read.IssuedAt + read.Wait) : read.IssuedAt;
+}
+
+void FollowerMachine::takeManifest(const std::string &text, const Read &read,
+                                   core::Millis now, FollowerActions &out) {
+  auto manifest = decodeManifest(text);
+  if (!manifest.ok()) {
+    reportUnreadable("the manifest cannot be read", out);
+    NextReadAt = now + Settings.MaxRetry;
+    return;
+  }
+  if (Current && manifest->Number <= generation() && Settings.RefusesOlder)
+    takeKnown(manifest->Number, read, now, out);
+  else
+    startAssembly(std::move(manifest).value(), read.AnsweredAfter, now, out);
+}
+
+void FollowerMachine::takeKnown(core::Generation number, const Read &read,
+                                core::Millis now, FollowerActions &out) {
+  confirm(read.AnsweredAfter, now, out);
+  if (number < generation() && read.IssuedAt >= InForceSince)
+    reportUnreadable("the store holds generation " +
+                         std::to_string(number.value()) +
+                         ", older than the one in force",
+                     out);
+}
+
+void FollowerMachine::startAssembly(Manifest target, core::Millis confirmedAt,
+                                    core::Millis now, FollowerActions &out) {
+  Assembly assembly{std::move(target), confirmedAt, {}};
+  for (const auto &[name, entry] : assembly.Target.Services) {
+    if (!entry.Content.empty() && !Contents.contains(entry.Content))
+      assembly.Missing.insert(entry.Content);
+  }
+  for (const std::string &hash : assembly.Missing)
+    out.emplace_back(ReadContent{hash});
+  Assembling = std::move(assembly);
+  finishAssembly(now, out);
+}
+
+FollowerActions
+FollowerMachine::onContent(const std::string &hash,
+                           const core::Result<std::optional<std::string>> &text,
+                           core::Millis now) {
+  FollowerActions out;
+  if (!Assembling || !Assembling->Missing.contains(hash))
+    return out;
+  if (!text.ok() || !text->has_value()) {
+    // The store failed, or a newer manifest retired the content meanwhile.
+    Assembling.reset();
+    backOff(now);
+    return out;
+  }
+  auto content = decodeContent(**text);
+  const bool intact = !Settings.ChecksContents || contentHash(**text) == hash;
+  if (!content.ok() || !intact) {
+    reportUnreadable("the content " + hash + " is damaged", out);
+    Assembling.reset();
+    backOff(now);
+    return out;
+  }
+  Contents.insert_or_assign(hash, std::move(content).value().Service);
+  Assembling->Missing.erase(hash);
+  finishAssembly(now, out);
+  continueReading(now, out);
+  return out;
+}
+
+void FollowerMachine::finishAssembly(core::Millis now, FollowerActions &out) {
+  if (!Assembling->Missing.empty())
+    return;
+  Bundle bundle;
+  bundle.Number = Assembling->Target.Number;
+  std::map<std::string, ServiceDeclaration> used;
+  for (const auto &[name, entry] : Assembling->Target.Services) {
+    if (entry.Content.empty())
+      continue;
+    bundle.Services.emplace(name, Contents.at(entry.Content));
+    used.emplace(entry.Content, Contents.at(entry.Content));
+  }
+  Contents = std::move(used);
+  const core::Millis confirmedAt = Assembling->ConfirmedAt;
+  Assembling.reset();
+  putInForce(std::move(bundle), now, out);
+  confirm(confirmedAt, now, out);
+}
+
+void FollowerMachine::putInForce(Bundle bundle, core::Millis now,
+                                 FollowerActions &out) {
+  if (Current && bundle.Number <= Current->Number && Settings.RefusesOlder)
+    return;
+  Current = std::make_shared<const Bundle>(std::move(bundle));
+  InForceSince = now;
+  LastUnreadable.clear();
+  out.emplace_back(PutInForce{Current});
+}
+
+void FollowerMachine::confirm(core::Millis at, core::Millis now,
+                              FollowerActions &out) {
+  ConfirmedAt = std::max(ConfirmedAt.value_or(at), at);
+  if (!Stale || stale(now))
+    return;
+  Stale = false;
+  out.emplace_back(ReportConfirmed{});
+}
+
+FollowerActions FollowerMachine::onPeer(const core::InstanceId &peer,
+                                        const PeerConfiguration &its,
+                                        core::Millis now) {
+  FollowerActions out;
+  if (Current && its.Number <= generation()) {
+    confirm(its.SentAfter - its.Age, now, out);
+    return out;
+  }
+  const bool ahead = generation() < its.Number;
+  if (!ahead || Pulling || !Settings.PullsFromPeers)
+    return out;
+  Pulling = Pull{peer, now};
+  out.emplace_back(PullBundle{peer});
+  return out;
+}
+
+FollowerActions FollowerMachine::onBundle(const core::InstanceId &peer,
+                                          const core::Result<std::string> &text,
+                                          core::Millis now) {
+  FollowerActions out;
+  if (Pulling && Pulling->Peer == peer)
+    Pulling.reset();
+  if (!text.ok())
+    return out;
+  auto bundle = decodeBundle(*text);
+  if (!bundle.ok()) {
+    reportUnreadable("the bundle of " + peer.str() + " cannot be read", out);
+    return out;
+  }
+  putInForce(std::move(bundle).value(), now, out);
+  if (Assembling && Assembling->Target.Number <= generation()) {
+    confirm(Assembling->ConfirmedAt, now, out);
+    Assembling.reset();
+    continueReading(now, out);
+  }
+  return out;
+}
+
+void FollowerMachine::reportUnreadable(std::string detail,
+                                       FollowerActions &out) {
+  if (detail == LastUnreadable)
+    return;
+  LastUnreadable = detail;
+  out.emplace_back(ReportUnreadable{std::move(detail)});
+}
+
+} // namespace cowslipridge::config
--- a/src/cowslipridge/config/Publisher.cpp
+++ b/src/cowslipridge/config/Publisher.cpp
@@ -188,6 +188,7 @@
     for (const core::ServiceId &it : Wanted.Removed)
       merged.erase(it);
     std::vector<DeclarationFile> files;
+    files.reserve(merged.size());
     for (const auto &[name, service] : merged)
       files.push_back({"service " + name.str(), service});
     PublishRefused refusal;
--- a/src/cowslipridge/observe/EventCatalogue.cpp
+++ b/src/cowslipridge/observe/EventCatalogue.cpp
@@ -30,6 +30,8 @@
                    "Neither the store nor a peer confirmed the configuration."},
     CatalogueEntry{ConfigurationRefused, Error, "configuration-refused",
                    "A published configuration could not be read."},
+    CatalogueEntry{ConfigurationConfirmed, Info, "configuration-confirmed",
+                   "A stale configuration was confirmed again."},
     CatalogueEntry{PeerConnected, Info, "peer-connected",
                    "A peer proved the fleet key."},
     CatalogueEntry{PeerRefused, Warning, "peer-refused",
--- a/src/cowslipridge/observe/EventCatalogue.hpp
+++ b/src/cowslipridge/observe/EventCatalogue.hpp
@@ -18,6 +18,7 @@
   ConfigurationInForce = 200,
   ConfigurationStale = 201,
   ConfigurationRefused = 202,
+  ConfigurationConfirmed = 203,
 
   PeerConnected = 300,
   PeerRefused = 301,
--- a/tests/unit/config/PublisherTest.cpp
+++ b/tests/unit/config/PublisherTest.cpp
@@ -22,7 +22,7 @@
 const ServiceDeclaration Desk = parse(support::DeskText);
 
 ServiceDeclaration withDeadline(ServiceDeclaration service, int seconds) {
-  service.Deadline = core::Millis(seconds * 1'000);
+  service.Deadline = core::Millis(seconds * 1'000L);
   service.MaxWait = core::Millis(0);
   return service;
 }
