Merge the time lines of all processes, count events and metrics

Cause: operators need one order of events over all processes whose clocks differ, and metrics with a bounded number of series.

Ruled out: sorting by time alone (an effect can carry an earlier time than its cause). A topological order by cause and by each process's own sequence, with the earliest ready event first, keeps causes before effects under any skew; damaged causes that form a cycle lose no event.

Change: observe/TimelineMerge, TimelineView (text and HTML, escaped), EventCodec, Metrics; EventLog counts its events in Metrics. The catalogue and docs/log-catalogue.md are compared by a test. The storage of easylogging++ moved beside its code: an archive member pulled in for a template instance alone did not link (unit property_observe).

--- a/cmake/Dependencies.cmake
+++ b/cmake/Dependencies.cmake
@@ -14,7 +14,8 @@
 
 # easylogging++ ships as one source file that each project compiles itself.
 find_path(EASYLOGGING_SOURCE_DIR easylogging++.cc REQUIRED)
-add_library(easyloggingpp STATIC ${EASYLOGGING_SOURCE_DIR}/easylogging++.cc)
+add_library(easyloggingpp STATIC ${EASYLOGGING_SOURCE_DIR}/easylogging++.cc
+                                 cmake/EasyloggingStorage.cpp)
 target_compile_definitions(
   easyloggingpp PUBLIC ELPP_THREAD_SAFE ELPP_NO_DEFAULT_LOG_FILE
                        ELPP_DISABLE_DEFAULT_CRASH_HANDLING)
--- a/src/cowslipridge/config/Follower.cpp
+++ b/src/cowslipridge/config/Follower.cpp
@@ -47,12 +47,12 @@
 
   void perform(const ReadManifest &action) {
     const std::string key(ManifestKey);
-    Store->watch(
-        key, action.Index, action.Wait,
-        [self = weak_from_this()](core::Result<platform::WatchResult> answer) {
-          if (const auto it = self.lock())
-            it->onManifest(answer);
-        });
+    Store->watch(key, action.Index, action.Wait,
+                 [self = weak_from_this()](
+                     const core::Result<platform::WatchResult> &answer) {
+                   if (const auto it = self.lock())
+                     it->onManifest(answer);
+                 });
   }
 
   void onManifest(const core::Result<platform::WatchResult> &answer) {
--- a/src/cowslipridge/observe/EventLog.cpp
+++ b/src/cowslipridge/observe/EventLog.cpp
@@ -1,9 +1,9 @@
 #include "cowslipridge/observe/EventLog.hpp"
 
-#include <easylogging++.h>
-#include <nlohmann/json.hpp>
+#include "cowslipridge/observe/EventCodec.hpp"
+#include "cowslipridge/observe/Metrics.hpp"
 
-INITIALIZE_EASYLOGGINGPP
+#include <easylogging++.h>
 
 namespace cowslipridge::observe {
 
@@ -24,23 +24,8 @@
   return text;
 }
 
-std::string toLogJson(const Event &event) {
-  const nlohmann::json line = {
-      {"event", static_cast<int>(event.Number)},
-      {"name", describe(event.Number).Name},
-      {"at_ms", event.At.count()},
-      {"instance", event.Instance.str()},
-      {"incarnation", event.Start.value()},
-      {"generation", event.Configuration.value()},
-      {"request", event.Request.str()},
-      {"version", event.Version.str()},
-      {"detail", event.Detail},
-  };
-  return line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-}
-
 void writeToLog(const Event &event) {
-  const std::string text = LogAsJson ? toLogJson(event) : toLogText(event);
+  const std::string text = LogAsJson ? encodeEvent(event) : toLogText(event);
   switch (describe(event.Number).Level) {
   case Severity::Info:
     LOG(INFO) << text;
@@ -57,9 +42,10 @@
 } // namespace
 
 EventLog::EventLog(const core::Clock &clock, core::InstanceId instance,
-                   core::Incarnation start, std::size_t capacity)
+                   core::Incarnation start, std::size_t capacity,
+                   Metrics *counts)
     : Time(clock), Instance(std::move(instance)), Start(start),
-      Capacity(capacity) {}
+      Capacity(capacity), Counts(counts) {}
 
 std::string EventLog::report(EventNumber number, EventFacts facts) {
   Event event;
@@ -79,6 +65,8 @@
     if (Ring.size() > Capacity)
       Ring.pop_front();
   }
+  if (Counts != nullptr)
+    Counts->add(number);
   writeToLog(event);
   return Instance.str() + "/" + std::to_string(Start.value()) + "/" +
          std::to_string(event.Sequence);
--- a/src/cowslipridge/observe/EventLog.hpp
+++ b/src/cowslipridge/observe/EventLog.hpp
@@ -37,11 +37,16 @@
   std::string Detail;
 };
 
+class Metrics;
+
 /// Records events in a bounded ring and writes them to the log. Thread-safe.
 class EventLog {
 public:
+  /// Keeps the last `capacity` events. Counts them in `counts`, which may be
+  /// null.
   EventLog(const core::Clock &clock, core::InstanceId instance,
-           core::Incarnation start, std::size_t capacity);
+           core::Incarnation start, std::size_t capacity,
+           Metrics *counts = nullptr);
 
   /// Records one event; returns its place, for use as a later `Cause`.
   std::string report(EventNumber number, EventFacts facts);
@@ -54,13 +59,14 @@
   const core::InstanceId Instance;
   const core::Incarnation Start;
   const std::size_t Capacity;
+  Metrics *const Counts;
   mutable std::mutex Guard;
   core::Generation Configuration;
   std::uint64_t NextSequence = 1;
   std::deque<Event> Ring;
 };
 
-/// Directs log output to standard error, as text or as JSON lines.
+/// Directs log output to standard output, as text or as JSON lines.
 void configureLogging(bool json);
 
 } // namespace cowslipridge::observe
--- /dev/null
+++ b/tests/property/observe/TimelineProperties.cpp
@@ -0,0 +1,120 @@
+#include "cowslipridge/core/Random.hpp"
+#include "cowslipridge/observe/EventCodec.hpp"
+#include "cowslipridge/observe/TimelineMerge.hpp"
+#include "support/Histories.hpp"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+
+using namespace cowslipridge;
+using namespace cowslipridge::observe;
+
+namespace {
+
+constexpr int Histories = 10'000;
+constexpr std::int64_t MaxSkew = 5'000;
+
+/// Events of a few processes whose clocks differ, with causes between them.
+class TrueHistory {
+public:
+  explicit TrueHistory(std::uint64_t seed) : Random(seed) {
+    const std::size_t processes = 1 + roll(4);
+    for (std::size_t n = 0; n < processes; ++n)
+      Skews.push_back(static_cast<std::int64_t>(roll(2 * MaxSkew)) - MaxSkew);
+    Sequences.resize(processes);
+    for (std::size_t n = 0; n < 40; ++n)
+      addEvent(static_cast<std::int64_t>(n) * 10);
+  }
+
+  /// The events in any order, some lost and some twice.
+  std::vector<Event> fetched() {
+    std::vector<Event> events;
+    for (const Event &it : Events) {
+      if (roll(20) != 0)
+        events.push_back(it);
+      if (roll(20) == 0)
+        events.push_back(it);
+    }
+    std::shuffle(events.begin(), events.end(), Random);
+    return events;
+  }
+
+private:
+  std::size_t roll(std::size_t sides) {
+    return core::uniformIndex(Random, sides);
+  }
+
+  void addEvent(std::int64_t now) {
+    const std::size_t n = roll(Skews.size());
+    Event event;
+    event.Number = EventNumber::RunStarted;
+    event.Instance = core::InstanceId("i" + std::to_string(n));
+    event.Start = core::Incarnation(1);
+    event.Sequence = ++Sequences[n];
+    event.At = core::Millis(100'000 + now + Skews[n]);
+    if (!Events.empty() && roll(2) == 0)
+      event.Cause = placeOf(Events[roll(Events.size())]);
+    Events.push_back(event);
+  }
+
+  core::Random Random;
+  std::vector<std::int64_t> Skews;
+  std::vector<std::uint64_t> Sequences;
+  std::vector<Event> Events;
+};
+
+std::map<std::string, std::size_t>
+positionsOf(const std::vector<Event> &events) {
+  std::map<std::string, std::size_t> positions;
+  for (std::size_t n = 0; n < events.size(); ++n)
+    positions[placeOf(events[n])] = n;
+  return positions;
+}
+
+TEST(TimelineProperties, causesStandBeforeEffectsUnderAnyClockSkew) {
+  support::expectHolds(Histories, [] {
+    TrueHistory history(*rc::gen::arbitrary<std::uint64_t>());
+    const auto events = history.fetched();
+    const auto merged = mergeTimeline(events);
+    const auto positions = positionsOf(merged);
+    RC_ASSERT(positions.size() == merged.size());
+    RC_ASSERT(positions.size() == positionsOf(events).size());
+    std::map<core::InstanceId, std::uint64_t> last;
+    for (std::size_t n = 0; n < merged.size(); ++n) {
+      const auto cause = positions.find(merged[n].Cause);
+      if (cause != positions.end())
+        RC_ASSERT(cause->second < n);
+      RC_ASSERT(merged[n].Sequence > last[merged[n].Instance]);
+      last[merged[n].Instance] = merged[n].Sequence;
+    }
+  });
+}
+
+TEST(TimelineProperties, orderDoesNotDependOnTheOrderOfFetching) {
+  support::expectHolds(Histories / 10, [] {
+    TrueHistory history(*rc::gen::arbitrary<std::uint64_t>());
+    auto events = history.fetched();
+    const auto first = positionsOf(mergeTimeline(events));
+    std::reverse(events.begin(), events.end());
+    RC_ASSERT(positionsOf(mergeTimeline(events)) == first);
+  });
+}
+
+TEST(EventCodecProperties, garbageGivesAnErrorOrEvents) {
+  TrueHistory history(7);
+  const std::string good = encodeEvents(history.fetched());
+  support::expectHolds(Histories, [&] {
+    std::string text = good;
+    const auto at = *rc::gen::inRange<std::size_t>(0, text.size());
+    text.erase(at, *rc::gen::inRange<std::size_t>(1, 9));
+    text.insert(at, *rc::gen::arbitrary<std::string>());
+    const auto events = decodeEvents(text);
+    if (events.ok())
+      mergeTimeline(*events);
+  });
+}
+
+} // namespace
