--- /dev/null
+++ b/src/cowslipridge/platform/internal/Base64.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace cowslipridge::platform::internal {
+
+std::string encodeBase64(std::string_view bytes);
+/// Nothing when `text` is not padded base64.
+std::optional<std::string> decodeBase64(std::string_view text);
+
+} // namespace cowslipridge::platform::internal
