Add stand-ins for the platform and for backend servers

Cause: adapters and daemons had nothing to speak to in tests.

Change: cowslipridge-standins hosts any set of a model engine, a plain service, a key-value service, an instance list that lags, a rating service and a weight store. PUT /debug/faults switches seeded faults at run time; /debug/runs counts how often each request ran. The adapters are tested against them in process.

Found: a 404 without X-Consul-Index (any other server at that address) was read as "the key is absent", which a compare-and-swap would then act on. It is Malformed now; ConsulStoreTest.notFoundWithoutAnIndexIsNotAbsence failed before. RC_ASSERT evaluates both sides of || and &&, so such conditions are computed before it.

--- a/src/cowslipridge/platform/ConsulStore.cpp
+++ b/src/cowslipridge/platform/ConsulStore.cpp
@@ -28,18 +28,6 @@
   return "?cas=" + std::to_string(expected);
 }
 
-/// The entries of an answer; a missing key or prefix has none.
-core::Result<std::vector<StoreEntry>>
-readEntries(const core::Result<http::Response> &response) {
-  if (!response)
-    return core::Errc::StoreUnavailable;
-  if (response->Status == NotFound)
-    return std::vector<StoreEntry>();
-  if (response->Status != Ok)
-    return core::Errc::StoreUnavailable;
-  return internal::parseEntries(response->Body);
-}
-
 std::optional<std::uint64_t> readIndex(const http::Headers &fields) {
   const auto text = http::findHeader(fields, "X-Consul-Index");
   if (!text)
@@ -52,6 +40,21 @@
   return index;
 }
 
+/// The entries of an answer. A missing key or prefix has none, but only the
+/// service itself may say so, which shows its index.
+core::Result<std::vector<StoreEntry>>
+readEntries(const core::Result<http::Response> &response) {
+  if (!response)
+    return core::Errc::StoreUnavailable;
+  if (response->Status == NotFound && !readIndex(response->Fields))
+    return core::Errc::Malformed;
+  if (response->Status == NotFound)
+    return std::vector<StoreEntry>();
+  if (response->Status != Ok)
+    return core::Errc::StoreUnavailable;
+  return internal::parseEntries(response->Body);
+}
+
 /// A write that was refused before it ran, or whose effect is not known.
 SwapStatus statusOfAnswer(const http::Response &response) {
   if (response.Status >= FirstServerError)
--- /dev/null
+++ b/src/standins/FaultyResponder.cpp
@@ -0,0 +1,69 @@
+#include "standins/FaultyResponder.hpp"
+
+#include <utility>
+
+namespace cowslipridge::standins {
+
+namespace {
+
+constexpr std::string_view GarbageBytes = "\x01\xfe{]not json\n\n";
+
+} // namespace
+
+FaultyResponder::FaultyResponder(std::shared_ptr<http::Responder> target,
+                                 const Faults &faults, bool loseReply)
+    : Target(std::move(target)), LoseReply(loseReply), Garbage(faults.Garbage),
+      Duplicate(faults.Duplicate), BreakAfterEvents(faults.BreakAfterEvents) {}
+
+void FaultyResponder::respond(http::Response response) {
+  if (LoseReply) {
+    lose();
+    return;
+  }
+  if (Garbage)
+    response.Body = GarbageBytes;
+  Target->respond(std::move(response));
+}
+
+void FaultyResponder::start(int status, http::Headers fields) {
+  if (LoseReply)
+    lose();
+  else
+    Target->start(status, std::move(fields));
+}
+
+void FaultyResponder::write(std::string chunk) {
+  if (Broken)
+    return;
+  if (BreakAfterEvents != 0 && EventsSent >= BreakAfterEvents) {
+    abort();
+    return;
+  }
+  ++EventsSent;
+  if (Garbage)
+    chunk = GarbageBytes;
+  if (Duplicate)
+    Target->write(chunk);
+  Target->write(std::move(chunk));
+}
+
+void FaultyResponder::finish() {
+  if (!Broken)
+    Target->finish();
+}
+
+void FaultyResponder::abort() {
+  Broken = true;
+  Target->abort();
+}
+
+bool FaultyResponder::gone() const { return Target->gone(); }
+
+// A body that breaks off at once: no status can be trusted then.
+void FaultyResponder::lose() {
+  Broken = true;
+  Target->start(200, {});
+  Target->abort();
+}
+
+} // namespace cowslipridge::standins
--- /dev/null
+++ b/src/standins/FaultyResponder.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "cowslipridge/http/Server.hpp"
+#include "standins/Faults.hpp"
+
+#include <memory>
+
+namespace cowslipridge::standins {
+
+/// Spoils one answer after the request has taken effect.
+class FaultyResponder final : public http::Responder {
+public:
+  FaultyResponder(std::shared_ptr<http::Responder> target, const Faults &faults,
+                  bool loseReply);
+
+  void respond(http::Response response) override;
+  void start(int status, http::Headers fields) override;
+  void write(std::string chunk) override;
+  void finish() override;
+  void abort() override;
+  [[nodiscard]] bool gone() const override;
+
+private:
+  /// Ends the connection without a usable answer.
+  void lose();
+
+  std::shared_ptr<http::Responder> Target;
+  bool LoseReply;
+  bool Garbage;
+  bool Duplicate;
+  unsigned BreakAfterEvents;
+  unsigned EventsSent = 0;
+  bool Broken = false;
+};
+
+} // namespace cowslipridge::standins
--- /dev/null
+++ b/src/standins/InstanceRegistry.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "cowslipridge/core/Clock.hpp"
+#include "standins/Scheduler.hpp"
+#include "standins/StandIn.hpp"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+
+namespace cowslipridge::standins {
+
+/// Consul's agent and health HTTP API. Changes show only after a lag, which
+/// PUT /debug/lag (`{"ms": 30000}`) changes at run time.
+class InstanceRegistry final : public StandIn {
+public:
+  InstanceRegistry(core::Millis lag, std::shared_ptr<Scheduler> timer);
+
+  void serve(http::Request request,
+             std::shared_ptr<http::Responder> responder) override;
+  /// GET /debug/instances lists what is registered, without the lag.
+  std::optional<http::Response> debug(const http::Request &request) override;
+
+private:
+  struct Change {
+    core::Millis MadeAt;
+    std::string Id;
+    std::optional<std::string> Registration; ///< nothing: deregistered
+  };
+
+  http::Response enroll(const std::string &body);
+  void record(std::string id, std::optional<std::string> registration);
+  void applyDue();
+  http::Response setLag(const std::string &body);
+
+  std::shared_ptr<Scheduler> Timer;
+  std::mutex Guard;
+  core::Millis Lag;
+  std::deque<Change> Pending;
+  std::map<std::string, std::string> Visible;
+  std::map<std::string, std::string> Registered;
+};
+
+} // namespace cowslipridge::standins
