--- a/src/standins/WeightServer.cpp
+++ b/src/standins/WeightServer.cpp
@@ -34,7 +34,7 @@
     const core::Millis left = NextSlot - now;
     http::Response response = http::makeJson(429, "\"over its rate\"");
     response.Fields.push_back(
-        {"Retry-After", std::to_string(left.count() / 1000 + 1)});
+        {"Retry-After", std::to_string((left.count() + 999) / 1000)});
     responder->respond(std::move(response));
     return;
   }
