--- /dev/null
+++ b/programs/cowslipctl/Fleet.cpp
@@ -0,0 +1,72 @@
+#include "Fleet.hpp"
+
+#include "cowslipridge/core/Error.hpp"
+#include "cowslipridge/http/Client.hpp"
+
+#include <future>
+#include <iostream>
+#include <memory>
+
+namespace cowslipridge::ctl {
+
+namespace {
+
+constexpr core::Millis AnswerTimeout{5'000};
+constexpr int StatusOk = 200;
+
+using Answer = core::Result<http::Response>;
+
+/// One question under way; its client must outlive the answer.
+struct Question {
+  std::unique_ptr<http::Client> Client;
+  std::future<Answer> Reply;
+};
+
+Question ask(const platform::InstanceRecord &instance,
+             const std::string &target, const std::string &adminKey) {
+  const std::string base =
+      "http://" + instance.Address + ":" + std::to_string(instance.HttpPort);
+  auto client = std::make_unique<http::Client>(base, AnswerTimeout);
+  const auto promise = std::make_shared<std::promise<Answer>>();
+  http::Request request;
+  request.Method = "GET";
+  request.Target = target;
+  request.Fields.push_back({"Authorization", "Bearer " + adminKey});
+  client->fetchAsync(std::move(request), [promise](Answer answer) {
+    promise->set_value(std::move(answer));
+  });
+  return {std::move(client), promise->get_future()};
+}
+
+} // namespace
+
+std::vector<InstanceAnswer>
+askInstances(const std::vector<platform::InstanceRecord> &instances,
+             const std::string &target, const std::string &adminKey) {
+  std::vector<Question> questions;
+  questions.reserve(instances.size());
+  for (const platform::InstanceRecord &it : instances)
+    questions.push_back(ask(it, target, adminKey));
+  std::vector<InstanceAnswer> answers;
+  answers.reserve(instances.size());
+  for (std::size_t n = 0; n < instances.size(); ++n)
+    answers.push_back({instances[n], questions[n].Reply.get()});
+  return answers;
+}
+
+bool printSilent(const std::vector<InstanceAnswer> &answers) {
+  bool all = true;
+  for (const InstanceAnswer &it : answers) {
+    if (it.Answer.ok() && it.Answer->Status == StatusOk)
+      continue;
+    all = false;
+    std::cerr << "cowslipctl: " << it.Instance.Name.str() << ": ";
+    if (it.Answer.ok())
+      std::cerr << "status " << it.Answer->Status << "\n";
+    else
+      std::cerr << it.Answer.error().message() << "\n";
+  }
+  return all;
+}
+
+} // namespace cowslipridge::ctl
--- /dev/null
+++ b/programs/cowslipctl/main.cpp
@@ -0,0 +1,70 @@
+// The operators' tool: checks and publishes declarations, and shows what the
+// fleet does.
+
+#include "Commands.hpp"
+
+#include "cowslipridge/http/Server.hpp"
+
+#include <gflags/gflags.h>
+
+#include <iostream>
+
+namespace {
+
+using namespace cowslipridge;
+using namespace cowslipridge::ctl;
+
+constexpr std::size_t PoolThreads = 2;
+
+const std::vector<Command> Commands = {
+    {"check",
+     "FILE...",
+     "Checks declarations and settings; prints all findings together.",
+     {},
+     check},
+    {"publish",
+     "--store URL --publisher NAME [--base N] [--remove S,...] FILE...",
+     "Checks the declarations and puts them in force together.",
+     {"store", "publisher", "base", "remove"},
+     publish},
+    {"status",
+     "--store URL [--instances URL --admin_key_file FILE]",
+     "Prints what is in force, and how each instance is.",
+     {"store", "instances", "admin_key_file"},
+     status},
+    {"timeline",
+     "--instances URL --admin_key_file FILE [--html] [--request ID]",
+     "Prints the events of all instances in one order, causes first.",
+     {"instances", "admin_key_file", "html", "request"},
+     timeline},
+    {"bill",
+     "--store URL --service NAME [--unsettled]",
+     "Prints the bills of one service, one line a request.",
+     {"store", "service", "unsettled"},
+     bill},
+    {"explain",
+     "--instances URL --admin_key_file FILE REQUEST",
+     "Prints why a request went where it went.",
+     {"instances", "admin_key_file"},
+     explain},
+};
+
+bool isSet(const char *flag) {
+  gflags::CommandLineFlagInfo info;
+  return gflags::GetCommandLineFlagInfo(flag, &info) && !info.is_default;
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  gflags::SetVersionString(COWSLIPRIDGE_VERSION);
+  // Help is printed by command, without the flags of the libraries.
+  gflags::ParseCommandLineNonHelpFlags(&argc, &argv, true);
+  if (isSet("version")) {
+    std::cout << "cowslipctl " << gflags::VersionString() << "\n";
+    return static_cast<int>(ExitCode::Success);
+  }
+  http::initializeThreadPool(PoolThreads);
+  const Arguments arguments(argv + 1, argv + argc);
+  return static_cast<int>(runCommand(Commands, arguments));
+}
