Add the RPC layer: event loop, codec, proof of the fleet key, client, server

Cause: entries and sidecars need to pass requests, streamed answers, status and bundles between processes. Ruled out: kj::Executor::executeSync for handing work in, because it blocks the HTTP pool thread until the loop has run the task; a queue with a cross-thread fulfiller never blocks. Change: one loop thread per process; Gate proves the fleet key both ways with role-separated HMACs over both nonces; PeerClient reconnects with backoff; frames carry sequence numbers under Cap'n Proto's flow control, and a result tells how many frames were sent. Found by the tests: a cancelled run was not abandoned at the peer until result() allowed cancellation, and a stranger that left after the challenge was not reported (event 301). Both were red first.

--- /dev/null
+++ b/src/cowslipridge/rpc/AskedRun.cpp
@@ -0,0 +1,116 @@
+#include "cowslipridge/rpc/internal/AskedRun.hpp"
+
+namespace cowslipridge::rpc {
+
+using core::Errc;
+using core::Outcome;
+
+namespace {
+
+/// Receives the frames of one run.
+class SinkServer final : public wire::FrameSink::Server {
+public:
+  explicit SinkServer(std::weak_ptr<AskedRun> run) : Run(std::move(run)) {}
+
+  kj::Promise<void> head(HeadContext context) override {
+    auto params = context.getParams();
+    core::Result<http::Headers> fields = decode(params.getHeaders());
+    const auto run = Run.lock();
+    if (run && !fields)
+      run->fail(Errc::RunnerFailed, Outcome::Unknown, "malformed head");
+    else if (run)
+      run->onHead(params.getStatus(), std::move(fields).value());
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> frame(FrameContext context) override {
+    auto params = context.getParams();
+    if (const auto run = Run.lock())
+      run->onFrame(params.getSequence(), toString(params.getData()));
+    return kj::READY_NOW;
+  }
+
+private:
+  std::weak_ptr<AskedRun> Run;
+};
+
+} // namespace
+
+void AskedRun::send(EventLoop::Impl &loop, wire::Peer::Client peer,
+                    const RunRequest &request, core::Millis timeout) {
+  auto call = peer.runRequest();
+  encode(request, call.initRequest());
+  call.setSink(kj::heap<SinkServer>(weak_from_this()));
+  Handle = call.send().getHandle();
+  const std::weak_ptr<AskedRun> weak = weak_from_this();
+  auto answered = Handle->resultRequest().send().then(
+      [weak](capnp::Response<wire::RunHandle::ResultResults> response) {
+        if (const auto run = weak.lock())
+          run->onResult(decode(response.getResult()));
+      },
+      [weak](kj::Exception &&exception) {
+        if (const auto run = weak.lock())
+          run->fail(Errc::OutcomeUnknown, Outcome::Unknown,
+                    exception.getDescription().cStr());
+      });
+  auto expired =
+      loop.timer().afterDelay(timeout.count() * kj::MILLISECONDS).then([weak] {
+        if (const auto run = weak.lock())
+          run->fail(Errc::DeadlineExceeded, Outcome::Unknown,
+                    "the peer did not answer in time");
+      });
+  Waiting = answered.exclusiveJoin(kj::mv(expired)).eagerlyEvaluate(nullptr);
+}
+
+void AskedRun::cancel() {
+  Over = true;
+  Handle.reset();
+  Waiting = nullptr;
+}
+
+void AskedRun::fail(Errc reason, Outcome outcome, std::string detail) {
+  RunResult result;
+  result.Result = outcome;
+  result.Error = reason;
+  result.Detail = std::move(detail);
+  finish(std::move(result));
+}
+
+void AskedRun::onHead(int status, http::Headers fields) {
+  if (!Over)
+    Events.OnHead(status, std::move(fields));
+}
+
+void AskedRun::onFrame(std::uint64_t sequence, std::string data) {
+  if (Over)
+    return;
+  if (sequence != Received) {
+    fail(Errc::RunnerFailed, Outcome::Unknown, "a frame is missing");
+    return;
+  }
+  ++Received;
+  Events.OnFrame(std::move(data));
+}
+
+void AskedRun::onResult(core::Result<RunResult> result) {
+  if (!result) {
+    fail(Errc::OutcomeUnknown, Outcome::Unknown, "malformed result");
+    return;
+  }
+  if (!result->Error && result->Frames != Received) {
+    fail(Errc::RunnerFailed, result->Result, "frames are missing at the end");
+    return;
+  }
+  finish(std::move(result).value());
+}
+
+// `Waiting` is not reset here, because this may run within it.
+void AskedRun::finish(RunResult result) {
+  if (Over)
+    return;
+  Over = true;
+  Handle.reset();
+  Events.OnEnd(std::move(result));
+}
+
+} // namespace cowslipridge::rpc
--- /dev/null
+++ b/src/cowslipridge/rpc/Messages.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "cowslipridge/core/Clock.hpp"
+#include "cowslipridge/core/Ids.hpp"
+#include "cowslipridge/core/Outcome.hpp"
+#include "cowslipridge/http/Message.hpp"
+#include "cowslipridge/rollout/Evidence.hpp"
+#include "cowslipridge/rollout/ExposureGuard.hpp"
+
+#include <cstdint>
+#include <string>
+#include <system_error>
+#include <vector>
+
+namespace cowslipridge::rpc {
+
+/// A cut-off as it spreads between peers; holds within one generation.
+struct CutOffNotice {
+  rollout::CutOff Cut;
+  core::Generation Configuration;
+};
+
+/// What a process says of itself on each message.
+struct PeerStatus {
+  core::InstanceId Instance;
+  core::Incarnation Start;
+  core::Generation Configuration;
+  bool Leaving = false;
+  unsigned InFlight = 0;
+  unsigned Queued = 0;
+  unsigned ConcurrencyLimit = 0;
+  core::Millis PredictedWait;
+  std::vector<rollout::EvidenceRecord> Evidence;
+  std::vector<CutOffNotice> CutOffs;
+};
+
+/// Asks a sidecar to run one request.
+struct RunRequest {
+  PeerStatus Sender;
+  core::RequestId Request;
+  core::OrganisationId Organisation;
+  core::ServiceId Service;
+  core::VersionId Version;
+  core::SessionId Session;
+  bool SessionIsPinned = false; ///< the version comes from a sealed token
+  std::string IdempotencyKey;
+  bool Idempotent = true; ///< the call may be run more than once
+  std::string Method;
+  std::string Target;
+  http::Headers Fields;
+  std::string Body;
+  bool Stream = false;
+  core::Millis Remaining; ///< until the deadline, when the message was sent
+  unsigned Attempt = 0;
+  std::string Part;     ///< `single`, `draft`, `check`, `better`, `hedge`
+  bool Billable = true; ///< the callee writes the bill
+  std::vector<std::uint64_t> PrefixHashes;
+};
+
+/// How a run ended.
+struct RunResult {
+  PeerStatus Callee;
+  core::Outcome Result = core::Outcome::Unknown;
+  std::error_code Error; ///< none: the answer is complete
+  std::string Detail;
+  core::Millis RetryAfter;
+  core::InstanceId Owner; ///< with Errc::NotOwner; may be empty
+  std::uint64_t PromptTokens = 0;
+  std::uint64_t CachedTokens = 0;
+  std::uint64_t AnswerTokens = 0;
+  std::uint64_t Frames = 0; ///< frames sent
+  core::VersionId Version;
+  bool Replayed = false; ///< the answer of an earlier attempt
+};
+
+/// The configuration bundle in force at a peer.
+struct BundleContent {
+  core::Generation Number;
+  std::string Content; ///< JSON
+};
+
+} // namespace cowslipridge::rpc
--- /dev/null
+++ b/src/cowslipridge/rpc/Server.cpp
@@ -0,0 +1,282 @@
+#include "cowslipridge/rpc/Server.hpp"
+
+#include "cowslipridge/core/Error.hpp"
+#include "cowslipridge/rpc/Codec.hpp"
+#include "cowslipridge/rpc/Proof.hpp"
+#include "cowslipridge/rpc/internal/EventLoopImpl.hpp"
+#include "cowslipridge/rpc/internal/Limits.hpp"
+#include "cowslipridge/rpc/internal/ServedRun.hpp"
+
+#include <capnp/rpc-twoparty.h>
+
+#include <list>
+
+namespace cowslipridge::rpc {
+
+using core::Errc;
+
+namespace {
+
+/// Serves one proven peer.
+class PeerServer final : public wire::Peer::Server {
+public:
+  PeerServer(EventLoop::Impl &loop, std::shared_ptr<PeerHandler> handler)
+      : Loop(loop), Handler(std::move(handler)) {}
+
+  kj::Promise<void> run(RunContext context) override {
+    auto params = context.getParams();
+    auto sink = std::make_shared<RemoteSink>(Loop, params.getSink());
+    core::Result<RunRequest> request = decode(params.getRequest());
+    std::shared_ptr<ServedCall> call;
+    if (request.ok())
+      call = Handler->run(std::move(request).value(), sink);
+    else
+      sink->end(refuse(request.error()));
+    context.getResults().setHandle(
+        kj::heap<RunHandleServer>(std::move(sink), std::move(call)));
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> exchange(ExchangeContext context) override {
+    const core::Result<PeerStatus> status =
+        decode(context.getParams().getStatus());
+    KJ_REQUIRE(status.ok(), "malformed status");
+    encode(Handler->exchange(*status), context.getResults().initStatus());
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> bundle(BundleContext context) override {
+    const BundleContent content = Handler->bundle();
+    auto results = context.getResults();
+    results.setGeneration(content.Number.value());
+    results.setContent(toData(content.Content));
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> deliverBills(DeliverBillsContext context) override {
+    std::vector<std::string> lines;
+    for (const auto it : context.getParams().getLines())
+      lines.push_back(toString(it));
+    context.getResults().setAccepted(Handler->deliverBills(lines));
+    return kj::READY_NOW;
+  }
+
+private:
+  static RunResult refuse(std::error_code ec) {
+    RunResult result;
+    result.Result = core::Outcome::NotRun;
+    result.Error = ec;
+    result.Detail = "the message cannot be decoded";
+    return result;
+  }
+
+  EventLoop::Impl &Loop;
+  std::shared_ptr<PeerHandler> Handler;
+};
+
+/// What a Gate needs of the server that it belongs to.
+struct GateContext {
+  EventLoop::Impl &Loop;
+  const ServerSettings &Settings;
+  std::shared_ptr<PeerHandler> Handler;
+  observe::EventLog &Events;
+  std::string Remote;
+};
+
+/// Proves the fleet key to one connection and demands its proof.
+class GateServer final : public wire::Gate::Server {
+public:
+  GateServer(GateContext context, bool &proven)
+      : Context(std::move(context)), Proven(proven) {}
+
+  kj::Promise<void> challenge(ChallengeContext context) override {
+    ProofFacts facts;
+    facts.Role = ProofRole::Callee;
+    facts.CallerNonce = toString(context.getParams().getCallerNonce());
+    if (facts.CallerNonce.size() != NonceBytes || !CalleeNonce.empty())
+      return refuse("challenge out of order");
+    CallerNonce = facts.CallerNonce;
+    CalleeNonce = makeNonce();
+    facts.CalleeNonce = CalleeNonce;
+    auto results = context.getResults();
+    results.setCalleeNonce(toData(CalleeNonce));
+    results.setProof(toData(makeProof(Context.Settings.FleetKey, facts)));
+    return kj::READY_NOW;
+  }
+
+  kj::Promise<void> login(LoginContext context) override {
+    ProofFacts facts;
+    facts.Role = ProofRole::Caller;
+    facts.CallerNonce = CallerNonce;
+    facts.CalleeNonce = CalleeNonce;
+    facts.Instance = context.getParams().getInstance();
+    const std::string proof = toString(context.getParams().getProof());
+    if (Proven || !isProof(Context.Settings.FleetKey, facts, proof))
+      return refuse("login without a valid proof");
+    Proven = true;
+    Context.Events.report(observe::EventNumber::PeerConnected,
+                          {{}, {}, {}, "from " + facts.Instance});
+    context.getResults().setPeer(
+        kj::heap<PeerServer>(Context.Loop, Context.Handler));
+    return kj::READY_NOW;
+  }
+
+private:
+  kj::Promise<void> refuse(const std::string &reason) {
+    Context.Events.report(
+        observe::EventNumber::PeerRefused,
+        {{}, {}, {}, "from " + Context.Remote + ": " + reason});
+    return KJ_EXCEPTION(FAILED, "refused");
+  }
+
+  GateContext Context;
+  bool &Proven;
+  std::string CallerNonce;
+  std::string CalleeNonce;
+};
+
+struct Connection {
+  Connection(kj::Own<kj::AsyncIoStream> stream, GateContext context)
+      : Remote(context.Remote), Stream(kj::mv(stream)),
+        Network(*Stream, capnp::rpc::twoparty::Side::SERVER, readerOptions()),
+        System(capnp::makeRpcServer(
+            Network, kj::heap<GateServer>(std::move(context), Proven))) {
+    System.setFlowLimit(MaxCallWordsInFlight);
+  }
+
+  const std::string Remote;
+  bool Proven = false;
+  kj::Own<kj::AsyncIoStream> Stream;
+  capnp::TwoPartyVatNetwork Network;
+  capnp::RpcSystem<capnp::rpc::twoparty::VatId> System;
+};
+
+std::string remoteName(kj::AsyncIoStream &stream) {
+  sockaddr_storage address{};
+  kj::uint size = sizeof(address);
+  stream.getpeername(reinterpret_cast<sockaddr *>(&address), &size);
+  return toText(address);
+}
+
+} // namespace
+
+class Server::Impl final : public std::enable_shared_from_this<Impl> {
+public:
+  Impl(EventLoop::Impl &loop, ServerSettings settings,
+       std::shared_ptr<PeerHandler> handler, observe::EventLog &events)
+      : Loop(loop), Settings(std::move(settings)), Handler(std::move(handler)),
+        Events(events) {}
+
+  std::error_code open() {
+    auto address = toSocketAddress(Settings.Address, Settings.Port);
+    if (!address)
+      return address.error();
+    try {
+      Listener = Loop.network()
+                     .getSockaddr(&address->Storage, address->Size)
+                     ->listen();
+    } catch (const kj::Exception &ex) {
+      return std::make_error_code(std::errc::address_in_use);
+    }
+    Accepting = accept().eagerlyEvaluate(nullptr);
+    return {};
+  }
+
+  void close() {
+    Accepting = nullptr;
+    Listener = nullptr;
+    Connections.clear();
+  }
+
+private:
+  kj::Promise<void> accept() {
+    return Listener->accept().then([this](kj::Own<kj::AsyncIoStream> stream) {
+      admit(kj::mv(stream));
+      return accept();
+    });
+  }
+
+  void admit(kj::Own<kj::AsyncIoStream> stream) {
+    disableNagle(*stream);
+    if (strangers() >= Settings.MaxStrangers) {
+      Events.report(observe::EventNumber::PeerRefused,
+                    {{}, {}, {}, "too many connections without a proof"});
+      return;
+    }
+    GateContext context{Loop, Settings, Handler, Events, remoteName(*stream)};
+    auto it = Connections.insert(
+        Connections.end(),
+        std::make_shared<Connection>(kj::mv(stream), std::move(context)));
+    watch(*it);
+  }
+
+  [[nodiscard]] std::size_t strangers() const {
+    std::size_t n = 0;
+    for (const auto &it : Connections)
+      n += it->Proven ? 0 : 1;
+    return n;
+  }
+
+  void watch(const std::shared_ptr<Connection> &connection) {
+    const std::weak_ptr<Impl> self = weak_from_this();
+    const std::weak_ptr<Connection> weak = connection;
+    Loop.detach(connection->Network.onDisconnect().then([self, weak] {
+      if (auto impl = self.lock())
+        impl->remove(weak, "it left without a proof");
+    }));
+    const auto wait = Settings.LoginTimeout.count() * kj::MILLISECONDS;
+    Loop.detach(Loop.timer().afterDelay(wait).then([self, weak] {
+      const auto impl = self.lock();
+      const auto stranger = weak.lock();
+      if (impl && stranger && !stranger->Proven)
+        impl->remove(weak, "no proof within the time limit");
+    }));
+  }
+
+  void remove(const std::weak_ptr<Connection> &weak, const std::string &why) {
+    const auto connection = weak.lock();
+    if (connection && !connection->Proven) {
+      Events.report(observe::EventNumber::PeerRefused,
+                    {{}, {}, {}, "from " + connection->Remote + ": " + why});
+    }
+    removeLater(weak);
+  }
+
+  // A connection must not be destroyed from within its own callback.
+  void removeLater(const std::weak_ptr<Connection> &weak) {
+    Loop.post([self = weak_from_this(), weak] {
+      const auto impl = self.lock();
+      const auto connection = weak.lock();
+      if (impl && connection)
+        impl->Connections.remove(connection);
+    });
+  }
+
+  EventLoop::Impl &Loop;
+  const ServerSettings Settings;
+  std::shared_ptr<PeerHandler> Handler;
+  observe::EventLog &Events;
+  kj::Own<kj::ConnectionReceiver> Listener;
+  kj::Promise<void> Accepting = nullptr;
+  std::list<std::shared_ptr<Connection>> Connections;
+};
+
+Server::Server(EventLoop &loop, ServerSettings settings,
+               std::shared_ptr<PeerHandler> handler, observe::EventLog &events)
+    : Loop(loop),
+      Internals(std::make_shared<Impl>(loop.internals(), std::move(settings),
+                                       std::move(handler), events)) {}
+
+Server::~Server() { close(); }
+
+std::error_code Server::open() {
+  std::error_code ec;
+  Loop.call([&] { ec = Internals->open(); });
+  return ec;
+}
+
+void Server::close() {
+  Loop.call([&] { Internals->close(); });
+}
+
+} // namespace cowslipridge::rpc
--- /dev/null
+++ b/src/cowslipridge/rpc/internal/ServedRun.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "cowslipridge/rpc/Codec.hpp"
+#include "cowslipridge/rpc/Server.hpp"
+#include "cowslipridge/rpc/internal/EventLoopImpl.hpp"
+
+#include <deque>
+#include <optional>
+
+namespace cowslipridge::rpc {
+
+/// Bytes of one answer that may wait for a slow asker.
+constexpr std::size_t MaxUnsentBytes = 8 * 1024 * 1024;
+
+/// Sends one answer through a FrameSink capability, in order and under its
+/// flow control.
+class RemoteSink final : public AnswerSink,
+                         public std::enable_shared_from_this<RemoteSink> {
+public:
+  RemoteSink(EventLoop::Impl &loop, wire::FrameSink::Client target);
+  ~RemoteSink() noexcept override = default;
+  KJ_DISALLOW_COPY(RemoteSink);
+
+  void head(int status, http::Headers fields) override;
+  bool frame(std::string data) override;
+  void end(RunResult result) override;
+
+  /// Resolves when the answer has ended and every frame was sent.
+  kj::Promise<void> whenEnded() { return Ended.addBranch(); }
+  /// Set once whenEnded() has resolved.
+  [[nodiscard]] const std::optional<RunResult> &result() const {
+    return Result;
+  }
+  /// Drops the capability; later calls do nothing.
+  void disconnect();
+
+private:
+  void pump();
+  void finishIfDrained();
+
+  EventLoop::Impl &Loop;
+  std::optional<wire::FrameSink::Client> Target;
+  std::deque<std::string> Unsent;
+  std::size_t UnsentBytes = 0;
+  bool Sending = false;
+  std::uint64_t Frames = 0;
+  std::optional<RunResult> Result;
+  kj::Own<kj::PromiseFulfiller<void>> EndFulfiller;
+  kj::ForkedPromise<void> Ended = nullptr;
+};
+
+/// The RunHandle of one run; dropping it abandons the run.
+class RunHandleServer final : public wire::RunHandle::Server {
+public:
+  RunHandleServer(std::shared_ptr<RemoteSink> sink,
+                  std::shared_ptr<ServedCall> call);
+  ~RunHandleServer() noexcept(false);
+  KJ_DISALLOW_COPY(RunHandleServer);
+
+  kj::Promise<void> result(ResultContext context) override;
+
+private:
+  std::shared_ptr<RemoteSink> Sink;
+  std::shared_ptr<ServedCall> Call;
+};
+
+} // namespace cowslipridge::rpc
--- /dev/null
+++ b/tests/unit/rpc/RpcHarness.cpp
@@ -0,0 +1,152 @@
+#include "unit/rpc/RpcHarness.hpp"
+
+#include <unistd.h>
+
+#include <chrono>
+#include <thread>
+
+namespace cowslipridge::rpc {
+
+namespace {
+
+constexpr std::uint16_t Port = 9080;
+
+class CountingCall final : public ServedCall {
+public:
+  explicit CountingCall(ScriptedHandler &handler) : Handler(handler) {}
+  void abandon() override { Handler.countAbandoned(); }
+
+private:
+  ScriptedHandler &Handler;
+};
+
+} // namespace
+
+std::string loopbackOfThisProcess() {
+  const int pid = getpid();
+  return "127." + std::to_string(10 + (pid >> 16) % 100) + "." +
+         std::to_string((pid >> 8) & 0xff) + "." +
+         std::to_string(1 + (pid & 0xff) % 250);
+}
+
+bool waitUntil(const std::function<bool()> &condition) {
+  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(5);
+  while (!condition()) {
+    if (std::chrono::steady_clock::now() > end)
+      return false;
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  return true;
+}
+
+std::shared_ptr<ServedCall>
+ScriptedHandler::run(RunRequest request, std::shared_ptr<AnswerSink> sink) {
+  Behaviour(request, sink);
+  return std::make_shared<CountingCall>(*this);
+}
+
+PeerStatus ScriptedHandler::exchange(const PeerStatus &status) {
+  PeerStatus reply = status;
+  reply.Instance = core::InstanceId("callee");
+  return reply;
+}
+
+BundleContent ScriptedHandler::bundle() { return {core::Generation(7), "{}"}; }
+
+unsigned ScriptedHandler::deliverBills(const std::vector<std::string> &lines) {
+  return static_cast<unsigned>(lines.size());
+}
+
+unsigned ScriptedHandler::abandoned() const {
+  const std::lock_guard lock(Guard);
+  return Abandoned;
+}
+
+void ScriptedHandler::countAbandoned() {
+  const std::lock_guard lock(Guard);
+  ++Abandoned;
+}
+
+RpcPair::RpcPair(ScriptedHandler::Script script, std::string clientKey)
+    : ServerEvents(Time, core::InstanceId("callee"), core::Incarnation(1), 64),
+      ClientEvents(Time, core::InstanceId("caller"), core::Incarnation(1), 64),
+      Handler(std::make_shared<ScriptedHandler>(std::move(script))) {
+  ServerSettings settings;
+  settings.Address = loopbackOfThisProcess();
+  settings.Port = Port;
+  settings.FleetKey = std::string(32, 'k');
+  Listening =
+      std::make_unique<Server>(ServerLoop, settings, Handler, ServerEvents);
+  const std::error_code ec = Listening->open();
+  if (ec)
+    throw std::system_error(ec);
+  PeerClientSettings peer;
+  peer.Self = core::InstanceId("caller");
+  peer.Peer = core::InstanceId("callee");
+  peer.Address = settings.Address;
+  peer.Port = Port;
+  peer.FleetKey = std::move(clientKey);
+  ClientLoop.call([&] {
+    Client = std::make_unique<PeerClient>(ClientLoop, peer, ClientEvents);
+  });
+}
+
+RpcPair::~RpcPair() {
+  ClientLoop.call([&] { Client.reset(); });
+}
+
+bool RpcPair::waitConnected() {
+  return waitUntil([&] {
+    bool connected = false;
+    ClientLoop.call([&] { connected = Client->connected(); });
+    return connected;
+  });
+}
+
+std::shared_ptr<RemoteCall> RpcPair::start(const RunRequest &request) {
+  AnswerEvents events;
+  events.OnHead = [this](int status, const http::Headers &) {
+    const std::lock_guard lock(Guard);
+    Heard.Status = status;
+  };
+  events.OnFrame = [this](const std::string &data) {
+    const std::lock_guard lock(Guard);
+    Heard.Body += data;
+  };
+  events.OnEnd = [this](RunResult result) {
+    const std::lock_guard lock(Guard);
+    Heard.Result = std::move(result);
+  };
+  std::shared_ptr<RemoteCall> call;
+  ClientLoop.call([&] { call = Client->run(request, events); });
+  return call;
+}
+
+HeardAnswer RpcPair::heard() {
+  const std::lock_guard lock(Guard);
+  return Heard;
+}
+
+bool RpcPair::waitEnd() {
+  return waitUntil([&] { return heard().Result.has_value(); });
+}
+
+HeardAnswer RpcPair::run(const RunRequest &request) {
+  const auto call = start(request);
+  waitEnd();
+  return heard();
+}
+
+void RpcPair::closeServer() { Listening->close(); }
+
+RunRequest makeRequest() {
+  RunRequest request;
+  request.Request = core::RequestId("r1");
+  request.Organisation = core::OrganisationId("kochi-bowls");
+  request.Service = core::ServiceId("drafting");
+  request.Version = core::VersionId("small@3");
+  request.Remaining = core::Millis(3'000);
+  return request;
+}
+
+} // namespace cowslipridge::rpc
