--- /dev/null
+++ b/src/cowslipridge/membership/Directory.cpp
@@ -0,0 +1,133 @@
+#include "cowslipridge/membership/Directory.hpp"
+
+#include <algorithm>
+
+namespace cowslipridge::membership {
+
+Directory::Directory(DirectorySettings settings) : Settings(settings) {}
+
+DirectoryActions
+Directory::onList(const std::vector<platform::InstanceRecord> &records,
+                  core::Millis now) {
+  DirectoryActions actions;
+  for (const platform::InstanceRecord &it : records)
+    takeListed(it, now, actions);
+  return actions;
+}
+
+// The list lags: it never revives an incarnation that said it is leaving, and
+// never brings an older incarnation back.
+void Directory::takeListed(const platform::InstanceRecord &record,
+                           core::Millis now, DirectoryActions &actions) {
+  const auto [it, isNew] = Members.try_emplace(record.Name);
+  Slot &slot = it->second;
+  const bool replaces = !isNew && record.Start > slot.Value.Record.Start;
+  if (!isNew && record.Start < slot.Value.Record.Start)
+    return;
+  slot.ListedAt = now;
+  if (replaces)
+    actions.emplace_back(DropMember{record.Name});
+  if (isNew || replaces) {
+    slot.Value = Member{record, Liveness::Live, now, 0};
+    slot.ProbedAt = now;
+    if (record.Leaving)
+      slot.Value.State = Liveness::Leaving;
+    actions.emplace_back(ConnectMember{record});
+    return;
+  }
+  const bool left = slot.Value.State == Liveness::Leaving || record.Leaving;
+  const bool moved = record.Address != slot.Value.Record.Address ||
+                     record.RpcPort != slot.Value.Record.RpcPort;
+  slot.Value.Record = record;
+  slot.Value.Record.Leaving = left;
+  if (left)
+    slot.Value.State = Liveness::Leaving;
+  if (moved) {
+    actions.emplace_back(DropMember{record.Name});
+    actions.emplace_back(ConnectMember{record});
+  }
+}
+
+void Directory::onReply(const core::InstanceId &name, core::Incarnation start,
+                        bool leaving, core::Millis now) {
+  const auto it = Members.find(name);
+  if (it == Members.end())
+    return;
+  Member &member = it->second.Value;
+  if (start < member.Record.Start)
+    return;
+  if (start > member.Record.Start) {
+    member.Record.Start = start;
+    member.Record.Leaving = false;
+    member.State = Liveness::Live;
+  }
+  member.HeardAt = now;
+  member.FailuresInRow = 0;
+  if (leaving || member.State == Liveness::Leaving) {
+    member.Record.Leaving = true;
+    member.State = Liveness::Leaving;
+    return;
+  }
+  member.State = Liveness::Live;
+}
+
+void Directory::onFailure(const core::InstanceId &name, core::Millis /*now*/) {
+  const auto it = Members.find(name);
+  if (it == Members.end())
+    return;
+  Member &member = it->second.Value;
+  ++member.FailuresInRow;
+  const bool enough = member.FailuresInRow >= Settings.SuspectAfterFailures;
+  if (enough && member.State == Liveness::Live)
+    member.State = Liveness::Suspect;
+}
+
+DirectoryActions Directory::tick(core::Millis now) {
+  DirectoryActions actions;
+  for (auto it = Members.begin(); it != Members.end();) {
+    Slot &slot = it->second;
+    if (isGone(slot, now)) {
+      actions.emplace_back(DropMember{it->first});
+      it = Members.erase(it);
+      continue;
+    }
+    const core::Millis last = std::max(slot.Value.HeardAt, slot.ProbedAt);
+    if (now - last >= Settings.ProbeInterval) {
+      slot.ProbedAt = now;
+      actions.emplace_back(ProbeMember{it->first});
+    }
+    ++it;
+  }
+  return actions;
+}
+
+bool Directory::isGone(const Slot &slot, core::Millis now) const {
+  const core::Millis last = std::max(slot.ListedAt, slot.Value.HeardAt);
+  return now - last >= Settings.GoneAfter;
+}
+
+const Member *Directory::find(const core::InstanceId &name) const {
+  const auto it = Members.find(name);
+  return it == Members.end() ? nullptr : &it->second.Value;
+}
+
+std::vector<Member> Directory::usable(const core::ServiceId &service) const {
+  std::vector<Member> found;
+  for (const auto &[name, slot] : Members) {
+    const Member &member = slot.Value;
+    const bool takesWork =
+        member.State == Liveness::Live || member.State == Liveness::Suspect;
+    if (takesWork && member.Record.Service == service)
+      found.push_back(member);
+  }
+  return found;
+}
+
+std::vector<Member> Directory::all() const {
+  std::vector<Member> found;
+  for (const auto &[name, slot] : Members)
+    found.push_back(slot.Value);
+  return found;
+}
+
+} // namespace cowslipridge::membership
--- a/src/cowslipridge/membership/Directory.hpp
+++ b/src/cowslipridge/membership/Directory.hpp
@@ -70,6 +70,11 @@
     core::Millis ListedAt;
     core::Millis ProbedAt;
   };
+
+  void takeListed(const platform::InstanceRecord &record, core::Millis now,
+                  DirectoryActions &actions);
+  [[nodiscard]] bool isGone(const Slot &slot, core::Millis now) const;
+
   DirectorySettings Settings;
   std::map<core::InstanceId, Slot> Members;
 };
--- /dev/null
+++ b/src/cowslipridge/runner/EngineRunner.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "cowslipridge/http/Client.hpp"
+#include "cowslipridge/runner/Runner.hpp"
+
+#include <string>
+
+namespace cowslipridge::runner {
+
+/// A model engine that speaks chat completions.
+class EngineRunner final : public Runner {
+public:
+  /// `base` is such as `http://127.0.0.1:7000`; `timeout` bounds the wait for
+  /// the next bytes.
+  EngineRunner(std::string base, core::Millis timeout);
+
+  std::shared_ptr<RunningCall> start(const Call &call,
+                                     CallEvents events) override;
+  void load(const core::VersionId &version, core::FencingNumber fence,
+            std::function<void(std::error_code)> done) override;
+
+private:
+  http::Client Engine;
+};
+
+} // namespace cowslipridge::runner
