Add the sidecar's shell

Cause: each request must pass a last check of configuration, version, deadline, claim and exposure beside its runner. Change: pure request checks, one flow per request from admission to the bill, claims before non-idempotent calls, pause detection.

--- /dev/null
+++ b/src/cowslipridge/sidecar/RunFlow.cpp
@@ -0,0 +1,275 @@
+#include "cowslipridge/sidecar/RunFlow.hpp"
+
+#include "cowslipridge/core/Visit.hpp"
+#include "cowslipridge/sidecar/Billing.hpp"
+
+#include <algorithm>
+
+namespace cowslipridge::sidecar {
+
+using core::Errc;
+using core::Outcome;
+
+namespace {
+
+/// Longest answer of a claimed call that is kept for retries, in bytes.
+constexpr std::size_t MaxKeptAnswerBytes = 4'096;
+
+/// Part of the newest observation in the moving mean of run times.
+constexpr std::int64_t MeanWorkDivisor = 8;
+
+} // namespace
+
+RunFlow::RunFlow(SidecarContext &context, FlowOwner &owner,
+                 core::RequestId ticket, rpc::RunRequest request,
+                 std::shared_ptr<rpc::AnswerSink> sink)
+    : Context(context), Owner(owner), Ticket(std::move(ticket)),
+      Request(std::move(request)), Deadline(context.now() + Request.Remaining),
+      Sink(std::move(sink)) {}
+
+limits::Arrival RunFlow::arrival() const {
+  const config::ServiceDeclaration *service = Context.service();
+  limits::Arrival arrival;
+  arrival.Request = Ticket;
+  arrival.Organisation = Request.Organisation;
+  arrival.Deadline = Deadline;
+  arrival.ExpectedWork = Context.MeanWork;
+  arrival.Deferrable = service->Deferrable;
+  if (const auto *it = service->findOrganisation(Request.Organisation))
+    arrival.Weight = it->Weight;
+  return arrival;
+}
+
+void RunFlow::start() {
+  Admitted = true;
+  StartedAt = Context.now();
+  if (Abandoned || Deadline <= StartedAt) {
+    refuse(Abandoned ? Errc::Cancelled : Errc::DeadlineExceeded, {});
+    return;
+  }
+  if (!Context.Guard->admits(Request.Version, Request.Organisation)) {
+    refuse(Errc::VersionWithdrawn, {});
+    return;
+  }
+  if (mustClaim())
+    claim();
+  else
+    run();
+}
+
+void RunFlow::claim() {
+  const ledger::Claim claim{key(), Request.Request, Context.Time.wall()};
+  Context.Journal->claim(claim, [self = shared_from_this()](
+                                    const ledger::ClaimDecision &decision) {
+    self->Context.Loop.post([self, decision] { self->onClaim(decision); });
+  });
+}
+
+void RunFlow::onClaim(const ledger::ClaimDecision &decision) {
+  std::visit(
+      core::Overloaded{
+          [&](const ledger::RunClaimed &) {
+            Context.Events.report(observe::EventNumber::ClaimCommitted,
+                                  {Request.Request, Request.Version, {}, {}});
+            run();
+          },
+          [&](const ledger::ReplayOutcome &it) { replay(it.Earlier); },
+          [&](const ledger::AlreadyRunning &) {
+            Context.Journal->attach(key(),
+                                    [self = shared_from_this()](
+                                        const ledger::ClaimOutcome &outcome) {
+                                      self->Context.Loop.post([self, outcome] {
+                                        self->replay(outcome);
+                                      });
+                                    });
+          },
+          [&](const ledger::ClaimRefused &it) {
+            refuse(it.Reason, it.RetryAfter, it.Owner);
+          }},
+      decision);
+}
+
+// Answers a retry with what the first attempt came to.
+void RunFlow::replay(const ledger::ClaimOutcome &earlier) {
+  Context.Events.report(observe::EventNumber::RunReplayed,
+                        {Request.Request, Request.Version, {}, {}});
+  rpc::RunResult result;
+  result.Result = earlier.Result;
+  result.Replayed = true;
+  if (earlier.Result == Outcome::Ran) {
+    Sink->head(earlier.Status, {});
+    Sink->frame(earlier.Answer);
+  } else {
+    result.Error = Errc::OutcomeUnknown;
+  }
+  releaseSlot(false);
+  end(std::move(result));
+}
+
+void RunFlow::run() {
+  if (Deadline <= Context.now() || Context.Leaving) {
+    settle(Outcome::NotRun);
+    refuse(Context.Leaving ? Errc::Leaving : Errc::DeadlineExceeded, {});
+    return;
+  }
+  Running = true;
+  Context.Guard->onStart(Request.Request, Request.Version, Request.Organisation,
+                         Context.now());
+  Context.Events.report(observe::EventNumber::RunStarted,
+                        {Request.Request, Request.Version, {}, {}});
+  runner::Call call;
+  call.Request = Request.Request;
+  const auto *version = Context.service()->findVersion(Request.Version);
+  if (version != nullptr)
+    call.EngineModel = version->EngineModel;
+  call.Message = {Request.Method, Request.Target, Request.Fields, Request.Body};
+  call.Stream = Request.Stream;
+  call.Timeout = Deadline - Context.now();
+  Call = Context.Backend->start(call, callEvents());
+}
+
+// Moves the runner's events to the loop's thread.
+runner::CallEvents RunFlow::callEvents() {
+  const std::shared_ptr<RunFlow> self = shared_from_this();
+  rpc::EventLoop &loop = Context.Loop;
+  runner::CallEvents events;
+  events.OnHead = [self, &loop](int status, const http::Headers &fields) {
+    loop.post([self, status, fields] { self->onHead(status, fields); });
+  };
+  events.OnData = [self, &loop](std::string data) {
+    loop.post([self, data = std::move(data)]() mutable {
+      self->onData(std::move(data));
+    });
+  };
+  events.OnEnd = [self, &loop](std::error_code ec, Outcome outcome,
+                               runner::Usage usage) {
+    loop.post(
+        [self, ec, outcome, usage] { self->onRunnerEnd(ec, outcome, usage); });
+  };
+  return events;
+}
+
+void RunFlow::onHead(int status, const http::Headers &fields) {
+  Status = status;
+  Sink->head(status, fields);
+}
+
+void RunFlow::onData(std::string data) {
+  ++Frames;
+  if (mustClaim() && !AnswerTooLarge) {
+    KeptAnswer += data;
+    AnswerTooLarge = KeptAnswer.size() > MaxKeptAnswerBytes;
+  }
+  const bool keepsUp = Sink->frame(std::move(data));
+  if (!keepsUp && !mustClaim() && Call)
+    Call->cancel();
+}
+
+void RunFlow::onRunnerEnd(std::error_code ec, Outcome outcome,
+                          runner::Usage usage) {
+  Call.reset();
+  // An abandoned answer was generated in part: what was seen of it is billed.
+  if (Abandoned && outcome == Outcome::Unknown && Frames > 0) {
+    outcome = Outcome::Ran;
+    usage.AnswerTokens = std::max(usage.AnswerTokens, Frames);
+  }
+  if (outcome == Outcome::NotRun)
+    Context.Guard->onNotRun(Request.Request);
+  settle(outcome);
+  if (Request.Billable && outcome != Outcome::NotRun)
+    bill(outcome, usage);
+  releaseSlot(static_cast<bool>(ec));
+  rpc::RunResult result;
+  result.Result = outcome;
+  result.Error = ec;
+  result.PromptTokens = usage.PromptTokens;
+  result.CachedTokens = usage.CachedTokens;
+  result.AnswerTokens = usage.AnswerTokens;
+  end(std::move(result));
+}
+
+void RunFlow::settle(Outcome outcome) {
+  if (!mustClaim())
+    return;
+  ledger::ClaimOutcome record;
+  record.Key = key();
+  record.Result = outcome;
+  record.Status = Status;
+  if (!AnswerTooLarge)
+    record.Answer = KeptAnswer;
+  Context.Journal->settle(record, [] {});
+}
+
+void RunFlow::bill(Outcome outcome, const runner::Usage &usage) {
+  const config::VersionDeclaration *version =
+      Context.service()->findVersion(Request.Version);
+  config::VersionDeclaration unpriced;
+  unpriced.Name = Request.Version;
+  Context.Journal->bill(makeBill(Request,
+                                 version == nullptr ? unpriced : *version,
+                                 outcome, usage, Context.Time.wall()));
+}
+
+void RunFlow::releaseSlot(bool failed) {
+  if (!Admitted)
+    return;
+  Admitted = false;
+  const core::Millis elapsed = Context.now() - StartedAt;
+  if (Running && !failed)
+    Context.MeanWork =
+        Context.MeanWork + (elapsed - Context.MeanWork) / MeanWorkDivisor;
+  Owner.apply(Context.Door->finish(Ticket, elapsed, failed, Context.now()));
+}
+
+void RunFlow::refuse(Errc reason, core::Millis retryAfter,
+                     const core::InstanceId &owner) {
+  Context.Events.report(
+      observe::EventNumber::RunRefused,
+      {Request.Request, Request.Version, {}, std::string(core::slug(reason))});
+  releaseSlot(false);
+  rpc::RunResult result;
+  result.Result = Outcome::NotRun;
+  result.Error = reason;
+  result.RetryAfter = retryAfter;
+  result.Owner = owner;
+  end(std::move(result));
+}
+
+void RunFlow::end(rpc::RunResult result) {
+  if (Ended)
+    return;
+  Ended = true;
+  const std::shared_ptr<RunFlow> keep = shared_from_this();
+  if (Running) {
+    Context.Events.report(observe::EventNumber::RunEnded,
+                          {Request.Request,
+                           Request.Version,
+                           {},
+                           std::string(core::toString(result.Result))});
+  }
+  result.Version = Request.Version;
+  result.Callee = Owner.statusFor(Request.Sender.Instance);
+  Sink->end(std::move(result));
+  Owner.forget(Ticket);
+}
+
+// A claimed call goes on to its end, because only its end tells the outcome.
+void RunFlow::abandon() {
+  if (Abandoned || Ended)
+    return;
+  Abandoned = true;
+  if (!Admitted && !Running)
+    Owner.apply(Context.Door->cancel(Ticket, Context.now()));
+  if (!Admitted && !Running && !Ended)
+    refuse(Errc::Cancelled, {});
+  else if (Call && !mustClaim())
+    Call->cancel();
+}
+
+ledger::IdempotencyKey RunFlow::key() const {
+  const std::string &given = Request.IdempotencyKey;
+  return {Request.Organisation, Request.Service,
+          given.empty() ? Request.Request.str() : given};
+}
+
+} // namespace cowslipridge::sidecar
--- /dev/null
+++ b/src/cowslipridge/sidecar/Sidecar.cpp
@@ -0,0 +1,195 @@
+#include "cowslipridge/sidecar/Sidecar.hpp"
+
+#include "cowslipridge/core/Visit.hpp"
+#include "cowslipridge/sidecar/RequestChecks.hpp"
+
+namespace cowslipridge::sidecar {
+
+using core::Errc;
+
+namespace {
+
+/// Evidence records that ride on one message.
+constexpr std::size_t EvidencePerMessage = 16;
+
+} // namespace
+
+Sidecar::Sidecar(rpc::EventLoop &loop, const core::Clock &time,
+                 observe::EventLog &events, SidecarSettings settings,
+                 std::shared_ptr<runner::Runner> backend,
+                 OpenJournal openJournal)
+    : Context{loop,
+              time,
+              events,
+              std::move(settings),
+              std::move(backend),
+              nullptr,
+              {},
+              nullptr,
+              nullptr,
+              nullptr,
+              false,
+              {}},
+      MakeJournal(std::move(openJournal)), Pauses(Context.Settings.PauseLimit) {
+  const rollout::EvidenceSource self{Context.Settings.Instance,
+                                     Context.Settings.Start};
+  Context.Guard = std::make_unique<rollout::ExposureGuard>(
+      self, Context.Settings.Start.value());
+}
+
+Sidecar::~Sidecar() = default;
+
+void Sidecar::configure(std::shared_ptr<const config::Bundle> bundle,
+                        std::string text) {
+  if (Context.Configuration && bundle->Number <= Context.Configuration->Number)
+    return;
+  Context.Configuration = std::move(bundle);
+  Context.ConfigurationText = std::move(text);
+  const config::ServiceDeclaration *service = Context.service();
+  if (service == nullptr)
+    return;
+  if (!Context.Journal)
+    openParts(*service);
+  Context.Guard->configure(*service);
+}
+
+void Sidecar::openParts(const config::ServiceDeclaration &service) {
+  limits::AdmissionSettings settings;
+  settings.MaxConcurrency = service.MaxConcurrency;
+  settings.MaxQueue = service.MaxQueue;
+  Context.Door = std::make_unique<limits::Admission>(
+      settings, Context.Settings.Start.value());
+  Context.Journal = MakeJournal(service);
+}
+
+void Sidecar::onBehind(std::function<void(core::Generation)> listener) {
+  BehindListener = std::move(listener);
+}
+
+void Sidecar::startTicking() { tick(); }
+
+void Sidecar::tick() {
+  const core::Millis now = Context.now();
+  if (const auto pause = Pauses.tick(now)) {
+    Context.Events.report(observe::EventNumber::PauseDetected,
+                          {{}, {}, {}, std::to_string(pause->count()) + " ms"});
+  }
+  if (Context.Door)
+    apply(Context.Door->tick(now));
+  Context.Loop.postAfter(Context.Settings.TickInterval,
+                         [weak = weak_from_this()] {
+                           if (const auto self = weak.lock())
+                             self->tick();
+                         });
+}
+
+void Sidecar::drain() {
+  Context.Leaving = true;
+  if (Context.Door)
+    apply(Context.Door->refuseQueued(Errc::Leaving, Context.now()));
+}
+
+bool Sidecar::idle() const { return Flows.empty(); }
+
+std::shared_ptr<ledger::Ledger> Sidecar::journal() const {
+  return Context.Journal;
+}
+
+std::shared_ptr<rpc::ServedCall>
+Sidecar::run(rpc::RunRequest request, std::shared_ptr<rpc::AnswerSink> sink) {
+  hear(request.Sender);
+  const DoorState door{Context.Settings.Service, Context.Settings.Versions,
+                       Context.Configuration.get(), Context.Leaving};
+  const std::optional<Errc> refusal = findRefusal(request, door);
+  core::RequestId ticket(request.Request.str() + "#" +
+                         std::to_string(NextTicket++));
+  auto flow = std::make_shared<RunFlow>(Context, *this, ticket,
+                                        std::move(request), std::move(sink));
+  if (refusal) {
+    flow->refuse(*refusal, {});
+    return flow;
+  }
+  Flows.emplace(std::move(ticket), flow);
+  apply(Context.Door->arrive(flow->arrival(), Context.now()));
+  return flow;
+}
+
+void Sidecar::apply(const limits::AdmissionActions &actions) {
+  const auto withFlow = [this](const core::RequestId &ticket, auto action) {
+    const auto it = Flows.find(ticket);
+    if (it == Flows.end())
+      return;
+    const std::shared_ptr<RunFlow> flow = it->second;
+    action(*flow);
+  };
+  for (const limits::AdmissionAction &action : actions) {
+    std::visit(core::Overloaded{[&](const limits::StartRequest &it) {
+                                  withFlow(it.Request,
+                                           [](RunFlow &flow) { flow.start(); });
+                                },
+                                [](const limits::QueueRequest &) {},
+                                [&](const limits::RefuseRequest &it) {
+                                  withFlow(it.Request, [&](RunFlow &flow) {
+                                    flow.refuse(it.Reason, it.RetryAfter);
+                                  });
+                                }},
+               action);
+  }
+}
+
+void Sidecar::forget(const core::RequestId &ticket) { Flows.erase(ticket); }
+
+void Sidecar::hear(const rpc::PeerStatus &status) {
+  const core::Generation own = Context.Configuration
+                                   ? Context.Configuration->Number
+                                   : core::Generation();
+  if (status.Configuration > own && BehindListener)
+    BehindListener(status.Configuration);
+  for (const rollout::EvidenceRecord &it : status.Evidence)
+    Context.Guard->onEvidence(it, Context.now());
+  for (const rpc::CutOffNotice &it : status.CutOffs) {
+    if (it.Configuration == own)
+      Context.Guard->onCutOff(it.Cut);
+  }
+}
+
+rpc::PeerStatus Sidecar::status() const {
+  rpc::PeerStatus status;
+  status.Instance = Context.Settings.Instance;
+  status.Start = Context.Settings.Start;
+  status.Leaving = Context.Leaving;
+  if (Context.Configuration)
+    status.Configuration = Context.Configuration->Number;
+  if (Context.Door) {
+    status.InFlight = Context.Door->inFlight();
+    status.Queued = Context.Door->queued();
+    status.ConcurrencyLimit = Context.Door->concurrencyLimit();
+    status.PredictedWait = Context.Door->predictedWait(Context.now());
+  }
+  for (const rollout::CutOff &it : Context.Guard->cutOffs())
+    status.CutOffs.push_back({it, status.Configuration});
+  return status;
+}
+
+rpc::PeerStatus Sidecar::statusFor(const core::InstanceId & /*peer*/) {
+  rpc::PeerStatus reply = status();
+  reply.Evidence = Context.Guard->takeChangedEvidence(EvidencePerMessage);
+  return reply;
+}
+
+rpc::PeerStatus Sidecar::exchange(const rpc::PeerStatus &status) {
+  hear(status);
+  return statusFor(status.Instance);
+}
+
+rpc::BundleContent Sidecar::bundle() {
+  if (!Context.Configuration)
+    return {};
+  return {Context.Configuration->Number, Context.ConfigurationText};
+}
+
+unsigned Sidecar::deliverBills(const std::vector<std::string> & /*lines*/) {
+  return 0;
+}
+
+} // namespace cowslipridge::sidecar
--- /dev/null
+++ b/src/cowslipridge/sidecar/Sidecar.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "cowslipridge/rpc/Server.hpp"
+#include "cowslipridge/sidecar/PauseDetector.hpp"
+#include "cowslipridge/sidecar/RunFlow.hpp"
+#include "cowslipridge/sidecar/SidecarContext.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace cowslipridge::sidecar {
+
+/// The work of one sidecar. Methods belong to the loop's thread unless they
+/// say otherwise.
+class Sidecar final : public rpc::PeerHandler,
+                      public FlowOwner,
+                      public std::enable_shared_from_this<Sidecar> {
+public:
+  Sidecar(rpc::EventLoop &loop, const core::Clock &time,
+          observe::EventLog &events, SidecarSettings settings,
+          std::shared_ptr<runner::Runner> backend, OpenJournal openJournal);
+  ~Sidecar() override;
+
+  /// Puts a newer configuration in force; older ones are ignored. `text` is
+  /// what peers that are behind are given.
+  void configure(std::shared_ptr<const config::Bundle> bundle,
+                 std::string text);
+  /// Called when a sender's configuration is newer than this one's.
+  void onBehind(std::function<void(core::Generation)> listener);
+  /// Starts the regular work: deadlines in the queue, pause detection.
+  void startTicking();
+  /// Refuses all work that has not started, now and later.
+  void drain();
+  [[nodiscard]] bool idle() const;
+  /// The journal; null before the first configuration.
+  [[nodiscard]] std::shared_ptr<ledger::Ledger> journal() const;
+  [[nodiscard]] rpc::PeerStatus status() const;
+  [[nodiscard]] SidecarContext &context() { return Context; }
+
+  // rpc::PeerHandler
+  std::shared_ptr<rpc::ServedCall>
+  run(rpc::RunRequest request, std::shared_ptr<rpc::AnswerSink> sink) override;
+  rpc::PeerStatus exchange(const rpc::PeerStatus &status) override;
+  rpc::BundleContent bundle() override;
+  unsigned deliverBills(const std::vector<std::string> &lines) override;
+
+  // FlowOwner
+  rpc::PeerStatus statusFor(const core::InstanceId &peer) override;
+  void apply(const limits::AdmissionActions &actions) override;
+  void forget(const core::RequestId &ticket) override;
+
+private:
+  void hear(const rpc::PeerStatus &status);
+  void openParts(const config::ServiceDeclaration &service);
+  void tick();
+
+  SidecarContext Context;
+  OpenJournal MakeJournal;
+  std::function<void(core::Generation)> BehindListener;
+  PauseDetector Pauses;
+  std::map<core::RequestId, std::shared_ptr<RunFlow>> Flows; ///< by ticket
+  std::uint64_t NextTicket = 1;
+};
+
+} // namespace cowslipridge::sidecar
--- /dev/null
+++ b/src/cowslipridge/sidecar/SidecarContext.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "cowslipridge/config/Declaration.hpp"
+#include "cowslipridge/ledger/Ledger.hpp"
+#include "cowslipridge/limits/Admission.hpp"
+#include "cowslipridge/observe/EventLog.hpp"
+#include "cowslipridge/rollout/ExposureGuard.hpp"
+#include "cowslipridge/rpc/EventLoop.hpp"
+#include "cowslipridge/rpc/Messages.hpp"
+#include "cowslipridge/runner/Runner.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cowslipridge::sidecar {
+
+struct SidecarSettings {
+  core::InstanceId Instance;
+  core::Incarnation Start;
+  core::ServiceId Service;
+  std::vector<core::VersionId> Versions;
+  core::Millis TickInterval{25};
+  core::Millis PauseLimit{500};
+};
+
+/// Opens the journal once the service's declaration is known.
+using OpenJournal = std::function<std::shared_ptr<ledger::Ledger>(
+    const config::ServiceDeclaration &service)>;
+
+/// What a sidecar works with. All state belongs to the loop's thread.
+struct SidecarContext {
+  rpc::EventLoop &Loop;
+  const core::Clock &Time;
+  observe::EventLog &Events;
+  const SidecarSettings Settings;
+  std::shared_ptr<runner::Runner> Backend;
+
+  // Set with the first configuration.
+  std::shared_ptr<const config::Bundle> Configuration;
+  std::string ConfigurationText;
+  std::shared_ptr<ledger::Ledger> Journal;
+  std::unique_ptr<limits::Admission> Door;
+
+  std::unique_ptr<rollout::ExposureGuard> Guard;
+  bool Leaving = false;
+  core::Millis MeanWork; ///< moving mean of the time on the runner
+
+  [[nodiscard]] core::Millis now() const { return Time.monotonic(); }
+  /// The declaration of this sidecar's service; null before the first one.
+  [[nodiscard]] const config::ServiceDeclaration *service() const {
+    return Configuration ? Configuration->findService(Settings.Service)
+                         : nullptr;
+  }
+};
+
+} // namespace cowslipridge::sidecar
