Add the entry's shell

Cause: callers need one door that authenticates, plans, forwards and relays. A finished run is kept until the loop is back at its tasks, so that a promise is never destroyed by its own callback. Not yet run: links only when route and session are implemented.

--- /dev/null
+++ b/src/cowslipridge/entry/EntryContext.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "cowslipridge/config/Declaration.hpp"
+#include "cowslipridge/entry/ExplainLog.hpp"
+#include "cowslipridge/entry/Fleet.hpp"
+#include "cowslipridge/limits/RetryBudget.hpp"
+#include "cowslipridge/observe/EventLog.hpp"
+#include "cowslipridge/route/Planner.hpp"
+#include "cowslipridge/route/RunnerChooser.hpp"
+#include "cowslipridge/rpc/EventLoop.hpp"
+#include "cowslipridge/session/TokenSealer.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace cowslipridge::entry {
+
+struct EntrySettings {
+  core::InstanceId Instance;
+  core::Incarnation Start;
+  std::string FleetKey;
+  std::string SessionKey;
+  std::uint64_t Seed = 0;
+  std::size_t MaxExplanations = 512;
+};
+
+/// What an entry works with. All state belongs to the loop's thread, except
+/// where its type is thread-safe.
+struct EntryContext {
+  rpc::EventLoop &Loop;
+  const core::Clock &Time;
+  observe::EventLog &Events;
+  const EntrySettings Settings;
+  session::TokenSealer Sealer;
+  std::shared_ptr<Fleet> Peers;
+  route::Planner Plans;
+  route::RunnerChooser Runners;
+  limits::RetryBudget Retries;
+  route::CutOffSet CutOffs;
+  ExplainLog Explanations;
+
+  [[nodiscard]] core::Millis now() const { return Time.monotonic(); }
+};
+
+} // namespace cowslipridge::entry
--- /dev/null
+++ b/src/cowslipridge/entry/Fleet.cpp
@@ -0,0 +1,171 @@
+#include "cowslipridge/entry/Fleet.hpp"
+
+#include "cowslipridge/core/Visit.hpp"
+
+namespace cowslipridge::entry {
+
+core::RunnerId toRunner(const core::InstanceId &name) {
+  return core::RunnerId(name.str());
+}
+
+core::InstanceId toInstance(const core::RunnerId &runner) {
+  return core::InstanceId(runner.str());
+}
+
+Fleet::Fleet(rpc::EventLoop &loop, const core::Clock &time,
+             observe::EventLog &events, FleetSettings settings)
+    : Loop(loop), Time(time), Events(events), Settings(std::move(settings)),
+      Members(membership::DirectorySettings{}) {}
+
+Fleet::~Fleet() = default;
+
+void Fleet::setOwnStatus(std::function<rpc::PeerStatus()> ownStatus) {
+  OwnStatus = std::move(ownStatus);
+}
+
+rpc::PeerStatus Fleet::ownStatus() const {
+  return OwnStatus ? OwnStatus() : rpc::PeerStatus();
+}
+
+void Fleet::onStatus(std::function<void(const rpc::PeerStatus &)> listener) {
+  StatusListener = std::move(listener);
+}
+
+void Fleet::onSuspect(std::function<void(const core::InstanceId &)> listener) {
+  SuspectListener = std::move(listener);
+}
+
+void Fleet::startTicking() { tick(); }
+
+void Fleet::tick() {
+  apply(Members.tick(Time.monotonic()));
+  Loop.postAfter(Settings.TickInterval, [weak = weak_from_this()] {
+    if (const auto self = weak.lock())
+      self->tick();
+  });
+}
+
+void Fleet::takeList(const std::vector<platform::InstanceRecord> &records) {
+  std::vector<platform::InstanceRecord> sidecars;
+  for (const platform::InstanceRecord &it : records) {
+    if (it.Kind == platform::Role::Sidecar)
+      sidecars.push_back(it);
+  }
+  apply(Members.onList(sidecars, Time.monotonic()));
+}
+
+void Fleet::apply(const membership::DirectoryActions &actions) {
+  for (const membership::DirectoryAction &action : actions) {
+    std::visit(
+        core::Overloaded{
+            [&](const membership::ConnectMember &it) { connect(it.Record); },
+            [&](const membership::DropMember &it) { Peers.erase(it.Name); },
+            [&](const membership::ProbeMember &it) { probe(it.Name); }},
+        action);
+  }
+}
+
+void Fleet::connect(const platform::InstanceRecord &record) {
+  rpc::PeerClientSettings settings;
+  settings.Self = Settings.Self;
+  settings.Peer = record.Name;
+  settings.Address = record.Address;
+  settings.Port = record.RpcPort;
+  settings.FleetKey = Settings.FleetKey;
+  Peer &peer = Peers[record.Name];
+  peer.Client =
+      std::make_unique<rpc::PeerClient>(Loop, std::move(settings), Events);
+  peer.Client->onChange(
+      [weak = weak_from_this(), name = record.Name](bool connected) {
+        const auto self = weak.lock();
+        if (!self)
+          return;
+        if (connected)
+          self->probe(name);
+        else
+          self->fail(name);
+      });
+}
+
+void Fleet::probe(const core::InstanceId &name) {
+  const auto it = Peers.find(name);
+  if (it == Peers.end() || !OwnStatus)
+    return;
+  it->second.Client->exchange(
+      OwnStatus(), Settings.ProbeTimeout,
+      [weak = weak_from_this(), name](core::Result<rpc::PeerStatus> reply) {
+        const auto self = weak.lock();
+        if (self && reply.ok())
+          self->hear(name, *reply);
+        else if (self)
+          self->fail(name);
+      });
+}
+
+void Fleet::hear(const core::InstanceId &name, const rpc::PeerStatus &status) {
+  const core::Millis now = Time.monotonic();
+  Members.onReply(name, status.Start, status.Leaving, now);
+  const auto it = Peers.find(name);
+  if (it != Peers.end()) {
+    it->second.Last = status;
+    it->second.HeardAt = now;
+    it->second.SentSince = 0;
+  }
+  if (StatusListener)
+    StatusListener(status);
+}
+
+void Fleet::fail(const core::InstanceId &name) {
+  Members.onFailure(name, Time.monotonic());
+  const membership::Member *member = Members.find(name);
+  const bool suspect =
+      member == nullptr || member->State == membership::Liveness::Suspect;
+  if (suspect && SuspectListener)
+    SuspectListener(name);
+}
+
+std::vector<route::RunnerView>
+Fleet::views(const core::ServiceId &service) const {
+  std::vector<route::RunnerView> found;
+  for (const membership::Member &it : Members.usable(service)) {
+    const auto peer = Peers.find(it.Record.Name);
+    if (peer == Peers.end() || !peer->second.Client->connected())
+      continue;
+    const rpc::PeerStatus &last = peer->second.Last;
+    route::RunnerView view;
+    view.Runner = toRunner(it.Record.Name);
+    view.Domain = it.Record.Domain;
+    view.Versions = it.Record.Versions;
+    view.InFlight = last.InFlight;
+    view.SentSince = peer->second.SentSince;
+    view.Queued = last.Queued;
+    view.ConcurrencyLimit = std::max(1U, last.ConcurrencyLimit);
+    view.PredictedWait = last.PredictedWait;
+    view.HeardAt = peer->second.HeardAt;
+    view.Suspect = it.State == membership::Liveness::Suspect;
+    found.push_back(std::move(view));
+  }
+  return found;
+}
+
+rpc::PeerClient *Fleet::client(const core::InstanceId &name) {
+  const auto it = Peers.find(name);
+  return it == Peers.end() ? nullptr : it->second.Client.get();
+}
+
+void Fleet::onSent(const core::InstanceId &name) {
+  const auto it = Peers.find(name);
+  if (it != Peers.end())
+    ++it->second.SentSince;
+}
+
+void Fleet::onEnded(const core::InstanceId &name,
+                    const rpc::RunResult &result) {
+  // Only a result that the sidecar itself sent carries its name.
+  if (!result.Callee.Instance.empty())
+    hear(name, result.Callee);
+  else
+    fail(name);
+}
+
+} // namespace cowslipridge::entry
--- /dev/null
+++ b/src/cowslipridge/entry/RequestFlow.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "cowslipridge/entry/AnswerWriter.hpp"
+#include "cowslipridge/entry/CallerRequest.hpp"
+#include "cowslipridge/entry/EntryContext.hpp"
+#include "cowslipridge/entry/Retry.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cowslipridge::entry {
+
+/// One caller's request from its plan to the end of its answer. Belongs to the
+/// loop's thread.
+class RequestFlow final : public std::enable_shared_from_this<RequestFlow> {
+public:
+  /// `arrivedAt` is monotonic; `onDone` is called once, at the end.
+  RequestFlow(EntryContext &context, CallerRequest request,
+              std::shared_ptr<http::Responder> responder,
+              core::Millis arrivedAt, std::function<void()> onDone);
+
+  void start();
+  /// Breaks an attempt off when its sidecar is suspected and another may
+  /// answer in its place.
+  void onSuspect(const core::InstanceId &sidecar);
+
+private:
+  bool openSession();
+  void plan();
+  void attempt();
+  void send(const core::InstanceId &sidecar);
+  [[nodiscard]] rpc::RunRequest makeRunRequest() const;
+  void onHead(int status, http::Headers fields);
+  void onFrame(std::string data);
+  void onEnd(rpc::RunResult result);
+  void complete(const rpc::RunResult &result);
+  void recover(const rpc::RunResult &result);
+  void retryElsewhere(const rpc::RunResult &result);
+  void learn(const rpc::RunResult &result);
+  void fail(const Failure &failure);
+  void fail(const rpc::RunResult &result);
+  void done();
+  void explain(std::string text);
+  [[nodiscard]] core::Millis remaining() const;
+  [[nodiscard]] AnswerLabels labels();
+
+  EntryContext &Context;
+  const CallerRequest Request;
+  AnswerWriter Answer;
+  const core::Millis Deadline;
+  std::function<void()> OnDone;
+
+  route::RequestFacts Facts;
+  core::SessionId Session;
+  bool SessionIsPinned = false;
+  route::CutOffSet Avoided; ///< versions that a sidecar refused
+
+  core::VersionId Version;
+  core::InstanceId Sidecar; ///< of the attempt under way
+  std::vector<core::RunnerId> Tried;
+  unsigned Attempts = 0;
+  unsigned Redirects = 0;
+  std::shared_ptr<rpc::RemoteCall> Call;
+  core::Millis SentAt;
+  core::Millis FirstByteAfter;
+  int Status = 0;
+  http::Headers Fields;
+  std::string Body;
+  bool Done = false;
+};
+
+} // namespace cowslipridge::entry
--- /dev/null
+++ b/src/cowslipridge/entry/Retry.cpp
@@ -0,0 +1,39 @@
+#include "cowslipridge/entry/Retry.hpp"
+
+#include "cowslipridge/core/Error.hpp"
+
+namespace cowslipridge::entry {
+
+using core::Errc;
+using core::Outcome;
+
+namespace {
+
+// Refusals that another runner may not share.
+bool isLocal(std::error_code ec) {
+  return ec == Errc::RunnerUnavailable || ec == Errc::RunnerFailed ||
+         ec == Errc::Overloaded || ec == Errc::Leaving ||
+         ec == Errc::StaleGeneration || ec == Errc::NoRunner ||
+         ec == Errc::Sealed || ec == Errc::OutcomeUnknown ||
+         ec == Errc::NotOwner;
+}
+
+} // namespace
+
+RetryDecision decideRetry(const rpc::RunResult &result,
+                          const AttemptFacts &facts) {
+  if (facts.AnswerStarted || facts.Remaining <= core::Millis(0))
+    return GiveUp{};
+  if (result.Result != Outcome::NotRun && !facts.Idempotent)
+    return GiveUp{};
+  if (result.Error == Errc::NotOwner && !result.Owner.empty())
+    return RedirectToOwner{result.Owner};
+  if (result.Error == Errc::VersionWithdrawn ||
+      result.Error == Errc::UnknownVersion)
+    return facts.PlansLeft ? RetryDecision(PlanAgain{}) : GiveUp{};
+  if (isLocal(result.Error))
+    return RetryElsewhere{};
+  return GiveUp{};
+}
+
+} // namespace cowslipridge::entry
--- /dev/null
+++ b/src/cowslipridge/entry/Retry.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "cowslipridge/core/Clock.hpp"
+#include "cowslipridge/rpc/Messages.hpp"
+
+#include <compare>
+#include <variant>
+
+namespace cowslipridge::entry {
+
+/// What an attempt that failed leaves possible.
+struct AttemptFacts {
+  bool Idempotent = true;     ///< the call may be run more than once
+  bool AnswerStarted = false; ///< the caller has seen a part of the answer
+  bool PlansLeft = false;     ///< another version may be planned
+  core::Millis Remaining;     ///< until the deadline
+};
+
+/// Ask the sidecar that owns the key; costs nothing of the retry budget.
+struct RedirectToOwner {
+  core::InstanceId Owner;
+  friend auto operator<=>(const RedirectToOwner &,
+                          const RedirectToOwner &) = default;
+};
+/// Try another runner, if the retry budget allows.
+struct RetryElsewhere {
+  friend auto operator<=>(const RetryElsewhere &,
+                          const RetryElsewhere &) = default;
+};
+/// Plan again without this version.
+struct PlanAgain {
+  friend auto operator<=>(const PlanAgain &, const PlanAgain &) = default;
+};
+/// Tell the caller.
+struct GiveUp {
+  friend auto operator<=>(const GiveUp &, const GiveUp &) = default;
+};
+
+using RetryDecision =
+    std::variant<RedirectToOwner, RetryElsewhere, PlanAgain, GiveUp>;
+
+/// Decides what follows an attempt that failed.
+RetryDecision decideRetry(const rpc::RunResult &result,
+                          const AttemptFacts &facts);
+
+} // namespace cowslipridge::entry
--- a/src/cowslipridge/rpc/AskedRun.cpp
+++ b/src/cowslipridge/rpc/AskedRun.cpp
@@ -38,6 +38,7 @@
 
 void AskedRun::send(EventLoop::Impl &loop, wire::Peer::Client peer,
                     const RunRequest &request, core::Millis timeout) {
+  Loop = &loop;
   auto call = peer.runRequest();
   encode(request, call.initRequest());
   call.setSink(kj::heap<SinkServer>(weak_from_this()));
@@ -63,6 +64,8 @@
 }
 
 void AskedRun::cancel() {
+  if (Over)
+    return;
   Over = true;
   Handle.reset();
   Waiting = nullptr;
@@ -104,12 +107,15 @@
   finish(std::move(result).value());
 }
 
-// `Waiting` is not reset here, because this may run within it.
+// This may run within `Waiting`, which must not be destroyed by its own
+// callback: the run is kept until the loop is back at its tasks.
 void AskedRun::finish(RunResult result) {
   if (Over)
     return;
   Over = true;
   Handle.reset();
+  if (Loop != nullptr)
+    Loop->post([keep = shared_from_this()] {});
   Events.OnEnd(std::move(result));
 }
 
--- a/src/cowslipridge/rpc/internal/AskedRun.hpp
+++ b/src/cowslipridge/rpc/internal/AskedRun.hpp
@@ -32,6 +32,7 @@
   void finish(RunResult result);
 
   AnswerEvents Events;
+  EventLoop::Impl *Loop = nullptr; ///< set by send()
   bool Over = false;
   std::uint64_t Received = 0;
   std::optional<wire::RunHandle::Client> Handle;
--- a/tests/unit/rpc/RunTest.cpp
+++ b/tests/unit/rpc/RunTest.cpp
@@ -39,6 +39,25 @@
   EXPECT_EQ(heard.Result->Frames, 3U);
 }
 
+TEST(Run, mayBeDroppedByItsOwnEndEvent) {
+  RpcPair pair(answerInThreeFrames);
+  ASSERT_TRUE(pair.waitConnected());
+  std::shared_ptr<RemoteCall> call;
+  std::atomic<bool> ended = false;
+  pair.onLoop([&] {
+    AnswerEvents events;
+    events.OnHead = [](int, const http::Headers &) {};
+    events.OnFrame = [](const std::string &) {};
+    events.OnEnd = [&](const RunResult &result) {
+      EXPECT_FALSE(result.Error);
+      call.reset();
+      ended = true;
+    };
+    call = pair.client().run(makeRequest(), std::move(events));
+  });
+  EXPECT_TRUE(waitUntil([&] { return ended.load(); }));
+}
+
 TEST(Run, withoutAConnectionDidNotRun) {
   RpcPair pair(answerInThreeFrames, std::string(32, 'x'));
   const HeardAnswer heard = pair.run(makeRequest());
