--- a/src/cowslipridge/membership/Directory.cpp
+++ b/src/cowslipridge/membership/Directory.cpp
@@ -15,10 +15,31 @@
   return actions;
 }
 
+bool Directory::isStale(const platform::InstanceRecord &record) const {
+  const auto it = Past.find(record.Name);
+  if (it == Past.end())
+    return false;
+  return record.Start < it->second.Start ||
+         (record.Start == it->second.Start && it->second.Left);
+}
+
+void Directory::remember(const Member &member, core::Millis now) {
+  Past[member.Record.Name] = {member.Record.Start,
+                              member.State == Liveness::Leaving, now};
+  if (Past.size() <= Settings.MaxDeparted)
+    return;
+  const auto oldest = std::min_element(
+      Past.begin(), Past.end(),
+      [](const auto &a, const auto &b) { return a.second.At < b.second.At; });
+  Past.erase(oldest);
+}
+
 // The list lags: it never revives an incarnation that said it is leaving, and
 // never brings an older incarnation back.
 void Directory::takeListed(const platform::InstanceRecord &record,
                            core::Millis now, DirectoryActions &actions) {
+  if (isStale(record))
+    return;
   const auto [it, isNew] = Members.try_emplace(record.Name);
   Slot &slot = it->second;
   const bool replaces = !isNew && record.Start > slot.Value.Record.Start;
@@ -88,6 +109,7 @@
     Slot &slot = it->second;
     if (isGone(slot, now)) {
       actions.emplace_back(DropMember{it->first});
+      remember(slot.Value, now);
       it = Members.erase(it);
       continue;
     }
--- a/src/cowslipridge/membership/Directory.hpp
+++ b/src/cowslipridge/membership/Directory.hpp
@@ -27,6 +27,7 @@
   unsigned SuspectAfterFailures = 2;
   core::Millis ProbeInterval{1'000}; ///< for members that no traffic reaches
   core::Millis GoneAfter{10'000};    ///< silent and unlisted for this long
+  std::size_t MaxDeparted = 4'096;   ///< former members that are remembered
 };
 
 /// Connect to the member.
@@ -71,12 +72,22 @@
     core::Millis ProbedAt;
   };
 
+  /// The newest incarnation known of a member that is no longer tracked.
+  struct Departed {
+    core::Incarnation Start;
+    bool Left = false; ///< it said that it is leaving
+    core::Millis At;
+  };
+
   void takeListed(const platform::InstanceRecord &record, core::Millis now,
                   DirectoryActions &actions);
   [[nodiscard]] bool isGone(const Slot &slot, core::Millis now) const;
+  [[nodiscard]] bool isStale(const platform::InstanceRecord &record) const;
+  void remember(const Member &member, core::Millis now);
 
   DirectorySettings Settings;
   std::map<core::InstanceId, Slot> Members;
+  std::map<core::InstanceId, Departed> Past;
 };
 
 } // namespace cowslipridge::membership
