--- /dev/null
+++ b/programs/cowslipridged/AdminPages.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "ProcessContext.hpp"
+#include "RoleService.hpp"
+
+#include "cowslipridge/http/Server.hpp"
+
+namespace cowslipridge::daemon {
+
+/// The HTTP listener: health, metrics and the operators' pages; all other
+/// requests go to the role.
+class AdminPages final : public kernel::Service {
+public:
+  AdminPages(ProcessContext &process, std::shared_ptr<RoleService> role);
+
+  bool start() override;
+  void drain() override;
+  [[nodiscard]] bool idle() const override;
+  void stop() override;
+
+private:
+  void handle(http::Request message,
+              std::shared_ptr<http::Responder> responder);
+  http::Response answer(const http::Request &message);
+  http::Response answerAdmin(const http::Request &message);
+  http::Response timeline(const http::Request &message);
+  http::Response explain(const http::Request &message);
+  [[nodiscard]] bool isOperator(const http::Request &message) const;
+
+  ProcessContext &Process;
+  std::shared_ptr<RoleService> Role;
+  http::Server Listener;
+};
+
+/// The time line of one process as JSON.
+std::string toJson(const std::vector<observe::Event> &events);
+
+} // namespace cowslipridge::daemon
--- /dev/null
+++ b/programs/cowslipridged/EntryRole.cpp
@@ -0,0 +1,103 @@
+#include "EntryRole.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace cowslipridge::daemon {
+
+namespace {
+
+/// Readiness fails for this long before new requests are refused, so that
+/// balancers can move on first.
+constexpr core::Millis DrainNotice{800};
+
+entry::EntrySettings toEntrySettings(const ProcessContext &process) {
+  entry::EntrySettings settings;
+  settings.Instance = process.Settings.Instance;
+  settings.Start = process.Start;
+  settings.FleetKey = fromHex(process.Settings.FleetKey);
+  settings.SessionKey = fromHex(process.Settings.SessionKey);
+  settings.Seed = process.Start.value();
+  return settings;
+}
+
+nlohmann::json toJson(const membership::Member &member) {
+  constexpr const char *Names[] = {"live", "suspect", "leaving", "gone"};
+  return {{"instance", member.Record.Name.str()},
+          {"incarnation", member.Record.Start.value()},
+          {"service", member.Record.Service.str()},
+          {"state", Names[static_cast<int>(member.State)]}};
+}
+
+} // namespace
+
+EntryRole::EntryRole(ProcessContext &process)
+    : Process(process),
+      Work(std::make_shared<entry::Entry>(process.Loop, process.Time,
+                                          process.Events,
+                                          toEntrySettings(process))) {}
+
+// The entry's connections belong to the loop's thread.
+EntryRole::~EntryRole() {
+  Process.Loop.call([this] { Work.reset(); });
+}
+
+bool EntryRole::start() {
+  Process.Loop.call([this] { Work->startTicking(); });
+  return true;
+}
+
+void EntryRole::drain() {
+  Process.Loop.postAfter(DrainNotice, [this, work = Work] {
+    work->drain();
+    Refusing = true;
+  });
+}
+
+bool EntryRole::idle() const {
+  std::size_t inFlight = 1;
+  Process.Loop.call([&] { inFlight = Work->inFlight(); });
+  return Refusing && inFlight == 0;
+}
+
+void EntryRole::stop() {}
+
+void EntryRole::configure(std::shared_ptr<const config::Bundle> bundle,
+                          std::string /*text*/) {
+  Work->configure(std::move(bundle));
+}
+
+bool EntryRole::ready() const {
+  return !Process.Leaving && Work->configuration() != nullptr;
+}
+
+void EntryRole::handle(http::Request message,
+                       std::shared_ptr<http::Responder> responder) {
+  Work->handle(std::move(message), std::move(responder));
+}
+
+void EntryRole::takeList(std::vector<platform::InstanceRecord> records) {
+  Process.Loop.post([work = Work, records = std::move(records)] {
+    work->context().Peers->takeList(records);
+  });
+}
+
+std::string EntryRole::statusJson() {
+  nlohmann::json status = {{"role", "entry"}};
+  const auto bundle = Work->configuration();
+  status["generation"] = bundle ? bundle->Number.value() : 0;
+  Process.Loop.call([&] {
+    status["in_flight"] = Work->inFlight();
+    status["members"] = nlohmann::json::array();
+    for (const membership::Member &it :
+         Work->context().Peers->directory().all())
+      status["members"].push_back(toJson(it));
+  });
+  return status.dump();
+}
+
+std::string EntryRole::explainJson(const core::RequestId &request) {
+  const auto found = Work->explanations().find(request);
+  return found ? entry::toJson(*found) : std::string();
+}
+
+} // namespace cowslipridge::daemon
--- /dev/null
+++ b/programs/cowslipridged/EntryRole.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "ProcessContext.hpp"
+#include "RoleService.hpp"
+
+#include "cowslipridge/entry/Entry.hpp"
+
+namespace cowslipridge::daemon {
+
+/// Runs an entry.
+class EntryRole final : public RoleService {
+public:
+  explicit EntryRole(ProcessContext &process);
+  ~EntryRole() override;
+
+  bool start() override;
+  void drain() override;
+  [[nodiscard]] bool idle() const override;
+  void stop() override;
+
+  void configure(std::shared_ptr<const config::Bundle> bundle,
+                 std::string text) override;
+  [[nodiscard]] bool ready() const override;
+  void handle(http::Request message,
+              std::shared_ptr<http::Responder> responder) override;
+  void takeList(std::vector<platform::InstanceRecord> records) override;
+  [[nodiscard]] std::string statusJson() override;
+  [[nodiscard]] std::string
+  explainJson(const core::RequestId &request) override;
+
+private:
+  ProcessContext &Process;
+  std::shared_ptr<entry::Entry> Work;
+  std::atomic<bool> Refusing = false; ///< new requests are refused
+};
+
+} // namespace cowslipridge::daemon
--- /dev/null
+++ b/programs/cowslipridged/Registration.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "ProcessContext.hpp"
+
+namespace cowslipridge::daemon {
+
+/// Keeps this process's record in the instance list.
+class Registration final : public kernel::Service {
+public:
+  explicit Registration(ProcessContext &process);
+
+  bool start() override;
+  void drain() override;
+  void stop() override;
+
+private:
+  void publish();
+  [[nodiscard]] platform::InstanceRecord record() const;
+
+  ProcessContext &Process;
+  std::shared_ptr<std::atomic<bool>> Stopped;
+};
+
+} // namespace cowslipridge::daemon
--- /dev/null
+++ b/programs/cowslipridged/RoleService.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "cowslipridge/config/Declaration.hpp"
+#include "cowslipridge/http/Server.hpp"
+#include "cowslipridge/kernel/Kernel.hpp"
+#include "cowslipridge/platform/InstanceList.hpp"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cowslipridge::daemon {
+
+/// What the other services need of the role that this process plays.
+class RoleService : public kernel::Service {
+public:
+  /// Puts a newer configuration in force. From any thread.
+  virtual void configure(std::shared_ptr<const config::Bundle> bundle,
+                         std::string text) = 0;
+  /// True when work can be taken now. From any thread.
+  [[nodiscard]] virtual bool ready() const = 0;
+  /// A caller's request. From any thread.
+  virtual void handle(http::Request message,
+                      std::shared_ptr<http::Responder> responder) = 0;
+  /// The list of instances was read. From any thread.
+  virtual void takeList(std::vector<platform::InstanceRecord> records) = 0;
+  /// One JSON object for operators. Waits; never on the loop.
+  [[nodiscard]] virtual std::string statusJson() = 0;
+  /// Why a request went where it went, as JSON; empty when not known.
+  [[nodiscard]] virtual std::string
+  explainJson(const core::RequestId &request) = 0;
+};
+
+} // namespace cowslipridge::daemon
--- /dev/null
+++ b/programs/cowslipridged/SidecarRole.hpp
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "ProcessContext.hpp"
+#include "RoleService.hpp"
+
+#include "cowslipridge/rpc/Server.hpp"
+#include "cowslipridge/sidecar/Sidecar.hpp"
+
+namespace cowslipridge::daemon {
+
+/// Runs a sidecar and its RPC port. Binding the port excludes a second sidecar
+/// in the same slot.
+class SidecarRole final : public RoleService {
+public:
+  explicit SidecarRole(ProcessContext &process);
+  ~SidecarRole() override;
+
+  bool start() override;
+  void drain() override;
+  [[nodiscard]] bool idle() const override;
+  void stop() override;
+
+  void configure(std::shared_ptr<const config::Bundle> bundle,
+                 std::string text) override;
+  [[nodiscard]] bool ready() const override;
+  void handle(http::Request message,
+              std::shared_ptr<http::Responder> responder) override;
+  void takeList(std::vector<platform::InstanceRecord> records) override;
+  [[nodiscard]] std::string statusJson() override;
+  [[nodiscard]] std::string
+  explainJson(const core::RequestId &request) override;
+
+private:
+  std::shared_ptr<ledger::Ledger>
+  openJournal(const config::ServiceDeclaration &service);
+  std::shared_ptr<runner::Runner> makeRunner(config::ServiceKind kind);
+
+  ProcessContext &Process;
+  std::shared_ptr<sidecar::Sidecar> Work;
+  std::unique_ptr<rpc::Server> Port;
+  std::atomic<bool> JournalOpen = false;
+  std::atomic<bool> Refusing = false;
+};
+
+} // namespace cowslipridge::daemon
--- a/src/cowslipridge/sidecar/RequestChecks.cpp
+++ b/src/cowslipridge/sidecar/RequestChecks.cpp
@@ -25,7 +25,7 @@
 
 std::optional<Errc> findRefusal(const rpc::RunRequest &request,
                                 const DoorState &door) {
-  if (door.Leaving)
+  if (door.Refusing)
     return Errc::Leaving;
   if (door.Configuration == nullptr)
     return Errc::StaleGeneration;
--- a/src/cowslipridge/sidecar/RequestChecks.hpp
+++ b/src/cowslipridge/sidecar/RequestChecks.hpp
@@ -15,7 +15,7 @@
   core::ServiceId Service;
   std::vector<core::VersionId> Versions;         ///< that the runner serves
   const config::Bundle *Configuration = nullptr; ///< null: none yet
-  bool Leaving = false;
+  bool Refusing = false;                         ///< the instance is leaving
 };
 
 /// Why a request may not run here now, whatever its sender believed; nothing
--- a/src/cowslipridge/sidecar/RunFlow.cpp
+++ b/src/cowslipridge/sidecar/RunFlow.cpp
@@ -107,9 +107,9 @@
 }
 
 void RunFlow::run() {
-  if (Deadline <= Context.now() || Context.Leaving) {
+  if (Deadline <= Context.now() || Context.Refusing) {
     settle(Outcome::NotRun);
-    refuse(Context.Leaving ? Errc::Leaving : Errc::DeadlineExceeded, {});
+    refuse(Context.Refusing ? Errc::Leaving : Errc::DeadlineExceeded, {});
     return;
   }
   Running = true;
--- a/src/cowslipridge/sidecar/Sidecar.cpp
+++ b/src/cowslipridge/sidecar/Sidecar.cpp
@@ -16,21 +16,13 @@
 
 Sidecar::Sidecar(rpc::EventLoop &loop, const core::Clock &time,
                  observe::EventLog &events, SidecarSettings settings,
-                 std::shared_ptr<runner::Runner> backend,
-                 OpenJournal openJournal)
-    : Context{loop,
-              time,
-              events,
-              std::move(settings),
-              std::move(backend),
-              nullptr,
-              {},
-              nullptr,
-              nullptr,
-              nullptr,
-              false,
+                 OpenJournal openJournal, OpenRunner openRunner)
+    : Context{loop,    time,    events, std::move(settings),
+              nullptr, nullptr, {},     nullptr,
+              nullptr, nullptr, false,  false,
               {}},
-      MakeJournal(std::move(openJournal)), Pauses(Context.Settings.PauseLimit) {
+      MakeJournal(std::move(openJournal)), MakeRunner(std::move(openRunner)),
+      Pauses(Context.Settings.PauseLimit) {
   const rollout::EvidenceSource self{Context.Settings.Instance,
                                      Context.Settings.Start};
   Context.Guard = std::make_unique<rollout::ExposureGuard>(
@@ -59,6 +51,7 @@
   settings.MaxQueue = service.MaxQueue;
   Context.Door = std::make_unique<limits::Admission>(
       settings, Context.Settings.Start.value());
+  Context.Backend = MakeRunner(service.Kind);
   Context.Journal = MakeJournal(service);
 }
 
@@ -83,8 +76,11 @@
                          });
 }
 
+void Sidecar::announceLeaving() { Context.Leaving = true; }
+
 void Sidecar::drain() {
   Context.Leaving = true;
+  Context.Refusing = true;
   if (Context.Door)
     apply(Context.Door->refuseQueued(Errc::Leaving, Context.now()));
 }
@@ -99,7 +95,7 @@
 Sidecar::run(rpc::RunRequest request, std::shared_ptr<rpc::AnswerSink> sink) {
   hear(request.Sender);
   const DoorState door{Context.Settings.Service, Context.Settings.Versions,
-                       Context.Configuration.get(), Context.Leaving};
+                       Context.Configuration.get(), Context.Refusing};
   const std::optional<Errc> refusal = findRefusal(request, door);
   core::RequestId ticket(request.Request.str() + "#" +
                          std::to_string(NextTicket++));
--- a/src/cowslipridge/sidecar/Sidecar.hpp
+++ b/src/cowslipridge/sidecar/Sidecar.hpp
@@ -21,7 +21,7 @@
 public:
   Sidecar(rpc::EventLoop &loop, const core::Clock &time,
           observe::EventLog &events, SidecarSettings settings,
-          std::shared_ptr<runner::Runner> backend, OpenJournal openJournal);
+          OpenJournal openJournal, OpenRunner openRunner);
   ~Sidecar() override;
 
   /// Puts a newer configuration in force; older ones are ignored. `text` is
@@ -32,6 +32,8 @@
   void onBehind(std::function<void(core::Generation)> listener);
   /// Starts the regular work: deadlines in the queue, pause detection.
   void startTicking();
+  /// Says in every reply that this instance is leaving; work is still taken.
+  void announceLeaving();
   /// Refuses all work that has not started, now and later.
   void drain();
   [[nodiscard]] bool idle() const;
@@ -59,6 +61,7 @@
 
   SidecarContext Context;
   OpenJournal MakeJournal;
+  OpenRunner MakeRunner;
   std::function<void(core::Generation)> BehindListener;
   PauseDetector Pauses;
   std::map<core::RequestId, std::shared_ptr<RunFlow>> Flows; ///< by ticket
--- a/src/cowslipridge/sidecar/SidecarContext.hpp
+++ b/src/cowslipridge/sidecar/SidecarContext.hpp
@@ -29,22 +29,27 @@
 using OpenJournal = std::function<std::shared_ptr<ledger::Ledger>(
     const config::ServiceDeclaration &service)>;
 
+/// Makes the port to the runner once the service's kind is known.
+using OpenRunner =
+    std::function<std::shared_ptr<runner::Runner>(config::ServiceKind kind)>;
+
 /// What a sidecar works with. All state belongs to the loop's thread.
 struct SidecarContext {
   rpc::EventLoop &Loop;
   const core::Clock &Time;
   observe::EventLog &Events;
   const SidecarSettings Settings;
-  std::shared_ptr<runner::Runner> Backend;
 
   // Set with the first configuration.
+  std::shared_ptr<runner::Runner> Backend;
   std::shared_ptr<const config::Bundle> Configuration;
   std::string ConfigurationText;
   std::shared_ptr<ledger::Ledger> Journal;
   std::unique_ptr<limits::Admission> Door;
 
   std::unique_ptr<rollout::ExposureGuard> Guard;
-  bool Leaving = false;
+  bool Leaving = false;  ///< said in every reply
+  bool Refusing = false; ///< no work is started any more
   core::Millis MeanWork; ///< moving mean of the time on the runner
 
   [[nodiscard]] core::Millis now() const { return Time.monotonic(); }
