--- a/src/cowslipridge/entry/ExplainLog.cpp
+++ b/src/cowslipridge/entry/ExplainLog.cpp
@@ -11,10 +11,10 @@
 
 } // namespace
 
-void ExplainLog::begin(Explanation explanation) {
+void ExplainLog::begin(const Explanation &explanation) {
   const std::lock_guard lock(Guard);
   const core::RequestId request = explanation.Request;
-  if (!Items.try_emplace(request, std::move(explanation)).second)
+  if (!Items.try_emplace(request, explanation).second)
     return;
   Order.push_back(request);
   if (Order.size() <= Capacity)
--- a/src/cowslipridge/entry/ExplainLog.hpp
+++ b/src/cowslipridge/entry/ExplainLog.hpp
@@ -33,7 +33,7 @@
 public:
   explicit ExplainLog(std::size_t capacity) : Capacity(capacity) {}
 
-  void begin(Explanation explanation);
+  void begin(const Explanation &explanation);
   void add(const core::RequestId &request, ExplainStep step);
   [[nodiscard]] std::optional<Explanation>
   find(const core::RequestId &request) const;
--- a/src/cowslipridge/entry/Fleet.cpp
+++ b/src/cowslipridge/entry/Fleet.cpp
@@ -93,7 +93,7 @@
     return;
   it->second.Client->exchange(
       OwnStatus(), Settings.ProbeTimeout,
-      [weak = weak_from_this(), name](core::Result<rpc::PeerStatus> reply) {
+      [weak = weak_from_this(), name](const core::Result<rpc::PeerStatus> &reply) {
         const auto self = weak.lock();
         if (self && reply.ok())
           self->hear(name, *reply);
--- a/src/cowslipridge/entry/RequestFlow.cpp
+++ b/src/cowslipridge/entry/RequestFlow.cpp
@@ -138,11 +138,11 @@
   events.OnHead = [ifCurrent](int status, http::Headers fields) {
     ifCurrent([&](RequestFlow &it) { it.onHead(status, std::move(fields)); });
   };
-  events.OnFrame = [ifCurrent](std::string data) {
-    ifCurrent([&](RequestFlow &it) { it.onFrame(std::move(data)); });
+  events.OnFrame = [ifCurrent](const std::string &data) {
+    ifCurrent([&](RequestFlow &it) { it.onFrame(data); });
   };
-  events.OnEnd = [ifCurrent](rpc::RunResult result) {
-    ifCurrent([&](RequestFlow &it) { it.onEnd(std::move(result)); });
+  events.OnEnd = [ifCurrent](const rpc::RunResult &result) {
+    ifCurrent([&](RequestFlow &it) { it.onEnd(result); });
   };
   Call = client->run(makeRunRequest(), std::move(events));
 }
@@ -175,7 +175,7 @@
   Fields = std::move(fields);
 }
 
-void RequestFlow::onFrame(std::string data) {
+void RequestFlow::onFrame(const std::string &data) {
   if (FirstByteAfter == core::Millis(0))
     FirstByteAfter = Context.now() - SentAt;
   const bool streams = Request.Stream && Status < 300;
@@ -191,7 +191,7 @@
   }
 }
 
-void RequestFlow::onEnd(rpc::RunResult result) {
+void RequestFlow::onEnd(const rpc::RunResult &result) {
   Call.reset();
   Context.Peers->onEnded(Sidecar, result);
   learn(result);
--- a/src/cowslipridge/entry/RequestFlow.hpp
+++ b/src/cowslipridge/entry/RequestFlow.hpp
@@ -33,8 +33,8 @@
   void send(const core::InstanceId &sidecar);
   [[nodiscard]] rpc::RunRequest makeRunRequest() const;
   void onHead(int status, http::Headers fields);
-  void onFrame(std::string data);
-  void onEnd(rpc::RunResult result);
+  void onFrame(const std::string &data);
+  void onEnd(const rpc::RunResult &result);
   void complete(const rpc::RunResult &result);
   void recover(const rpc::RunResult &result);
   void retryElsewhere(const rpc::RunResult &result);
--- a/src/cowslipridge/rpc/Messages.hpp
+++ b/src/cowslipridge/rpc/Messages.hpp
@@ -42,19 +42,19 @@
   core::ServiceId Service;
   core::VersionId Version;
   core::SessionId Session;
-  bool SessionIsPinned = false; ///< the version comes from a sealed token
   std::string IdempotencyKey;
-  bool Idempotent = true; ///< the call may be run more than once
   std::string Method;
   std::string Target;
   http::Headers Fields;
   std::string Body;
-  bool Stream = false;
   core::Millis Remaining; ///< until the deadline, when the message was sent
+  std::string Part; ///< `single`, `draft`, `check`, `better`, `hedge`
+  std::vector<std::uint64_t> PrefixHashes;
   unsigned Attempt = 0;
-  std::string Part;     ///< `single`, `draft`, `check`, `better`, `hedge`
+  bool SessionIsPinned = false; ///< the version comes from a sealed token
+  bool Idempotent = true;       ///< the call may be run more than once
+  bool Stream = false;
   bool Billable = true; ///< the callee writes the bill
-  std::vector<std::uint64_t> PrefixHashes;
 };
 
 /// How a run ended.
--- a/src/cowslipridge/rpc/Server.cpp
+++ b/src/cowslipridge/rpc/Server.cpp
@@ -13,8 +13,6 @@
 
 namespace cowslipridge::rpc {
 
-using core::Errc;
-
 namespace {
 
 /// Serves one proven peer.
--- a/src/cowslipridge/rpc/internal/ServedRun.hpp
+++ b/src/cowslipridge/rpc/internal/ServedRun.hpp
@@ -10,7 +10,7 @@
 namespace cowslipridge::rpc {
 
 /// Bytes of one answer that may wait for a slow asker.
-constexpr std::size_t MaxUnsentBytes = 8 * 1024 * 1024;
+constexpr std::size_t MaxUnsentBytes = 8'388'608;
 
 /// Sends one answer through a FrameSink capability, in order and under its
 /// flow control.
--- a/src/cowslipridge/runner/EngineRunner.cpp
+++ b/src/cowslipridge/runner/EngineRunner.cpp
@@ -20,7 +20,7 @@
 constexpr int FirstServerError = 500;
 
 /// Largest whole answer that is collected, in bytes.
-constexpr std::size_t MaxAnswerBytes = 8 * 1024 * 1024;
+constexpr std::size_t MaxAnswerBytes = 8'388'608;
 
 /// Follows one answer of an engine.
 class EngineCall final : public GuardedCall {
--- a/src/cowslipridge/runner/SseParser.hpp
+++ b/src/cowslipridge/runner/SseParser.hpp
@@ -18,7 +18,7 @@
 class SseParser {
 public:
   /// Largest event that is kept, in bytes.
-  static constexpr std::size_t MaxEventBytes = 1024 * 1024;
+  static constexpr std::size_t MaxEventBytes = 1'048'576;
 
   /// Takes the next bytes and returns the events that they complete.
   std::vector<SseEvent> feed(std::string_view bytes);
--- a/tests/property/runner/SseParserProperties.cpp
+++ b/tests/property/runner/SseParserProperties.cpp
@@ -61,7 +61,7 @@
         *rc::gen::elementOf(std::vector<std::string>{"\n", "\r\n", "\r"});
     std::string stream;
     for (const std::string &it : texts)
-      stream += "data: " + it + ending + ending;
+      stream.append("data: ").append(it).append(ending).append(ending);
     const auto cuts = *rc::gen::arbitrary<std::vector<std::size_t>>();
     const auto events = parseInChunks(stream, cuts);
     RC_ASSERT(events.size() == texts.size());
--- /dev/null
+++ b/tests/unit/entry/RetryTest.cpp
@@ -0,0 +1,77 @@
+#include "cowslipridge/entry/Retry.hpp"
+#include "cowslipridge/core/Error.hpp"
+
+#include <gtest/gtest.h>
+
+using namespace cowslipridge;
+using namespace cowslipridge::entry;
+using core::Errc;
+using core::Outcome;
+
+namespace {
+
+rpc::RunResult failed(Errc reason, Outcome outcome) {
+  rpc::RunResult result;
+  result.Error = reason;
+  result.Result = outcome;
+  return result;
+}
+
+AttemptFacts facts(bool idempotent) {
+  AttemptFacts it;
+  it.Idempotent = idempotent;
+  it.PlansLeft = true;
+  it.Remaining = core::Millis(500);
+  return it;
+}
+
+const RetryDecision Elsewhere = RetryElsewhere{};
+const RetryDecision Stop = GiveUp{};
+
+TEST(Retry, notRunGoesElsewhereEvenWhenNotIdempotent) {
+  EXPECT_EQ(decideRetry(failed(Errc::Leaving, Outcome::NotRun), facts(false)),
+            Elsewhere);
+}
+
+TEST(Retry, unknownOutcomeIsNeverRunAgainUnlessIdempotent) {
+  const auto result = failed(Errc::OutcomeUnknown, Outcome::Unknown);
+  EXPECT_EQ(decideRetry(result, facts(false)), Stop);
+  EXPECT_EQ(decideRetry(result, facts(true)), Elsewhere);
+}
+
+TEST(Retry, nothingFollowsAnAnswerThatHasStarted) {
+  AttemptFacts it = facts(true);
+  it.AnswerStarted = true;
+  EXPECT_EQ(decideRetry(failed(Errc::RunnerFailed, Outcome::Unknown), it),
+            Stop);
+}
+
+TEST(Retry, nothingFollowsTheDeadline) {
+  AttemptFacts it = facts(true);
+  it.Remaining = core::Millis(0);
+  EXPECT_EQ(decideRetry(failed(Errc::Leaving, Outcome::NotRun), it), Stop);
+}
+
+TEST(Retry, theOwnerOfAKeyIsAsked) {
+  rpc::RunResult result = failed(Errc::NotOwner, Outcome::NotRun);
+  result.Owner = core::InstanceId("desk-2");
+  const RetryDecision expected = RedirectToOwner{result.Owner};
+  EXPECT_EQ(decideRetry(result, facts(false)), expected);
+}
+
+TEST(Retry, aWithdrawnVersionIsPlannedAroundUnlessASessionIsPinned) {
+  const auto result = failed(Errc::VersionWithdrawn, Outcome::NotRun);
+  const RetryDecision again = PlanAgain{};
+  EXPECT_EQ(decideRetry(result, facts(true)), again);
+  AttemptFacts pinned = facts(true);
+  pinned.PlansLeft = false;
+  EXPECT_EQ(decideRetry(result, pinned), Stop);
+}
+
+TEST(Retry, refusalsThatHoldEverywhereAreFinal) {
+  for (const Errc it : {Errc::NotAllowed, Errc::SessionEnded,
+                        Errc::StoreUnavailable, Errc::DeadlineExceeded})
+    EXPECT_EQ(decideRetry(failed(it, Outcome::NotRun), facts(true)), Stop);
+}
+
+} // namespace
