--- a/src/cowslipridge/entry/Fleet.cpp
+++ b/src/cowslipridge/entry/Fleet.cpp
@@ -91,15 +91,15 @@
   const auto it = Peers.find(name);
   if (it == Peers.end() || !OwnStatus)
     return;
-  it->second.Client->exchange(
-      OwnStatus(), Settings.ProbeTimeout,
-      [weak = weak_from_this(), name](const core::Result<rpc::PeerStatus> &reply) {
-        const auto self = weak.lock();
-        if (self && reply.ok())
-          self->hear(name, *reply);
-        else if (self)
-          self->fail(name);
-      });
+  it->second.Client->exchange(OwnStatus(), Settings.ProbeTimeout,
+                              [weak = weak_from_this(), name](
+                                  const core::Result<rpc::PeerStatus> &reply) {
+                                const auto self = weak.lock();
+                                if (self && reply.ok())
+                                  self->hear(name, *reply);
+                                else if (self)
+                                  self->fail(name);
+                              });
 }
 
 void Fleet::hear(const core::InstanceId &name, const rpc::PeerStatus &status) {
--- a/src/cowslipridge/rpc/Messages.hpp
+++ b/src/cowslipridge/rpc/Messages.hpp
@@ -48,7 +48,7 @@
   http::Headers Fields;
   std::string Body;
   core::Millis Remaining; ///< until the deadline, when the message was sent
-  std::string Part; ///< `single`, `draft`, `check`, `better`, `hedge`
+  std::string Part;       ///< `single`, `draft`, `check`, `better`, `hedge`
   std::vector<std::uint64_t> PrefixHashes;
   unsigned Attempt = 0;
   bool SessionIsPinned = false; ///< the version comes from a sealed token
--- a/tests/unit/rpc/RpcHarness.cpp
+++ b/tests/unit/rpc/RpcHarness.cpp
@@ -1,16 +1,11 @@
 #include "unit/rpc/RpcHarness.hpp"
 
-#include <unistd.h>
-
-#include <chrono>
-#include <thread>
+#include "support/Loopback.hpp"
 
 namespace cowslipridge::rpc {
 
 namespace {
 
-constexpr std::uint16_t Port = 9080;
-
 class CountingCall final : public ServedCall {
 public:
   explicit CountingCall(ScriptedHandler &handler) : Handler(handler) {}
@@ -22,23 +17,6 @@
 
 } // namespace
 
-std::string loopbackOfThisProcess() {
-  const int pid = getpid();
-  return "127." + std::to_string(10 + (pid >> 16) % 100) + "." +
-         std::to_string((pid >> 8) & 0xff) + "." +
-         std::to_string(1 + (pid & 0xff) % 250);
-}
-
-bool waitUntil(const std::function<bool()> &condition) {
-  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(5);
-  while (!condition()) {
-    if (std::chrono::steady_clock::now() > end)
-      return false;
-    std::this_thread::sleep_for(std::chrono::milliseconds(1));
-  }
-  return true;
-}
-
 std::shared_ptr<ServedCall>
 ScriptedHandler::run(RunRequest request, std::shared_ptr<AnswerSink> sink) {
   Behaviour(request, sink);
@@ -72,8 +50,8 @@
       ClientEvents(Time, core::InstanceId("caller"), core::Incarnation(1), 64),
       Handler(std::make_shared<ScriptedHandler>(std::move(script))) {
   ServerSettings settings;
-  settings.Address = loopbackOfThisProcess();
-  settings.Port = Port;
+  settings.Address = support::loopbackAddress();
+  settings.Port = support::nextPort();
   settings.FleetKey = std::string(32, 'k');
   Listening =
       std::make_unique<Server>(ServerLoop, settings, Handler, ServerEvents);
@@ -84,7 +62,7 @@
   peer.Self = core::InstanceId("caller");
   peer.Peer = core::InstanceId("callee");
   peer.Address = settings.Address;
-  peer.Port = Port;
+  peer.Port = settings.Port;
   peer.FleetKey = std::move(clientKey);
   ClientLoop.call([&] {
     Client = std::make_unique<PeerClient>(ClientLoop, peer, ClientEvents);
@@ -96,7 +74,7 @@
 }
 
 bool RpcPair::waitConnected() {
-  return waitUntil([&] {
+  return support::eventually([&] {
     bool connected = false;
     ClientLoop.call([&] { connected = Client->connected(); });
     return connected;
@@ -128,7 +106,7 @@
 }
 
 bool RpcPair::waitEnd() {
-  return waitUntil([&] { return heard().Result.has_value(); });
+  return support::eventually([&] { return heard().Result.has_value(); });
 }
 
 HeardAnswer RpcPair::run(const RunRequest &request) {
--- a/tests/unit/rpc/RpcHarness.hpp
+++ b/tests/unit/rpc/RpcHarness.hpp
@@ -3,20 +3,14 @@
 #include "cowslipridge/observe/EventLog.hpp"
 #include "cowslipridge/rpc/PeerClient.hpp"
 #include "cowslipridge/rpc/Server.hpp"
+#include "support/Waiting.hpp"
 
-#include <condition_variable>
 #include <functional>
 #include <mutex>
 #include <optional>
 
 namespace cowslipridge::rpc {
 
-/// A loopback address that belongs to this test process alone.
-std::string loopbackOfThisProcess();
-
-/// Waits until `condition` holds or five seconds have passed.
-bool waitUntil(const std::function<bool()> &condition);
-
 /// A handler whose behaviour a test sets.
 class ScriptedHandler final : public PeerHandler {
 public:
@@ -54,7 +48,7 @@
   ~RpcPair();
 
   bool waitConnected();
-  /// Runs and waits for the end; the result is empty after five seconds.
+  /// Runs and waits for the end; the result is empty after a time-out.
   HeardAnswer run(const RunRequest &request);
   /// Runs without waiting.
   std::shared_ptr<RemoteCall> start(const RunRequest &request);
--- a/tests/unit/rpc/RunTest.cpp
+++ b/tests/unit/rpc/RunTest.cpp
@@ -55,7 +55,7 @@
     };
     call = pair.client().run(makeRequest(), std::move(events));
   });
-  EXPECT_TRUE(waitUntil([&] { return ended.load(); }));
+  EXPECT_TRUE(support::eventually([&] { return ended.load(); }));
 }
 
 TEST(Run, withoutAConnectionDidNotRun) {
@@ -75,7 +75,8 @@
   });
   ASSERT_TRUE(pair.waitConnected());
   const auto call = pair.start(makeRequest());
-  ASSERT_TRUE(waitUntil([&] { return pair.heard().Body == "first"; }));
+  ASSERT_TRUE(
+      support::eventually([&] { return pair.heard().Body == "first"; }));
   pair.closeServer();
   ASSERT_TRUE(pair.waitEnd());
   EXPECT_EQ(pair.heard().Result->Error, Errc::OutcomeUnknown);
@@ -104,9 +105,10 @@
   });
   ASSERT_TRUE(pair.waitConnected());
   const auto call = pair.start(makeRequest());
-  ASSERT_TRUE(waitUntil([&] { return pair.heard().Status == 200; }));
+  ASSERT_TRUE(support::eventually([&] { return pair.heard().Status == 200; }));
   pair.onLoop([&] { call->cancel(); });
-  EXPECT_TRUE(waitUntil([&] { return pair.handler().abandoned() == 1; }));
+  EXPECT_TRUE(
+      support::eventually([&] { return pair.handler().abandoned() == 1; }));
   EXPECT_FALSE(pair.heard().Result);
 }
 
@@ -158,14 +160,14 @@
       ++done;
     });
   });
-  EXPECT_TRUE(waitUntil([&] { return done == 3; }));
+  EXPECT_TRUE(support::eventually([&] { return done == 3; }));
 }
 
 TEST(PeerClient, strangersAreRefusedAndReported) {
   RpcPair pair(answerInThreeFrames, std::string(32, 'x'));
   // A caller with another key finds that the peer's proof is wrong and sends
   // none of its own; the peer then closes it as a stranger.
-  EXPECT_TRUE(waitUntil([&] {
+  EXPECT_TRUE(support::eventually([&] {
     for (const observe::Event &it : pair.serverEvents().since(0)) {
       if (it.Number == observe::EventNumber::PeerRefused)
         return true;
--- /dev/null
+++ b/tests/unit/runner/EngineRunnerTest.cpp
@@ -0,0 +1,229 @@
+#include "cowslipridge/runner/EngineRunner.hpp"
+#include "cowslipridge/core/Error.hpp"
+#include "cowslipridge/http/Server.hpp"
+#include "cowslipridge/runner/PlainRunner.hpp"
+#include "support/Loopback.hpp"
+#include "support/Waiting.hpp"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+using namespace cowslipridge;
+using namespace cowslipridge::runner;
+using core::Errc;
+using core::Outcome;
+using nlohmann::json;
+
+namespace {
+
+constexpr core::Millis Silence{5'000};
+
+struct Heard {
+  int Status = 0;
+  std::vector<std::string> Data;
+  std::error_code Error;
+  Outcome Result = Outcome::Unknown;
+  Usage Tokens;
+};
+
+/// A backend whose answers a test writes.
+class Backend {
+public:
+  explicit Backend(http::Handler handler)
+      : Port(support::nextPort()),
+        Listener({support::loopbackAddress(), Port}, std::move(handler)) {
+    EXPECT_FALSE(Listener.open());
+  }
+  ~Backend() { Listener.close(); }
+
+  [[nodiscard]] std::string base() const { return support::baseUrl(Port); }
+
+private:
+  std::uint16_t Port;
+  http::Server Listener;
+};
+
+Call makeCall(bool stream) {
+  Call call;
+  call.Request = core::RequestId("r-1");
+  call.EngineModel = "small-engine";
+  call.Message.Method = "POST";
+  call.Message.Target = "/book";
+  call.Message.Body = R"({"model":"fitting","messages":[]})";
+  call.Stream = stream;
+  return call;
+}
+
+std::optional<Heard> run(Runner &runner, const Call &call) {
+  auto end = std::make_shared<support::Promised<Heard>>();
+  auto heard = std::make_shared<Heard>();
+  CallEvents events;
+  events.OnHead = [heard](int status, const http::Headers &) {
+    heard->Status = status;
+  };
+  events.OnData = [heard](std::string data) {
+    heard->Data.push_back(std::move(data));
+  };
+  events.OnEnd = [heard, end](std::error_code ec, Outcome outcome,
+                              Usage usage) {
+    heard->Error = ec;
+    heard->Result = outcome;
+    heard->Tokens = usage;
+    end->set(*heard);
+  };
+  const auto running = runner.start(call, std::move(events));
+  return end->get();
+}
+
+http::Handler streams(std::vector<std::string> events) {
+  return [events](const http::Request &,
+                  const std::shared_ptr<http::Responder> &responder) {
+    responder->start(200, {{"Content-Type", "text/event-stream"}});
+    for (const std::string &it : events)
+      responder->write("data: " + it + "\n\n");
+    responder->finish();
+  };
+}
+
+const std::string Token = R"({"choices":[{"delta":{"content":"a"}}]})";
+const std::string Last = R"({"choices":[{"delta":{},"finish_reason":"stop"}]})";
+const std::string Tokens =
+    R"({"choices":[],"usage":{"prompt_tokens":9,"completion_tokens":1,)"
+    R"("prompt_tokens_details":{"cached_tokens":4}}})";
+
+TEST(EngineRunner, streamsToTheEndAndReadsTheUsage) {
+  const Backend backend(streams({Token, Last, Tokens, "[DONE]"}));
+  EngineRunner runner(backend.base(), Silence);
+  const auto heard = run(runner, makeCall(true));
+  ASSERT_TRUE(heard);
+  EXPECT_FALSE(heard->Error) << heard->Error.message();
+  EXPECT_EQ(heard->Result, Outcome::Ran);
+  EXPECT_EQ(heard->Data, (std::vector<std::string>{Token, Last}));
+  EXPECT_EQ(heard->Tokens.PromptTokens, 9U);
+  EXPECT_EQ(heard->Tokens.CachedTokens, 4U);
+  EXPECT_EQ(heard->Tokens.AnswerTokens, 1U);
+}
+
+TEST(EngineRunner, namesTheEnginesModelAndTheRequest) {
+  support::Promised<http::Request> got;
+  const Backend backend([&](const http::Request &request,
+                            const std::shared_ptr<http::Responder> &it) {
+    got.set(request);
+    it->respond(http::makeJson(200, R"({"choices":[]})"));
+  });
+  EngineRunner runner(backend.base(), Silence);
+  ASSERT_TRUE(run(runner, makeCall(false)));
+  const auto request = got.get();
+  ASSERT_TRUE(request);
+  EXPECT_EQ(request->path(), "/v1/chat/completions");
+  EXPECT_EQ(http::findHeader(request->Fields, "X-Request-Id"), "r-1");
+  EXPECT_EQ(json::parse(request->Body)["model"], "small-engine");
+}
+
+TEST(EngineRunner, aStreamWithoutItsLastEventsIsAnError) {
+  const std::vector<std::vector<std::string>> cuts = {
+      {}, {Token}, {Token, Last}, {Token, "[DONE]"}};
+  for (const auto &it : cuts) {
+    const Backend backend(streams(it));
+    EngineRunner runner(backend.base(), Silence);
+    const auto heard = run(runner, makeCall(true));
+    ASSERT_TRUE(heard);
+    EXPECT_EQ(heard->Error, Errc::RunnerFailed);
+    EXPECT_EQ(heard->Result, Outcome::Unknown);
+  }
+}
+
+TEST(EngineRunner, aStreamThatBreaksIsAnError) {
+  const Backend backend(
+      [](const http::Request &, const std::shared_ptr<http::Responder> &it) {
+        it->start(200, {{"Content-Type", "text/event-stream"}});
+        it->write("data: " + Token + "\n\n");
+        it->abort();
+      });
+  EngineRunner runner(backend.base(), Silence);
+  const auto heard = run(runner, makeCall(true));
+  ASSERT_TRUE(heard);
+  EXPECT_EQ(heard->Error, Errc::RunnerFailed);
+  EXPECT_EQ(heard->Result, Outcome::Unknown);
+}
+
+TEST(EngineRunner, garbageIsAnError) {
+  const Backend backend(
+      [](const http::Request &, const std::shared_ptr<http::Responder> &it) {
+        it->respond(http::makeJson(200, "<html>"));
+      });
+  EngineRunner runner(backend.base(), Silence);
+  const auto heard = run(runner, makeCall(false));
+  ASSERT_TRUE(heard);
+  EXPECT_EQ(heard->Error, Errc::RunnerFailed);
+  EXPECT_TRUE(heard->Data.empty());
+}
+
+TEST(EngineRunner, aBusyEngineDidNotRunTheRequest) {
+  const Backend backend(
+      [](const http::Request &, const std::shared_ptr<http::Responder> &it) {
+        it->respond(http::makeJson(503, "{}"));
+      });
+  EngineRunner runner(backend.base(), Silence);
+  const auto heard = run(runner, makeCall(false));
+  ASSERT_TRUE(heard);
+  EXPECT_EQ(heard->Error, Errc::RunnerUnavailable);
+  EXPECT_EQ(heard->Result, Outcome::NotRun);
+}
+
+TEST(EngineRunner, aRefusedConnectionDidNotRunTheRequest) {
+  EngineRunner runner(support::baseUrl(support::nextPort()), Silence);
+  const auto heard = run(runner, makeCall(false));
+  ASSERT_TRUE(heard);
+  EXPECT_EQ(heard->Error, Errc::RunnerUnavailable);
+  EXPECT_EQ(heard->Result, Outcome::NotRun);
+}
+
+TEST(EngineRunner, ordersCarryTheFencingNumber) {
+  support::Promised<http::Request> got;
+  const Backend backend([&](const http::Request &request,
+                            const std::shared_ptr<http::Responder> &it) {
+    got.set(request);
+    it->respond(http::makeJson(409, "{}"));
+  });
+  EngineRunner runner(backend.base(), Silence);
+  support::Promised<std::error_code> done;
+  runner.load(core::VersionId("small@3"), core::FencingNumber(7),
+              [&](std::error_code ec) { done.set(ec); });
+  EXPECT_EQ(done.get(), std::error_code(Errc::Conflict));
+  EXPECT_EQ(http::findHeader(got.get()->Fields, "Fencing-Number"), "7");
+}
+
+TEST(PlainRunner, passesRequestAndAnswerUnchanged) {
+  support::Promised<http::Request> got;
+  const Backend backend([&](const http::Request &request,
+                            const std::shared_ptr<http::Responder> &it) {
+    got.set(request);
+    it->respond({409, {{"X-Rink", "4"}}, "taken"});
+  });
+  PlainRunner runner(backend.base(), Silence);
+  const auto heard = run(runner, makeCall(false));
+  ASSERT_TRUE(heard);
+  EXPECT_FALSE(heard->Error);
+  EXPECT_EQ(heard->Result, Outcome::Ran);
+  EXPECT_EQ(heard->Status, 409);
+  EXPECT_EQ(heard->Data, (std::vector<std::string>{"taken"}));
+  EXPECT_EQ(got.get()->Target, "/book");
+  EXPECT_EQ(got.get()->Body, makeCall(false).Message.Body);
+}
+
+TEST(PlainRunner, aConnectionThatBreaksLeavesTheOutcomeUnknown) {
+  const Backend backend(
+      [](const http::Request &, const std::shared_ptr<http::Responder> &it) {
+        it->start(200, {});
+        it->write("half");
+        it->abort();
+      });
+  PlainRunner runner(backend.base(), Silence);
+  const auto heard = run(runner, makeCall(false));
+  ASSERT_TRUE(heard);
+  EXPECT_EQ(heard->Error, Errc::RunnerFailed);
+  EXPECT_EQ(heard->Result, Outcome::Unknown);
+}
+
+} // namespace
