Spread evidence on messages and hand bundles over

Cause: takeChangedEvidence() empties on the first message, so only one peer would have heard of a change; and a sidecar behind an entry could only wait for the store.

--- a/src/cowslipridge/rpc/PeerClient.cpp
+++ b/src/cowslipridge/rpc/PeerClient.cpp
@@ -252,6 +252,24 @@
       std::move(done));
 }
 
+void PeerClient::offerBundle(
+    const BundleContent &content, core::Millis timeout,
+    std::function<void(core::Result<core::Generation>)> done) {
+  Internals->ask<core::Generation>(
+      [&](wire::Peer::Client &peer) {
+        auto request = peer.offerBundleRequest();
+        request.setGeneration(content.Number.value());
+        request.setContent(toData(content.Content));
+        return request.send();
+      },
+      timeout,
+      [](auto &response) {
+        return core::Result<core::Generation>(
+            core::Generation(response.getGeneration()));
+      },
+      std::move(done));
+}
+
 void PeerClient::deliverBills(
     const std::vector<std::string> &lines, core::Millis timeout,
     std::function<void(core::Result<unsigned>)> done) {
--- a/src/cowslipridge/rpc/PeerClient.hpp
+++ b/src/cowslipridge/rpc/PeerClient.hpp
@@ -64,6 +64,9 @@
                 std::function<void(core::Result<PeerStatus>)> done);
   void fetchBundle(core::Millis timeout,
                    std::function<void(core::Result<BundleContent>)> done);
+  /// Hands a newer bundle over; `done` hears the generation in force there.
+  void offerBundle(const BundleContent &content, core::Millis timeout,
+                   std::function<void(core::Result<core::Generation>)> done);
   void deliverBills(const std::vector<std::string> &lines, core::Millis timeout,
                     std::function<void(core::Result<unsigned>)> done);
 
--- a/src/cowslipridge/rpc/Server.cpp
+++ b/src/cowslipridge/rpc/Server.cpp
@@ -59,6 +59,14 @@
     return kj::READY_NOW;
   }
 
+  kj::Promise<void> offerBundle(OfferBundleContext context) override {
+    auto params = context.getParams();
+    const rpc::BundleContent content{core::Generation(params.getGeneration()),
+                                     toString(params.getContent())};
+    context.getResults().setGeneration(Handler->offerBundle(content).value());
+    return kj::READY_NOW;
+  }
+
 private:
   static RunResult refuse(std::error_code ec) {
     RunResult result;
--- a/src/cowslipridge/rpc/Server.hpp
+++ b/src/cowslipridge/rpc/Server.hpp
@@ -40,6 +40,8 @@
                                           std::shared_ptr<AnswerSink> sink) = 0;
   virtual PeerStatus exchange(const PeerStatus &status) = 0;
   virtual BundleContent bundle() = 0;
+  /// Takes a newer bundle; returns the generation in force afterwards.
+  virtual core::Generation offerBundle(const BundleContent &content) = 0;
   /// Takes bill lines over; returns how many were accepted.
   virtual unsigned deliverBills(const std::vector<std::string> &lines) = 0;
 };
--- a/src/cowslipridge/rpc/schema/Fleet.capnp
+++ b/src/cowslipridge/rpc/schema/Fleet.capnp
@@ -110,6 +110,9 @@
   # Bill lines that the caller holds for a journal owned by the callee; each
   # is one JSON object, keyed by request, so that repetition is harmless.
   deliverBills @3 (lines :List(Data)) -> (accepted :UInt32);
+  # Hands a newer bundle to a callee that is behind; returns the generation
+  # in force there afterwards.
+  offerBundle @4 (generation :UInt64, content :Data) -> (generation :UInt64);
 }
 
 # Bootstrap capability: gives a Peer only to a caller that proves the fleet
--- a/src/cowslipridge/sidecar/Sidecar.cpp
+++ b/src/cowslipridge/sidecar/Sidecar.cpp
@@ -1,5 +1,6 @@
 #include "cowslipridge/sidecar/Sidecar.hpp"
 
+#include "cowslipridge/config/BundleCodec.hpp"
 #include "cowslipridge/core/Visit.hpp"
 #include "cowslipridge/sidecar/RequestChecks.hpp"
 
@@ -167,9 +168,10 @@
   return status;
 }
 
-rpc::PeerStatus Sidecar::statusFor(const core::InstanceId & /*peer*/) {
+rpc::PeerStatus Sidecar::statusFor(const core::InstanceId &peer) {
   rpc::PeerStatus reply = status();
-  reply.Evidence = Context.Guard->takeChangedEvidence(EvidencePerMessage);
+  Spread.add(Context.Guard->takeChangedEvidence(EvidencePerMessage));
+  reply.Evidence = Spread.take(peer, EvidencePerMessage);
   return reply;
 }
 
@@ -184,6 +186,19 @@
   return {Context.Configuration->Number, Context.ConfigurationText};
 }
 
+core::Generation Sidecar::offerBundle(const rpc::BundleContent &content) {
+  core::Result<config::Bundle> decoded = config::decodeBundle(content.Content);
+  if (decoded.ok())
+    configure(
+        std::make_shared<const config::Bundle>(std::move(decoded).value()),
+        content.Content);
+  else
+    Context.Events.report(observe::EventNumber::ConfigurationRefused,
+                          {{}, {}, {}, "the bundle of a peer"});
+  return Context.Configuration ? Context.Configuration->Number
+                               : core::Generation();
+}
+
 unsigned Sidecar::deliverBills(const std::vector<std::string> & /*lines*/) {
   return 0;
 }
--- a/src/cowslipridge/sidecar/Sidecar.hpp
+++ b/src/cowslipridge/sidecar/Sidecar.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cowslipridge/rpc/EvidenceFeed.hpp"
 #include "cowslipridge/rpc/Server.hpp"
 #include "cowslipridge/sidecar/PauseDetector.hpp"
 #include "cowslipridge/sidecar/RunFlow.hpp"
@@ -47,6 +48,7 @@
   run(rpc::RunRequest request, std::shared_ptr<rpc::AnswerSink> sink) override;
   rpc::PeerStatus exchange(const rpc::PeerStatus &status) override;
   rpc::BundleContent bundle() override;
+  core::Generation offerBundle(const rpc::BundleContent &content) override;
   unsigned deliverBills(const std::vector<std::string> &lines) override;
 
   // FlowOwner
@@ -64,6 +66,7 @@
   OpenRunner MakeRunner;
   std::function<void(core::Generation)> BehindListener;
   PauseDetector Pauses;
+  rpc::EvidenceFeed Spread;
   std::map<core::RequestId, std::shared_ptr<RunFlow>> Flows; ///< by ticket
   std::uint64_t NextTicket = 1;
 };
--- a/tests/unit/rpc/RpcHarness.cpp
+++ b/tests/unit/rpc/RpcHarness.cpp
@@ -31,6 +31,10 @@
 
 BundleContent ScriptedHandler::bundle() { return {core::Generation(7), "{}"}; }
 
+core::Generation ScriptedHandler::offerBundle(const BundleContent &content) {
+  return content.Number;
+}
+
 unsigned ScriptedHandler::deliverBills(const std::vector<std::string> &lines) {
   return static_cast<unsigned>(lines.size());
 }
--- a/tests/unit/rpc/RunTest.cpp
+++ b/tests/unit/rpc/RunTest.cpp
@@ -155,12 +155,17 @@
       EXPECT_TRUE(bundle.ok() && bundle->Number == core::Generation(7));
       ++done;
     });
+    pair.client().offerBundle({core::Generation(9), "{}"}, core::Millis(1'000),
+                              [&](auto number) {
+                                EXPECT_EQ(*number, core::Generation(9));
+                                ++done;
+                              });
     pair.client().deliverBills({"a", "b"}, core::Millis(1'000), [&](auto n) {
       EXPECT_TRUE(n.ok() && *n == 2U);
       ++done;
     });
   });
-  EXPECT_TRUE(support::eventually([&] { return done == 3; }));
+  EXPECT_TRUE(support::eventually([&] { return done == 4; }));
 }
 
 TEST(PeerClient, strangersAreRefusedAndReported) {
