Attach retries of keyed model requests to the running one

Cause: a caller's retry under one Idempotency-Key would run the model again. Change: the sidecar records answers of keyed idempotent requests; a retry joins the running answer from its beginning or gets the kept one. A key used for another body is refused.

--- a/src/cowslipridge/sidecar/Sidecar.cpp
+++ b/src/cowslipridge/sidecar/Sidecar.cpp
@@ -4,6 +4,8 @@
 #include "cowslipridge/core/Visit.hpp"
 #include "cowslipridge/sidecar/RequestChecks.hpp"
 
+#include <xxhash.h>
+
 namespace cowslipridge::sidecar {
 
 using core::Errc;
@@ -13,6 +15,20 @@
 /// Evidence records that ride on one message.
 constexpr std::size_t EvidencePerMessage = 16;
 
+/// One asker of a shared answer. The request goes on without it, so that its
+/// retry finds the answer.
+class Follower final : public rpc::ServedCall {
+public:
+  Follower(std::shared_ptr<SharedAnswer> answer,
+           std::shared_ptr<rpc::AnswerSink> sink)
+      : Answer(std::move(answer)), Sink(std::move(sink)) {}
+  void abandon() override { Answer->unfollow(Sink.get()); }
+
+private:
+  std::shared_ptr<SharedAnswer> Answer;
+  std::shared_ptr<rpc::AnswerSink> Sink;
+};
+
 } // namespace
 
 Sidecar::Sidecar(rpc::EventLoop &loop, const core::Clock &time,
@@ -70,6 +86,8 @@
   }
   if (Context.Door)
     apply(Context.Door->tick(now));
+  if (const auto *service = Context.service())
+    Answers.expire(now - service->DedupWindow);
   Context.Loop.postAfter(Context.Settings.TickInterval,
                          [weak = weak_from_this()] {
                            if (const auto self = weak.lock())
@@ -98,14 +116,52 @@
   const DoorState door{Context.Settings.Service, Context.Settings.Versions,
                        Context.Configuration.get(), Context.Refusing};
   const std::optional<Errc> refusal = findRefusal(request, door);
-  core::RequestId ticket(request.Request.str() + "#" +
-                         std::to_string(NextTicket++));
-  auto flow = std::make_shared<RunFlow>(Context, *this, ticket,
-                                        std::move(request), std::move(sink));
   if (refusal) {
+    auto flow = std::make_shared<RunFlow>(Context, *this, core::RequestId(),
+                                          std::move(request), std::move(sink));
     flow->refuse(*refusal, {});
     return flow;
   }
+  if (request.Idempotent && !request.IdempotencyKey.empty())
+    return runKeyed(std::move(request), std::move(sink));
+  return admit(std::move(request), std::move(sink));
+}
+
+// A retry attaches to the running request, or gets the kept answer.
+std::shared_ptr<rpc::ServedCall>
+Sidecar::runKeyed(rpc::RunRequest request,
+                  std::shared_ptr<rpc::AnswerSink> sink) {
+  const std::uint64_t bodyHash =
+      XXH3_64bits(request.Body.data(), request.Body.size());
+  const KeyedAnswers::Item *earlier = Answers.find(request.Request);
+  if (earlier != nullptr && earlier->BodyHash != bodyHash) {
+    rpc::RunResult result;
+    result.Result = core::Outcome::NotRun;
+    result.Error = Errc::Malformed;
+    result.Detail = "the key was used for another request";
+    result.Callee = statusFor(request.Sender.Instance);
+    sink->end(std::move(result));
+    return nullptr;
+  }
+  if (earlier != nullptr) {
+    Context.Events.report(observe::EventNumber::RunReplayed,
+                          {request.Request, request.Version, {}, {}});
+    earlier->Answer->follow(sink);
+    return std::make_shared<Follower>(earlier->Answer, std::move(sink));
+  }
+  const std::shared_ptr<SharedAnswer> answer =
+      Answers.begin(request.Request, bodyHash, Context.now());
+  answer->follow(sink);
+  admit(std::move(request), answer);
+  return std::make_shared<Follower>(answer, std::move(sink));
+}
+
+std::shared_ptr<RunFlow> Sidecar::admit(rpc::RunRequest request,
+                                        std::shared_ptr<rpc::AnswerSink> sink) {
+  core::RequestId ticket(request.Request.str() + "#" +
+                         std::to_string(NextTicket++));
+  auto flow = std::make_shared<RunFlow>(Context, *this, ticket,
+                                        std::move(request), std::move(sink));
   Flows.emplace(std::move(ticket), flow);
   apply(Context.Door->arrive(flow->arrival(), Context.now()));
   return flow;
--- a/src/cowslipridge/sidecar/Sidecar.hpp
+++ b/src/cowslipridge/sidecar/Sidecar.hpp
@@ -2,6 +2,7 @@
 
 #include "cowslipridge/rpc/EvidenceFeed.hpp"
 #include "cowslipridge/rpc/Server.hpp"
+#include "cowslipridge/sidecar/KeyedAnswers.hpp"
 #include "cowslipridge/sidecar/PauseDetector.hpp"
 #include "cowslipridge/sidecar/RunFlow.hpp"
 #include "cowslipridge/sidecar/SidecarContext.hpp"
@@ -60,6 +61,10 @@
   void hear(const rpc::PeerStatus &status);
   void openParts(const config::ServiceDeclaration &service);
   void tick();
+  std::shared_ptr<rpc::ServedCall>
+  runKeyed(rpc::RunRequest request, std::shared_ptr<rpc::AnswerSink> sink);
+  std::shared_ptr<RunFlow> admit(rpc::RunRequest request,
+                                 std::shared_ptr<rpc::AnswerSink> sink);
 
   SidecarContext Context;
   OpenJournal MakeJournal;
@@ -67,6 +72,7 @@
   std::function<void(core::Generation)> BehindListener;
   PauseDetector Pauses;
   rpc::EvidenceFeed Spread;
+  KeyedAnswers Answers;
   std::map<core::RequestId, std::shared_ptr<RunFlow>> Flows; ///< by ticket
   std::uint64_t NextTicket = 1;
 };
