Return grades to the entries that sent the requests

Cause: planners in entries learn from single grades with their request class and check score; evidence counters hold neither. Change: grades ride on the status that goes with answers to the entry that sent the request; a cut-off is told apart from spent exposure credits.

--- a/src/cowslipridge/rpc/Codec.cpp
+++ b/src/cowslipridge/rpc/Codec.cpp
@@ -109,6 +109,19 @@
   return notice;
 }
 
+constexpr double MicroPerUnit = 1e6;
+
+void encode(const platform::Grade &grade, wire::Grade::Builder out) {
+  out.setRequest(grade.Request.str());
+  const double score = std::clamp(grade.Score, 0.0, 1.0);
+  out.setScoreMicro(static_cast<std::uint32_t>(score * MicroPerUnit));
+}
+
+platform::Grade decode(wire::Grade::Reader in) {
+  const double score = std::min(1.0, in.getScoreMicro() / MicroPerUnit);
+  return {core::RequestId(toString(in.getRequest())), score};
+}
+
 } // namespace
 
 std::string toString(capnp::Data::Reader data) {
@@ -134,11 +147,15 @@
   auto cutOffs = out.initCutOffs(status.CutOffs.size());
   for (unsigned n = 0; n < cutOffs.size(); ++n)
     encode(status.CutOffs[n], cutOffs[n]);
+  auto grades = out.initGrades(status.Grades.size());
+  for (unsigned n = 0; n < grades.size(); ++n)
+    encode(status.Grades[n], grades[n]);
 }
 
 core::Result<PeerStatus> decode(wire::Status::Reader in) {
   if (in.getEvidence().size() > MaxEvidencePerStatus ||
-      in.getCutOffs().size() > MaxEvidencePerStatus)
+      in.getCutOffs().size() > MaxEvidencePerStatus ||
+      in.getGrades().size() > MaxEvidencePerStatus)
     return Errc::Malformed;
   PeerStatus status;
   status.Instance = core::InstanceId(toString(in.getInstance()));
@@ -153,6 +170,8 @@
     status.Evidence.push_back(decode(it));
   for (const auto &it : in.getCutOffs())
     status.CutOffs.push_back(decode(it));
+  for (const auto &it : in.getGrades())
+    status.Grades.push_back(decode(it));
   return status;
 }
 
--- a/src/cowslipridge/rpc/Messages.hpp
+++ b/src/cowslipridge/rpc/Messages.hpp
@@ -4,6 +4,7 @@
 #include "cowslipridge/core/Ids.hpp"
 #include "cowslipridge/core/Outcome.hpp"
 #include "cowslipridge/http/Message.hpp"
+#include "cowslipridge/platform/Ratings.hpp"
 #include "cowslipridge/rollout/Evidence.hpp"
 #include "cowslipridge/rollout/ExposureGuard.hpp"
 
@@ -32,6 +33,8 @@
   core::Millis PredictedWait;
   std::vector<rollout::EvidenceRecord> Evidence;
   std::vector<CutOffNotice> CutOffs;
+  /// Grades of answers that the receiver asked for.
+  std::vector<platform::Grade> Grades;
 };
 
 /// Asks a sidecar to run one request.
--- a/src/cowslipridge/rpc/schema/Fleet.capnp
+++ b/src/cowslipridge/rpc/schema/Fleet.capnp
@@ -45,6 +45,12 @@
   predictedWaitMs @7 :UInt32;
   evidence @8 :List(Evidence);
   cutOffs @9 :List(CutOff);
+  grades @10 :List(Grade);  # of answers that the receiver asked for
+}
+
+struct Grade {
+  request @0 :Text;
+  scoreMicro @1 :UInt32;    # 0 to 1, in millionths
 }
 
 struct RunRequest {
--- /dev/null
+++ b/src/cowslipridge/sidecar/GradeOutbox.cpp
@@ -0,0 +1,41 @@
+#include "cowslipridge/sidecar/GradeOutbox.hpp"
+
+namespace cowslipridge::sidecar {
+
+void GradeOutbox::onRequest(const core::RequestId &request,
+                            const core::InstanceId &entry) {
+  if (!Senders.insert_or_assign(request, entry).second)
+    return;
+  Order.push_back(request);
+  if (Order.size() <= MaxRequests)
+    return;
+  Senders.erase(Order.front());
+  Order.pop_front();
+}
+
+void GradeOutbox::onGrade(const platform::Grade &grade) {
+  const auto sender = Senders.find(grade.Request);
+  if (sender == Senders.end())
+    return;
+  std::deque<platform::Grade> &queue = Waiting[sender->second];
+  queue.push_back(grade);
+  if (queue.size() > MaxWaitingPerEntry)
+    queue.pop_front();
+}
+
+std::vector<platform::Grade> GradeOutbox::take(const core::InstanceId &entry,
+                                               std::size_t limit) {
+  std::vector<platform::Grade> grades;
+  const auto it = Waiting.find(entry);
+  if (it == Waiting.end())
+    return grades;
+  while (!it->second.empty() && grades.size() < limit) {
+    grades.push_back(it->second.front());
+    it->second.pop_front();
+  }
+  if (it->second.empty())
+    Waiting.erase(it);
+  return grades;
+}
+
+} // namespace cowslipridge::sidecar
--- a/src/cowslipridge/sidecar/RunFlow.cpp
+++ b/src/cowslipridge/sidecar/RunFlow.cpp
@@ -15,6 +15,9 @@
 /// Longest answer of a claimed call that is kept for retries, in bytes.
 constexpr std::size_t MaxKeptAnswerBytes = 4'096;
 
+/// Time to come back to a trial version whose exposure credits are spent.
+constexpr core::Millis ExposureRetryAfter{1'000};
+
 /// Part of the newest observation in the moving mean of run times.
 constexpr std::int64_t MeanWorkDivisor = 8;
 
@@ -48,7 +51,7 @@
     return;
   }
   if (!Context.Guard->admits(Request.Version, Request.Organisation)) {
-    refuse(Errc::VersionWithdrawn, {});
+    refuseUnadmitted();
     return;
   }
   if (mustClaim())
@@ -57,6 +60,21 @@
     run();
 }
 
+// A cut-off is final; exposure credits come back with the next grades.
+void RunFlow::refuseUnadmitted() {
+  for (const rollout::CutOff &it : Context.Guard->cutOffs()) {
+    const bool concerns =
+        it.Organisation.empty() || it.Organisation == Request.Organisation;
+    if (it.Version != Request.Version || !concerns)
+      continue;
+    refuse(Request.SessionIsPinned ? Errc::SessionEnded
+                                   : Errc::VersionWithdrawn,
+           {});
+    return;
+  }
+  refuse(Errc::Overloaded, ExposureRetryAfter);
+}
+
 void RunFlow::claim() {
   const ledger::Claim claim{key(), Request.Request, Context.Time.wall()};
   Context.Journal->claim(claim, [self = shared_from_this()](
--- a/src/cowslipridge/sidecar/RunFlow.hpp
+++ b/src/cowslipridge/sidecar/RunFlow.hpp
@@ -41,6 +41,7 @@
   [[nodiscard]] core::Millis deadline() const { return Deadline; }
 
 private:
+  void refuseUnadmitted();
   void claim();
   void onClaim(const ledger::ClaimDecision &decision);
   void replay(const ledger::ClaimOutcome &earlier);
--- a/src/cowslipridge/sidecar/Sidecar.cpp
+++ b/src/cowslipridge/sidecar/Sidecar.cpp
@@ -14,6 +14,8 @@
 
 /// Evidence records that ride on one message.
 constexpr std::size_t EvidencePerMessage = 16;
+/// Grades that ride on one message.
+constexpr std::size_t GradesPerMessage = 32;
 
 /// One asker of a shared answer. The request goes on without it, so that its
 /// retry finds the answer.
@@ -54,6 +56,8 @@
     return;
   Context.Configuration = std::move(bundle);
   Context.ConfigurationText = std::move(text);
+  Context.Events.setGeneration(Context.Configuration->Number);
+  Context.Events.report(observe::EventNumber::ConfigurationInForce, {});
   const config::ServiceDeclaration *service = Context.service();
   if (service == nullptr)
     return;
@@ -76,6 +80,29 @@
   BehindListener = std::move(listener);
 }
 
+void Sidecar::onRollout(
+    std::function<void(const rollout::RolloutActions &)> listener) {
+  RolloutListener = std::move(listener);
+}
+
+void Sidecar::takeGrades(const std::vector<platform::Grade> &grades) {
+  for (const platform::Grade &it : grades) {
+    Grades.onGrade(it);
+    report(Context.Guard->onGrade(it.Request, it.Score, Context.now()));
+  }
+}
+
+void Sidecar::report(const rollout::RolloutActions &actions) {
+  for (const rollout::RolloutAction &action : actions) {
+    if (const auto *it = std::get_if<rollout::CutOff>(&action))
+      Context.Events.report(
+          observe::EventNumber::VersionCutOff,
+          {{}, it->Version, {}, it->Organisation.str() + " " + it->Reason});
+  }
+  if (!actions.empty() && RolloutListener)
+    RolloutListener(actions);
+}
+
 void Sidecar::startTicking() { tick(); }
 
 void Sidecar::tick() {
@@ -158,6 +185,7 @@
 
 std::shared_ptr<RunFlow> Sidecar::admit(rpc::RunRequest request,
                                         std::shared_ptr<rpc::AnswerSink> sink) {
+  Grades.onRequest(request.Request, request.Sender.Instance);
   core::RequestId ticket(request.Request.str() + "#" +
                          std::to_string(NextTicket++));
   auto flow = std::make_shared<RunFlow>(Context, *this, ticket,
@@ -199,7 +227,7 @@
   if (status.Configuration > own && BehindListener)
     BehindListener(status.Configuration);
   for (const rollout::EvidenceRecord &it : status.Evidence)
-    Context.Guard->onEvidence(it, Context.now());
+    report(Context.Guard->onEvidence(it, Context.now()));
   for (const rpc::CutOffNotice &it : status.CutOffs) {
     if (it.Configuration == own)
       Context.Guard->onCutOff(it.Cut);
@@ -228,6 +256,7 @@
   rpc::PeerStatus reply = status();
   Spread.add(Context.Guard->takeChangedEvidence(EvidencePerMessage));
   reply.Evidence = Spread.take(peer, EvidencePerMessage);
+  reply.Grades = Grades.take(peer, GradesPerMessage);
   return reply;
 }
 
--- a/src/cowslipridge/sidecar/Sidecar.hpp
+++ b/src/cowslipridge/sidecar/Sidecar.hpp
@@ -2,6 +2,7 @@
 
 #include "cowslipridge/rpc/EvidenceFeed.hpp"
 #include "cowslipridge/rpc/Server.hpp"
+#include "cowslipridge/sidecar/GradeOutbox.hpp"
 #include "cowslipridge/sidecar/KeyedAnswers.hpp"
 #include "cowslipridge/sidecar/PauseDetector.hpp"
 #include "cowslipridge/sidecar/RunFlow.hpp"
@@ -39,6 +40,10 @@
   /// Refuses all work that has not started, now and later.
   void drain();
   [[nodiscard]] bool idle() const;
+  /// Takes grades of answers given here.
+  void takeGrades(const std::vector<platform::Grade> &grades);
+  /// Called with what evidence decides.
+  void onRollout(std::function<void(const rollout::RolloutActions &)> listener);
   /// The journal; null before the first configuration.
   [[nodiscard]] std::shared_ptr<ledger::Ledger> journal() const;
   [[nodiscard]] rpc::PeerStatus status() const;
@@ -61,6 +66,7 @@
   void hear(const rpc::PeerStatus &status);
   void openParts(const config::ServiceDeclaration &service);
   void tick();
+  void report(const rollout::RolloutActions &actions);
   std::shared_ptr<rpc::ServedCall>
   runKeyed(rpc::RunRequest request, std::shared_ptr<rpc::AnswerSink> sink);
   std::shared_ptr<RunFlow> admit(rpc::RunRequest request,
@@ -70,9 +76,11 @@
   OpenJournal MakeJournal;
   OpenRunner MakeRunner;
   std::function<void(core::Generation)> BehindListener;
+  std::function<void(const rollout::RolloutActions &)> RolloutListener;
   PauseDetector Pauses;
   rpc::EvidenceFeed Spread;
   KeyedAnswers Answers;
+  GradeOutbox Grades;
   std::map<core::RequestId, std::shared_ptr<RunFlow>> Flows; ///< by ticket
   std::uint64_t NextTicket = 1;
 };
