Plan cascades, spread configuration and evidence, route keyed calls

Cause: the entry ran single plans only and learnt of configuration and grades from nobody. Leaving refusals cost no retry budget: RetryTest expected the budgeted kind and now tells both kinds apart.

--- a/src/cowslipridge/entry/Entry.cpp
+++ b/src/cowslipridge/entry/Entry.cpp
@@ -1,5 +1,7 @@
 #include "cowslipridge/entry/Entry.hpp"
 
+#include "cowslipridge/config/BundleCodec.hpp"
+
 namespace cowslipridge::entry {
 
 using core::Errc;
@@ -8,6 +10,9 @@
 namespace {
 
 constexpr core::Millis ComeBackAfter{1'000};
+constexpr core::Millis BundleTimeout{5'000};
+/// Evidence records that ride on one message.
+constexpr std::size_t EvidencePerMessage = 16;
 
 Failure refusal(std::error_code ec) {
   const bool own = ec.category() == core::errorCategory();
@@ -32,8 +37,12 @@
               route::RunnerChooser(settings.Seed + 1),
               limits::RetryBudget({}),
               {},
-              ExplainLog(settings.MaxExplanations)} {
-  Context.Peers->setOwnStatus([this] { return status(); });
+              ExplainLog(settings.MaxExplanations),
+              {},
+              {},
+              {}} {
+  Context.Peers->setOwnStatus(
+      [this](const core::InstanceId &peer) { return statusFor(peer); });
   Context.Peers->onStatus([this](const rpc::PeerStatus &it) { hear(it); });
   Context.Peers->onSuspect([this](const core::InstanceId &sidecar) {
     const std::set<std::shared_ptr<RequestFlow>> flows = Flows;
@@ -45,9 +54,14 @@
 Entry::~Entry() = default;
 
 void Entry::configure(std::shared_ptr<const config::Bundle> bundle) {
-  const std::lock_guard lock(ConfigurationGuard);
-  if (!Configuration || bundle->Number > Configuration->Number)
+  {
+    const std::lock_guard lock(ConfigurationGuard);
+    if (Configuration && bundle->Number <= Configuration->Number)
+      return;
     Configuration = std::move(bundle);
+    Context.Events.setGeneration(Configuration->Number);
+  }
+  Context.Events.report(observe::EventNumber::ConfigurationInForce, {});
 }
 
 std::shared_ptr<const config::Bundle> Entry::configuration() const {
@@ -55,9 +69,8 @@
   return Configuration;
 }
 
-void Entry::onBehind(
-    std::function<void(const core::InstanceId &ahead)> listener) {
-  BehindListener = std::move(listener);
+void Entry::setTrialShare(const core::ServiceId &service, double share) {
+  Context.TrialShares[service] = share;
 }
 
 void Entry::startTicking() { Context.Peers->startTicking(); }
@@ -96,6 +109,7 @@
               {request.Request, {}, {}});
     return;
   }
+  dropOldCutOffs(request.Configuration->Number);
   const auto slot = std::make_shared<std::weak_ptr<RequestFlow>>();
   auto flow = std::make_shared<RequestFlow>(Context, std::move(request),
                                             std::move(responder), arrivedAt,
@@ -108,26 +122,98 @@
   flow->start();
 }
 
-rpc::PeerStatus Entry::status() const {
+rpc::PeerStatus Entry::statusFor(const core::InstanceId &peer) {
   rpc::PeerStatus status;
   status.Instance = Context.Settings.Instance;
   status.Start = Context.Settings.Start;
   status.Leaving = Leaving;
   if (const auto bundle = configuration())
     status.Configuration = bundle->Number;
+  status.Evidence = Spread.take(peer, EvidencePerMessage);
+  if (CutOffsOf == status.Configuration) {
+    for (const auto &[key, notice] : CutOffs)
+      status.CutOffs.push_back(notice);
+  }
   return status;
 }
 
 void Entry::hear(const rpc::PeerStatus &status) {
+  compareGenerations(status);
+  for (const rollout::EvidenceRecord &it : status.Evidence) {
+    if (Evidence.merge(it))
+      Spread.add({it});
+  }
+  for (const rpc::CutOffNotice &it : status.CutOffs)
+    takeCutOff(it);
+  for (const platform::Grade &it : status.Grades) {
+    if (const auto observation = Context.Grades.onGrade(it))
+      Context.Plans.observe(*observation, Context.now());
+  }
+}
+
+// Whoever is ahead hands the newer configuration over.
+void Entry::compareGenerations(const rpc::PeerStatus &status) {
   const auto bundle = configuration();
   const core::Generation own = bundle ? bundle->Number : core::Generation();
-  if (status.Configuration > own && BehindListener)
-    BehindListener(status.Instance);
-  for (const rpc::CutOffNotice &it : status.CutOffs) {
-    if (it.Configuration == own)
-      Context.CutOffs.insert(
-          {it.Cut.Service, it.Cut.Version, it.Cut.Organisation});
-  }
+  if (status.Configuration > own)
+    pullFrom(status.Instance);
+  else if (status.Configuration < own)
+    offerTo(status.Instance, bundle);
+}
+
+void Entry::pullFrom(const core::InstanceId &peer) {
+  rpc::PeerClient *client = Context.Peers->client(peer);
+  if (client == nullptr || Pulling)
+    return;
+  Pulling = true;
+  client->fetchBundle(
+      BundleTimeout,
+      [weak = weak_from_this()](const core::Result<rpc::BundleContent> &it) {
+        const auto self = weak.lock();
+        if (!self)
+          return;
+        self->Pulling = false;
+        if (!it.ok())
+          return;
+        auto decoded = config::decodeBundle(it->Content);
+        if (decoded.ok())
+          self->configure(std::make_shared<const config::Bundle>(
+              std::move(decoded).value()));
+      });
+}
+
+void Entry::offerTo(const core::InstanceId &peer,
+                    const std::shared_ptr<const config::Bundle> &bundle) {
+  rpc::PeerClient *client = Context.Peers->client(peer);
+  if (client == nullptr || !Offering.insert(peer).second)
+    return;
+  client->offerBundle({bundle->Number, config::encodeBundle(*bundle)},
+                      BundleTimeout,
+                      [weak = weak_from_this(),
+                       peer](const core::Result<core::Generation> & /*it*/) {
+                        if (const auto self = weak.lock())
+                          self->Offering.erase(peer);
+                      });
+}
+
+// Cut-offs hold within one generation: a newer configuration clears them.
+void Entry::dropOldCutOffs(core::Generation current) {
+  if (CutOffsOf == current)
+    return;
+  CutOffs.clear();
+  Context.CutOffs.clear();
+  CutOffsOf = current;
+}
+
+void Entry::takeCutOff(const rpc::CutOffNotice &notice) {
+  const auto bundle = configuration();
+  if (!bundle || notice.Configuration != bundle->Number)
+    return;
+  dropOldCutOffs(bundle->Number);
+  const route::CutOffKey key{notice.Cut.Service, notice.Cut.Version,
+                             notice.Cut.Organisation};
+  CutOffs.emplace(key, notice);
+  Context.CutOffs.insert(key);
 }
 
 } // namespace cowslipridge::entry
--- a/src/cowslipridge/entry/Entry.hpp
+++ b/src/cowslipridge/entry/Entry.hpp
@@ -3,8 +3,11 @@
 #include "cowslipridge/entry/EntryContext.hpp"
 #include "cowslipridge/entry/RequestFlow.hpp"
 #include "cowslipridge/http/Server.hpp"
+#include "cowslipridge/rollout/Evidence.hpp"
+#include "cowslipridge/rpc/EvidenceFeed.hpp"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <set>
@@ -24,8 +27,8 @@
   /// thread.
   void configure(std::shared_ptr<const config::Bundle> bundle);
   [[nodiscard]] std::shared_ptr<const config::Bundle> configuration() const;
-  /// Called when a sidecar's configuration is newer than this one's.
-  void onBehind(std::function<void(const core::InstanceId &ahead)> listener);
+  /// The share of requests that a service's trial version gets now.
+  void setTrialShare(const core::ServiceId &service, double share);
   void startTicking();
   /// Refuses new requests; those in flight go on.
   void drain();
@@ -43,13 +46,24 @@
 private:
   void begin(CallerRequest request, std::shared_ptr<http::Responder> responder,
              core::Millis arrivedAt);
-  [[nodiscard]] rpc::PeerStatus status() const;
+  rpc::PeerStatus statusFor(const core::InstanceId &peer);
   void hear(const rpc::PeerStatus &status);
+  void compareGenerations(const rpc::PeerStatus &status);
+  void pullFrom(const core::InstanceId &peer);
+  void offerTo(const core::InstanceId &peer,
+               const std::shared_ptr<const config::Bundle> &bundle);
+  void dropOldCutOffs(core::Generation current);
+  void takeCutOff(const rpc::CutOffNotice &notice);
 
   EntryContext Context;
-  std::function<void(const core::InstanceId &)> BehindListener;
   std::set<std::shared_ptr<RequestFlow>> Flows;
   bool Leaving = false;
+  rollout::EvidenceTable Evidence;
+  rpc::EvidenceFeed Spread;
+  std::map<route::CutOffKey, rpc::CutOffNotice> CutOffs; ///< in force
+  core::Generation CutOffsOf; ///< the generation they hold in
+  bool Pulling = false;
+  std::set<core::InstanceId> Offering;
   mutable std::mutex ConfigurationGuard;
   std::shared_ptr<const config::Bundle> Configuration;
 };
--- a/src/cowslipridge/entry/EntryContext.hpp
+++ b/src/cowslipridge/entry/EntryContext.hpp
@@ -3,6 +3,8 @@
 #include "cowslipridge/config/Declaration.hpp"
 #include "cowslipridge/entry/ExplainLog.hpp"
 #include "cowslipridge/entry/Fleet.hpp"
+#include "cowslipridge/entry/GradeBook.hpp"
+#include "cowslipridge/entry/OwnerCache.hpp"
 #include "cowslipridge/limits/RetryBudget.hpp"
 #include "cowslipridge/observe/EventLog.hpp"
 #include "cowslipridge/route/Planner.hpp"
@@ -11,6 +13,7 @@
 #include "cowslipridge/session/TokenSealer.hpp"
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 
@@ -39,6 +42,10 @@
   limits::RetryBudget Retries;
   route::CutOffSet CutOffs;
   ExplainLog Explanations;
+  GradeBook Grades;
+  OwnerCache Owners;
+  /// Share of requests that each service's trial version gets now.
+  std::map<core::ServiceId, double> TrialShares;
 
   [[nodiscard]] core::Millis now() const { return Time.monotonic(); }
 };
--- a/src/cowslipridge/entry/Fleet.cpp
+++ b/src/cowslipridge/entry/Fleet.cpp
@@ -19,12 +19,12 @@
 
 Fleet::~Fleet() = default;
 
-void Fleet::setOwnStatus(std::function<rpc::PeerStatus()> ownStatus) {
+void Fleet::setOwnStatus(OwnStatusSource ownStatus) {
   OwnStatus = std::move(ownStatus);
 }
 
-rpc::PeerStatus Fleet::ownStatus() const {
-  return OwnStatus ? OwnStatus() : rpc::PeerStatus();
+rpc::PeerStatus Fleet::ownStatusFor(const core::InstanceId &peer) const {
+  return OwnStatus ? OwnStatus(peer) : rpc::PeerStatus();
 }
 
 void Fleet::onStatus(std::function<void(const rpc::PeerStatus &)> listener) {
@@ -91,7 +91,7 @@
   const auto it = Peers.find(name);
   if (it == Peers.end() || !OwnStatus)
     return;
-  it->second.Client->exchange(OwnStatus(), Settings.ProbeTimeout,
+  it->second.Client->exchange(OwnStatus(name), Settings.ProbeTimeout,
                               [weak = weak_from_this(), name](
                                   const core::Result<rpc::PeerStatus> &reply) {
                                 const auto self = weak.lock();
--- a/src/cowslipridge/entry/Fleet.hpp
+++ b/src/cowslipridge/entry/Fleet.hpp
@@ -21,6 +21,10 @@
   core::Millis ProbeTimeout{1'000};
 };
 
+/// What this entry says of itself to one peer.
+using OwnStatusSource =
+    std::function<rpc::PeerStatus(const core::InstanceId &peer)>;
+
 /// The sidecars that this entry knows: connections and last status of each.
 /// Belongs to the loop's thread.
 class Fleet final : public std::enable_shared_from_this<Fleet> {
@@ -30,8 +34,9 @@
   ~Fleet();
 
   /// What this entry says of itself on each message.
-  void setOwnStatus(std::function<rpc::PeerStatus()> ownStatus);
-  [[nodiscard]] rpc::PeerStatus ownStatus() const;
+  void setOwnStatus(OwnStatusSource ownStatus);
+  [[nodiscard]] rpc::PeerStatus
+  ownStatusFor(const core::InstanceId &peer) const;
   /// Called with each status that a sidecar sends.
   void onStatus(std::function<void(const rpc::PeerStatus &)> listener);
   /// Called when a sidecar is suspected to be dead or frozen.
@@ -73,7 +78,7 @@
   const FleetSettings Settings;
   membership::Directory Members;
   std::map<core::InstanceId, Peer> Peers;
-  std::function<rpc::PeerStatus()> OwnStatus;
+  OwnStatusSource OwnStatus;
   std::function<void(const rpc::PeerStatus &)> StatusListener;
   std::function<void(const core::InstanceId &)> SuspectListener;
 };
--- a/src/cowslipridge/entry/RequestFlow.cpp
+++ b/src/cowslipridge/entry/RequestFlow.cpp
@@ -1,6 +1,8 @@
 #include "cowslipridge/entry/RequestFlow.hpp"
 
 #include "cowslipridge/core/Visit.hpp"
+#include "cowslipridge/entry/Draft.hpp"
+#include "cowslipridge/entry/Selection.hpp"
 
 namespace cowslipridge::entry {
 
@@ -15,19 +17,32 @@
 constexpr unsigned MaxAttempts = 6;
 /// Time to come back when nothing says more.
 constexpr core::Millis DefaultRetryAfter{1'000};
+constexpr int FirstErrorStatus = 400;
 
-core::SessionId newSessionId(const core::RequestId &request) {
-  return core::SessionId("s-" + request.str());
+Errc toErrc(std::error_code ec) {
+  return ec.category() == core::errorCategory() ? static_cast<Errc>(ec.value())
+                                                : Errc::Internal;
 }
 
-core::Errc toErrc(std::error_code ec) {
-  return ec.category() == core::errorCategory()
-             ? static_cast<core::Errc>(ec.value())
-             : core::Errc::Internal;
+bool isBusy(Errc reason) {
+  const int status = core::httpStatus(reason);
+  return status == 429 || status == 503;
 }
 
 } // namespace
 
+std::string_view RequestFlow::partName(Part part) {
+  switch (part) {
+  case Part::Single:
+    return "single";
+  case Part::Draft:
+    return "draft";
+  case Part::Better:
+    break;
+  }
+  return "better";
+}
+
 RequestFlow::RequestFlow(EntryContext &context, CallerRequest request,
                          std::shared_ptr<http::Responder> responder,
                          core::Millis arrivedAt, std::function<void()> onDone)
@@ -58,7 +73,7 @@
 
 bool RequestFlow::openSession() {
   if (Request.SessionText.empty()) {
-    Session = newSessionId(Request.Request);
+    Session = core::SessionId("s-" + Request.Request.str());
     return true;
   }
   const auto facts = Context.Sealer.open(Request.SessionText);
@@ -69,6 +84,7 @@
     return false;
   }
   Session = facts->Session;
+  SessionToken = Request.SessionText;
   SessionIsPinned = true;
   Facts.PinnedVersion = facts->Version;
   return true;
@@ -78,35 +94,38 @@
   Facts.Remaining = remaining();
   route::CutOffSet barred = Context.CutOffs;
   barred.insert(Avoided.begin(), Avoided.end());
-  const route::Plan plan =
-      Context.Plans.plan(Facts, Request.service(), barred, 0.0, Context.now());
+  const auto share = Context.TrialShares.find(Request.Service);
+  const route::Plan chosen = Context.Plans.plan(
+      Facts, Request.service(), barred,
+      share == Context.TrialShares.end() ? 0.0 : share->second, Context.now());
   std::visit(core::Overloaded{[&](const route::SinglePlan &it) {
-                                Version = it.Version;
-                                explain("plan: single " + Version.str());
-                                attempt();
+                                begin(Part::Single, it.Version);
                               },
                               [&](const route::CascadePlan &it) {
-                                Version = it.Better;
-                                explain("plan: single " + Version.str());
-                                attempt();
+                                Cascade = it;
+                                begin(Part::Draft, it.Cheap);
                               },
                               [&](const route::NoPlan &it) {
-                                explain("no plan");
                                 fail({it.Reason, Outcome::NotRun, {}, {}});
                               }},
-             plan);
+             chosen);
+}
+
+void RequestFlow::begin(Part part, const core::VersionId &version) {
+  Running = part;
+  Version = version;
+  Tried.clear();
+  explain("plan: " + std::string(partName(part)) + " on " + version.str());
+  attempt();
 }
 
 void RequestFlow::attempt() {
   Facts.Remaining = remaining();
-  const auto runner = Context.Runners.choose(
-      Facts, Version, Context.Peers->views(Request.Service), Tried,
-      Context.now());
-  if (!runner) {
+  const auto sidecar = selectSidecar(Context, Request, Facts, Version, Tried);
+  if (sidecar)
+    send(*sidecar);
+  else
     fail({Errc::NoRunner, Outcome::NotRun, DefaultRetryAfter, {}});
-    return;
-  }
-  send(toInstance(*runner));
 }
 
 void RequestFlow::send(const core::InstanceId &sidecar) {
@@ -127,9 +146,9 @@
   Context.Events.report(observe::EventNumber::RequestRouted,
                         {Request.Request, Version, {}, sidecar.str()});
   Context.Peers->onSent(sidecar);
-  const std::weak_ptr<RequestFlow> weak = weak_from_this();
-  const unsigned number = Attempts;
-  const auto ifCurrent = [weak, number](auto action) {
+  // Events of an attempt that was given up are dropped.
+  const auto ifCurrent = [weak = weak_from_this(),
+                          number = Attempts](auto action) {
     const auto self = weak.lock();
     if (self && !self->Done && self->Attempts == number)
       action(*self);
@@ -148,24 +167,27 @@
 }
 
 rpc::RunRequest RequestFlow::makeRunRequest() const {
+  const bool isDraft = Running == Part::Draft;
   rpc::RunRequest run;
-  run.Sender = Context.Peers->ownStatus();
+  run.Sender = Context.Peers->ownStatusFor(Sidecar);
   run.Request = Request.Request;
   run.Organisation = Request.Organisation;
   run.Service = Request.Service;
   run.Version = Version;
   run.Session = Session;
   run.SessionIsPinned = SessionIsPinned;
-  run.IdempotencyKey = Request.IdempotencyKey;
+  // A draft may be thrown away, so a retry must not be given it.
+  if (Running == Part::Single)
+    run.IdempotencyKey = Request.IdempotencyKey;
   run.Idempotent = Request.Idempotent;
   run.Method = Request.Method;
   run.Target = Request.Target;
   run.Fields = Request.Fields;
-  run.Body = Request.Body;
-  run.Stream = Request.Stream;
+  run.Body = isDraft ? toDraftBody(Request.Body) : Request.Body;
+  run.Stream = Request.Stream && !isDraft;
   run.Remaining = remaining();
   run.Attempt = Attempts;
-  run.Part = "single";
+  run.Part = partName(Running);
   run.PrefixHashes = Request.Prompt.PrefixHashes;
   return run;
 }
@@ -178,23 +200,24 @@
 void RequestFlow::onFrame(const std::string &data) {
   if (FirstByteAfter == core::Millis(0))
     FirstByteAfter = Context.now() - SentAt;
-  const bool streams = Request.Stream && Status < 300;
+  const bool streams =
+      Request.Stream && Running != Part::Draft && Status < FirstErrorStatus;
   if (!streams) {
     Body += data;
     return;
   }
   Answer.streamEvent(data, labels());
-  if (Answer.gone() && Call) {
-    Call->cancel();
-    explain("the caller went away");
-    done();
-  }
+  if (!Answer.gone() || !Call)
+    return;
+  Call->cancel();
+  explain("the caller went away");
+  done();
 }
 
 void RequestFlow::onEnd(const rpc::RunResult &result) {
   Call.reset();
   Context.Peers->onEnded(Sidecar, result);
-  learn(result);
+  learnFrom(result);
   if (result.Error)
     recover(result);
   else
@@ -204,57 +227,134 @@
 void RequestFlow::complete(const rpc::RunResult &result) {
   explain("answered by " + Sidecar.str() +
           (result.Replayed ? " from an earlier attempt" : ""));
+  if (!Request.Idempotent)
+    Context.Owners.learn(claimKey(Request), Request.service().Shards, Sidecar);
+  if (Running == Part::Draft)
+    judgeDraft();
+  else
+    respond();
+}
+
+// An answer that is no completion, such as an engine's refusal of the request,
+// goes to the caller as it is.
+void RequestFlow::judgeDraft() {
+  const auto facts = readDraft(Body, Version);
+  if (!facts) {
+    respond();
+    return;
+  }
+  const double score = route::checkScore(*facts);
+  Context.Plans.observe(route::CheckObservation{
+      Request.Service, Facts.RequestClass, Version, score});
+  explain("draft checked: " + std::to_string(score) + " of " +
+          std::to_string(Cascade.AcceptAbove));
+  if (score >= Cascade.AcceptAbove) {
+    CheckScore = score;
+    respondDraft();
+    return;
+  }
+  Context.Events.report(observe::EventNumber::RequestEscalated,
+                        {Request.Request, Cascade.Better, {}, {}});
+  begin(Part::Better, Cascade.Better);
+}
+
+void RequestFlow::respondDraft() {
+  if (!Request.Stream) {
+    Body = toCallerBody(Body, Request.Body);
+  } else {
+    for (const std::string &it : toChunks(Body))
+      Answer.streamEvent(it, labels());
+  }
+  respond();
+}
+
+void RequestFlow::respond() {
   if (Answer.started())
     Answer.finishStream();
   else
     Answer.respond(Status, Fields, std::move(Body), labels());
   Context.Events.report(observe::EventNumber::RequestEnded,
                         {Request.Request, Version, {}, {}});
+  route::GradeObservation answer;
+  answer.Service = Request.Service;
+  answer.Organisation = Request.Organisation;
+  answer.RequestClass = Facts.RequestClass;
+  answer.Version = Version;
+  answer.CheckScore = CheckScore;
+  answer.Escalated = Running == Part::Better;
+  Context.Grades.onAnswer(Request.Request, answer);
   done();
 }
 
+void RequestFlow::learnFrom(const rpc::RunResult &result) {
+  route::AnswerObservation seen;
+  seen.Runner = toRunner(Sidecar);
+  seen.PrefixHashes = Request.Prompt.PrefixHashes;
+  seen.PromptTokens = result.PromptTokens;
+  seen.CachedTokens = result.CachedTokens;
+  seen.TimeToFirstToken = FirstByteAfter;
+  seen.Failed = result.Error == Errc::RunnerFailed ||
+                result.Error == Errc::RunnerUnavailable ||
+                result.Error == Errc::OutcomeUnknown;
+  Context.Runners.observe(seen, Context.now());
+  if (!result.Error)
+    Context.Plans.observe(route::DurationObservation{Request.Service, Version,
+                                                     Context.now() - SentAt});
+}
+
 void RequestFlow::recover(const rpc::RunResult &result) {
   explain("failed at " + Sidecar.str() + ": " +
           std::string(core::slug(toErrc(result.Error))) + " (" +
           std::string(core::toString(result.Result)) + ") " + result.Detail);
+  if (Running == Part::Draft && remaining() > core::Millis(0)) {
+    begin(Part::Better, Cascade.Better);
+    return;
+  }
   AttemptFacts facts;
   facts.Idempotent = Request.Idempotent;
   facts.AnswerStarted = Answer.started();
-  facts.PlansLeft = !SessionIsPinned;
+  facts.PlansLeft = !SessionIsPinned && Attempts < MaxAttempts;
+  facts.OnTrial = isOnTrial();
   facts.Remaining = remaining();
   std::visit(
-      core::Overloaded{[&](const RedirectToOwner &it) {
-                         if (++Redirects > MaxRedirects)
-                           fail(result);
-                         else
-                           send(it.Owner);
-                       },
-                       [&](const RetryElsewhere &) { retryElsewhere(result); },
-                       [&](const PlanAgain &) {
-                         Avoided.insert({Request.Service, Version, {}});
-                         Tried.clear();
-                         plan();
-                       },
-                       [&](const GiveUp &) { fail(result); }},
+      core::Overloaded{
+          [&](const RedirectToOwner &it) { redirect(it.Owner, result); },
+          [&](const RetryElsewhere &it) { retryElsewhere(result, it.IsFree); },
+          [&](const PlanAgain &) { planAgain(); },
+          [&](const GiveUp &) { fail(result); }},
       decideRetry(result, facts));
 }
 
-void RequestFlow::retryElsewhere(const rpc::RunResult &result) {
-  if (Attempts >= MaxAttempts || !Context.Retries.tryTake()) {
+void RequestFlow::redirect(const core::InstanceId &owner,
+                           const rpc::RunResult &result) {
+  const bool known = Context.Peers->client(owner) != nullptr;
+  if (!known || ++Redirects > MaxRedirects) {
+    fail(result);
+    return;
+  }
+  Context.Owners.learn(claimKey(Request), Request.service().Shards, owner);
+  send(owner);
+}
+
+void RequestFlow::retryElsewhere(const rpc::RunResult &result, bool isFree) {
+  if (Attempts >= MaxAttempts || (!isFree && !Context.Retries.tryTake())) {
     fail(result);
     return;
   }
   Facts.Remaining = remaining();
-  const auto runner = Context.Runners.choose(
-      Facts, Version, Context.Peers->views(Request.Service), Tried,
-      Context.now());
-  if (!runner) {
+  const auto sidecar = selectSidecar(Context, Request, Facts, Version, Tried);
+  if (!sidecar) {
     fail(result);
     return;
   }
   Context.Events.report(observe::EventNumber::RequestRetried,
-                        {Request.Request, Version, {}, runner->str()});
-  send(toInstance(*runner));
+                        {Request.Request, Version, {}, sidecar->str()});
+  send(*sidecar);
+}
+
+void RequestFlow::planAgain() {
+  Avoided.insert({Request.Service, Version, {}});
+  plan();
 }
 
 void RequestFlow::onSuspect(const core::InstanceId &sidecar) {
@@ -271,34 +371,18 @@
   recover(result);
 }
 
-void RequestFlow::learn(const rpc::RunResult &result) {
-  route::AnswerObservation seen;
-  seen.Runner = toRunner(Sidecar);
-  seen.PrefixHashes = Request.Prompt.PrefixHashes;
-  seen.PromptTokens = result.PromptTokens;
-  seen.CachedTokens = result.CachedTokens;
-  seen.TimeToFirstToken = FirstByteAfter;
-  seen.Failed = result.Error == Errc::RunnerFailed ||
-                result.Error == Errc::RunnerUnavailable ||
-                result.Error == Errc::OutcomeUnknown;
-  Context.Runners.observe(seen, Context.now());
-}
-
 void RequestFlow::fail(const rpc::RunResult &result) {
-  core::Millis retryAfter = result.RetryAfter;
   const Errc reason = toErrc(result.Error);
-  const bool isBusy =
-      core::httpStatus(reason) == 503 || core::httpStatus(reason) == 429;
-  if (isBusy && retryAfter == core::Millis(0))
-    retryAfter = DefaultRetryAfter;
-  fail({reason, result.Result, retryAfter, result.Detail});
+  const bool needsTime = isBusy(reason) && result.RetryAfter == core::Millis(0);
+  fail({reason, result.Result,
+        needsTime ? DefaultRetryAfter : result.RetryAfter, result.Detail});
 }
 
 void RequestFlow::fail(const Failure &failure) {
-  explain("refused: " + std::string(core::slug(failure.Reason)));
-  Context.Events.report(
-      observe::EventNumber::RequestRefused,
-      {Request.Request, Version, {}, std::string(core::slug(failure.Reason))});
+  const std::string reason(core::slug(failure.Reason));
+  explain("refused: " + reason);
+  Context.Events.report(observe::EventNumber::RequestRefused,
+                        {Request.Request, Version, {}, reason});
   Answer.fail(failure, labels());
   done();
 }
@@ -317,15 +401,21 @@
 
 core::Millis RequestFlow::remaining() const { return Deadline - Context.now(); }
 
+bool RequestFlow::isOnTrial() const {
+  const auto *version = Request.service().findVersion(Version);
+  return version != nullptr && version->State == config::VersionState::Trial;
+}
+
 AnswerLabels RequestFlow::labels() {
-  AnswerLabels labels{Request.Request, Version, {}};
-  if (SessionIsPinned)
-    labels.SessionToken = Request.SessionText;
-  else if (!Version.empty())
-    labels.SessionToken =
+  const bool mustSeal = !SessionIsPinned && !Version.empty();
+  const bool sealed = !SessionToken.empty() && SealedVersion == Version;
+  if (mustSeal && !sealed) {
+    SealedVersion = Version;
+    SessionToken =
         Context.Sealer.seal({Session, Request.Organisation, Request.Service,
                              Version, Context.Time.wall()});
-  return labels;
+  }
+  return {Request.Request, Version, SessionToken};
 }
 
 } // namespace cowslipridge::entry
--- a/src/cowslipridge/entry/RequestFlow.hpp
+++ b/src/cowslipridge/entry/RequestFlow.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cowslipridge::entry {
@@ -27,23 +28,37 @@
   void onSuspect(const core::InstanceId &sidecar);
 
 private:
+  enum class Part { Single, Draft, Better };
+  static std::string_view partName(Part part);
+
   bool openSession();
   void plan();
+  void begin(Part part, const core::VersionId &version);
   void attempt();
   void send(const core::InstanceId &sidecar);
   [[nodiscard]] rpc::RunRequest makeRunRequest() const;
+
   void onHead(int status, http::Headers fields);
   void onFrame(const std::string &data);
   void onEnd(const rpc::RunResult &result);
+
   void complete(const rpc::RunResult &result);
+  void judgeDraft();
+  void respondDraft();
+  void respond();
+  void learnFrom(const rpc::RunResult &result);
+
   void recover(const rpc::RunResult &result);
-  void retryElsewhere(const rpc::RunResult &result);
-  void learn(const rpc::RunResult &result);
+  void redirect(const core::InstanceId &owner, const rpc::RunResult &result);
+  void retryElsewhere(const rpc::RunResult &result, bool isFree);
+  void planAgain();
   void fail(const Failure &failure);
   void fail(const rpc::RunResult &result);
   void done();
+
   void explain(std::string text);
   [[nodiscard]] core::Millis remaining() const;
+  [[nodiscard]] bool isOnTrial() const;
   [[nodiscard]] AnswerLabels labels();
 
   EntryContext &Context;
@@ -54,14 +69,21 @@
 
   route::RequestFacts Facts;
   core::SessionId Session;
+  std::string SessionToken;      ///< sealed for SealedVersion
+  core::VersionId SealedVersion; ///< unless the caller sent the token
   bool SessionIsPinned = false;
   route::CutOffSet Avoided; ///< versions that a sidecar refused
 
+  Part Running = Part::Single;
+  route::CascadePlan Cascade; ///< unless Running is Single
+  double CheckScore = -1;     ///< of a draft that was kept
   core::VersionId Version;
   core::InstanceId Sidecar; ///< of the attempt under way
   std::vector<core::RunnerId> Tried;
   unsigned Attempts = 0;
   unsigned Redirects = 0;
+
+  // The answer of the attempt under way.
   std::shared_ptr<rpc::RemoteCall> Call;
   core::Millis SentAt;
   core::Millis FirstByteAfter;
--- a/src/cowslipridge/entry/Retry.cpp
+++ b/src/cowslipridge/entry/Retry.cpp
@@ -31,6 +31,11 @@
   if (result.Error == Errc::VersionWithdrawn ||
       result.Error == Errc::UnknownVersion)
     return facts.PlansLeft ? RetryDecision(PlanAgain{}) : GiveUp{};
+  if (result.Error == Errc::Overloaded && facts.OnTrial && facts.PlansLeft)
+    return PlanAgain{};
+  // An instance leaves once, so this adds no load that lasts.
+  if (result.Error == Errc::Leaving)
+    return RetryElsewhere{true};
   if (isLocal(result.Error))
     return RetryElsewhere{};
   return GiveUp{};
--- a/src/cowslipridge/entry/Retry.hpp
+++ b/src/cowslipridge/entry/Retry.hpp
@@ -13,6 +13,7 @@
   bool Idempotent = true;     ///< the call may be run more than once
   bool AnswerStarted = false; ///< the caller has seen a part of the answer
   bool PlansLeft = false;     ///< another version may be planned
+  bool OnTrial = false;       ///< the version is under trial
   core::Millis Remaining;     ///< until the deadline
 };
 
@@ -24,6 +25,7 @@
 };
 /// Try another runner, if the retry budget allows.
 struct RetryElsewhere {
+  bool IsFree = false; ///< costs nothing of the budget
   friend auto operator<=>(const RetryElsewhere &,
                           const RetryElsewhere &) = default;
 };
--- a/tests/unit/entry/RetryTest.cpp
+++ b/tests/unit/entry/RetryTest.cpp
@@ -29,8 +29,23 @@
 const RetryDecision Stop = GiveUp{};
 
 TEST(Retry, notRunGoesElsewhereEvenWhenNotIdempotent) {
+  const auto result = failed(Errc::RunnerUnavailable, Outcome::NotRun);
+  EXPECT_EQ(decideRetry(result, facts(false)), Elsewhere);
+}
+
+TEST(Retry, leavingAnInstanceCostsNoBudget) {
+  const RetryDecision free = RetryElsewhere{true};
   EXPECT_EQ(decideRetry(failed(Errc::Leaving, Outcome::NotRun), facts(false)),
-            Elsewhere);
+            free);
+}
+
+TEST(Retry, aTrialWithoutCreditsIsPlannedAround) {
+  AttemptFacts it = facts(true);
+  it.OnTrial = true;
+  const RetryDecision again = PlanAgain{};
+  const auto result = failed(Errc::Overloaded, Outcome::NotRun);
+  EXPECT_EQ(decideRetry(result, it), again);
+  EXPECT_EQ(decideRetry(result, facts(true)), Elsewhere);
 }
 
 TEST(Retry, unknownOutcomeIsNeverRunAgainUnlessIdempotent) {
