Follow the configuration through store and peers; scrape metrics

Cause: daemon and roles each read configurations in their own way. Change: one service holds the follower; messages carry generation and age; an entry that is ahead hands its bundle over and the sidecar's follower takes it as any other. No session starts on a trial version while stale.

--- a/programs/cowslipridged/AdminPages.cpp
+++ b/programs/cowslipridged/AdminPages.cpp
@@ -2,8 +2,8 @@
 
 #include "cowslipridge/core/Error.hpp"
 #include "cowslipridge/entry/ApiKeys.hpp"
+#include "cowslipridge/observe/EventCodec.hpp"
 
-#include <nlohmann/json.hpp>
 #include <openssl/crypto.h>
 
 #include <charconv>
@@ -36,30 +36,8 @@
   return {status, {{"Content-Type", "text/plain"}}, std::move(body)};
 }
 
-nlohmann::json toJson(const observe::Event &event) {
-  return {{"event", static_cast<int>(event.Number)},
-          {"name", observe::describe(event.Number).Name},
-          {"at_ms", event.At.count()},
-          {"sequence", event.Sequence},
-          {"instance", event.Instance.str()},
-          {"incarnation", event.Start.value()},
-          {"generation", event.Configuration.value()},
-          {"request", event.Request.str()},
-          {"version", event.Version.str()},
-          {"cause", event.Cause},
-          {"detail", event.Detail}};
-}
-
 } // namespace
 
-std::string toJson(const std::vector<observe::Event> &events) {
-  nlohmann::json list = nlohmann::json::array();
-  for (const observe::Event &it : events)
-    list.push_back(toJson(it));
-  const nlohmann::json page = {{"events", std::move(list)}};
-  return page.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-}
-
 AdminPages::AdminPages(ProcessContext &process,
                        std::shared_ptr<RoleService> role)
     : Process(process), Role(std::move(role)),
@@ -105,7 +83,9 @@
     return Role->ready() ? makeText(200, "ready\n")
                          : makeText(503, "not ready\n");
   if (path == "/metrics")
-    return makeText(200, "");
+    return {200,
+            {{"Content-Type", std::string(observe::ScrapeMediaType)}},
+            Process.Counts.scrape()};
   return answerAdmin(message);
 }
 
@@ -137,7 +117,8 @@
   std::uint64_t after = 0;
   if (text)
     std::from_chars(text->data(), text->data() + text->size(), after);
-  return http::makeJson(200, toJson(Process.Events.since(after)));
+  return http::makeJson(200,
+                        observe::encodeEvents(Process.Events.since(after)));
 }
 
 http::Response AdminPages::explain(const http::Request &message) {
--- a/programs/cowslipridged/AdminPages.hpp
+++ b/programs/cowslipridged/AdminPages.hpp
@@ -32,7 +32,4 @@
   http::Server Listener;
 };
 
-/// The time line of one process as JSON.
-std::string toJson(const std::vector<observe::Event> &events);
-
 } // namespace cowslipridge::daemon
--- a/programs/cowslipridged/EntryRole.cpp
+++ b/programs/cowslipridged/EntryRole.cpp
@@ -30,11 +30,10 @@
 
 } // namespace
 
-EntryRole::EntryRole(ProcessContext &process)
-    : Process(process),
-      Work(std::make_shared<entry::Entry>(process.Loop, process.Time,
-                                          process.Events,
-                                          toEntrySettings(process))) {}
+EntryRole::EntryRole(ProcessContext &process, rpc::ConfigurationPort source)
+    : Process(process), Work(std::make_shared<entry::Entry>(
+                            process.Loop, process.Time, process.Events,
+                            toEntrySettings(process), std::move(source))) {}
 
 // The entry's connections belong to the loop's thread.
 EntryRole::~EntryRole() {
@@ -61,11 +60,24 @@
 
 void EntryRole::stop() {}
 
-void EntryRole::configure(std::shared_ptr<const config::Bundle> bundle,
-                          std::string /*text*/) {
+void EntryRole::configure(std::shared_ptr<const config::Bundle> bundle) {
   Work->configure(std::move(bundle));
 }
 
+void EntryRole::fetchBundle(
+    const core::InstanceId &peer,
+    std::function<void(core::Result<std::string>)> done) {
+  Process.Loop.post([work = Work, peer, done = std::move(done)] {
+    work->fetchBundle(peer,
+                      [done](const core::Result<rpc::BundleContent> &bundle) {
+                        if (bundle.ok())
+                          done(bundle->Content);
+                        else
+                          done(bundle.error());
+                      });
+  });
+}
+
 bool EntryRole::ready() const {
   return !Process.Leaving && Work->configuration() != nullptr;
 }
--- a/programs/cowslipridged/EntryRole.hpp
+++ b/programs/cowslipridged/EntryRole.hpp
@@ -10,7 +10,7 @@
 /// Runs an entry.
 class EntryRole final : public RoleService {
 public:
-  explicit EntryRole(ProcessContext &process);
+  EntryRole(ProcessContext &process, rpc::ConfigurationPort source);
   ~EntryRole() override;
 
   bool start() override;
@@ -18,8 +18,10 @@
   [[nodiscard]] bool idle() const override;
   void stop() override;
 
-  void configure(std::shared_ptr<const config::Bundle> bundle,
-                 std::string text) override;
+  void configure(std::shared_ptr<const config::Bundle> bundle) override;
+  void
+  fetchBundle(const core::InstanceId &peer,
+              std::function<void(core::Result<std::string>)> done) override;
   [[nodiscard]] bool ready() const override;
   void handle(http::Request message,
               std::shared_ptr<http::Responder> responder) override;
--- a/programs/cowslipridged/ListPoller.cpp
+++ b/programs/cowslipridged/ListPoller.cpp
@@ -9,8 +9,10 @@
 } // namespace
 
 ListPoller::ListPoller(ProcessContext &process,
-                       std::shared_ptr<RoleService> role)
+                       std::shared_ptr<RoleService> role,
+                       std::shared_ptr<ConfigurationService> configuration)
     : Process(process), Role(std::move(role)),
+      Configuration(std::move(configuration)),
       Stopped(std::make_shared<std::atomic<bool>>(false)) {}
 
 bool ListPoller::start() {
@@ -26,8 +28,10 @@
           core::Result<std::vector<platform::InstanceRecord>> records) {
         if (*stopped)
           return;
-        if (records.ok())
+        if (records.ok()) {
+          Configuration->setFleetSize(records->size());
           Role->takeList(std::move(records).value());
+        }
         Process.Loop.postAfter(PollInterval, [this, stopped] {
           if (!*stopped)
             poll();
--- a/programs/cowslipridged/ListPoller.hpp
+++ b/programs/cowslipridged/ListPoller.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ConfigurationService.hpp"
 #include "ProcessContext.hpp"
 #include "RoleService.hpp"
 
@@ -8,7 +9,8 @@
 /// Reads the instance list at intervals and hands it to the role.
 class ListPoller final : public kernel::Service {
 public:
-  ListPoller(ProcessContext &process, std::shared_ptr<RoleService> role);
+  ListPoller(ProcessContext &process, std::shared_ptr<RoleService> role,
+             std::shared_ptr<ConfigurationService> configuration);
 
   bool start() override;
   void stop() override;
@@ -18,6 +20,7 @@
 
   ProcessContext &Process;
   std::shared_ptr<RoleService> Role;
+  std::shared_ptr<ConfigurationService> Configuration;
   std::shared_ptr<std::atomic<bool>> Stopped;
 };
 
--- a/programs/cowslipridged/ProcessContext.cpp
+++ b/programs/cowslipridged/ProcessContext.cpp
@@ -1,5 +1,8 @@
 #include "ProcessContext.hpp"
 
+#include "cowslipridge/platform/ConsulInstanceList.hpp"
+#include "cowslipridge/platform/ConsulStore.hpp"
+
 #include <random>
 
 namespace cowslipridge::daemon {
@@ -9,6 +12,9 @@
 /// Events kept for the time line.
 constexpr std::size_t EventCapacity = 4'096;
 
+/// Longest wait for an answer of the platform's services.
+constexpr core::Millis PlatformTimeout{3'000};
+
 /// Random low bits tell starts within one millisecond apart.
 constexpr unsigned RandomBits = 10;
 
@@ -30,6 +36,10 @@
 
 ProcessContext::ProcessContext(config::DaemonSettings settings)
     : Settings(std::move(settings)), Start(newIncarnation(Time)),
-      Events(Time, Settings.Instance, Start, EventCapacity) {}
+      Counts(Settings.Instance, Settings.Domain),
+      Events(Time, Settings.Instance, Start, EventCapacity, &Counts),
+      Keys(platform::makeConsulStore(Settings.StoreAddress, PlatformTimeout)),
+      Instances(platform::makeConsulInstanceList(Settings.InstancesAddress,
+                                                 PlatformTimeout)) {}
 
 } // namespace cowslipridge::daemon
--- a/programs/cowslipridged/ProcessContext.hpp
+++ b/programs/cowslipridged/ProcessContext.hpp
@@ -4,6 +4,7 @@
 #include "cowslipridge/core/Clock.hpp"
 #include "cowslipridge/kernel/Kernel.hpp"
 #include "cowslipridge/observe/EventLog.hpp"
+#include "cowslipridge/observe/Metrics.hpp"
 #include "cowslipridge/platform/InstanceList.hpp"
 #include "cowslipridge/platform/Store.hpp"
 #include "cowslipridge/rpc/EventLoop.hpp"
@@ -21,6 +22,7 @@
   const config::DaemonSettings Settings;
   core::SystemClock Time;
   const core::Incarnation Start;
+  observe::Metrics Counts;
   observe::EventLog Events;
   std::shared_ptr<platform::Store> Keys;
   std::shared_ptr<platform::InstanceList> Instances;
--- a/programs/cowslipridged/RoleService.hpp
+++ b/programs/cowslipridged/RoleService.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "cowslipridge/config/Declaration.hpp"
+#include "cowslipridge/core/Result.hpp"
 #include "cowslipridge/http/Server.hpp"
 #include "cowslipridge/kernel/Kernel.hpp"
 #include "cowslipridge/platform/InstanceList.hpp"
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -15,8 +17,11 @@
 class RoleService : public kernel::Service {
 public:
   /// Puts a newer configuration in force. From any thread.
-  virtual void configure(std::shared_ptr<const config::Bundle> bundle,
-                         std::string text) = 0;
+  virtual void configure(std::shared_ptr<const config::Bundle> bundle) = 0;
+  /// Asks a peer for its configuration. From any thread.
+  virtual void
+  fetchBundle(const core::InstanceId &peer,
+              std::function<void(core::Result<std::string>)> done) = 0;
   /// True when work can be taken now. From any thread.
   [[nodiscard]] virtual bool ready() const = 0;
   /// A caller's request. From any thread.
--- a/programs/cowslipridged/SidecarRole.cpp
+++ b/programs/cowslipridged/SidecarRole.cpp
@@ -6,6 +6,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <future>
 
 namespace cowslipridge::daemon {
@@ -16,6 +17,8 @@
 constexpr core::Millis DrainNotice{500};
 /// Time to write out the journal at the end.
 constexpr std::chrono::seconds JournalCloseTimeout{30};
+/// A neighbour that is not listed for this long is taken over.
+constexpr core::Millis LostAfter{5'000};
 /// Longest silence of a runner within one answer.
 constexpr core::Millis RunnerSilence{120'000};
 
@@ -38,9 +41,11 @@
 
 } // namespace
 
-SidecarRole::SidecarRole(ProcessContext &process) : Process(process) {
+SidecarRole::SidecarRole(ProcessContext &process, rpc::ConfigurationPort source)
+    : Process(process) {
   Work = std::make_shared<sidecar::Sidecar>(
       Process.Loop, Process.Time, Process.Events, toSidecarSettings(Process),
+      std::move(source),
       [this](const config::ServiceDeclaration &service) {
         return openJournal(service);
       },
@@ -113,14 +118,19 @@
   Port->close();
 }
 
-void SidecarRole::configure(std::shared_ptr<const config::Bundle> bundle,
-                            std::string text) {
-  Process.Loop.post([work = Work, bundle = std::move(bundle),
-                     text = std::move(text)]() mutable {
-    work->configure(std::move(bundle), std::move(text));
+void SidecarRole::configure(std::shared_ptr<const config::Bundle> bundle) {
+  Process.Loop.post([work = Work, bundle = std::move(bundle)]() mutable {
+    work->configure(std::move(bundle));
   });
 }
 
+// A sidecar connects to no peer; entries that are ahead hand over.
+void SidecarRole::fetchBundle(
+    const core::InstanceId & /*peer*/,
+    std::function<void(core::Result<std::string>)> done) {
+  done(core::Errc::NoRunner);
+}
+
 bool SidecarRole::ready() const { return !Process.Leaving && JournalOpen; }
 
 // A sidecar takes no callers.
@@ -133,7 +143,42 @@
   responder->respond(http::makeProblem(problem));
 }
 
-void SidecarRole::takeList(std::vector<platform::InstanceRecord> /*records*/) {}
+void SidecarRole::takeList(std::vector<platform::InstanceRecord> records) {
+  Process.Loop.post([this, records = std::move(records)] {
+    const auto journal = Work->journal();
+    if (!journal)
+      return;
+    const auto sidecars =
+        std::count_if(records.begin(), records.end(), [](const auto &x) {
+          return x.Kind == platform::Role::Sidecar;
+        });
+    journal->setFleetSize(std::max<std::size_t>(1, sidecars));
+    takeOverLost(*journal, records);
+  });
+}
+
+// A sidecar of the same service that has left the list for good may be dead.
+// Sealing its journal is safe even if it is not.
+void SidecarRole::takeOverLost(
+    ledger::Ledger &journal,
+    const std::vector<platform::InstanceRecord> &records) {
+  const core::Millis now = Process.Time.monotonic();
+  for (const platform::InstanceRecord &it : records) {
+    const bool same = it.Kind == platform::Role::Sidecar &&
+                      it.Service == Process.Settings.Runner->Service &&
+                      it.Name != Process.Settings.Instance;
+    if (same)
+      Neighbours[it.Name] = now;
+  }
+  for (auto it = Neighbours.begin(); it != Neighbours.end();) {
+    if (now - it->second < LostAfter) {
+      ++it;
+      continue;
+    }
+    journal.takeOver(it->first, [](std::error_code) {});
+    it = Neighbours.erase(it);
+  }
+}
 
 std::string SidecarRole::statusJson() {
   rpc::PeerStatus now;
--- a/programs/cowslipridged/SidecarRole.hpp
+++ b/programs/cowslipridged/SidecarRole.hpp
@@ -12,7 +12,7 @@
 /// in the same slot.
 class SidecarRole final : public RoleService {
 public:
-  explicit SidecarRole(ProcessContext &process);
+  SidecarRole(ProcessContext &process, rpc::ConfigurationPort source);
   ~SidecarRole() override;
 
   bool start() override;
@@ -20,8 +20,10 @@
   [[nodiscard]] bool idle() const override;
   void stop() override;
 
-  void configure(std::shared_ptr<const config::Bundle> bundle,
-                 std::string text) override;
+  void configure(std::shared_ptr<const config::Bundle> bundle) override;
+  void
+  fetchBundle(const core::InstanceId &peer,
+              std::function<void(core::Result<std::string>)> done) override;
   [[nodiscard]] bool ready() const override;
   void handle(http::Request message,
               std::shared_ptr<http::Responder> responder) override;
@@ -35,7 +37,12 @@
   openJournal(const config::ServiceDeclaration &service);
   std::shared_ptr<runner::Runner> makeRunner(config::ServiceKind kind);
 
+  void takeOverLost(ledger::Ledger &journal,
+                    const std::vector<platform::InstanceRecord> &records);
+
   ProcessContext &Process;
+  /// Sidecars of the same service, and when they were last listed.
+  std::map<core::InstanceId, core::Millis> Neighbours;
   std::shared_ptr<sidecar::Sidecar> Work;
   std::unique_ptr<rpc::Server> Port;
   std::atomic<bool> JournalOpen = false;
--- a/programs/cowslipridged/main.cpp
+++ b/programs/cowslipridged/main.cpp
@@ -1,6 +1,7 @@
 // The daemon: one process, an entry or a sidecar.
 
 #include "AdminPages.hpp"
+#include "ConfigurationService.hpp"
 #include "EntryRole.hpp"
 #include "ListPoller.hpp"
 #include "ProcessContext.hpp"
@@ -52,18 +53,23 @@
   return signals;
 }
 
-std::shared_ptr<RoleService> makeRole(ProcessContext &process) {
+std::shared_ptr<RoleService> makeRole(ProcessContext &process,
+                                      rpc::ConfigurationPort source) {
   if (process.Settings.Role == config::DaemonRole::Entry)
-    return std::make_shared<EntryRole>(process);
-  return std::make_shared<SidecarRole>(process);
+    return std::make_shared<EntryRole>(process, std::move(source));
+  return std::make_shared<SidecarRole>(process, std::move(source));
 }
 
+// The role starts first, because its port excludes a second sidecar.
 void provideServices(kernel::Kernel &kernel, ProcessContext &process) {
-  const std::shared_ptr<RoleService> role = makeRole(process);
+  const auto configuration = std::make_shared<ConfigurationService>(process);
+  const auto role = makeRole(process, configuration->port());
+  configuration->setRole(role);
   kernel.provide(services::Role, role);
+  kernel.provide(services::Configuration, configuration);
   kernel.provide(services::Http, std::make_shared<AdminPages>(process, role));
   kernel.provide(services::Members,
-                 std::make_shared<ListPoller>(process, role));
+                 std::make_shared<ListPoller>(process, role, configuration));
   kernel.provide(services::Registration,
                  std::make_shared<Registration>(process));
 }
--- a/src/cowslipridge/entry/Entry.cpp
+++ b/src/cowslipridge/entry/Entry.cpp
@@ -1,7 +1,5 @@
 #include "cowslipridge/entry/Entry.hpp"
 
-#include "cowslipridge/config/BundleCodec.hpp"
-
 namespace cowslipridge::entry {
 
 using core::Errc;
@@ -24,26 +22,33 @@
 } // namespace
 
 Entry::Entry(rpc::EventLoop &loop, const core::Clock &time,
-             observe::EventLog &events, const EntrySettings &settings)
-    : Context{loop,
-              time,
-              events,
-              settings,
-              session::TokenSealer(settings.SessionKey),
-              std::make_shared<Fleet>(
-                  loop, time, events,
-                  FleetSettings{settings.Instance, settings.FleetKey}),
-              route::Planner(settings.Seed),
-              route::RunnerChooser(settings.Seed + 1),
-              limits::RetryBudget({}),
-              {},
-              ExplainLog(settings.MaxExplanations),
-              {},
-              {},
-              {}} {
+             observe::EventLog &events, const EntrySettings &settings,
+             rpc::ConfigurationPort source)
+    : Source(std::move(source)), Context{
+                                     loop,
+                                     time,
+                                     events,
+                                     settings,
+                                     session::TokenSealer(settings.SessionKey),
+                                     std::make_shared<Fleet>(
+                                         loop, time, events,
+                                         FleetSettings{settings.Instance,
+                                                       settings.FleetKey}),
+                                     route::Planner(settings.Seed),
+                                     route::RunnerChooser(settings.Seed + 1),
+                                     limits::RetryBudget({}),
+                                     {},
+                                     ExplainLog(settings.MaxExplanations),
+                                     {},
+                                     {},
+                                     {},
+                                     false} {
   Context.Peers->setOwnStatus(
       [this](const core::InstanceId &peer) { return statusFor(peer); });
-  Context.Peers->onStatus([this](const rpc::PeerStatus &it) { hear(it); });
+  Context.Peers->onStatus(
+      [this](const rpc::PeerStatus &it, core::Millis sentAfter) {
+        hear(it, sentAfter);
+      });
   Context.Peers->onSuspect([this](const core::InstanceId &sidecar) {
     const std::set<std::shared_ptr<RequestFlow>> flows = Flows;
     for (const auto &it : flows)
@@ -54,14 +59,9 @@
 Entry::~Entry() = default;
 
 void Entry::configure(std::shared_ptr<const config::Bundle> bundle) {
-  {
-    const std::lock_guard lock(ConfigurationGuard);
-    if (Configuration && bundle->Number <= Configuration->Number)
-      return;
+  const std::lock_guard lock(ConfigurationGuard);
+  if (!Configuration || bundle->Number > Configuration->Number)
     Configuration = std::move(bundle);
-    Context.Events.setGeneration(Configuration->Number);
-  }
-  Context.Events.report(observe::EventNumber::ConfigurationInForce, {});
 }
 
 std::shared_ptr<const config::Bundle> Entry::configuration() const {
@@ -110,6 +110,7 @@
     return;
   }
   dropOldCutOffs(request.Configuration->Number);
+  Context.ConfigurationIsStale = Source.State().Stale;
   const auto slot = std::make_shared<std::weak_ptr<RequestFlow>>();
   auto flow = std::make_shared<RequestFlow>(Context, std::move(request),
                                             std::move(responder), arrivedAt,
@@ -129,6 +130,7 @@
   status.Leaving = Leaving;
   if (const auto bundle = configuration())
     status.Configuration = bundle->Number;
+  status.ConfigurationAge = Source.State().Age;
   status.Evidence = Spread.take(peer, EvidencePerMessage);
   if (CutOffsOf == status.Configuration) {
     for (const auto &[key, notice] : CutOffs)
@@ -137,8 +139,9 @@
   return status;
 }
 
-void Entry::hear(const rpc::PeerStatus &status) {
-  compareGenerations(status);
+void Entry::hear(const rpc::PeerStatus &status, core::Millis sentAfter) {
+  Source.OnPeer(status, sentAfter);
+  offerIfBehind(status);
   for (const rollout::EvidenceRecord &it : status.Evidence) {
     if (Evidence.merge(it))
       Spread.add({it});
@@ -151,51 +154,30 @@
   }
 }
 
-// Whoever is ahead hands the newer configuration over.
-void Entry::compareGenerations(const rpc::PeerStatus &status) {
-  const auto bundle = configuration();
-  const core::Generation own = bundle ? bundle->Number : core::Generation();
-  if (status.Configuration > own)
-    pullFrom(status.Instance);
-  else if (status.Configuration < own)
-    offerTo(status.Instance, bundle);
-}
-
-void Entry::pullFrom(const core::InstanceId &peer) {
-  rpc::PeerClient *client = Context.Peers->client(peer);
-  if (client == nullptr || Pulling)
-    return;
-  Pulling = true;
-  client->fetchBundle(
-      BundleTimeout,
-      [weak = weak_from_this()](const core::Result<rpc::BundleContent> &it) {
-        const auto self = weak.lock();
-        if (!self)
-          return;
-        self->Pulling = false;
-        if (!it.ok())
-          return;
-        auto decoded = config::decodeBundle(it->Content);
-        if (decoded.ok())
-          self->configure(std::make_shared<const config::Bundle>(
-              std::move(decoded).value()));
-      });
-}
-
-void Entry::offerTo(const core::InstanceId &peer,
-                    const std::shared_ptr<const config::Bundle> &bundle) {
-  rpc::PeerClient *client = Context.Peers->client(peer);
-  if (client == nullptr || !Offering.insert(peer).second)
+// A sidecar cannot call its entries, so an entry that is ahead hands over.
+void Entry::offerIfBehind(const rpc::PeerStatus &status) {
+  rpc::PeerClient *client = Context.Peers->client(status.Instance);
+  if (client == nullptr || status.Configuration >= Source.State().Number ||
+      !Offering.insert(status.Instance).second)
     return;
-  client->offerBundle({bundle->Number, config::encodeBundle(*bundle)},
-                      BundleTimeout,
-                      [weak = weak_from_this(),
-                       peer](const core::Result<core::Generation> & /*it*/) {
+  client->offerBundle(Source.Bundle(), BundleTimeout,
+                      [weak = weak_from_this(), peer = status.Instance](
+                          const core::Result<core::Generation> & /*inForce*/) {
                         if (const auto self = weak.lock())
                           self->Offering.erase(peer);
                       });
 }
 
+void Entry::fetchBundle(
+    const core::InstanceId &peer,
+    std::function<void(core::Result<rpc::BundleContent>)> done) {
+  rpc::PeerClient *client = Context.Peers->client(peer);
+  if (client == nullptr)
+    done(Errc::NoRunner);
+  else
+    client->fetchBundle(BundleTimeout, std::move(done));
+}
+
 // Cut-offs hold within one generation: a newer configuration clears them.
 void Entry::dropOldCutOffs(core::Generation current) {
   if (CutOffsOf == current)
--- a/src/cowslipridge/entry/Entry.hpp
+++ b/src/cowslipridge/entry/Entry.hpp
@@ -4,6 +4,7 @@
 #include "cowslipridge/entry/RequestFlow.hpp"
 #include "cowslipridge/http/Server.hpp"
 #include "cowslipridge/rollout/Evidence.hpp"
+#include "cowslipridge/rpc/ConfigurationPort.hpp"
 #include "cowslipridge/rpc/EvidenceFeed.hpp"
 
 #include <functional>
@@ -20,7 +21,8 @@
 class Entry final : public std::enable_shared_from_this<Entry> {
 public:
   Entry(rpc::EventLoop &loop, const core::Clock &time,
-        observe::EventLog &events, const EntrySettings &settings);
+        observe::EventLog &events, const EntrySettings &settings,
+        rpc::ConfigurationPort source);
   ~Entry();
 
   /// Puts a newer configuration in force; older ones are ignored. From any
@@ -29,6 +31,9 @@
   [[nodiscard]] std::shared_ptr<const config::Bundle> configuration() const;
   /// The share of requests that a service's trial version gets now.
   void setTrialShare(const core::ServiceId &service, double share);
+  /// Asks a sidecar for its configuration.
+  void fetchBundle(const core::InstanceId &peer,
+                   std::function<void(core::Result<rpc::BundleContent>)> done);
   void startTicking();
   /// Refuses new requests; those in flight go on.
   void drain();
@@ -47,14 +52,12 @@
   void begin(CallerRequest request, std::shared_ptr<http::Responder> responder,
              core::Millis arrivedAt);
   rpc::PeerStatus statusFor(const core::InstanceId &peer);
-  void hear(const rpc::PeerStatus &status);
-  void compareGenerations(const rpc::PeerStatus &status);
-  void pullFrom(const core::InstanceId &peer);
-  void offerTo(const core::InstanceId &peer,
-               const std::shared_ptr<const config::Bundle> &bundle);
+  void hear(const rpc::PeerStatus &status, core::Millis sentAfter);
+  void offerIfBehind(const rpc::PeerStatus &status);
   void dropOldCutOffs(core::Generation current);
   void takeCutOff(const rpc::CutOffNotice &notice);
 
+  const rpc::ConfigurationPort Source;
   EntryContext Context;
   std::set<std::shared_ptr<RequestFlow>> Flows;
   bool Leaving = false;
@@ -62,7 +65,6 @@
   rpc::EvidenceFeed Spread;
   std::map<route::CutOffKey, rpc::CutOffNotice> CutOffs; ///< in force
   core::Generation CutOffsOf; ///< the generation they hold in
-  bool Pulling = false;
   std::set<core::InstanceId> Offering;
   mutable std::mutex ConfigurationGuard;
   std::shared_ptr<const config::Bundle> Configuration;
--- a/src/cowslipridge/entry/EntryContext.hpp
+++ b/src/cowslipridge/entry/EntryContext.hpp
@@ -46,6 +46,9 @@
   OwnerCache Owners;
   /// Share of requests that each service's trial version gets now.
   std::map<core::ServiceId, double> TrialShares;
+  /// Nothing has confirmed the configuration lately: no session is started on
+  /// a version under trial.
+  bool ConfigurationIsStale = false;
 
   [[nodiscard]] core::Millis now() const { return Time.monotonic(); }
 };
--- a/src/cowslipridge/entry/Fleet.cpp
+++ b/src/cowslipridge/entry/Fleet.cpp
@@ -27,8 +27,8 @@
   return OwnStatus ? OwnStatus(peer) : rpc::PeerStatus();
 }
 
-void Fleet::onStatus(std::function<void(const rpc::PeerStatus &)> listener) {
-  StatusListener = std::move(listener);
+void Fleet::onStatus(StatusListener listener) {
+  Listener = std::move(listener);
 }
 
 void Fleet::onSuspect(std::function<void(const core::InstanceId &)> listener) {
@@ -91,18 +91,20 @@
   const auto it = Peers.find(name);
   if (it == Peers.end() || !OwnStatus)
     return;
+  const core::Millis askedAt = Time.monotonic();
   it->second.Client->exchange(OwnStatus(name), Settings.ProbeTimeout,
-                              [weak = weak_from_this(), name](
+                              [weak = weak_from_this(), name, askedAt](
                                   const core::Result<rpc::PeerStatus> &reply) {
                                 const auto self = weak.lock();
                                 if (self && reply.ok())
-                                  self->hear(name, *reply);
+                                  self->hear(name, *reply, askedAt);
                                 else if (self)
                                   self->fail(name);
                               });
 }
 
-void Fleet::hear(const core::InstanceId &name, const rpc::PeerStatus &status) {
+void Fleet::hear(const core::InstanceId &name, const rpc::PeerStatus &status,
+                 core::Millis sentAfter) {
   const core::Millis now = Time.monotonic();
   Members.onReply(name, status.Start, status.Leaving, now);
   const auto it = Peers.find(name);
@@ -111,8 +113,8 @@
     it->second.HeardAt = now;
     it->second.SentSince = 0;
   }
-  if (StatusListener)
-    StatusListener(status);
+  if (Listener)
+    Listener(status, sentAfter);
 }
 
 void Fleet::fail(const core::InstanceId &name) {
@@ -159,11 +161,11 @@
     ++it->second.SentSince;
 }
 
-void Fleet::onEnded(const core::InstanceId &name,
-                    const rpc::RunResult &result) {
+void Fleet::onEnded(const core::InstanceId &name, const rpc::RunResult &result,
+                    core::Millis sentAt) {
   // Only a result that the sidecar itself sent carries its name.
   if (!result.Callee.Instance.empty())
-    hear(name, result.Callee);
+    hear(name, result.Callee, sentAt);
   else
     fail(name);
 }
--- a/src/cowslipridge/entry/Fleet.hpp
+++ b/src/cowslipridge/entry/Fleet.hpp
@@ -25,6 +25,10 @@
 using OwnStatusSource =
     std::function<rpc::PeerStatus(const core::InstanceId &peer)>;
 
+/// Hears each status of a sidecar, which was sent after `sentAfter`.
+using StatusListener =
+    std::function<void(const rpc::PeerStatus &status, core::Millis sentAfter)>;
+
 /// The sidecars that this entry knows: connections and last status of each.
 /// Belongs to the loop's thread.
 class Fleet final : public std::enable_shared_from_this<Fleet> {
@@ -38,7 +42,7 @@
   [[nodiscard]] rpc::PeerStatus
   ownStatusFor(const core::InstanceId &peer) const;
   /// Called with each status that a sidecar sends.
-  void onStatus(std::function<void(const rpc::PeerStatus &)> listener);
+  void onStatus(StatusListener listener);
   /// Called when a sidecar is suspected to be dead or frozen.
   void onSuspect(std::function<void(const core::InstanceId &)> listener);
   void startTicking();
@@ -55,7 +59,8 @@
 
   /// A request was sent to a sidecar, and its answer ended.
   void onSent(const core::InstanceId &name);
-  void onEnded(const core::InstanceId &name, const rpc::RunResult &result);
+  void onEnded(const core::InstanceId &name, const rpc::RunResult &result,
+               core::Millis sentAt);
 
 private:
   struct Peer {
@@ -68,7 +73,8 @@
   void apply(const membership::DirectoryActions &actions);
   void connect(const platform::InstanceRecord &record);
   void probe(const core::InstanceId &name);
-  void hear(const core::InstanceId &name, const rpc::PeerStatus &status);
+  void hear(const core::InstanceId &name, const rpc::PeerStatus &status,
+            core::Millis sentAfter);
   void fail(const core::InstanceId &name);
   void tick();
 
@@ -79,7 +85,7 @@
   membership::Directory Members;
   std::map<core::InstanceId, Peer> Peers;
   OwnStatusSource OwnStatus;
-  std::function<void(const rpc::PeerStatus &)> StatusListener;
+  StatusListener Listener;
   std::function<void(const core::InstanceId &)> SuspectListener;
 };
 
--- a/src/cowslipridge/entry/RequestFlow.cpp
+++ b/src/cowslipridge/entry/RequestFlow.cpp
@@ -94,6 +94,8 @@
   Facts.Remaining = remaining();
   route::CutOffSet barred = Context.CutOffs;
   barred.insert(Avoided.begin(), Avoided.end());
+  if (Context.ConfigurationIsStale && !SessionIsPinned)
+    barTrials(barred);
   const auto share = Context.TrialShares.find(Request.Service);
   const route::Plan chosen = Context.Plans.plan(
       Facts, Request.service(), barred,
@@ -111,6 +113,13 @@
              chosen);
 }
 
+void RequestFlow::barTrials(route::CutOffSet &barred) const {
+  for (const config::VersionDeclaration &it : Request.service().Versions) {
+    if (it.State == config::VersionState::Trial)
+      barred.insert({Request.Service, it.Name, {}});
+  }
+}
+
 void RequestFlow::begin(Part part, const core::VersionId &version) {
   Running = part;
   Version = version;
@@ -216,7 +225,7 @@
 
 void RequestFlow::onEnd(const rpc::RunResult &result) {
   Call.reset();
-  Context.Peers->onEnded(Sidecar, result);
+  Context.Peers->onEnded(Sidecar, result, SentAt);
   learnFrom(result);
   if (result.Error)
     recover(result);
--- a/src/cowslipridge/entry/RequestFlow.hpp
+++ b/src/cowslipridge/entry/RequestFlow.hpp
@@ -33,6 +33,7 @@
 
   bool openSession();
   void plan();
+  void barTrials(route::CutOffSet &barred) const;
   void begin(Part part, const core::VersionId &version);
   void attempt();
   void send(const core::InstanceId &sidecar);
--- a/src/cowslipridge/rpc/Codec.cpp
+++ b/src/cowslipridge/rpc/Codec.cpp
@@ -136,6 +136,7 @@
   out.setInstance(status.Instance.str());
   out.setIncarnation(status.Start.value());
   out.setGeneration(status.Configuration.value());
+  out.setGenerationAgeMs(toWire32(status.ConfigurationAge));
   out.setLeaving(status.Leaving);
   out.setInFlight(status.InFlight);
   out.setQueued(status.Queued);
@@ -161,6 +162,7 @@
   status.Instance = core::InstanceId(toString(in.getInstance()));
   status.Start = core::Incarnation(in.getIncarnation());
   status.Configuration = core::Generation(in.getGeneration());
+  status.ConfigurationAge = core::Millis(in.getGenerationAgeMs());
   status.Leaving = in.getLeaving();
   status.InFlight = in.getInFlight();
   status.Queued = in.getQueued();
--- a/src/cowslipridge/rpc/Messages.hpp
+++ b/src/cowslipridge/rpc/Messages.hpp
@@ -26,6 +26,7 @@
   core::InstanceId Instance;
   core::Incarnation Start;
   core::Generation Configuration;
+  core::Millis ConfigurationAge; ///< since it was known to be the newest
   bool Leaving = false;
   unsigned InFlight = 0;
   unsigned Queued = 0;
--- a/src/cowslipridge/rpc/PeerClient.cpp
+++ b/src/cowslipridge/rpc/PeerClient.cpp
@@ -258,6 +258,7 @@
   Internals->ask<core::Generation>(
       [&](wire::Peer::Client &peer) {
         auto request = peer.offerBundleRequest();
+        request.setSender(Internals->Settings.Self.str());
         request.setGeneration(content.Number.value());
         request.setContent(toData(content.Content));
         return request.send();
--- a/src/cowslipridge/rpc/Server.cpp
+++ b/src/cowslipridge/rpc/Server.cpp
@@ -61,9 +61,11 @@
 
   kj::Promise<void> offerBundle(OfferBundleContext context) override {
     auto params = context.getParams();
-    const rpc::BundleContent content{core::Generation(params.getGeneration()),
-                                     toString(params.getContent())};
-    context.getResults().setGeneration(Handler->offerBundle(content).value());
+    const core::InstanceId sender(params.getSender().cStr());
+    const core::Generation inForce =
+        Handler->offerBundle(sender, {core::Generation(params.getGeneration()),
+                                      toString(params.getContent())});
+    context.getResults().setGeneration(inForce.value());
     return kj::READY_NOW;
   }
 
--- a/src/cowslipridge/rpc/Server.hpp
+++ b/src/cowslipridge/rpc/Server.hpp
@@ -41,7 +41,8 @@
   virtual PeerStatus exchange(const PeerStatus &status) = 0;
   virtual BundleContent bundle() = 0;
   /// Takes a newer bundle; returns the generation in force afterwards.
-  virtual core::Generation offerBundle(const BundleContent &content) = 0;
+  virtual core::Generation offerBundle(const core::InstanceId &sender,
+                                       BundleContent content) = 0;
   /// Takes bill lines over; returns how many were accepted.
   virtual unsigned deliverBills(const std::vector<std::string> &lines) = 0;
 };
--- a/src/cowslipridge/rpc/schema/Fleet.capnp
+++ b/src/cowslipridge/rpc/schema/Fleet.capnp
@@ -45,6 +45,7 @@
   predictedWaitMs @7 :UInt32;
   evidence @8 :List(Evidence);
   cutOffs @9 :List(CutOff);
+  generationAgeMs @11 :UInt32; # since the generation was known to be newest
   grades @10 :List(Grade);  # of answers that the receiver asked for
 }
 
@@ -118,7 +119,8 @@
   deliverBills @3 (lines :List(Data)) -> (accepted :UInt32);
   # Hands a newer bundle to a callee that is behind; returns the generation
   # in force there afterwards.
-  offerBundle @4 (generation :UInt64, content :Data) -> (generation :UInt64);
+  offerBundle @4 (sender :Text, generation :UInt64, content :Data)
+      -> (generation :UInt64);
 }
 
 # Bootstrap capability: gives a Peer only to a caller that proves the fleet
--- a/src/cowslipridge/sidecar/RunFlow.cpp
+++ b/src/cowslipridge/sidecar/RunFlow.cpp
@@ -18,6 +18,9 @@
 /// Time to come back to a trial version whose exposure credits are spent.
 constexpr core::Millis ExposureRetryAfter{1'000};
 
+/// Time to come back when the journal cannot be written.
+constexpr core::Millis StoreRetryAfter{1'000};
+
 /// Part of the newest observation in the moving mean of run times.
 constexpr std::int64_t MeanWorkDivisor = 8;
 
@@ -54,7 +57,9 @@
     refuseUnadmitted();
     return;
   }
-  if (mustClaim())
+  if (!Context.Journal->hasRoom())
+    refuse(Errc::StoreUnavailable, StoreRetryAfter);
+  else if (mustClaim())
     claim();
   else
     run();
@@ -109,6 +114,10 @@
 
 // Answers a retry with what the first attempt came to.
 void RunFlow::replay(const ledger::ClaimOutcome &earlier) {
+  if (earlier.Result == Outcome::NotRun) {
+    refuse(Errc::StoreUnavailable, StoreRetryAfter);
+    return;
+  }
   Context.Events.report(observe::EventNumber::RunReplayed,
                         {Request.Request, Request.Version, {}, {}});
   rpc::RunResult result;
--- a/src/cowslipridge/sidecar/Sidecar.cpp
+++ b/src/cowslipridge/sidecar/Sidecar.cpp
@@ -1,6 +1,5 @@
 #include "cowslipridge/sidecar/Sidecar.hpp"
 
-#include "cowslipridge/config/BundleCodec.hpp"
 #include "cowslipridge/core/Visit.hpp"
 #include "cowslipridge/sidecar/RequestChecks.hpp"
 
@@ -35,13 +34,13 @@
 
 Sidecar::Sidecar(rpc::EventLoop &loop, const core::Clock &time,
                  observe::EventLog &events, SidecarSettings settings,
-                 OpenJournal openJournal, OpenRunner openRunner)
-    : Context{loop,    time,    events, std::move(settings),
-              nullptr, nullptr, {},     nullptr,
-              nullptr, nullptr, false,  false,
-              {}},
-      MakeJournal(std::move(openJournal)), MakeRunner(std::move(openRunner)),
-      Pauses(Context.Settings.PauseLimit) {
+                 rpc::ConfigurationPort source, OpenJournal openJournal,
+                 OpenRunner openRunner)
+    : Context{loop,    time,    events,  std::move(settings),
+              nullptr, nullptr, nullptr, nullptr,
+              nullptr, false,   false,   {}},
+      Source(std::move(source)), MakeJournal(std::move(openJournal)),
+      MakeRunner(std::move(openRunner)), Pauses(Context.Settings.PauseLimit) {
   const rollout::EvidenceSource self{Context.Settings.Instance,
                                      Context.Settings.Start};
   Context.Guard = std::make_unique<rollout::ExposureGuard>(
@@ -50,14 +49,10 @@
 
 Sidecar::~Sidecar() = default;
 
-void Sidecar::configure(std::shared_ptr<const config::Bundle> bundle,
-                        std::string text) {
+void Sidecar::configure(std::shared_ptr<const config::Bundle> bundle) {
   if (Context.Configuration && bundle->Number <= Context.Configuration->Number)
     return;
   Context.Configuration = std::move(bundle);
-  Context.ConfigurationText = std::move(text);
-  Context.Events.setGeneration(Context.Configuration->Number);
-  Context.Events.report(observe::EventNumber::ConfigurationInForce, {});
   const config::ServiceDeclaration *service = Context.service();
   if (service == nullptr)
     return;
@@ -76,10 +71,6 @@
   Context.Journal = MakeJournal(service);
 }
 
-void Sidecar::onBehind(std::function<void(core::Generation)> listener) {
-  BehindListener = std::move(listener);
-}
-
 void Sidecar::onRollout(
     std::function<void(const rollout::RolloutActions &)> listener) {
   RolloutListener = std::move(listener);
@@ -224,8 +215,7 @@
   const core::Generation own = Context.Configuration
                                    ? Context.Configuration->Number
                                    : core::Generation();
-  if (status.Configuration > own && BehindListener)
-    BehindListener(status.Configuration);
+  Source.OnPeer(status, Context.now());
   for (const rollout::EvidenceRecord &it : status.Evidence)
     report(Context.Guard->onEvidence(it, Context.now()));
   for (const rpc::CutOffNotice &it : status.CutOffs) {
@@ -241,6 +231,7 @@
   status.Leaving = Context.Leaving;
   if (Context.Configuration)
     status.Configuration = Context.Configuration->Number;
+  status.ConfigurationAge = Source.State().Age;
   if (Context.Door) {
     status.InFlight = Context.Door->inFlight();
     status.Queued = Context.Door->queued();
@@ -265,23 +256,12 @@
   return statusFor(status.Instance);
 }
 
-rpc::BundleContent Sidecar::bundle() {
-  if (!Context.Configuration)
-    return {};
-  return {Context.Configuration->Number, Context.ConfigurationText};
-}
+rpc::BundleContent Sidecar::bundle() { return Source.Bundle(); }
 
-core::Generation Sidecar::offerBundle(const rpc::BundleContent &content) {
-  core::Result<config::Bundle> decoded = config::decodeBundle(content.Content);
-  if (decoded.ok())
-    configure(
-        std::make_shared<const config::Bundle>(std::move(decoded).value()),
-        content.Content);
-  else
-    Context.Events.report(observe::EventNumber::ConfigurationRefused,
-                          {{}, {}, {}, "the bundle of a peer"});
-  return Context.Configuration ? Context.Configuration->Number
-                               : core::Generation();
+core::Generation Sidecar::offerBundle(const core::InstanceId &sender,
+                                      rpc::BundleContent content) {
+  Source.OnOffer(sender, std::move(content));
+  return Source.State().Number;
 }
 
 unsigned Sidecar::deliverBills(const std::vector<std::string> & /*lines*/) {
--- a/src/cowslipridge/sidecar/Sidecar.hpp
+++ b/src/cowslipridge/sidecar/Sidecar.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cowslipridge/rpc/ConfigurationPort.hpp"
 #include "cowslipridge/rpc/EvidenceFeed.hpp"
 #include "cowslipridge/rpc/Server.hpp"
 #include "cowslipridge/sidecar/GradeOutbox.hpp"
@@ -24,15 +25,12 @@
 public:
   Sidecar(rpc::EventLoop &loop, const core::Clock &time,
           observe::EventLog &events, SidecarSettings settings,
-          OpenJournal openJournal, OpenRunner openRunner);
+          rpc::ConfigurationPort source, OpenJournal openJournal,
+          OpenRunner openRunner);
   ~Sidecar() override;
 
-  /// Puts a newer configuration in force; older ones are ignored. `text` is
-  /// what peers that are behind are given.
-  void configure(std::shared_ptr<const config::Bundle> bundle,
-                 std::string text);
-  /// Called when a sender's configuration is newer than this one's.
-  void onBehind(std::function<void(core::Generation)> listener);
+  /// Puts a newer configuration in force; older ones are ignored.
+  void configure(std::shared_ptr<const config::Bundle> bundle);
   /// Starts the regular work: deadlines in the queue, pause detection.
   void startTicking();
   /// Says in every reply that this instance is leaving; work is still taken.
@@ -54,7 +52,8 @@
   run(rpc::RunRequest request, std::shared_ptr<rpc::AnswerSink> sink) override;
   rpc::PeerStatus exchange(const rpc::PeerStatus &status) override;
   rpc::BundleContent bundle() override;
-  core::Generation offerBundle(const rpc::BundleContent &content) override;
+  core::Generation offerBundle(const core::InstanceId &sender,
+                               rpc::BundleContent content) override;
   unsigned deliverBills(const std::vector<std::string> &lines) override;
 
   // FlowOwner
@@ -73,9 +72,9 @@
                                  std::shared_ptr<rpc::AnswerSink> sink);
 
   SidecarContext Context;
+  const rpc::ConfigurationPort Source;
   OpenJournal MakeJournal;
   OpenRunner MakeRunner;
-  std::function<void(core::Generation)> BehindListener;
   std::function<void(const rollout::RolloutActions &)> RolloutListener;
   PauseDetector Pauses;
   rpc::EvidenceFeed Spread;
--- a/src/cowslipridge/sidecar/SidecarContext.hpp
+++ b/src/cowslipridge/sidecar/SidecarContext.hpp
@@ -43,7 +43,6 @@
   // Set with the first configuration.
   std::shared_ptr<runner::Runner> Backend;
   std::shared_ptr<const config::Bundle> Configuration;
-  std::string ConfigurationText;
   std::shared_ptr<ledger::Ledger> Journal;
   std::unique_ptr<limits::Admission> Door;
 
--- a/tests/unit/rpc/RpcHarness.cpp
+++ b/tests/unit/rpc/RpcHarness.cpp
@@ -31,7 +31,9 @@
 
 BundleContent ScriptedHandler::bundle() { return {core::Generation(7), "{}"}; }
 
-core::Generation ScriptedHandler::offerBundle(const BundleContent &content) {
+core::Generation
+ScriptedHandler::offerBundle(const core::InstanceId & /*sender*/,
+                             BundleContent content) {
   return content.Number;
 }
 
--- a/tests/unit/rpc/RpcHarness.hpp
+++ b/tests/unit/rpc/RpcHarness.hpp
@@ -22,7 +22,8 @@
                                   std::shared_ptr<AnswerSink> sink) override;
   PeerStatus exchange(const PeerStatus &status) override;
   BundleContent bundle() override;
-  core::Generation offerBundle(const BundleContent &content) override;
+  core::Generation offerBundle(const core::InstanceId &sender,
+                               BundleContent content) override;
   unsigned deliverBills(const std::vector<std::string> &lines) override;
 
   unsigned abandoned() const;
