--- a/src/cowslipridge/rpc/PeerClient.cpp
+++ b/src/cowslipridge/rpc/PeerClient.cpp
@@ -124,9 +124,10 @@
           facts.Role = ProofRole::Callee;
           facts.CallerNonce = nonce;
           facts.CalleeNonce = toString(response.getCalleeNonce());
-          KJ_REQUIRE(
-              isProof(Settings.FleetKey, facts, toString(response.getProof())),
-              "the peer does not prove the fleet key");
+          const std::string proof = toString(response.getProof());
+          if (!isProof(Settings.FleetKey, facts, proof))
+            kj::throwFatalException(
+                KJ_EXCEPTION(FAILED, "the peer does not prove the fleet key"));
           facts.Role = ProofRole::Caller;
           facts.Instance = Settings.Self.str();
           return login(gate, facts);
--- a/tests/unit/runner/EngineRunnerTest.cpp
+++ b/tests/unit/runner/EngineRunnerTest.cpp
@@ -75,7 +75,7 @@
   return end->get();
 }
 
-http::Handler streams(std::vector<std::string> events) {
+http::Handler streams(const std::vector<std::string> &events) {
   return [events](const http::Request &,
                   const std::shared_ptr<http::Responder> &responder) {
     responder->start(200, {{"Content-Type", "text/event-stream"}});
