--- a/src/cowslipridge/route/AnswerCheck.hpp
+++ b/src/cowslipridge/route/AnswerCheck.hpp
@@ -21,12 +21,13 @@
 
 /// How much an answer looks like a good one, 0..1, without another model call.
 ///
-/// For a CascadePlan the shell runs `Cheap` without streaming, calls this, and
-/// keeps the answer when the score is at least `AcceptAbove`; otherwise it runs
-/// `Better`. In both cases it hands the score to Planner::observe(
-/// CheckObservation), and puts it in `GradeObservation::CheckScore` when the
-/// grade of a kept answer arrives. The score needs no scale of its own: the
-/// planner learns from grades what each score is worth.
+/// The shell calls this for every whole answer that was not streamed, hands the
+/// score to Planner::observe(CheckObservation), and puts it in
+/// `GradeObservation::CheckScore` when the grade of that answer arrives. For a
+/// CascadePlan it runs `Cheap` without streaming, keeps the answer when the
+/// score is at least `AcceptAbove`, and otherwise runs `Better`, whose grade it
+/// marks `GradeObservation::Escalated`. The score needs no scale of its own:
+/// the planner learns from grades what each score is worth.
 [[nodiscard]] double checkScore(const AnswerFacts &answer);
 
 } // namespace cowslipridge::route
