Hold every window of 500 requests at its quality target

Change: gain 1/80, margin 2.6, correction not under -0.02, replaced answers learnt by the rejected answer's check score (GradeObservation::Replaced), class weight 40, exploration 0.5 %.

--- a/bench/cost/Main.cpp
+++ b/bench/cost/Main.cpp
@@ -159,6 +159,10 @@
   Report report("cost at the quality target");
   runShape(vembanadShape(), report);
   runShape(asantewaaShape(), report);
+  Shape told = vembanadShape();
+  told.Name = "vembanad-classes-tell";
+  told.DifficultySpread = 0.05;
+  runShape(told, report);
   Shape dropped = vembanadShape();
   dropped.Name = "vembanad-medium-drops";
   dropped.DropAt = dropped.Requests / 2;
--- a/bench/cost/PlannerPolicy.cpp
+++ b/bench/cost/PlannerPolicy.cpp
@@ -35,7 +35,7 @@
     const auto plan = Planned.plan(facts, Service, {}, 0, Events.now());
     return std::visit(
         core::Overloaded{[&](const route::SinglePlan &single) {
-                           return answer(request, single.Version, false, 0);
+                           return answer(request, single.Version, {}, 0);
                          },
                          [&](const route::CascadePlan &cascade) {
                            return cascadeAnswer(request, cascade);
@@ -48,18 +48,21 @@
                        const route::CascadePlan &cascade) {
     const std::size_t cheap = indexOf(cascade.Cheap);
     if (request.Answers[cheap].CheckScore >= cascade.AcceptAbove)
-      return answer(request, cascade.Cheap, false, 0);
+      return answer(request, cascade.Cheap, {}, 0);
     learnCheck(request, cheap);
     learnDuration(cheap);
-    return answer(request, cascade.Better, true,
+    const route::RejectedAnswer rejected{cascade.Cheap,
+                                         request.Answers[cheap].CheckScore};
+    return answer(request, cascade.Better, rejected,
                   Service.Versions[cheap].CostPerThousandTokens);
   }
 
   Served answer(const Request &request, const core::VersionId &version,
-                bool escalated, double spent) {
+                const std::optional<route::RejectedAnswer> &replaced,
+                double spent) {
     const std::size_t index = indexOf(version);
     learnDuration(index);
-    const bool checked = !request.Stream && !escalated;
+    const bool checked = !request.Stream && !replaced;
     if (checked)
       learnCheck(request, index);
     const Answer &given = request.Answers[index];
@@ -70,7 +73,7 @@
     grade.Version = version;
     grade.Score = given.Grade;
     grade.CheckScore = checked ? given.CheckScore : -1;
-    grade.Escalated = escalated;
+    grade.Replaced = replaced;
     if (!request.GradeMissing)
       Events.after(GradeDelay,
                    [this, grade] { Planned.observe(grade, Events.now()); });
--- a/src/cowslipridge/route/AnswerCheck.hpp
+++ b/src/cowslipridge/route/AnswerCheck.hpp
@@ -25,9 +25,10 @@
 /// score to Planner::observe(CheckObservation), and puts it in
 /// `GradeObservation::CheckScore` when the grade of that answer arrives. For a
 /// CascadePlan it runs `Cheap` without streaming, keeps the answer when the
-/// score is at least `AcceptAbove`, and otherwise runs `Better`, whose grade it
-/// marks `GradeObservation::Escalated`. The score needs no scale of its own:
-/// the planner learns from grades what each score is worth.
+/// score is at least `AcceptAbove`, and otherwise runs `Better`, whose grade
+/// names the rejected answer in `GradeObservation::Replaced`. The score needs
+/// no scale of its own: the planner learns from grades what each score is
+/// worth.
 [[nodiscard]] double checkScore(const AnswerFacts &answer);
 
 } // namespace cowslipridge::route
--- a/src/cowslipridge/route/PlanOptions.cpp
+++ b/src/cowslipridge/route/PlanOptions.cpp
@@ -12,20 +12,19 @@
 void addCascades(std::vector<PlanOption> &options,
                  const std::array<CheckBin, CheckBins> &bins,
                  const PlanOption &cheap, const PlanOption &better,
-                 double escalatedGrade) {
+                 const std::array<double, CheckBins> &replacing) {
   const auto &from = std::get<SinglePlan>(cheap.Choice).Version;
   const auto &to = std::get<SinglePlan>(better.Choice).Version;
   double rejected = 0;
-  double keptGrades = 0;
+  double quality = 0;
   for (const CheckBin &bin : bins)
-    keptGrades += bin.Share * bin.Grade;
+    quality += bin.Share * bin.Grade;
   for (std::size_t n = 1; n < CheckBins; ++n) {
     rejected += bins[n - 1].Share;
-    keptGrades -= bins[n - 1].Share * bins[n - 1].Grade;
+    quality += bins[n - 1].Share * (replacing[n - 1] - bins[n - 1].Grade);
     const double acceptAbove = static_cast<double>(n) / CheckBins;
     options.push_back({CascadePlan{from, to, acceptAbove},
-                       cheap.Cost + rejected * better.Cost,
-                       keptGrades + rejected * escalatedGrade});
+                       cheap.Cost + rejected * better.Cost, quality});
   }
 }
 
@@ -59,9 +58,9 @@
       // Copies: adding options moves the vector's elements.
       const PlanOption from = options[i];
       const PlanOption to = options[j];
-      addCascades(
-          options, bins, from, to,
-          model.escalatedGrade(subjectOf(better), better.ExpectedQuality));
+      addCascades(options, bins, from, to,
+                  model.replacingGrades(subjectOf(better), cheap.Name,
+                                        better.ExpectedQuality));
     }
   }
   return options;
--- a/src/cowslipridge/route/Planner.cpp
+++ b/src/cowslipridge/route/Planner.cpp
@@ -17,7 +17,7 @@
 using Candidates = std::vector<const VersionDeclaration *>;
 
 /// Share of requests that try a version only to learn its grades.
-constexpr double ExploreShare = 0.01;
+constexpr double ExploreShare = 0.005;
 /// The same while some version has hardly any grades.
 constexpr double EarlyExploreShare = 0.08;
 /// Grades of a request class below which a version counts as hardly known.
--- a/src/cowslipridge/route/Planner.hpp
+++ b/src/cowslipridge/route/Planner.hpp
@@ -4,9 +4,16 @@
 #include "cowslipridge/route/Types.hpp"
 
 #include <memory>
+#include <optional>
 
 namespace cowslipridge::route {
 
+/// The answer that a cascade's check rejected.
+struct RejectedAnswer {
+  core::VersionId Version;
+  double CheckScore = 0;
+};
+
 /// One graded answer, as learnt by the planner.
 struct GradeObservation {
   core::ServiceId Service;
@@ -15,8 +22,8 @@
   core::VersionId Version;
   double Score = 0;       ///< 0..1
   double CheckScore = -1; ///< the cascade check's score of it; -1: not checked
-  /// The answer replaced one that a cascade's check had rejected.
-  bool Escalated = false;
+  /// What this answer replaced, when a cascade's check had rejected one.
+  std::optional<RejectedAnswer> Replaced;
 };
 
 /// One run of a cascade's check, whether it kept the answer or not.
--- a/src/cowslipridge/route/QualityControl.cpp
+++ b/src/cowslipridge/route/QualityControl.cpp
@@ -15,13 +15,13 @@
 constexpr double MaxPrice = 1e6;
 constexpr int BisectionSteps = 40;
 /// Part of one grade's deviation that moves the goal.
-constexpr double CorrectionPerGrade = 1.0 / 150;
-constexpr double MinCorrection = -0.05;
+constexpr double CorrectionPerGrade = 1.0 / 80;
+constexpr double MinCorrection = -0.02;
 constexpr double MaxCorrection = 0.15;
 /// Requests over which the target must hold.
 constexpr double WindowRequests = 500;
 /// Margin over the target, in standard errors of one window's mean.
-constexpr double MarginErrors = 2.0;
+constexpr double MarginErrors = 2.6;
 /// Spread of grades assumed until enough are known.
 constexpr double InitialSpread = 0.25;
 constexpr unsigned GradesForSpread = 30;
--- a/src/cowslipridge/route/QualityModel.cpp
+++ b/src/cowslipridge/route/QualityModel.cpp
@@ -14,6 +14,8 @@
 constexpr double DeclaredWeight = 4;
 /// Weight of a coarser estimate within a finer one, in grades.
 constexpr double CoarserWeight = 8;
+/// Weight of a class's mean within one organisation's, in grades.
+constexpr double ClassWeight = 40;
 /// Weight of the class's mean within one bin of check scores, in grades.
 constexpr double BinPriorWeight = 3;
 /// Checked answers from which a cascade may be planned.
@@ -58,8 +60,10 @@
 void QualityModel::observe(const GradeObservation &grade) {
   const Subject subject{grade.Service, grade.Version, grade.RequestClass,
                         grade.Organisation};
-  if (grade.Escalated) {
-    EscalatedMeans[classOnly(subject)].add(grade.Score, KeepPerGrade);
+  if (grade.Replaced) {
+    BinMeans &means =
+        ReplacingMeans[{classOnly(subject), grade.Replaced->Version}];
+    means[binOf(grade.Replaced->CheckScore)].add(grade.Score, KeepPerGrade);
     return;
   }
   if (grade.CheckScore >= 0) {
@@ -85,13 +89,21 @@
 
 double QualityModel::grade(const Subject &subject, double declared) const {
   const double coarse = classGrade(subject, declared);
-  return meanOf(Means, subject).towards(coarse, CoarserWeight);
+  return meanOf(Means, subject).towards(coarse, ClassWeight);
 }
 
-double QualityModel::escalatedGrade(const Subject &subject,
-                                    double declared) const {
-  return meanOf(EscalatedMeans, classOnly(subject))
-      .towards(grade(subject, declared), CoarserWeight);
+std::array<double, CheckBins>
+QualityModel::replacingGrades(const Subject &subject,
+                              const core::VersionId &rejected,
+                              double declared) const {
+  const auto it = ReplacingMeans.find({classOnly(subject), rejected});
+  const double plain = grade(subject, declared);
+  std::array<double, CheckBins> grades;
+  for (std::size_t n = 0; n < CheckBins; ++n)
+    grades[n] = it == ReplacingMeans.end()
+                    ? plain
+                    : it->second[n].towards(plain, BinPriorWeight);
+  return grades;
 }
 
 double QualityModel::gradeWeight(const Subject &subject) const {
--- a/src/cowslipridge/route/QualityModel.hpp
+++ b/src/cowslipridge/route/QualityModel.hpp
@@ -6,7 +6,7 @@
 #include <cstddef>
 #include <map>
 #include <string>
-#include <tuple>
+#include <utility>
 
 namespace cowslipridge::route {
 
@@ -50,9 +50,11 @@
 
   /// Expected grade of a plain answer. `declared` is used until grades come.
   [[nodiscard]] double grade(const Subject &subject, double declared) const;
-  /// Expected grade of an answer that replaces a rejected one.
-  [[nodiscard]] double escalatedGrade(const Subject &subject,
-                                      double declared) const;
+  /// Expected grade of an answer that replaces a rejected one of `rejected`,
+  /// for each part of the rejected answer's check scores.
+  [[nodiscard]] std::array<double, CheckBins>
+  replacingGrades(const Subject &subject, const core::VersionId &rejected,
+                  double declared) const;
   /// Grades behind the estimate for the subject's class, discounted.
   [[nodiscard]] double gradeWeight(const Subject &subject) const;
   /// True when check scores of the subject's class are known well enough.
@@ -62,9 +64,11 @@
                                                        double declared) const;
 
 private:
+  using BinMeans = std::array<ScoreMean, CheckBins>;
+
   struct Calibration {
     std::array<double, CheckBins> Seen{};
-    std::array<ScoreMean, CheckBins> Grades{};
+    BinMeans Grades{};
   };
 
   [[nodiscard]] double classGrade(const Subject &subject,
@@ -73,7 +77,7 @@
   void addGrade(const Subject &subject, double score);
 
   std::map<Subject, ScoreMean> Means;
-  std::map<Subject, ScoreMean> EscalatedMeans;
+  std::map<std::pair<Subject, core::VersionId>, BinMeans> ReplacingMeans;
   std::map<Subject, Calibration> Calibrations;
 };
 
--- a/tests/property/route/PlannerProperties.cpp
+++ b/tests/property/route/PlannerProperties.cpp
@@ -71,10 +71,13 @@
   const double check = core::uniform(random);
   const std::string kind = core::uniform(random) < 0.5 ? "short" : "long";
   planner.observe(CheckObservation{service, kind, version, check});
-  planner.observe(GradeObservation{service, core::OrganisationId("club"), kind,
-                                   version, core::uniform(random), check,
-                                   core::uniform(random) < 0.2},
-                  core::Millis(n));
+  GradeObservation grade{service, core::OrganisationId("club"), kind,
+                         version, core::uniform(random),        check,
+                         {}};
+  if (core::uniform(random) < 0.2)
+    grade.Replaced =
+        RejectedAnswer{core::VersionId("v0"), core::uniform(random)};
+  planner.observe(grade, core::Millis(n));
   planner.observe(DurationObservation{
       service, version,
       core::Millis(static_cast<std::int64_t>(core::uniform(random) * 4000))});
