--- a/src/cowslipridge/route/QualityModel.hpp
+++ b/src/cowslipridge/route/QualityModel.hpp
@@ -21,7 +21,7 @@
 };
 
 /// Number of equal parts that check scores are sorted into.
-inline constexpr std::size_t CheckBins = 16;
+inline constexpr std::size_t CheckBins = 10;
 
 /// What one part of the check scores is worth.
 struct CheckBin {
