--- a/src/cowslipridge/route/Planner.hpp
+++ b/src/cowslipridge/route/Planner.hpp
@@ -23,7 +23,7 @@
   double Score = 0;       ///< 0..1
   double CheckScore = -1; ///< the cascade check's score of it; -1: not checked
   /// What this answer replaced, when a cascade's check had rejected one.
-  std::optional<RejectedAnswer> Replaced;
+  std::optional<RejectedAnswer> Replaced = std::nullopt;
 };
 
 /// One run of a cascade's check, whether it kept the answer or not.
