Measure time to first token of routing policies

Change: bench_latency_routing: fakes of runners (FIFO queue, batch, serial prompt computation, LRU block cache), late load reports, lossy cache events, four independent entries; round robin, least in flight, prefix hashing and the project's chooser on shared, hot, distinct and short prompts.

--- /dev/null
+++ b/bench/support/FakeFleet.cpp
@@ -0,0 +1,102 @@
+#include "support/FakeFleet.hpp"
+
+namespace cowslipridge::bench {
+
+FakeFleet::FakeFleet(EventQueue &events, FleetSettings settings,
+                     std::uint64_t seed, CacheSink sink)
+    : Events(events), Settings(settings), Generator(seed),
+      Sink(std::move(sink)), Lost(settings.Runners) {
+  std::vector<route::RunnerView> views;
+  for (std::size_t n = 0; n < Settings.Runners; ++n) {
+    Runners.push_back(std::make_unique<FakeRunner>(
+        Events, Settings.Speeds, [this, n](std::uint64_t block, bool evicted) {
+          publishCacheEvent(n, block, evicted);
+        }));
+    route::RunnerView view;
+    view.Runner = idOf(n);
+    view.Domain =
+        core::FailureDomainId("d" + std::to_string(n % Settings.Domains));
+    view.Versions = {version()};
+    view.ConcurrencyLimit = Settings.Speeds.Slots;
+    views.push_back(view);
+  }
+  Views.assign(Settings.Entries, views);
+  Calls.assign(
+      Settings.Entries,
+      std::vector<std::vector<std::shared_ptr<Sent>>>(Settings.Runners));
+  publishReports();
+}
+
+core::RunnerId FakeFleet::idOf(std::size_t runner) {
+  return core::RunnerId("runner-" + std::to_string(runner));
+}
+
+std::size_t FakeFleet::indexOf(const core::RunnerId &runner) {
+  return std::stoul(runner.str().substr(runner.str().find('-') + 1));
+}
+
+void FakeFleet::submit(std::size_t entry, std::size_t runner, RunnerCall call) {
+  const auto sent = std::make_shared<Sent>(Sent{Events.now(), false});
+  Calls[entry][runner].push_back(sent);
+  recount(entry, runner);
+  const auto onEnd = call.OnEnd;
+  call.OnEnd = [this, entry, runner, sent, onEnd] {
+    sent->Ended = true;
+    recount(entry, runner);
+    onEnd();
+  };
+  if (!Lost[runner])
+    Runners[runner]->submit(std::move(call));
+}
+
+void FakeFleet::recount(std::size_t entry, std::size_t runner) {
+  route::RunnerView &view = Views[entry][runner];
+  auto &calls = Calls[entry][runner];
+  std::erase_if(calls, [](const auto &sent) { return sent->Ended; });
+  view.SentSince = 0;
+  for (const auto &sent : calls)
+    view.SentSince += sent->At > view.HeardAt;
+}
+
+void FakeFleet::publishReports() {
+  for (std::size_t n = 0; n < Settings.Runners; ++n) {
+    if (Lost[n])
+      continue;
+    Events.after(Settings.ReportDelay,
+                 [this, n, inFlight = Runners[n]->running(),
+                  queued = Runners[n]->queued(),
+                  at = Events.now()] { takeReport(n, inFlight, queued, at); });
+  }
+  Events.after(Settings.ReportInterval, [this] { publishReports(); });
+}
+
+void FakeFleet::takeReport(std::size_t runner, unsigned inFlight,
+                           unsigned queued, core::Millis reportedAt) {
+  for (std::size_t entry = 0; entry < Settings.Entries; ++entry) {
+    route::RunnerView &view = Views[entry][runner];
+    view.InFlight = inFlight;
+    view.Queued = queued;
+    view.HeardAt = reportedAt;
+    recount(entry, runner);
+  }
+}
+
+void FakeFleet::publishCacheEvent(std::size_t runner, std::uint64_t block,
+                                  bool evicted) {
+  for (std::size_t entry = 0; entry < Settings.Entries; ++entry) {
+    if (core::uniform(Generator) < Settings.CacheEventLoss)
+      continue;
+    Events.after(Settings.ReportDelay, [this, entry, runner, block, evicted] {
+      Sink(entry, runner, block, evicted);
+    });
+  }
+}
+
+void FakeFleet::loseDomain(std::size_t domain) {
+  for (std::size_t n = domain; n < Settings.Runners; n += Settings.Domains) {
+    Lost[n] = true;
+    Runners[n]->freeze();
+  }
+}
+
+} // namespace cowslipridge::bench
