Predict from own pending tokens and scan the runners of a subset

Cause: the chooser lost to round robin where nothing is shared: three candidates out of twelve, and load reports that are always late. Change: features for the entry's own calls that wait for their first token (never late) and for load over the concurrency limit; all runners of a subset (up to 16) are considered; ties go to the runner chosen longest ago.

--- a/bench/latency_routing/Main.cpp
+++ b/bench/latency_routing/Main.cpp
@@ -16,8 +16,8 @@
 
 namespace {
 
-constexpr core::Millis WarmUp{60'000};
-constexpr core::Millis Length{360'000};
+constexpr core::Millis WarmUp{120'000};
+constexpr core::Millis Length{600'000};
 
 struct Figures {
   double P50 = 0;
@@ -112,20 +112,23 @@
 std::vector<Shape> listShapes() {
   Shape shared;
   shared.Name = "shared";
+  Shape overflow = shared;
+  overflow.Name = "shared-overflow";
+  overflow.Families = 400;
   Shape hot = shared;
   hot.Name = "hot-prefix";
   hot.HotShare = 0.5;
   Shape distinct = shared;
   distinct.Name = "distinct";
   distinct.Shared = false;
-  distinct.PerSecond = 6;
+  distinct.PerSecond = 6.5;
   Shape notes = shared;
   notes.Name = "short";
   notes.GuideBlocks = 1;
   notes.MinHistoryBlocks = 1;
   notes.MaxHistoryBlocks = 2;
   notes.PerSecond = 20;
-  return {shared, hot, distinct, notes};
+  return {shared, overflow, hot, distinct, notes};
 }
 
 void runShape(const Shape &shape, const std::string &suffix,
--- a/bench/latency_routing/Prompts.hpp
+++ b/bench/latency_routing/Prompts.hpp
@@ -22,8 +22,8 @@
 /// Shape of one workload.
 struct Shape {
   std::string Name;
-  double PerSecond = 10;
-  std::size_t Families = 400;
+  double PerSecond = 11;
+  std::size_t Families = 200;
   double FamilySkew = 0.6;
   std::uint64_t GuideBlocks = 8;      ///< shared by all
   std::uint64_t MinHistoryBlocks = 6; ///< shared by a family's requests
--- a/src/cowslipridge/route/FirstTokenModel.hpp
+++ b/src/cowslipridge/route/FirstTokenModel.hpp
@@ -8,7 +8,10 @@
 /// What the time to first token is predicted from.
 struct FirstTokenFactors {
   double UncachedTokens = 0;
-  double Outstanding = 0; ///< requests running or waiting at the runner
+  /// Of this entry's calls at the runner that wait for their first token.
+  double PendingTokens = 0;
+  double Outstanding = 0; ///< requests running or waiting, as last reported
+  double Excess = 0;      ///< part of them over the concurrency limit
 };
 
 /// Linear prediction of the time to first token, fitted to answers by
@@ -22,14 +25,18 @@
   static constexpr double MinPrediction = 1;
 
 private:
-  static constexpr std::size_t Size = 3;
+  static constexpr std::size_t Size = 5;
   using Vector = std::array<double, Size>;
 
   static Vector featuresOf(const FirstTokenFactors &factors);
 
   /// Milliseconds: fixed, per thousand uncached tokens, per request ahead.
   Vector Coefficients{20, 200, 20};
-  std::array<Vector, Size> Covariance{{{100, 0, 0}, {0, 1000, 0}, {0, 0, 100}}};
+  std::array<Vector, Size> Covariance{{{100, 0, 0, 0, 0},
+                                       {0, 1000, 0, 0, 0},
+                                       {0, 0, 1000, 0, 0},
+                                       {0, 0, 0, 100, 0},
+                                       {0, 0, 0, 0, 1000}}};
 };
 
 } // namespace cowslipridge::route
--- a/src/cowslipridge/route/RunnerChooser.cpp
+++ b/src/cowslipridge/route/RunnerChooser.cpp
@@ -1,6 +1,7 @@
 #include "cowslipridge/route/RunnerChooser.hpp"
 
 #include "cowslipridge/route/FirstTokenModel.hpp"
+#include "cowslipridge/route/PendingCalls.hpp"
 #include "cowslipridge/route/PrefixIndex.hpp"
 
 #include <algorithm>
@@ -18,13 +19,16 @@
 /// Load over the mean at which a runner is no longer chosen for its cache.
 constexpr double AffinityLoadFactor = 1.25;
 constexpr double AffinityLoadSlack = 2;
-/// Runners drawn at random beside those chosen for their cache.
-constexpr std::size_t RandomChoices = 2;
+/// Runners considered for their load alone; drawn at random from more.
+constexpr std::size_t MaxLoadChoices = 16;
 /// Runners considered because they keep the most of the prompt.
 constexpr std::size_t MaxHolders = 2;
 /// Gain of a runner's slowness, on the logarithm of actual over predicted.
 constexpr double SlownessGain = 0.2;
 constexpr double MaxLogSlowness = 4;
+/// Predictions this close count as equal; the runner that was chosen longer ago
+/// is taken.
+constexpr double TieMillis = 5;
 /// Time in which a remembered slowness falls to a third, so that a runner that
 /// has recovered is tried again.
 constexpr double SlownessMemoryMillis = 20'000;
@@ -35,6 +39,11 @@
   return view.InFlight + view.Queued + view.SentSince;
 }
 
+/// Tells calls apart; 0 when nothing is known of the prompt.
+std::uint64_t lastBlock(const std::vector<std::uint64_t> &prefix) {
+  return prefix.empty() ? 0 : prefix.back();
+}
+
 bool serves(const RunnerView &view, const core::VersionId &version) {
   return std::find(view.Versions.begin(), view.Versions.end(), version) !=
          view.Versions.end();
@@ -108,7 +117,8 @@
   struct RunnerRecord {
     double LogSlowness = 0;
     core::Millis SlownessAt;
-    double LastOutstanding = 0; ///< when it was last chosen
+    PendingCalls Pending;
+    std::uint64_t ChosenAs = 0; ///< number of the last choice that took it
   };
   std::map<core::RunnerId, RunnerRecord> Records;
 
@@ -116,13 +126,21 @@
   Views drawCandidates(const RequestFacts &facts, const Views &eligible);
   void addHolders(const RequestFacts &facts, const Views &eligible,
                   Views &candidates);
+  FirstTokenFactors factorsOf(const RequestFacts &facts,
+                              const RunnerView &view) const;
   double predict(const RequestFacts &facts, const RunnerView &view,
                  core::Millis silence, core::Millis now) const;
   double slowness(const core::RunnerId &runner, core::Millis now) const;
   double uncachedTokens(const RequestFacts &facts,
                         const core::RunnerId &runner) const;
 
+  std::uint64_t chosenAt(const RunnerView &view) const {
+    const auto it = Records.find(view.Runner);
+    return it == Records.end() ? 0 : it->second.ChosenAs;
+  }
+
   core::Random Generator;
+  std::uint64_t Choices = 0;
   FirstTokenModel FirstToken;
 };
 
@@ -148,12 +166,22 @@
   return tokens * (1 - matched / blocks);
 }
 
+FirstTokenFactors
+RunnerChooser::State::factorsOf(const RequestFacts &facts,
+                                const RunnerView &view) const {
+  const auto it = Records.find(view.Runner);
+  const double pending =
+      it == Records.end() ? 0 : it->second.Pending.uncachedTokens();
+  const double outstanding = outstandingOf(view);
+  const double excess = std::max(0.0, outstanding + 1 - view.ConcurrencyLimit);
+  return {uncachedTokens(facts, view.Runner), pending, outstanding, excess};
+}
+
 double RunnerChooser::State::predict(const RequestFacts &facts,
                                      const RunnerView &view,
                                      core::Millis silence,
                                      core::Millis now) const {
-  const double base = FirstToken.predict(
-      {uncachedTokens(facts, view.Runner), outstandingOf(view)});
+  const double base = FirstToken.predict(factorsOf(facts, view));
   const auto wait = static_cast<double>(view.PredictedWait.count());
   double prediction = base * slowness(view.Runner, now) + wait;
   const core::Millis ownSilence = now - view.HeardAt - silence;
@@ -189,9 +217,8 @@
     addHolders(facts, eligible, candidates);
     candidates.push_back(homeOf(facts.PrefixHashes, eligible));
   }
-  for (std::size_t n = 0; n < RandomChoices; ++n)
-    candidates.push_back(
-        eligible[core::uniformIndex(Generator, eligible.size())]);
+  std::sample(eligible.begin(), eligible.end(), std::back_inserter(candidates),
+              MaxLoadChoices, Generator);
   return candidates;
 }
 
@@ -200,17 +227,25 @@
                              core::Millis now) {
   if (eligible.empty())
     return std::nullopt;
+  for (auto &[runner, record] : Records)
+    record.Pending.expire(now);
   const core::Millis silence = commonSilence(eligible, now);
   const RunnerView *best = nullptr;
   double bestPrediction = 0;
   for (const RunnerView *view : drawCandidates(facts, eligible)) {
     const double prediction = predict(facts, *view, silence, now);
-    if (best == nullptr || prediction < bestPrediction) {
+    const bool isTie =
+        best != nullptr && std::abs(prediction - bestPrediction) < TieMillis;
+    if (isTie ? chosenAt(*view) < chosenAt(*best)
+              : best == nullptr || prediction < bestPrediction) {
       best = view;
       bestPrediction = prediction;
     }
   }
-  Records[best->Runner].LastOutstanding = outstandingOf(*best);
+  Records[best->Runner].ChosenAs = ++Choices;
+  Records[best->Runner].Pending.add({facts.PromptTokens,
+                                     lastBlock(facts.PrefixHashes), now,
+                                     factorsOf(facts, *best)});
   // Its cache will hold the prompt by the time that a similar one arrives.
   for (const std::uint64_t block : facts.PrefixHashes)
     Prefixes.insert(block, best->Runner);
@@ -219,14 +254,13 @@
 
 void RunnerChooser::State::observe(const AnswerObservation &answer,
                                    core::Millis now) {
+  RunnerRecord &record = Records[answer.Runner];
+  FirstTokenFactors factors =
+      record.Pending.take(answer.PromptTokens, lastBlock(answer.PrefixHashes));
   if (answer.Failed)
     return;
-  RunnerRecord &record = Records[answer.Runner];
-  const FirstTokenFactors factors{
-      static_cast<double>(answer.PromptTokens) -
-          static_cast<double>(
-              std::min(answer.CachedTokens, answer.PromptTokens)),
-      record.LastOutstanding};
+  factors.UncachedTokens = static_cast<double>(
+      answer.PromptTokens - std::min(answer.CachedTokens, answer.PromptTokens));
   const double elapsed =
       std::max(1.0, static_cast<double>(answer.TimeToFirstToken.count()));
   const double predicted = FirstToken.predict(factors);
