Weigh own calls apart from reported load

Cause: one coefficient for reported load and for calls that no report covers made late reports count as much as the entry's own fresh counts.

--- a/src/cowslipridge/route/FirstTokenModel.cpp
+++ b/src/cowslipridge/route/FirstTokenModel.cpp
@@ -20,8 +20,12 @@
 
 FirstTokenModel::Vector
 FirstTokenModel::featuresOf(const FirstTokenFactors &factors) {
-  return {1, factors.UncachedTokens / 1000, factors.PendingTokens / 1000,
-          factors.Outstanding, factors.Excess};
+  return {1,
+          factors.UncachedTokens / 1000,
+          factors.PendingTokens / 1000,
+          factors.Reported,
+          factors.SentSince,
+          factors.Excess};
 }
 
 double FirstTokenModel::predict(const FirstTokenFactors &factors) const {
--- a/src/cowslipridge/route/FirstTokenModel.hpp
+++ b/src/cowslipridge/route/FirstTokenModel.hpp
@@ -10,8 +10,9 @@
   double UncachedTokens = 0;
   /// Of this entry's calls at the runner that wait for their first token.
   double PendingTokens = 0;
-  double Outstanding = 0; ///< requests running or waiting, as last reported
-  double Excess = 0;      ///< part of them over the concurrency limit
+  double Reported = 0;  ///< requests running or waiting, as last reported
+  double SentSince = 0; ///< this entry's calls that no report covers
+  double Excess = 0;    ///< part of both over the concurrency limit
 };
 
 /// Linear prediction of the time to first token, fitted to answers by
@@ -25,18 +26,19 @@
   static constexpr double MinPrediction = 1;
 
 private:
-  static constexpr std::size_t Size = 5;
+  static constexpr std::size_t Size = 6;
   using Vector = std::array<double, Size>;
 
   static Vector featuresOf(const FirstTokenFactors &factors);
 
   /// Milliseconds: fixed, per thousand uncached tokens, per request ahead.
   Vector Coefficients{20, 200, 20};
-  std::array<Vector, Size> Covariance{{{100, 0, 0, 0, 0},
-                                       {0, 1000, 0, 0, 0},
-                                       {0, 0, 1000, 0, 0},
-                                       {0, 0, 0, 100, 0},
-                                       {0, 0, 0, 0, 1000}}};
+  std::array<Vector, Size> Covariance{{{100, 0, 0, 0, 0, 0},
+                                       {0, 1000, 0, 0, 0, 0},
+                                       {0, 0, 1000, 0, 0, 0},
+                                       {0, 0, 0, 100, 0, 0},
+                                       {0, 0, 0, 0, 100, 0},
+                                       {0, 0, 0, 0, 0, 1000}}};
 };
 
 } // namespace cowslipridge::route
--- a/src/cowslipridge/route/RunnerChooser.cpp
+++ b/src/cowslipridge/route/RunnerChooser.cpp
@@ -174,7 +174,7 @@
       it == Records.end() ? 0 : it->second.Pending.uncachedTokens();
   const double outstanding = outstandingOf(view);
   const double excess = std::max(0.0, outstanding + 1 - view.ConcurrencyLimit);
-  return {uncachedTokens(facts, view.Runner), pending, outstanding, excess};
+  return {uncachedTokens(facts, view.Runner), pending, outstanding - view.SentSince, static_cast<double>(view.SentSince), excess};
 }
 
 double RunnerChooser::State::predict(const RequestFacts &facts,
