--- a/src/cowslipridge/route/RunnerChooser.cpp
+++ b/src/cowslipridge/route/RunnerChooser.cpp
@@ -29,7 +29,6 @@
 /// Predictions this close count as equal; the runner that was chosen longer ago
 /// is taken.
 constexpr double TieMillis = 5;
-constexpr double RecentMillis = 3'000;
 /// Time in which a remembered slowness falls to a third, so that a runner that
 /// has recovered is tried again.
 constexpr double SlownessMemoryMillis = 20'000;
@@ -119,8 +118,6 @@
     double LogSlowness = 0;
     core::Millis SlownessAt;
     PendingCalls Pending;
-    double RecentChoices = 0;
-    core::Millis RecentAt;
     std::uint64_t ChosenAs = 0; ///< number of the last choice that took it
   };
   std::map<core::RunnerId, RunnerRecord> Records;
@@ -129,9 +126,8 @@
   Views drawCandidates(const RequestFacts &facts, const Views &eligible);
   void addHolders(const RequestFacts &facts, const Views &eligible,
                   Views &candidates);
-  FirstTokenFactors factorsOf(const RequestFacts &facts, const RunnerView &view,
-                              core::Millis now) const;
-  double recentChoices(const core::RunnerId &runner, core::Millis now) const;
+  FirstTokenFactors factorsOf(const RequestFacts &facts,
+                              const RunnerView &view) const;
   double predict(const RequestFacts &facts, const RunnerView &view,
                  core::Millis silence, core::Millis now) const;
   double slowness(const core::RunnerId &runner, core::Millis now) const;
@@ -170,33 +166,22 @@
   return tokens * (1 - matched / blocks);
 }
 
-double RunnerChooser::State::recentChoices(const core::RunnerId &runner,
-                                           core::Millis now) const {
-  const auto it = Records.find(runner);
-  if (it == Records.end())
-    return 0;
-  const auto age = static_cast<double>((now - it->second.RecentAt).count());
-  return it->second.RecentChoices * std::exp(-age / RecentMillis);
-}
-
-FirstTokenFactors RunnerChooser::State::factorsOf(const RequestFacts &facts,
-                                                  const RunnerView &view,
-                                                  core::Millis now) const {
+FirstTokenFactors
+RunnerChooser::State::factorsOf(const RequestFacts &facts,
+                                const RunnerView &view) const {
   const auto it = Records.find(view.Runner);
   const double pending =
       it == Records.end() ? 0 : it->second.Pending.uncachedTokens();
   const double outstanding = outstandingOf(view);
   const double excess = std::max(0.0, outstanding + 1 - view.ConcurrencyLimit);
-  return {uncachedTokens(facts, view.Runner), pending,
-          outstanding - view.SentSince, recentChoices(view.Runner, now),
-          excess};
+  return {uncachedTokens(facts, view.Runner), pending, outstanding - view.SentSince, static_cast<double>(view.SentSince), excess};
 }
 
 double RunnerChooser::State::predict(const RequestFacts &facts,
                                      const RunnerView &view,
                                      core::Millis silence,
                                      core::Millis now) const {
-  const double base = FirstToken.predict(factorsOf(facts, view, now));
+  const double base = FirstToken.predict(factorsOf(facts, view));
   const auto wait = static_cast<double>(view.PredictedWait.count());
   double prediction = base * slowness(view.Runner, now) + wait;
   const core::Millis ownSilence = now - view.HeardAt - silence;
@@ -258,11 +243,9 @@
     }
   }
   Records[best->Runner].ChosenAs = ++Choices;
-  Records[best->Runner].RecentChoices = 1 + recentChoices(best->Runner, now);
-  Records[best->Runner].RecentAt = now;
   Records[best->Runner].Pending.add({facts.PromptTokens,
                                      lastBlock(facts.PrefixHashes), now,
-                                     factorsOf(facts, *best, now)});
+                                     factorsOf(facts, *best)});
   // Its cache will hold the prompt by the time that a similar one arrives.
   for (const std::uint64_t block : facts.PrefixHashes)
     Prefixes.insert(block, best->Runner);
