Bound what one entry sends to one runner between its reports

Change: uncovered calls at a runner stay under 1.25 times their mean plus 0.35 of the runners' mean free slots.

--- a/src/cowslipridge/route/RunnerChooser.cpp
+++ b/src/cowslipridge/route/RunnerChooser.cpp
@@ -19,6 +19,10 @@
 /// Load over the mean at which a runner is no longer chosen for its cache.
 constexpr double AffinityLoadFactor = 1.25;
 constexpr double AffinityLoadSlack = 2;
+/// Uncovered calls over the mean at which a runner gets no more for now.
+constexpr double SentFactor = 1.25;
+/// Part of the runners' free slots that one entry may fill at one of them.
+constexpr double HeadroomPerEntry = 0.35;
 /// Runners considered for their load alone; drawn at random from more.
 constexpr std::size_t MaxLoadChoices = 16;
 /// Runners considered because they keep the most of the prompt.
@@ -93,6 +97,30 @@
   return sum / static_cast<double>(eligible.size());
 }
 
+/// Mean of the runners' free slots, as last reported.
+double meanHeadroom(const Views &eligible) {
+  double sum = 0;
+  for (const RunnerView *view : eligible)
+    sum += std::max(0.0, view->ConcurrencyLimit - outstandingOf(*view));
+  return sum / static_cast<double>(eligible.size());
+}
+
+/// Runners to which this entry has not sent far more than to the others since
+/// their last reports. Never empty.
+Views withoutOverused(const Views &eligible) {
+  double sum = 0;
+  for (const RunnerView *view : eligible)
+    sum += view->SentSince;
+  const auto count = static_cast<double>(eligible.size());
+  const double bound =
+      SentFactor * sum / count + meanHeadroom(eligible) * HeadroomPerEntry;
+  Views kept;
+  std::copy_if(
+      eligible.begin(), eligible.end(), std::back_inserter(kept),
+      [&](const RunnerView *view) { return view->SentSince <= bound; });
+  return kept;
+}
+
 /// The shortest time since any runner was heard: reports that are late for all
 /// say nothing about one.
 core::Millis commonSilence(const Views &eligible, core::Millis now) {
@@ -174,7 +202,9 @@
       it == Records.end() ? 0 : it->second.Pending.uncachedTokens();
   const double outstanding = outstandingOf(view);
   const double excess = std::max(0.0, outstanding + 1 - view.ConcurrencyLimit);
-  return {uncachedTokens(facts, view.Runner), pending, outstanding - view.SentSince, static_cast<double>(view.SentSince), excess};
+  return {uncachedTokens(facts, view.Runner), pending,
+          outstanding - view.SentSince, static_cast<double>(view.SentSince),
+          excess};
 }
 
 double RunnerChooser::State::predict(const RequestFacts &facts,
@@ -232,7 +262,8 @@
   const core::Millis silence = commonSilence(eligible, now);
   const RunnerView *best = nullptr;
   double bestPrediction = 0;
-  for (const RunnerView *view : drawCandidates(facts, eligible)) {
+  for (const RunnerView *view :
+       drawCandidates(facts, withoutOverused(eligible))) {
     const double prediction = predict(facts, *view, silence, now);
     const bool isTie =
         best != nullptr && std::abs(prediction - bestPrediction) < TieMillis;
--- a/src/cowslipridge/route/RunnerChooser.hpp
+++ b/src/cowslipridge/route/RunnerChooser.hpp
@@ -9,7 +9,8 @@
 
 namespace cowslipridge::route {
 
-/// What one answer taught about a runner.
+/// What one answer taught about a runner. Report it once for each choice: when
+/// the first token is there, or when the call failed before.
 struct AnswerObservation {
   core::RunnerId Runner;
   std::vector<std::uint64_t> PrefixHashes;
