--- a/src/cowslipridge/limits/ConcurrencyLimit.cpp
+++ b/src/cowslipridge/limits/ConcurrencyLimit.cpp
@@ -8,7 +8,7 @@
 
 constexpr double SlowdownGain = 0.1;
 /// Slowdown against a runner with little to do that counts as overload.
-constexpr double TolerableSlowdown = 1.6;
+constexpr double TolerableSlowdown = 1.25;
 constexpr double DecreaseFactor = 0.9;
 /// The no-load ratio falls to a lower one at once and rises slowly.
 constexpr double NoLoadRise = 0.002;
