--- a/src/cowslipridge/limits/FairQueue.cpp
+++ b/src/cowslipridge/limits/FairQueue.cpp
@@ -10,10 +10,6 @@
   return std::max(1.0, static_cast<double>(arrival.ExpectedWork.count()));
 }
 
-core::Millis latestStart(const Arrival &arrival) {
-  return arrival.Deadline - arrival.ExpectedWork;
-}
-
 double weightOf(unsigned weight) { return std::max(1U, weight); }
 
 } // namespace
@@ -21,7 +17,7 @@
 void FairQueue::push(const Arrival &arrival) {
   Tenant &tenant = ByOrganisation[arrival.Organisation];
   tenant.Weight = arrival.Weight;
-  tenant.Requests.emplace(latestStart(arrival), arrival);
+  tenant.Requests.emplace(arrival.Deadline, arrival);
   tenant.Work += workOf(arrival);
   Work += workOf(arrival);
   ++Size;
@@ -110,7 +106,7 @@
         weights += weightOf(tenant.Weight);
       continue;
     }
-    const auto later = tenant.Requests.upper_bound(latestStart(arrival));
+    const auto later = tenant.Requests.upper_bound(arrival.Deadline);
     for (auto it = tenant.Requests.begin(); it != later; ++it)
       ownWork += workOf(it->second);
   }
--- a/src/cowslipridge/limits/FairQueue.hpp
+++ b/src/cowslipridge/limits/FairQueue.hpp
@@ -10,13 +10,13 @@
 
 /// Start-time fair queue over organisations: each gets a share of the started
 /// work in proportion to its weight, while it wants it. Within an organisation
-/// the one that must start earliest to meet its deadline goes first.
+/// the earliest deadline goes first.
 class FairQueue {
 public:
   void push(const Arrival &arrival);
   /// Takes the request that is to start next.
   std::optional<Arrival> pop();
-  /// Takes the request that could start latest, of the organisation with the most
+  /// Takes the latest-deadline request of the organisation with the most
   /// waiting work for its weight.
   std::optional<Arrival> popLeastDeserving();
   bool remove(const core::RequestId &request);
@@ -37,7 +37,7 @@
   [[nodiscard]] double workAhead(const Arrival &arrival) const;
 
 private:
-  using Waiting = std::multimap<core::Millis, Arrival>; // by latest start
+  using Waiting = std::multimap<core::Millis, Arrival>; // by deadline
   struct Tenant {
     Waiting Requests;
     double Work = 0;
