Learn the no-load time only from requests that ran nearly alone

Cause: the no-load ratio rose under lasting overload, so the limit crept to 18 for a capacity of 8. Change: the ratio rises only by requests with at most 2 in flight; the limit falls in proportion to the excess. bench_overload also reports in flight and wasted work.

--- a/bench/overload/Main.cpp
+++ b/bench/overload/Main.cpp
@@ -62,6 +62,8 @@
       report.add(row, "refusal p95 ms", figures.RefusalMillis);
       report.add(row, "returns taken", figures.ReturnsTaken);
       report.add(row, "recovery s", figures.RecoverySeconds);
+      report.add(row, "in flight", figures.InFlight);
+      report.add(row, "wasted / capacity", figures.WastedShare);
     }
   }
 }
--- a/bench/overload/Run.cpp
+++ b/bench/overload/Run.cpp
@@ -68,19 +68,29 @@
           DraftsDone / std::max(1.0, Drafts),
           quantile(RefusalTimes, 0.95),
           ReturnsTaken / std::max(1.0, Returns),
-          recoverySeconds()};
+          recoverySeconds(),
+          InFlightTicks / std::max(1.0, Ticks),
+          WastedWork / measured / FleetWorkPerMilli};
 }
 
 bool Run::isMeasured(core::Millis at) const { return at >= WarmUp; }
 
 void Run::scheduleTick() {
   Events.after(TickInterval, [this] {
+    sampleInFlight();
     for (std::size_t n = 0; n < Runners; ++n)
       apply(n, tick(Gates[n], Events.now()));
     scheduleTick();
   });
 }
 
+void Run::sampleInFlight() {
+  for (const auto &server : Servers) {
+    InFlightTicks += static_cast<double>(server->inFlight());
+    Ticks += 1;
+  }
+}
+
 void Run::scheduleCaller(bool draft) {
   const double share = draft ? Driven.DraftShare : 1 - Driven.DraftShare;
   const double work =
@@ -210,6 +220,8 @@
       OthersDone += caller.Work;
     if (!caller.Wish.Deferrable && isMeasured(caller.FirstAt))
       DoneBySecond[secondOf(caller.FirstAt)] += 1;
+  } else if (isMeasured(Events.now())) {
+    WastedWork += own.Owner->Work;
   }
   const core::Millis elapsed = Events.now() - own.StartedAt;
   apply(runner, finish(Gates[runner], request, elapsed, Events.now()));
@@ -223,7 +235,8 @@
   const Attempt own = it->second;
   if (Tested == Policy::Admission) {
     if (own.Started)
-      Servers[own.Runner]->stop(request);
+      WastedWork += Servers[own.Runner]->stop(request, own.Owner->Work) *
+                    isMeasured(Events.now());
     Attempts.erase(request);
     apply(own.Runner, cancel(Gates[own.Runner], request, Events.now()));
   }
--- a/bench/overload/Run.hpp
+++ b/bench/overload/Run.hpp
@@ -31,6 +31,8 @@
   double RefusalMillis = 0; ///< p95 of the time until a refusal
   double ReturnsTaken = 0;  ///< of callers that came back when told to
   double RecoverySeconds = 0;
+  double InFlight = 0;    ///< mean per runner
+  double WastedShare = 0; ///< work of calls ended too late, over capacity
 };
 
 /// Drives one admission policy at several runners through one workload.
@@ -61,6 +63,7 @@
 
   void scheduleCaller(bool draft);
   void scheduleTick();
+  void sampleInFlight();
   std::shared_ptr<Caller> drawCaller(bool draft);
   void attempt(const std::shared_ptr<Caller> &caller);
   std::size_t pickRunner();
@@ -84,6 +87,9 @@
   std::uint64_t Drawn = 0;
 
   double UsefulWork = 0;
+  double WastedWork = 0;
+  double InFlightTicks = 0;
+  double Ticks = 0;
   double OthersWanted = 0;
   double OthersDone = 0;
   double FloodDone = 0;
--- a/bench/overload/Server.cpp
+++ b/bench/overload/Server.cpp
@@ -61,10 +61,15 @@
   schedule();
 }
 
-void Server::stop(const core::RequestId &request) {
+double Server::stop(const core::RequestId &request, double work) {
   advance();
-  Left.erase(request);
+  const auto it = Left.find(request);
+  if (it == Left.end())
+    return 0;
+  const double spent = work - it->second;
+  Left.erase(it);
   schedule();
+  return spent;
 }
 
 void Server::setSpeed(double speed) {
--- a/bench/overload/Server.hpp
+++ b/bench/overload/Server.hpp
@@ -21,7 +21,9 @@
 
   /// `work` is the time that the call takes alone, in milliseconds.
   void start(const core::RequestId &request, double work);
-  void stop(const core::RequestId &request);
+  /// Returns the work already spent on the call.
+  double stop(const core::RequestId &request, double work);
+  [[nodiscard]] std::size_t inFlight() const { return Left.size(); }
   void setSpeed(double speed);
 
 private:
--- a/src/cowslipridge/limits/ConcurrencyLimit.cpp
+++ b/src/cowslipridge/limits/ConcurrencyLimit.cpp
@@ -9,9 +9,12 @@
 constexpr double SlowdownGain = 0.1;
 /// Slowdown against a runner with little to do that counts as overload.
 constexpr double TolerableSlowdown = 1.25;
-constexpr double DecreaseFactor = 0.9;
-/// The no-load ratio falls to a lower one at once and rises slowly.
-constexpr double NoLoadRise = 0.002;
+/// The limit falls in proportion to the excess, at most to this part at once.
+constexpr double MinDecreaseFactor = 0.5;
+/// The no-load ratio falls to a lower one at once, and rises only by requests
+/// that ran nearly alone; otherwise lasting overload would pass for normal.
+constexpr double NoLoadRise = 0.1;
+constexpr unsigned NoLoadInFlight = 2;
 /// Part of the limit that must be in use for it to rise.
 constexpr double BusyShare = 0.8;
 /// Bounds of one measured ratio, so that one outlier does little.
@@ -35,8 +38,9 @@
     const auto wanted = std::max(1.0, static_cast<double>(expected.count()));
     const double ratio = std::clamp(took / wanted, MinRatio, MaxRatio);
     Slowdown += SlowdownGain * (ratio - Slowdown);
-    NoLoadSlowdown = std::min(
-        Slowdown, NoLoadSlowdown + NoLoadRise * (Slowdown - NoLoadSlowdown));
+    NoLoadSlowdown = std::min(Slowdown, NoLoadSlowdown);
+    if (inFlight <= NoLoadInFlight)
+      NoLoadSlowdown += NoLoadRise * (Slowdown - NoLoadSlowdown);
   }
   ++FinishedInRound;
   if (FinishedInRound < current())
@@ -46,8 +50,9 @@
 }
 
 void ConcurrencyLimit::adjust(unsigned inFlight) {
-  if (Slowdown > TolerableSlowdown * NoLoadSlowdown) {
-    Limit *= DecreaseFactor;
+  const double tolerable = TolerableSlowdown * NoLoadSlowdown;
+  if (Slowdown > tolerable) {
+    Limit *= std::max(MinDecreaseFactor, tolerable / Slowdown);
   } else if (inFlight >= BusyShare * Limit) {
     Limit += 1;
   }
