--- a/src/cowslipridge/limits/ConcurrencyLimit.cpp
+++ b/src/cowslipridge/limits/ConcurrencyLimit.cpp
@@ -6,15 +6,13 @@
 
 namespace {
 
-constexpr double SlowdownGain = 0.05;
+constexpr double SlowdownGain = 0.1;
 /// Slowdown against a runner with little to do that counts as overload.
-constexpr double TolerableSlowdown = 1.35;
+constexpr double TolerableSlowdown = 1.25;
 /// The limit falls in proportion to the excess, at most to this part at once.
 constexpr double MinDecreaseFactor = 0.5;
-/// The no-load ratio falls slowly, so that it is not the least of a noisy
-/// ratio, and rises only by requests that ran nearly alone; otherwise lasting
-/// overload would pass for normal.
-constexpr double NoLoadFall = 0.01;
+/// The no-load ratio falls to a lower one at once, and rises only by requests
+/// that ran nearly alone; otherwise lasting overload would pass for normal.
 constexpr double NoLoadRise = 0.1;
 constexpr unsigned NoLoadInFlight = 2;
 /// Part of the limit that must be in use for it to rise.
@@ -40,9 +38,8 @@
     const auto wanted = std::max(1.0, static_cast<double>(expected.count()));
     const double ratio = std::clamp(took / wanted, MinRatio, MaxRatio);
     Slowdown += SlowdownGain * (ratio - Slowdown);
-    if (Slowdown < NoLoadSlowdown)
-      NoLoadSlowdown += NoLoadFall * (Slowdown - NoLoadSlowdown);
-    else if (inFlight <= NoLoadInFlight)
+    NoLoadSlowdown = std::min(Slowdown, NoLoadSlowdown);
+    if (inFlight <= NoLoadInFlight)
       NoLoadSlowdown += NoLoadRise * (Slowdown - NoLoadSlowdown);
   }
   ++FinishedInRound;
