Adjust the concurrency limit in rounds of requests that saw it

Cause: smoothed ratios lag the limit by several requests, so it swung. Change: a round counts only requests started after the last change; the limit falls by the factor by which the round was too slow, then rises by one; it starts at a quarter of its bound with slow start.

--- a/src/cowslipridge/limits/Admission.cpp
+++ b/src/cowslipridge/limits/Admission.cpp
@@ -225,7 +225,7 @@
   const auto it = Running.find(request);
   if (it == Running.end())
     return actions;
-  Limit.onFinish(elapsed, it->second.ExpectedWork, inFlight(), failed);
+  Limit.onFinish({elapsed, it->second.ExpectedWork, inFlight(), failed}, now);
   Running.erase(it);
   startWaiting(now, actions);
   return actions;
--- a/src/cowslipridge/limits/ConcurrencyLimit.cpp
+++ b/src/cowslipridge/limits/ConcurrencyLimit.cpp
@@ -6,58 +6,82 @@
 
 namespace {
 
+/// Part of the upper bound at which the limit starts.
+constexpr unsigned InitialDivisor = 4;
 constexpr double SlowdownGain = 0.1;
 /// Slowdown against a runner with little to do that counts as overload.
-constexpr double TolerableSlowdown = 1.25;
-/// The limit falls in proportion to the excess, at most to this part at once.
+constexpr double TolerableSlowdown = 1.2;
+/// Part of the limit that it falls to at once, at the least.
 constexpr double MinDecreaseFactor = 0.5;
-/// The no-load ratio falls to a lower one at once, and rises only by requests
-/// that ran nearly alone; otherwise lasting overload would pass for normal.
-constexpr double NoLoadRise = 0.1;
-constexpr unsigned NoLoadInFlight = 2;
-/// Part of the limit that must be in use for it to rise.
+/// Rise per round until the first overload, as a part of the limit.
+constexpr double SlowStartShare = 0.25;
+constexpr double RisePerRound = 1;
+/// Requests of one round, at the least.
+constexpr unsigned MinRound = 8;
+/// Part of the limit that must have been in use for it to rise.
 constexpr double BusyShare = 0.8;
+/// The no-load ratio rises only by requests that ran nearly alone; otherwise
+/// lasting overload would pass for normal.
+constexpr unsigned NoLoadInFlight = 2;
+constexpr double NoLoadGain = 0.05;
 /// Bounds of one measured ratio, so that one outlier does little.
 constexpr double MinRatio = 0.05;
 constexpr double MaxRatio = 20;
 
+double millisOf(core::Millis length) {
+  return std::max(1.0, static_cast<double>(length.count()));
+}
+
 } // namespace
 
 ConcurrencyLimit::ConcurrencyLimit(ConcurrencyBounds bounds)
     : Bounds{std::max(1U, bounds.Min), std::max(bounds.Max, bounds.Min)},
-      Limit(Bounds.Max) {}
+      Limit(std::max(Bounds.Min,
+                     (Bounds.Max + InitialDivisor - 1) / InitialDivisor)) {}
 
 unsigned ConcurrencyLimit::current() const {
   return static_cast<unsigned>(Limit);
 }
 
-void ConcurrencyLimit::onFinish(core::Millis elapsed, core::Millis expected,
-                                unsigned inFlight, bool failed) {
-  if (!failed) {
-    const auto took = static_cast<double>(elapsed.count());
-    const auto wanted = std::max(1.0, static_cast<double>(expected.count()));
-    const double ratio = std::clamp(took / wanted, MinRatio, MaxRatio);
-    Slowdown += SlowdownGain * (ratio - Slowdown);
-    NoLoadSlowdown = std::min(Slowdown, NoLoadSlowdown);
-    if (inFlight <= NoLoadInFlight)
-      NoLoadSlowdown += NoLoadRise * (Slowdown - NoLoadSlowdown);
-  }
-  ++FinishedInRound;
-  if (FinishedInRound < current())
+void ConcurrencyLimit::learnNoLoad(double ratio, unsigned inFlight) {
+  if (inFlight <= NoLoadInFlight)
+    NoLoadSlowdown += NoLoadGain * (ratio - NoLoadSlowdown);
+}
+
+void ConcurrencyLimit::onFinish(const FinishedRequest &request,
+                                core::Millis now) {
+  if (request.Failed)
+    return;
+  const double ratio =
+      std::clamp(millisOf(request.Elapsed) / millisOf(request.Expected),
+                 MinRatio, MaxRatio);
+  Slowdown += SlowdownGain * (ratio - Slowdown);
+  learnNoLoad(ratio, request.InFlight);
+  if (now - request.Elapsed < AdjustedAt)
     return;
-  FinishedInRound = 0;
-  adjust(inFlight);
+  Current.Elapsed += ratio * millisOf(request.Expected);
+  Current.Expected += millisOf(request.Expected);
+  Current.MaxInFlight = std::max(Current.MaxInFlight, request.InFlight);
+  ++Current.Finished;
+  if (Current.Finished >= std::max(MinRound, current()))
+    adjust(now);
 }
 
-void ConcurrencyLimit::adjust(unsigned inFlight) {
+void ConcurrencyLimit::adjust(core::Millis now) {
+  const double ratio = Current.Elapsed / Current.Expected;
+  NoLoadSlowdown = std::min(NoLoadSlowdown, ratio);
   const double tolerable = TolerableSlowdown * NoLoadSlowdown;
-  if (Slowdown > tolerable) {
-    Limit *= std::max(MinDecreaseFactor, tolerable / Slowdown);
-  } else if (inFlight >= BusyShare * Limit) {
-    Limit += 1;
+  const bool isBusy = Current.MaxInFlight >= BusyShare * Limit;
+  if (ratio > tolerable) {
+    Limit *= std::max(MinDecreaseFactor, tolerable / ratio);
+    SlowStart = false;
   }
+  if (isBusy)
+    Limit += SlowStart ? SlowStartShare * Limit : RisePerRound;
   Limit = std::clamp(Limit, static_cast<double>(Bounds.Min),
                      static_cast<double>(Bounds.Max));
+  Current = {};
+  AdjustedAt = now;
 }
 
 } // namespace cowslipridge::limits
--- a/src/cowslipridge/limits/ConcurrencyLimit.hpp
+++ b/src/cowslipridge/limits/ConcurrencyLimit.hpp
@@ -10,29 +10,45 @@
   unsigned Max = 32;
 };
 
-/// Adaptive concurrency limit: rises by one while requests take about as long
-/// as on an idle runner, and falls by a factor once they take much longer
-/// (additive increase, multiplicative decrease).
+/// One request that ended.
+struct FinishedRequest {
+  core::Millis Elapsed;
+  core::Millis Expected;
+  unsigned InFlight = 0; ///< running until then, this one included
+  bool Failed = false;
+};
+
+/// Adaptive concurrency limit. In each round of requests that started after the
+/// last change it compares their actual with their expected time. The limit
+/// falls by the factor by which they were too slow, and rises by a small step
+/// while it is in use.
 class ConcurrencyLimit {
 public:
   explicit ConcurrencyLimit(ConcurrencyBounds bounds);
 
-  /// A request that was expected to take `expected` took `elapsed`, with
-  /// `inFlight` requests running until then.
-  void onFinish(core::Millis elapsed, core::Millis expected, unsigned inFlight,
-                bool failed);
+  void onFinish(const FinishedRequest &request, core::Millis now);
   [[nodiscard]] unsigned current() const;
   /// Recent ratio of actual to expected time.
   [[nodiscard]] double slowdown() const { return Slowdown; }
 
 private:
-  void adjust(unsigned inFlight);
+  struct Round {
+    double Elapsed = 0;
+    double Expected = 0;
+    unsigned Finished = 0;
+    unsigned MaxInFlight = 0;
+  };
+
+  void learnNoLoad(double ratio, unsigned inFlight);
+  void adjust(core::Millis now);
 
   ConcurrencyBounds Bounds;
   double Limit;
+  bool SlowStart = true;
   double Slowdown = 1;
-  double NoLoadSlowdown = 1; ///< ratio on a runner with little to do
-  unsigned FinishedInRound = 0;
+  double NoLoadSlowdown = 1; ///< ratio of requests that run nearly alone
+  Round Current;
+  core::Millis AdjustedAt;
 };
 
 } // namespace cowslipridge::limits
