Let the no-load ratio follow rounds both ways

Cause: taking the least ratio of all rounds put the no-load ratio below the truth, so after a brown-out the limit never came back. Change: the no-load ratio moves by a tenth towards lower rounds, and towards requests that ran with at most an eighth of the bound in flight; tolerance 1.1.

--- a/src/cowslipridge/limits/ConcurrencyLimit.cpp
+++ b/src/cowslipridge/limits/ConcurrencyLimit.cpp
@@ -10,7 +10,7 @@
 constexpr unsigned InitialDivisor = 4;
 constexpr double SlowdownGain = 0.1;
 /// Slowdown against a runner with little to do that counts as overload.
-constexpr double TolerableSlowdown = 1.2;
+constexpr double TolerableSlowdown = 1.1;
 /// Part of the limit that it falls to at once, at the least.
 constexpr double MinDecreaseFactor = 0.5;
 /// Rise per round until the first overload, as a part of the limit.
@@ -23,7 +23,9 @@
 /// The no-load ratio rises only by requests that ran nearly alone; otherwise
 /// lasting overload would pass for normal.
 constexpr unsigned NoLoadInFlight = 2;
-constexpr double NoLoadGain = 0.05;
+/// Part of the upper bound that counts as nearly alone.
+constexpr unsigned NoLoadDivisor = 8;
+constexpr double NoLoadGain = 0.1;
 /// Bounds of one measured ratio, so that one outlier does little.
 constexpr double MinRatio = 0.05;
 constexpr double MaxRatio = 20;
@@ -44,7 +46,7 @@
 }
 
 void ConcurrencyLimit::learnNoLoad(double ratio, unsigned inFlight) {
-  if (inFlight <= NoLoadInFlight)
+  if (inFlight <= std::max(NoLoadInFlight, Bounds.Max / NoLoadDivisor))
     NoLoadSlowdown += NoLoadGain * (ratio - NoLoadSlowdown);
 }
 
@@ -69,7 +71,8 @@
 
 void ConcurrencyLimit::adjust(core::Millis now) {
   const double ratio = Current.Elapsed / Current.Expected;
-  NoLoadSlowdown = std::min(NoLoadSlowdown, ratio);
+  if (ratio < NoLoadSlowdown)
+    NoLoadSlowdown += NoLoadGain * (ratio - NoLoadSlowdown);
   const double tolerable = TolerableSlowdown * NoLoadSlowdown;
   const bool isBusy = Current.MaxInFlight >= BusyShare * Limit;
   if (ratio > tolerable) {
