Queue a request only when half of its slack is left

Change: a request is refused at once when its predicted wait uses more than half of its slack. bench_overload counts drafts that were taken on and whose deadline lies in the run, and tells refusals of drafts apart.

--- a/bench/overload/Main.cpp
+++ b/bench/overload/Main.cpp
@@ -60,6 +60,7 @@
       report.add(row, "flooder's share", figures.FloodShare);
       report.add(row, "drafts in time", figures.DraftsInTime);
       report.add(row, "refusal p95 ms", figures.RefusalMillis);
+      report.add(row, "draft refusal p95 ms", figures.DraftRefusalMillis);
       report.add(row, "returns taken", figures.ReturnsTaken);
       report.add(row, "recovery s", figures.RecoverySeconds);
       report.add(row, "in flight", figures.InFlight);
--- a/bench/overload/Run.hpp
+++ b/bench/overload/Run.hpp
@@ -29,7 +29,8 @@
   double FloodShare = 0;    ///< of the useful prompt work
   double DraftsInTime = 0;  ///< of the drafts taken on
   double RefusalMillis = 0; ///< p95 of the time until a refusal
-  double ReturnsTaken = 0;  ///< of callers that came back when told to
+  double DraftRefusalMillis = 0;
+  double ReturnsTaken = 0; ///< of callers that came back when told to
   double RecoverySeconds = 0;
   double InFlight = 0;    ///< mean per runner
   double WastedShare = 0; ///< work of calls ended too late, over capacity
@@ -58,6 +59,7 @@
     core::Millis StartedAt;
     core::Millis Deadline;
     bool Started = false;
+    bool Taken = false; ///< queued or started
     bool GaveUp = false;
   };
 
@@ -68,6 +70,8 @@
   void attempt(const std::shared_ptr<Caller> &caller);
   std::size_t pickRunner();
   void apply(std::size_t runner, const limits::AdmissionActions &actions);
+  [[nodiscard]] bool isCountedDraft(const Attempt &attempt) const;
+  void countTaken(Attempt &attempt);
   void onStart(const core::RequestId &request);
   void onRefuse(const limits::RefuseRequest &refusal);
   void onEnd(std::size_t runner, const core::RequestId &request);
@@ -98,6 +102,7 @@
   double Returns = 0;
   double ReturnsTaken = 0;
   std::vector<double> RefusalTimes;
+  std::vector<double> DraftRefusalTimes;
   std::vector<double> WantedBySecond;
   std::vector<double> DoneBySecond;
 };
--- a/src/cowslipridge/limits/Admission.cpp
+++ b/src/cowslipridge/limits/Admission.cpp
@@ -16,6 +16,8 @@
 /// Part of the limit kept free of deferrable work, so that other work finds
 /// room at once.
 constexpr double HeadroomShare = 0.125;
+/// Part of a request's slack that the queue may use up.
+constexpr double UsableSlack = 0.5;
 /// Deferrable work starts this many expected times before its deadline at the
 /// latest, even when other work waits.
 constexpr double DeferrableLead = 2;
@@ -62,6 +64,8 @@
   [[nodiscard]] bool hasRoomForDeferrable() const;
   [[nodiscard]] bool canFinish(const Arrival &arrival, core::Millis wait,
                                core::Millis now) const;
+  [[nodiscard]] bool mayWait(const Arrival &arrival, core::Millis wait,
+                             core::Millis now) const;
   [[nodiscard]] bool isUrgent(const Arrival &arrival, core::Millis now) const;
   bool knows(const core::RequestId &request) const;
 
@@ -120,6 +124,15 @@
   return now + wait + runTime(arrival) <= arrival.Deadline;
 }
 
+/// Whether a request that must wait this long may be queued. Part of its slack
+/// is kept for requests that arrive later and go first.
+bool Admission::State::mayWait(const Arrival &arrival, core::Millis wait,
+                               core::Millis now) const {
+  const core::Millis slack = arrival.Deadline - now - runTime(arrival);
+  return static_cast<double>(wait.count()) <=
+         UsableSlack * static_cast<double>(slack.count());
+}
+
 bool Admission::State::isUrgent(const Arrival &arrival,
                                 core::Millis now) const {
   const core::Millis lead =
@@ -152,7 +165,7 @@
                                AdmissionActions &actions) {
   FairQueue &queue = arrival.Deferrable ? Deferred : Prompt;
   const core::Millis wait = slotWait() + drainTime(queue.workAhead(arrival));
-  if (!canFinish(arrival, wait, now) || Settings.MaxQueue == 0) {
+  if (!mayWait(arrival, wait, now) || Settings.MaxQueue == 0) {
     refuse(arrival, core::Errc::Overloaded, now, actions);
     return;
   }
