Probe a no-load ratio that was learnt while the runner was slow

Cause: a unit test (settle, slow spell, settle) was red: the limit stayed at 22 for a capacity of 8, because the ratio learnt in the slow spell passed for normal. Change: a no-load ratio well over the least one is tried again for one round at half the limit; small bounds start at the bound.

--- a/src/cowslipridge/limits/ConcurrencyLimit.cpp
+++ b/src/cowslipridge/limits/ConcurrencyLimit.cpp
@@ -1,12 +1,15 @@
 #include "cowslipridge/limits/ConcurrencyLimit.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace cowslipridge::limits {
 
 namespace {
 
-/// Part of the upper bound at which the limit starts.
+/// The limit starts at its upper bound or at this, whichever is less, but not
+/// under a quarter of the bound.
+constexpr unsigned InitialLimit = 8;
 constexpr unsigned InitialDivisor = 4;
 constexpr double SlowdownGain = 0.1;
 /// Slowdown against a runner with little to do that counts as overload.
@@ -26,10 +29,19 @@
 /// Part of the upper bound that counts as nearly alone.
 constexpr unsigned NoLoadDivisor = 8;
 constexpr double NoLoadGain = 0.1;
+/// Rise of the no-load ratio over the least one that puts it in doubt.
+constexpr double DoubtfulRise = 1.2;
+constexpr unsigned RoundsPerProbe = 5;
+/// Part of the limit that is used while the no-load ratio is probed.
+constexpr double ProbeShare = 0.5;
 /// Bounds of one measured ratio, so that one outlier does little.
 constexpr double MinRatio = 0.05;
 constexpr double MaxRatio = 20;
 
+unsigned initialLimit(unsigned max) {
+  return std::min(max, std::max(InitialLimit, max / InitialDivisor));
+}
+
 double millisOf(core::Millis length) {
   return std::max(1.0, static_cast<double>(length.count()));
 }
@@ -38,8 +50,7 @@
 
 ConcurrencyLimit::ConcurrencyLimit(ConcurrencyBounds bounds)
     : Bounds{std::max(1U, bounds.Min), std::max(bounds.Max, bounds.Min)},
-      Limit(std::max(Bounds.Min,
-                     (Bounds.Max + InitialDivisor - 1) / InitialDivisor)) {}
+      Limit(std::max(Bounds.Min, initialLimit(Bounds.Max))) {}
 
 unsigned ConcurrencyLimit::current() const {
   return static_cast<unsigned>(Limit);
@@ -71,8 +82,22 @@
 
 void ConcurrencyLimit::adjust(core::Millis now) {
   const double ratio = Current.Elapsed / Current.Expected;
+  if (LimitBeforeProbe > 0)
+    endProbe(ratio);
+  else if (shouldProbe())
+    LimitBeforeProbe = std::exchange(Limit, Limit * ProbeShare);
+  else
+    follow(ratio);
+  Limit = std::clamp(Limit, static_cast<double>(Bounds.Min),
+                     static_cast<double>(Bounds.Max));
+  Current = {};
+  AdjustedAt = now;
+}
+
+void ConcurrencyLimit::follow(double ratio) {
   if (ratio < NoLoadSlowdown)
     NoLoadSlowdown += NoLoadGain * (ratio - NoLoadSlowdown);
+  LeastNoLoad = std::min(LeastNoLoad, NoLoadSlowdown);
   const double tolerable = TolerableSlowdown * NoLoadSlowdown;
   const bool isBusy = Current.MaxInFlight >= BusyShare * Limit;
   if (ratio > tolerable) {
@@ -81,10 +106,22 @@
   }
   if (isBusy)
     Limit += SlowStart ? SlowStartShare * Limit : RisePerRound;
-  Limit = std::clamp(Limit, static_cast<double>(Bounds.Min),
-                     static_cast<double>(Bounds.Max));
-  Current = {};
-  AdjustedAt = now;
+}
+
+bool ConcurrencyLimit::shouldProbe() {
+  if (NoLoadSlowdown < DoubtfulRise * LeastNoLoad)
+    return false;
+  if (RoundsUntilProbe > 0) {
+    --RoundsUntilProbe;
+    return false;
+  }
+  RoundsUntilProbe = RoundsPerProbe;
+  return true;
+}
+
+void ConcurrencyLimit::endProbe(double ratio) {
+  Limit = std::exchange(LimitBeforeProbe, 0);
+  NoLoadSlowdown = std::min(NoLoadSlowdown, ratio);
 }
 
 } // namespace cowslipridge::limits
--- a/src/cowslipridge/limits/ConcurrencyLimit.hpp
+++ b/src/cowslipridge/limits/ConcurrencyLimit.hpp
@@ -41,12 +41,20 @@
 
   void learnNoLoad(double ratio, unsigned inFlight);
   void adjust(core::Millis now);
+  void follow(double ratio);
+  [[nodiscard]] bool shouldProbe();
+  void endProbe(double ratio);
 
   ConcurrencyBounds Bounds;
   double Limit;
   bool SlowStart = true;
   double Slowdown = 1;
   double NoLoadSlowdown = 1; ///< ratio of requests that run nearly alone
+  /// The least no-load ratio so far. A higher one is in doubt: it was learnt
+  /// while the runner was slow, and is tried again at half the limit.
+  double LeastNoLoad = 1;
+  unsigned RoundsUntilProbe = 0;
+  double LimitBeforeProbe = 0; ///< 0: no probe is running
   Round Current;
   core::Millis AdjustedAt;
 };
