--- a/src/cowslipridge/entry/RequestFlow.cpp
+++ b/src/cowslipridge/entry/RequestFlow.cpp
@@ -262,6 +262,7 @@
     respondDraft();
     return;
   }
+  Rejected = route::RejectedAnswer{Version, score};
   Context.Events.report(observe::EventNumber::RequestEscalated,
                         {Request.Request, Cascade.Better, {}, {}});
   begin(Part::Better, Cascade.Better);
@@ -290,7 +291,7 @@
   answer.RequestClass = Facts.RequestClass;
   answer.Version = Version;
   answer.CheckScore = CheckScore;
-  answer.Escalated = Running == Part::Better;
+  answer.Replaced = Rejected;
   Context.Grades.onAnswer(Request.Request, answer);
   done();
 }
--- a/src/cowslipridge/entry/RequestFlow.hpp
+++ b/src/cowslipridge/entry/RequestFlow.hpp
@@ -76,8 +76,9 @@
   route::CutOffSet Avoided; ///< versions that a sidecar refused
 
   Part Running = Part::Single;
-  route::CascadePlan Cascade; ///< unless Running is Single
-  double CheckScore = -1;     ///< of a draft that was kept
+  route::CascadePlan Cascade;                    ///< unless Running is Single
+  double CheckScore = -1;                        ///< of a draft that was kept
+  std::optional<route::RejectedAnswer> Rejected; ///< by the check
   core::VersionId Version;
   core::InstanceId Sidecar; ///< of the attempt under way
   std::vector<core::RunnerId> Tried;
