--- /dev/null
+++ b/tests/integration/StrangerTest.cpp
@@ -0,0 +1,99 @@
+// The port between the system's own processes, reached by somebody else.
+
+#include "support/Cluster.hpp"
+#include "support/Declarations.hpp"
+
+#include "support/RawSocket.hpp"
+#include "support/Waiting.hpp"
+
+#include <gtest/gtest.h>
+
+#include <random>
+
+using namespace cowslipridge;
+using namespace cowslipridge::integration;
+using cowslipridge::support::eventually;
+using cowslipridge::support::RawSocket;
+using nlohmann::json;
+
+namespace {
+
+constexpr unsigned Seed = 20'261'203;
+
+class StrangerTest : public ::testing::Test {
+protected:
+  void SetUp() override {
+    Fleet.publish({fittingText()});
+    Runner = &Fleet.addRunner("fit-1");
+    Sidecar = &Fleet.addSidecar("fit-1", "fitting", "small@1", *Runner);
+    Entry = &Fleet.addEntry("entry-1");
+    ASSERT_TRUE(eventually([this] { return works(); }));
+  }
+
+  bool works() {
+    return Caller(Entry->base(), StewardKey)
+               .call(makeChat({.Service = "fitting"}))
+               .status() == 200;
+  }
+
+  [[nodiscard]] RawSocket connect() const {
+    return RawSocket::connect(support::loopbackAddress(), Sidecar->rpcPort());
+  }
+
+  static std::string randomBytes(std::mt19937 &random, std::size_t size) {
+    std::string bytes;
+    for (std::size_t i = 0; i < size; ++i)
+      bytes += static_cast<char>(random() % 256);
+    return bytes;
+  }
+
+  Cluster Fleet;
+  StandInProcess *Runner = nullptr;
+  Daemon *Sidecar = nullptr;
+  Daemon *Entry = nullptr;
+};
+
+TEST_F(StrangerTest, garbageFramesDoNoHarm) {
+  std::mt19937 random(Seed);
+  for (int i = 0; i < 50; ++i) {
+    const auto socket = connect();
+    ASSERT_TRUE(socket.open());
+    socket.send(randomBytes(random, 1 + random() % 2'000));
+  }
+  EXPECT_TRUE(Sidecar->process().running()) << Sidecar->process().log();
+  EXPECT_TRUE(works());
+}
+
+// One segment of 0xfffffff0 words: a frame that claims 32 GB.
+TEST_F(StrangerTest, hugeFramesDoNoHarm) {
+  const auto socket = connect();
+  socket.send(std::string("\x00\x00\x00\x00\xf0\xff\xff\xff", 8));
+  socket.send(std::string(64 * 1024, 'x'));
+  EXPECT_TRUE(works());
+  EXPECT_TRUE(Sidecar->process().running());
+}
+
+TEST_F(StrangerTest, silentConnectionsDoNotBlockOthers) {
+  std::vector<RawSocket> held;
+  for (int i = 0; i < 30; ++i)
+    held.push_back(connect());
+  EXPECT_TRUE(works());
+}
+
+TEST_F(StrangerTest, aPeerWithoutTheKeyIsRefusedAndLogged) {
+  DaemonOptions options;
+  options.Name = "stranger-1";
+  options.FleetKey = std::string(64, 'a');
+  Daemon &stranger = Fleet.addDaemon(options);
+  Caller caller(stranger.base(), StewardKey);
+  const auto result = caller.call(makeChat({.Service = "fitting"}));
+  EXPECT_NE(result.status(), 200);
+  EXPECT_TRUE(eventually([&] {
+    const std::string log = Sidecar->process().log();
+    return log.find("refused") != std::string::npos ||
+           log.find("Refused") != std::string::npos;
+  })) << Sidecar->process().log();
+  EXPECT_TRUE(works());
+}
+
+} // namespace
