--- a/tests/integration/PathTest.cpp
+++ b/tests/integration/PathTest.cpp
@@ -173,7 +173,7 @@
 }
 
 TEST_F(PathTest, refusesOversizedRequests) {
-  const std::string prompt(2 * 1024 * 1024, 'x');
+  const std::string prompt(std::size_t{2} * 1024 * 1024, 'x');
   expectProblem(
       Steward->call(makeChat({.Service = "fitting", .Prompt = prompt})), 413,
       "too-large");
--- a/tests/integration/StrangerTest.cpp
+++ b/tests/integration/StrangerTest.cpp
@@ -68,14 +68,16 @@
 TEST_F(StrangerTest, hugeFramesDoNoHarm) {
   const auto socket = connect();
   socket.send(std::string("\x00\x00\x00\x00\xf0\xff\xff\xff", 8));
-  socket.send(std::string(64 * 1024, 'x'));
+  socket.send(std::string(std::size_t{64} * 1024, 'x'));
   EXPECT_TRUE(works());
   EXPECT_TRUE(Sidecar->process().running());
 }
 
 TEST_F(StrangerTest, silentConnectionsDoNotBlockOthers) {
+  constexpr std::size_t Silent = 30;
   std::vector<RawSocket> held;
-  for (int i = 0; i < 30; ++i)
+  held.reserve(Silent);
+  for (std::size_t i = 0; i < Silent; ++i)
     held.push_back(connect());
   EXPECT_TRUE(works());
 }
--- a/tests/integration/support/Process.cpp
+++ b/tests/integration/support/Process.cpp
@@ -24,6 +24,7 @@
 
 std::vector<char *> pointersTo(std::vector<std::string> &texts) {
   std::vector<char *> pointers;
+  pointers.reserve(texts.size() + 1);
   for (std::string &it : texts)
     pointers.push_back(it.data());
   pointers.push_back(nullptr);
@@ -114,7 +115,7 @@
 
 std::string TempDir::write(const std::string &name,
                            const std::string &text) const {
-  const std::string file = path(name);
+  std::string file = path(name);
   std::ofstream(file) << text;
   return file;
 }
