Stop the proxy's listener at once when it is to refuse

Cause: ProxyTest.refusesAndComesBack failed once: close() leaves a socket listening while another thread polls it. Change: shutdown() before it.

--- a/tests/integration/support/Caller.hpp
+++ b/tests/integration/support/Caller.hpp
@@ -73,7 +73,7 @@
   std::string Prompt = "which seat suits a child of two?";
   int MaxTokens = 8;
   bool Stream = false;
-  http::Headers Fields;
+  http::Headers Fields = {};
 };
 http::Request makeChat(const ChatOptions &options);
 
--- a/tests/integration/support/FaultProxy.cpp
+++ b/tests/integration/support/FaultProxy.cpp
@@ -193,6 +193,8 @@
   void setRefusing(bool refusing) {
     const std::lock_guard lock(Guard);
     if (refusing && Listener >= 0) {
+      // close() alone leaves it listening for as long as the loop polls it.
+      ::shutdown(Listener, SHUT_RDWR);
       ::close(Listener);
       Listener = -1;
     } else if (!refusing && Listener < 0) {
