Refuse chunks that do not belong to one answer

Cause: the engine adapter took any chunk that parsed: an engine that switched to another answer's id, or sent each event twice, looked whole to the caller. Ruled out: counting chunks against completion tokens; engines put several tokens into a chunk. Change: StreamCheck holds one id, one end of each choice and one end of the stream; an echoed X-Request-Id must be the request's own.

--- a/src/cowslipridge/runner/EngineMessage.cpp
+++ b/src/cowslipridge/runner/EngineMessage.cpp
@@ -32,13 +32,18 @@
   return tokens;
 }
 
-bool isFinished(const json &choices) {
+std::vector<ChoiceReport> toChoices(const json &choices) {
+  std::vector<ChoiceReport> reports;
   for (const json &it : choices) {
-    if (it.is_object() && it.contains("finish_reason") &&
-        !it["finish_reason"].is_null())
-      return true;
+    if (!it.is_object())
+      continue;
+    ChoiceReport report;
+    report.Index = static_cast<int>(numberAt(it, "index"));
+    const auto reason = it.find("finish_reason");
+    report.Finished = reason != it.end() && !reason->is_null();
+    reports.push_back(report);
   }
-  return false;
+  return reports;
 }
 
 } // namespace
@@ -77,7 +82,11 @@
   const auto choices = body.find("choices");
   const bool hasChoices = choices != body.end() && choices->is_array();
   report.UsageOnly = report.HasUsage && hasChoices && choices->empty();
-  report.Finished = hasChoices && isFinished(*choices);
+  if (hasChoices)
+    report.Choices = toChoices(*choices);
+  const auto id = body.find("id");
+  if (id != body.end() && id->is_string())
+    report.AnswerId = id->get<std::string>();
   report.IsError = objectAt(body, "error") != nullptr;
   return report;
 }
--- a/src/cowslipridge/runner/EngineMessage.hpp
+++ b/src/cowslipridge/runner/EngineMessage.hpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace cowslipridge::runner {
 
@@ -21,12 +22,19 @@
 /// Names the engine's model, and asks for the usage of streamed answers.
 core::Result<EngineBody> toEngineBody(const Call &call);
 
+/// What one chunk says of one choice.
+struct ChoiceReport {
+  int Index = 0;
+  bool Finished = false; ///< it has a finish reason
+};
+
 /// What one chunk or whole answer says.
 struct EngineReport {
+  std::string AnswerId;
+  std::vector<ChoiceReport> Choices;
   Usage Tokens;
   bool HasUsage = false;
   bool UsageOnly = false; ///< a chunk without choices
-  bool Finished = false;  ///< some choice has a finish reason
   bool IsError = false;   ///< the engine reports an error within the stream
 };
 
--- a/src/cowslipridge/runner/EngineRunner.cpp
+++ b/src/cowslipridge/runner/EngineRunner.cpp
@@ -3,6 +3,7 @@
 #include "cowslipridge/core/Error.hpp"
 #include "cowslipridge/runner/EngineMessage.hpp"
 #include "cowslipridge/runner/SseParser.hpp"
+#include "cowslipridge/runner/StreamCheck.hpp"
 #include "cowslipridge/runner/internal/GuardedCall.hpp"
 
 #include <nlohmann/json.hpp>
@@ -19,18 +20,27 @@
 constexpr int ServiceUnavailable = 503;
 constexpr int FirstServerError = 500;
 
+/// Engines that know a request's id return it under the same name.
+constexpr std::string_view RequestIdHeader = "X-Request-Id";
+
 /// Largest whole answer that is collected, in bytes.
 constexpr std::size_t MaxAnswerBytes = 8'388'608;
 
 /// Follows one answer of an engine.
 class EngineCall final : public GuardedCall {
 public:
-  EngineCall(CallEvents events, bool usageWanted)
-      : GuardedCall(std::move(events)), UsageWanted(usageWanted) {}
+  EngineCall(CallEvents events, core::RequestId request, bool usageWanted)
+      : GuardedCall(std::move(events)), Request(std::move(request)),
+        UsageWanted(usageWanted) {}
 
 private:
   void onHead(int status, const http::Headers &fields) override {
     Status = status;
+    const auto echoed = http::findHeader(fields, RequestIdHeader);
+    if (echoed && *echoed != Request.str()) {
+      finish(Errc::RunnerFailed, Outcome::Unknown, {});
+      return;
+    }
     const auto type = http::findHeader(fields, "Content-Type");
     Streams = status < FirstErrorStatus && type &&
               type->starts_with("text/event-stream");
@@ -73,24 +83,24 @@
 
   void takeEvent(SseEvent event) {
     if (event.Data == EndOfStream) {
-      Ended = true;
+      if (!Check.takeEnd())
+        finish(Errc::RunnerFailed, Outcome::Unknown, Tokens);
       return;
     }
     const core::Result<EngineReport> report = readReport(event.Data);
-    if (!report || report->IsError) {
+    if (!report || report->IsError || !Check.takeChunk(*report)) {
       finish(Errc::RunnerFailed, Outcome::Unknown, Tokens);
       return;
     }
     if (report->HasUsage)
       Tokens = report->Tokens;
-    Finished = Finished || report->Finished;
     if (!report->UsageOnly || UsageWanted)
       tellData(std::move(event.Data));
   }
 
   // A stream that ends without its last events was cut short.
   void finishStream() {
-    if (Ended && Finished)
+    if (Check.whole())
       finish({}, Outcome::Ran, Tokens);
     else
       finish(Errc::RunnerFailed, Outcome::Unknown, Tokens);
@@ -106,11 +116,11 @@
     finish({}, Outcome::Ran, report->Tokens);
   }
 
+  const core::RequestId Request;
   const bool UsageWanted;
   int Status = 0;
   bool Streams = false;
-  bool Ended = false;
-  bool Finished = false;
+  StreamCheck Check;
   Usage Tokens;
   SseParser Parser;
   std::string Whole;
@@ -141,10 +151,10 @@
   message.Method = "POST";
   message.Target = "/v1/chat/completions";
   message.Fields = {{"Content-Type", "application/json"},
-                    {"X-Request-Id", call.Request.str()}};
+                    {std::string(RequestIdHeader), call.Request.str()}};
   message.Body = body->Text;
-  auto running =
-      std::make_shared<EngineCall>(std::move(events), body->UsageWanted);
+  auto running = std::make_shared<EngineCall>(std::move(events), call.Request,
+                                              body->UsageWanted);
   running->send(Engine, std::move(message));
   return running;
 }
--- a/src/standins/ModelRunner.cpp
+++ b/src/standins/ModelRunner.cpp
@@ -120,8 +120,10 @@
 
 void ModelRunner::step(const RunPtr &run) {
   if (!run->Wanted.Stream) {
-    run->Responder->respond(
-        http::makeJson(200, wholeAnswer(headOf(*run), run->Usage)));
+    const AnswerHead head = headOf(*run);
+    http::Response answer = http::makeJson(200, wholeAnswer(head, run->Usage));
+    answer.Fields.push_back({"X-Request-Id", head.Request});
+    run->Responder->respond(std::move(answer));
     end(run, RunState::Finished);
     return;
   }
--- a/tests/unit/runner/EngineRunnerTest.cpp
+++ b/tests/unit/runner/EngineRunnerTest.cpp
@@ -133,6 +133,40 @@
   }
 }
 
+// Chunks of another answer, a choice that goes on after its end, and a stream
+// that ends twice.
+TEST(EngineRunner, aStreamThatDoesNotBelongTogetherIsAnError) {
+  const std::string other = R"({"id":"x","choices":[{"delta":{}}]})";
+  const std::vector<std::vector<std::string>> streamsOfTwo = {
+      {Token, other, Last, Tokens, "[DONE]"},
+      {Token, Last, Token, Tokens, "[DONE]"},
+      {Token, Last, Last, Tokens, "[DONE]"},
+      {Token, Last, Tokens, "[DONE]", "[DONE]"},
+      {Token, Last, "[DONE]", Tokens}};
+  for (const auto &it : streamsOfTwo) {
+    const Backend backend(streams(it));
+    EngineRunner runner(backend.base(), Silence);
+    const auto heard = run(runner, makeCall(true));
+    ASSERT_TRUE(heard);
+    EXPECT_EQ(heard->Error, Errc::RunnerFailed);
+    EXPECT_EQ(heard->Result, Outcome::Unknown);
+  }
+}
+
+TEST(EngineRunner, anAnswerToAnotherRequestIsAnError) {
+  const Backend backend(
+      [](const http::Request &, const std::shared_ptr<http::Responder> &it) {
+        http::Response answer = http::makeJson(200, R"({"choices":[]})");
+        answer.Fields.push_back({"x-request-id", "r-2"});
+        it->respond(std::move(answer));
+      });
+  EngineRunner runner(backend.base(), Silence);
+  const auto heard = run(runner, makeCall(false));
+  ASSERT_TRUE(heard);
+  EXPECT_EQ(heard->Error, Errc::RunnerFailed);
+  EXPECT_TRUE(heard->Data.empty());
+}
+
 TEST(EngineRunner, aStreamThatBreaksIsAnError) {
   const Backend backend(
       [](const http::Request &, const std::shared_ptr<http::Responder> &it) {
