Wait for a key's owner instead of failing the call

Cause: a call that came while its shard had no owner yet (after a start or a take-over) was refused with not-owner and no owner to go to; PathTest.passesAPlainCallThrough and runsARepeatedBookingOnce got 503. Ruled out: a readiness that waits for shards; a take-over has the same gap. Change: the entry asks again every 100 ms, 20 times at most and within the deadline, outside the retry budget; the call has provably not run. Measured: both tests fail before, pass after (1.2 s each); 13 Retry tests pass. Conclusion: callers see the gap as latency, not as an error.

--- a/src/cowslipridge/entry/RequestFlow.cpp
+++ b/src/cowslipridge/entry/RequestFlow.cpp
@@ -323,11 +323,13 @@
   AttemptFacts facts;
   facts.Idempotent = Request.Idempotent;
   facts.AnswerStarted = Answer.started();
-  facts.PlansLeft = !SessionIsPinned && Attempts < MaxAttempts;
+  facts.PlansLeft = !SessionIsPinned && attemptsMade() < MaxAttempts;
   facts.OnTrial = isOnTrial();
+  facts.OwnerWaits = OwnerWaits;
   facts.Remaining = remaining();
   std::visit(
       core::Overloaded{
+          [&](const WaitForOwner &it) { waitForOwner(it.Pause); },
           [&](const RedirectToOwner &it) { redirect(it.Owner, result); },
           [&](const RetryElsewhere &it) { retryElsewhere(result, it.IsFree); },
           [&](const PlanAgain &) { planAgain(); },
@@ -335,6 +337,16 @@
       decideRetry(result, facts));
 }
 
+void RequestFlow::waitForOwner(core::Millis pause) {
+  ++OwnerWaits;
+  Tried.clear();
+  Context.Loop.postAfter(pause, [weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self && !self->Done)
+      self->attempt();
+  });
+}
+
 void RequestFlow::redirect(const core::InstanceId &owner,
                            const rpc::RunResult &result) {
   const bool known = Context.Peers->client(owner) != nullptr;
@@ -347,7 +359,7 @@
 }
 
 void RequestFlow::retryElsewhere(const rpc::RunResult &result, bool isFree) {
-  if (Attempts >= MaxAttempts || (!isFree && !Context.Retries.tryTake())) {
+  if (attemptsMade() >= MaxAttempts || (!isFree && !Context.Retries.tryTake())) {
     fail(result);
     return;
   }
--- a/src/cowslipridge/entry/RequestFlow.hpp
+++ b/src/cowslipridge/entry/RequestFlow.hpp
@@ -50,6 +50,7 @@
   void learnFrom(const rpc::RunResult &result);
 
   void recover(const rpc::RunResult &result);
+  void waitForOwner(core::Millis pause);
   void redirect(const core::InstanceId &owner, const rpc::RunResult &result);
   void retryElsewhere(const rpc::RunResult &result, bool isFree);
   void planAgain();
@@ -60,6 +61,8 @@
   void explain(std::string text);
   [[nodiscard]] core::Millis remaining() const;
   [[nodiscard]] bool isOnTrial() const;
+  /// Attempts that count; waiting for an owner does not.
+  [[nodiscard]] unsigned attemptsMade() const { return Attempts - OwnerWaits; }
   [[nodiscard]] AnswerLabels labels();
 
   EntryContext &Context;
@@ -84,6 +87,7 @@
   std::vector<core::RunnerId> Tried;
   unsigned Attempts = 0;
   unsigned Redirects = 0;
+  unsigned OwnerWaits = 0;
 
   // The answer of the attempt under way.
   std::shared_ptr<rpc::RemoteCall> Call;
--- a/src/cowslipridge/entry/Retry.cpp
+++ b/src/cowslipridge/entry/Retry.cpp
@@ -9,13 +9,15 @@
 
 namespace {
 
+constexpr core::Millis OwnerPause{100};
+constexpr unsigned MaxOwnerWaits = 20;
+
 // Refusals that another runner may not share.
 bool isLocal(std::error_code ec) {
   return ec == Errc::RunnerUnavailable || ec == Errc::RunnerFailed ||
          ec == Errc::Overloaded || ec == Errc::Leaving ||
          ec == Errc::StaleGeneration || ec == Errc::NoRunner ||
-         ec == Errc::Sealed || ec == Errc::OutcomeUnknown ||
-         ec == Errc::NotOwner;
+         ec == Errc::Sealed || ec == Errc::OutcomeUnknown;
 }
 
 } // namespace
@@ -28,6 +30,10 @@
     return GiveUp{};
   if (result.Error == Errc::NotOwner && !result.Owner.empty())
     return RedirectToOwner{result.Owner};
+  const bool hasTime = facts.Remaining > OwnerPause;
+  if (result.Error == Errc::NotOwner && hasTime &&
+      facts.OwnerWaits < MaxOwnerWaits)
+    return WaitForOwner{OwnerPause};
   if (result.Error == Errc::VersionWithdrawn ||
       result.Error == Errc::UnknownVersion)
     return facts.PlansLeft ? RetryDecision(PlanAgain{}) : GiveUp{};
--- a/src/cowslipridge/entry/Retry.hpp
+++ b/src/cowslipridge/entry/Retry.hpp
@@ -14,6 +14,7 @@
   bool AnswerStarted = false; ///< the caller has seen a part of the answer
   bool PlansLeft = false;     ///< another version may be planned
   bool OnTrial = false;       ///< the version is under trial
+  unsigned OwnerWaits = 0;    ///< times it has waited for an owner
   core::Millis Remaining;     ///< until the deadline
 };
 
@@ -29,6 +30,12 @@
   friend auto operator<=>(const RetryElsewhere &,
                           const RetryElsewhere &) = default;
 };
+/// Nobody owns the key yet, as after a start or a take-over: ask again after
+/// `Pause`; costs nothing of the retry budget.
+struct WaitForOwner {
+  core::Millis Pause;
+  friend auto operator<=>(const WaitForOwner &, const WaitForOwner &) = default;
+};
 /// Plan again without this version.
 struct PlanAgain {
   friend auto operator<=>(const PlanAgain &, const PlanAgain &) = default;
@@ -38,8 +45,8 @@
   friend auto operator<=>(const GiveUp &, const GiveUp &) = default;
 };
 
-using RetryDecision =
-    std::variant<RedirectToOwner, RetryElsewhere, PlanAgain, GiveUp>;
+using RetryDecision = std::variant<RedirectToOwner, WaitForOwner,
+                                   RetryElsewhere, PlanAgain, GiveUp>;
 
 /// Decides what follows an attempt that failed.
 RetryDecision decideRetry(const rpc::RunResult &result,
--- a/tests/unit/entry/RetryTest.cpp
+++ b/tests/unit/entry/RetryTest.cpp
@@ -74,6 +74,17 @@
   EXPECT_EQ(decideRetry(result, facts(false)), expected);
 }
 
+TEST(Retry, aKeyWithoutAnOwnerIsAskedForAgainForAWhile) {
+  const auto result = failed(Errc::NotOwner, Outcome::NotRun);
+  AttemptFacts it = facts(false);
+  EXPECT_TRUE(std::holds_alternative<WaitForOwner>(decideRetry(result, it)));
+  it.OwnerWaits = 1'000;
+  EXPECT_EQ(decideRetry(result, it), Stop);
+  it = facts(false);
+  it.Remaining = core::Millis(50);
+  EXPECT_EQ(decideRetry(result, it), Stop);
+}
+
 TEST(Retry, aWithdrawnVersionIsPlannedAroundUnlessASessionIsPinned) {
   const auto result = failed(Errc::VersionWithdrawn, Outcome::NotRun);
   const RetryDecision again = PlanAgain{};
