--- a/src/cowslipridge/http/internal/RequestReader.cpp
+++ b/src/cowslipridge/http/internal/RequestReader.cpp
@@ -105,6 +105,10 @@
   if (size > MaxHeaderBytes)
     return core::Errc::TooLarge;
 
+  // The library hands over a head without a version, cut at its end.
+  if (message.http_version().major != 1)
+    return core::Errc::Malformed;
+
   std::string length;
   const bool hasLength = message.headers().match("Content-Length", length);
   std::string coding;
--- a/src/cowslipridge/runner/EngineMessage.cpp
+++ b/src/cowslipridge/runner/EngineMessage.cpp
@@ -70,6 +70,9 @@
   if (!body.is_object())
     return Errc::RunnerFailed;
   EngineReport report;
+  const auto id = body.find("id");
+  if (id != body.end() && id->is_string())
+    report.Id = id->get<std::string>();
   if (const json *usage = objectAt(body, "usage")) {
     report.HasUsage = true;
     report.Tokens = toUsage(*usage);
--- a/src/cowslipridge/runner/EngineMessage.hpp
+++ b/src/cowslipridge/runner/EngineMessage.hpp
@@ -23,6 +23,7 @@
 
 /// What one chunk or whole answer says.
 struct EngineReport {
+  std::string Id; ///< which answer it belongs to; empty when it does not say
   Usage Tokens;
   bool HasUsage = false;
   bool UsageOnly = false; ///< a chunk without choices
--- a/src/cowslipridge/runner/EngineRunner.cpp
+++ b/src/cowslipridge/runner/EngineRunner.cpp
@@ -72,12 +72,12 @@
   }
 
   void takeEvent(SseEvent event) {
-    if (event.Data == EndOfStream) {
+    if (event.Data == EndOfStream && !Ended) {
       Ended = true;
       return;
     }
     const core::Result<EngineReport> report = readReport(event.Data);
-    if (!report || report->IsError) {
+    if (!report || report->IsError || !continuesAnswer(*report)) {
       finish(Errc::RunnerFailed, Outcome::Unknown, Tokens);
       return;
     }
@@ -88,6 +88,13 @@
       tellData(std::move(event.Data));
   }
 
+  /// False for an event of another answer, and for one after the end mark.
+  bool continuesAnswer(const EngineReport &report) {
+    if (AnswerId.empty())
+      AnswerId = report.Id;
+    return !Ended && report.Id == AnswerId;
+  }
+
   // A stream that ends without its last events was cut short.
   void finishStream() {
     if (Ended && Finished)
@@ -113,6 +120,7 @@
   bool Finished = false;
   Usage Tokens;
   SseParser Parser;
+  std::string AnswerId;
   std::string Whole;
 };
 
--- a/tests/unit/http/ServerTest.cpp
+++ b/tests/unit/http/ServerTest.cpp
@@ -142,6 +142,8 @@
   for (const std::string &garbage :
        {std::string("\x00\x01\x02\xff\r\n\r\n", 8), std::string("GET\r\n\r\n"),
         std::string("G@T / HTTP/1.1\r\n\r\n"),
+        std::string("GET /without/a/version\r\n\r\n"),
+        std::string("GET / HTTP/9.9\r\n\r\n"),
         std::string("GET /%zz%\x80 HTTP/1.1\r\nno colon here\r\n\r\n"),
         std::string(70'000, 'A') + "\r\n\r\n"}) {
     const auto socket = connect();
--- a/tests/unit/runner/EngineRunnerTest.cpp
+++ b/tests/unit/runner/EngineRunnerTest.cpp
@@ -147,6 +147,38 @@
   EXPECT_EQ(heard->Result, Outcome::Unknown);
 }
 
+TEST(EngineRunner, anEventOfAnotherAnswerIsAnError) {
+  const Backend backend(
+      [](const http::Request &, const std::shared_ptr<http::Responder> &it) {
+        it->start(200, {{"Content-Type", "text/event-stream"}});
+        it->write("data: {\"id\":\"mine\",\"choices\":[]}\n\n"
+                  "data: {\"id\":\"other\",\"choices\":[{\"delta\":{},"
+                  "\"finish_reason\":\"stop\"}]}\n\n"
+                  "data: [DONE]\n\n");
+        it->finish();
+      });
+  EngineRunner runner(backend.base(), Silence);
+  const auto heard = run(runner, makeCall(true));
+  ASSERT_TRUE(heard);
+  EXPECT_EQ(heard->Error, Errc::RunnerFailed);
+  EXPECT_EQ(heard->Data.size(), 1U);
+}
+
+TEST(EngineRunner, anEventAfterTheEndMarkIsAnError) {
+  const Backend backend(
+      [](const http::Request &, const std::shared_ptr<http::Responder> &it) {
+        it->start(200, {{"Content-Type", "text/event-stream"}});
+        it->write("data: {\"id\":\"mine\",\"choices\":[{\"delta\":{},"
+                  "\"finish_reason\":\"stop\"}]}\n\n"
+                  "data: [DONE]\n\ndata: [DONE]\n\n");
+        it->finish();
+      });
+  EngineRunner runner(backend.base(), Silence);
+  const auto heard = run(runner, makeCall(true));
+  ASSERT_TRUE(heard);
+  EXPECT_EQ(heard->Error, Errc::RunnerFailed);
+}
+
 TEST(EngineRunner, garbageIsAnError) {
   const Backend backend(
       [](const http::Request &, const std::shared_ptr<http::Responder> &it) {
