Wire grades and roll-outs through the sidecar

Cause: exposure credits, cut-offs and steps were decided but fed by nobody. Change: the sidecar polls its runner's grades twice a second, keeps the roll-out record through the stepper, orders itself among the sidecars of the trial version by name, and tells its entries the trial's share.

--- /dev/null
+++ b/programs/cowslipridged/RolloutService.cpp
@@ -0,0 +1,109 @@
+#include "RolloutService.hpp"
+
+#include "cowslipridge/platform/CloudEventsRatings.hpp"
+
+#include <algorithm>
+
+namespace cowslipridge::daemon {
+
+namespace {
+
+constexpr core::Millis GradePollInterval{500};
+constexpr core::Millis RecordReadInterval{2'000};
+constexpr core::Millis RatingsTimeout{3'000};
+
+} // namespace
+
+RolloutService::RolloutService(ProcessContext &process,
+                               std::shared_ptr<sidecar::Sidecar> work)
+    : Process(process), Work(std::move(work)),
+      Stopped(std::make_shared<std::atomic<bool>>(false)) {
+  if (!Process.Settings.RatingsAddress.empty())
+    Grades = platform::makeCloudEventsRatings(Process.Settings.RatingsAddress,
+                                              RatingsTimeout);
+  Record = std::make_shared<rollout::RolloutStepper>(
+      Process.Keys, [&loop = Process.Loop, it = Work,
+                     stopped = Stopped](const rollout::RolloutRecord &record) {
+        if (!*stopped)
+          loop.post([it, record] { it->takeRollout(record); });
+      });
+}
+
+void RolloutService::start() {
+  Process.Loop.call([this] {
+    Work->onRollout([record = Record](const rollout::RolloutActions &actions) {
+      for (const rollout::RolloutAction &action : actions)
+        record->perform(action);
+    });
+  });
+  if (Grades)
+    pollGrades();
+  refreshRecord();
+}
+
+void RolloutService::stop() {
+  *Stopped = true;
+  Process.Loop.call([this] { Work->onRollout(nullptr); });
+}
+
+void RolloutService::configure(const config::Bundle &bundle) {
+  const auto *service = bundle.findService(Process.Settings.Runner->Service);
+  if (service != nullptr)
+    Record->configure(*service, bundle.Number);
+}
+
+// The runner goes by its sidecar's name.
+void RolloutService::pollGrades() {
+  const core::RunnerId runner(Process.Settings.Instance.str());
+  Grades->fetch(
+      runner, Cursor,
+      [this, stopped = Stopped](const core::Result<platform::GradePage> &page) {
+        if (*stopped)
+          return;
+        Process.Loop.post([this, stopped, page] {
+          if (*stopped)
+            return;
+          if (page.ok()) {
+            Cursor = page->Cursor;
+            Work->takeGrades(page->Grades);
+          }
+          Process.Loop.postAfter(GradePollInterval, [this, stopped] {
+            if (!*stopped)
+              pollGrades();
+          });
+        });
+      });
+}
+
+void RolloutService::refreshRecord() {
+  Record->refresh();
+  Process.Loop.postAfter(RecordReadInterval, [this, stopped = Stopped] {
+    if (!*stopped)
+      refreshRecord();
+  });
+}
+
+// Sidecars that serve the trial version share its exposure credits; all of
+// them order themselves by name.
+void RolloutService::takeList(
+    const std::vector<platform::InstanceRecord> &records) {
+  const config::ServiceDeclaration *service = Work->context().service();
+  if (service == nullptr || !service->Rollout)
+    return;
+  const core::VersionId &trial = service->Rollout->Trial;
+  std::vector<core::InstanceId> names = {Process.Settings.Instance};
+  for (const platform::InstanceRecord &it : records) {
+    const bool serves = std::find(it.Versions.begin(), it.Versions.end(),
+                                  trial) != it.Versions.end();
+    if (serves && it.Service == service->Name && it.Name != names.front() &&
+        !it.Leaving)
+      names.push_back(it.Name);
+  }
+  const core::InstanceId self = names.front();
+  std::sort(names.begin(), names.end());
+  const auto rank = std::find(names.begin(), names.end(), self);
+  Work->setTrialPeers(static_cast<unsigned>(rank - names.begin()),
+                      static_cast<unsigned>(names.size()));
+}
+
+} // namespace cowslipridge::daemon
--- a/programs/cowslipridged/SidecarRole.cpp
+++ b/programs/cowslipridged/SidecarRole.cpp
@@ -50,13 +50,17 @@
         return openJournal(service);
       },
       [this](config::ServiceKind kind) { return makeRunner(kind); });
+  Rollout = std::make_unique<RolloutService>(Process, Work);
   Port = std::make_unique<rpc::Server>(Process.Loop, toServerSettings(Process),
                                        Work, Process.Events);
 }
 
 SidecarRole::~SidecarRole() {
   Port.reset();
-  Process.Loop.call([this] { Work.reset(); });
+  Process.Loop.call([this] {
+    Rollout.reset();
+    Work.reset();
+  });
 }
 
 bool SidecarRole::start() {
@@ -67,6 +71,7 @@
     return false;
   }
   Process.Loop.call([this] { Work->startTicking(); });
+  Rollout->start();
   return true;
 }
 
@@ -108,6 +113,7 @@
 
 // All answers have ended: the journal writes what it still holds.
 void SidecarRole::stop() {
+  Rollout->stop();
   std::shared_ptr<ledger::Ledger> journal;
   Process.Loop.call([&] { journal = Work->journal(); });
   if (journal) {
@@ -119,6 +125,7 @@
 }
 
 void SidecarRole::configure(std::shared_ptr<const config::Bundle> bundle) {
+  Rollout->configure(*bundle);
   Process.Loop.post([work = Work, bundle = std::move(bundle)]() mutable {
     work->configure(std::move(bundle));
   });
@@ -154,6 +161,7 @@
         });
     journal->setFleetSize(std::max<std::size_t>(1, sidecars));
     takeOverLost(*journal, records);
+    Rollout->takeList(records);
   });
 }
 
--- a/programs/cowslipridged/SidecarRole.hpp
+++ b/programs/cowslipridged/SidecarRole.hpp
@@ -2,6 +2,7 @@
 
 #include "ProcessContext.hpp"
 #include "RoleService.hpp"
+#include "RolloutService.hpp"
 
 #include "cowslipridge/rpc/Server.hpp"
 #include "cowslipridge/sidecar/Sidecar.hpp"
@@ -44,6 +45,7 @@
   /// Sidecars of the same service, and when they were last listed.
   std::map<core::InstanceId, core::Millis> Neighbours;
   std::shared_ptr<sidecar::Sidecar> Work;
+  std::unique_ptr<RolloutService> Rollout;
   std::unique_ptr<rpc::Server> Port;
   std::atomic<bool> JournalOpen = false;
   std::atomic<bool> Refusing = false;
--- a/src/cowslipridge/entry/Entry.cpp
+++ b/src/cowslipridge/entry/Entry.cpp
@@ -69,10 +69,6 @@
   return Configuration;
 }
 
-void Entry::setTrialShare(const core::ServiceId &service, double share) {
-  Context.TrialShares[service] = share;
-}
-
 void Entry::startTicking() { Context.Peers->startTicking(); }
 
 void Entry::drain() { Leaving = true; }
@@ -142,6 +138,8 @@
 void Entry::hear(const rpc::PeerStatus &status, core::Millis sentAfter) {
   Source.OnPeer(status, sentAfter);
   offerIfBehind(status);
+  if (const auto *it = Context.Peers->directory().find(status.Instance))
+    Context.TrialShares[it->Record.Service] = status.TrialShare;
   for (const rollout::EvidenceRecord &it : status.Evidence) {
     if (Evidence.merge(it))
       Spread.add({it});
--- a/src/cowslipridge/entry/Entry.hpp
+++ b/src/cowslipridge/entry/Entry.hpp
@@ -29,8 +29,6 @@
   /// thread.
   void configure(std::shared_ptr<const config::Bundle> bundle);
   [[nodiscard]] std::shared_ptr<const config::Bundle> configuration() const;
-  /// The share of requests that a service's trial version gets now.
-  void setTrialShare(const core::ServiceId &service, double share);
   /// Asks a sidecar for its configuration.
   void fetchBundle(const core::InstanceId &peer,
                    std::function<void(core::Result<rpc::BundleContent>)> done);
--- a/src/cowslipridge/rpc/Codec.cpp
+++ b/src/cowslipridge/rpc/Codec.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+constexpr double MicroPerUnit = 1e6;
+
 std::string toString(capnp::Text::Reader text) {
   return {text.begin(), text.size()};
 }
@@ -109,8 +111,6 @@
   return notice;
 }
 
-constexpr double MicroPerUnit = 1e6;
-
 void encode(const platform::Grade &grade, wire::Grade::Builder out) {
   out.setRequest(grade.Request.str());
   const double score = std::clamp(grade.Score, 0.0, 1.0);
@@ -137,6 +137,8 @@
   out.setIncarnation(status.Start.value());
   out.setGeneration(status.Configuration.value());
   out.setGenerationAgeMs(toWire32(status.ConfigurationAge));
+  out.setTrialShareMicro(static_cast<std::uint32_t>(
+      std::clamp(status.TrialShare, 0.0, 1.0) * MicroPerUnit));
   out.setLeaving(status.Leaving);
   out.setInFlight(status.InFlight);
   out.setQueued(status.Queued);
@@ -163,6 +165,7 @@
   status.Start = core::Incarnation(in.getIncarnation());
   status.Configuration = core::Generation(in.getGeneration());
   status.ConfigurationAge = core::Millis(in.getGenerationAgeMs());
+  status.TrialShare = std::min(1.0, in.getTrialShareMicro() / MicroPerUnit);
   status.Leaving = in.getLeaving();
   status.InFlight = in.getInFlight();
   status.Queued = in.getQueued();
--- a/src/cowslipridge/rpc/Messages.hpp
+++ b/src/cowslipridge/rpc/Messages.hpp
@@ -32,6 +32,7 @@
   unsigned Queued = 0;
   unsigned ConcurrencyLimit = 0;
   core::Millis PredictedWait;
+  double TrialShare = 0; ///< that the service's trial version gets now
   std::vector<rollout::EvidenceRecord> Evidence;
   std::vector<CutOffNotice> CutOffs;
   /// Grades of answers that the receiver asked for.
--- a/src/cowslipridge/rpc/schema/Fleet.capnp
+++ b/src/cowslipridge/rpc/schema/Fleet.capnp
@@ -46,6 +46,7 @@
   evidence @8 :List(Evidence);
   cutOffs @9 :List(CutOff);
   generationAgeMs @11 :UInt32; # since the generation was known to be newest
+  trialShareMicro @12 :UInt32; # of the callee's service, in millionths
   grades @10 :List(Grade);  # of answers that the receiver asked for
 }
 
--- a/src/cowslipridge/sidecar/Sidecar.cpp
+++ b/src/cowslipridge/sidecar/Sidecar.cpp
@@ -16,6 +16,9 @@
 /// Grades that ride on one message.
 constexpr std::size_t GradesPerMessage = 32;
 
+/// Time between looks for lost grades and answers to forget.
+constexpr core::Millis SweepInterval{1'000};
+
 /// One asker of a shared answer. The request goes on without it, so that its
 /// retry finds the answer.
 class Follower final : public rpc::ServedCall {
@@ -83,6 +86,23 @@
   }
 }
 
+void Sidecar::takeRollout(const rollout::RolloutRecord &record) {
+  if (record.Step != RolloutStep)
+    Context.Events.report(observe::EventNumber::RolloutAdvanced,
+                          {{},
+                           record.Trial,
+                           {},
+                           std::to_string(record.Step) + " steps complete"});
+  RolloutStep = record.Step;
+  Context.Guard->setStep(record.Step);
+  for (const rollout::CutOff &it : record.CutOffs)
+    Context.Guard->onCutOff(it);
+}
+
+void Sidecar::setTrialPeers(unsigned rank, unsigned count) {
+  Context.Guard->setPeers(rank, count);
+}
+
 void Sidecar::report(const rollout::RolloutActions &actions) {
   for (const rollout::RolloutAction &action : actions) {
     if (const auto *it = std::get_if<rollout::CutOff>(&action))
@@ -104,8 +124,8 @@
   }
   if (Context.Door)
     apply(Context.Door->tick(now));
-  if (const auto *service = Context.service())
-    Answers.expire(now - service->DedupWindow);
+  if (now - LastSweep >= SweepInterval)
+    sweep(now);
   Context.Loop.postAfter(Context.Settings.TickInterval,
                          [weak = weak_from_this()] {
                            if (const auto self = weak.lock())
@@ -113,6 +133,13 @@
                          });
 }
 
+void Sidecar::sweep(core::Millis now) {
+  LastSweep = now;
+  Context.Guard->advance(now);
+  if (const auto *service = Context.service())
+    Answers.expire(now - service->DedupWindow);
+}
+
 void Sidecar::announceLeaving() { Context.Leaving = true; }
 
 void Sidecar::drain() {
@@ -238,6 +265,7 @@
     status.ConcurrencyLimit = Context.Door->concurrencyLimit();
     status.PredictedWait = Context.Door->predictedWait(Context.now());
   }
+  status.TrialShare = Context.Guard->trialShare();
   for (const rollout::CutOff &it : Context.Guard->cutOffs())
     status.CutOffs.push_back({it, status.Configuration});
   return status;
--- a/src/cowslipridge/sidecar/Sidecar.hpp
+++ b/src/cowslipridge/sidecar/Sidecar.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cowslipridge/rollout/RolloutRecord.hpp"
 #include "cowslipridge/rpc/ConfigurationPort.hpp"
 #include "cowslipridge/rpc/EvidenceFeed.hpp"
 #include "cowslipridge/rpc/Server.hpp"
@@ -40,6 +41,10 @@
   [[nodiscard]] bool idle() const;
   /// Takes grades of answers given here.
   void takeGrades(const std::vector<platform::Grade> &grades);
+  /// What the store records of the service's roll-out.
+  void takeRollout(const rollout::RolloutRecord &record);
+  /// This sidecar's place among those that serve the trial version.
+  void setTrialPeers(unsigned rank, unsigned count);
   /// Called with what evidence decides.
   void onRollout(std::function<void(const rollout::RolloutActions &)> listener);
   /// The journal; null before the first configuration.
@@ -65,6 +70,7 @@
   void hear(const rpc::PeerStatus &status);
   void openParts(const config::ServiceDeclaration &service);
   void tick();
+  void sweep(core::Millis now);
   void report(const rollout::RolloutActions &actions);
   std::shared_ptr<rpc::ServedCall>
   runKeyed(rpc::RunRequest request, std::shared_ptr<rpc::AnswerSink> sink);
@@ -80,6 +86,8 @@
   rpc::EvidenceFeed Spread;
   KeyedAnswers Answers;
   GradeOutbox Grades;
+  unsigned RolloutStep = 0;
+  core::Millis LastSweep;
   std::map<core::RequestId, std::shared_ptr<RunFlow>> Flows; ///< by ticket
   std::uint64_t NextTicket = 1;
 };
