--- a/src/cowslipridge/entry/RequestFlow.cpp
+++ b/src/cowslipridge/entry/RequestFlow.cpp
@@ -359,7 +359,8 @@
 }
 
 void RequestFlow::retryElsewhere(const rpc::RunResult &result, bool isFree) {
-  if (attemptsMade() >= MaxAttempts || (!isFree && !Context.Retries.tryTake())) {
+  if (attemptsMade() >= MaxAttempts ||
+      (!isFree && !Context.Retries.tryTake())) {
     fail(result);
     return;
   }
