--- a/src/cowslipridge/config/FollowerMachine.cpp
+++ b/src/cowslipridge/config/FollowerMachine.cpp
@@ -67,10 +67,16 @@
   if (watches())
     startRead(Index == 0 ? core::Millis(0) : Settings.WatchWait, now, out);
   else if (!Current ||
-           (Settings.ReadsWhenSilent && age(now) > Settings.ReadAfter))
+           (Settings.ReadsWhenSilent && age(now) > silenceAllowed()))
     startRead(core::Millis(0), now, out);
 }
 
+core::Millis FollowerMachine::silenceAllowed() const {
+  const auto half = static_cast<std::uint64_t>(Settings.ReadAfter.count()) / 2;
+  const std::uint64_t spread = half * Rank / RankRange;
+  return core::Millis(static_cast<std::int64_t>(half + spread));
+}
+
 void FollowerMachine::startRead(core::Millis wait, core::Millis now,
                                 FollowerActions &out) {
   const std::uint64_t index = wait == core::Millis(0) ? 0 : Index;
--- a/src/cowslipridge/config/FollowerMachine.hpp
+++ b/src/cowslipridge/config/FollowerMachine.hpp
@@ -22,8 +22,9 @@
   /// Processes of the fleet that watch the store; the others learn from them.
   unsigned WatchersWanted = 32;
   core::Millis WatchWait{1'000}; ///< length of one long poll
-  /// Without confirmation for this long, any process reads the store itself.
-  core::Millis ReadAfter{2'500};
+  /// Without confirmation for between half and all of this time, any process
+  /// reads the store itself; the first ones confirm it for the others.
+  core::Millis ReadAfter{3'000};
   /// Without confirmation for this long, the configuration counts as stale.
   core::Millis StaleAfter{10'000};
   core::Millis PullTimeout{2'000};
@@ -141,6 +142,7 @@
 
   void startRead(core::Millis wait, core::Millis now, FollowerActions &out);
   void continueReading(core::Millis now, FollowerActions &out);
+  [[nodiscard]] core::Millis silenceAllowed() const;
   void backOff(core::Millis now);
   void takeManifest(const std::string &text, const Read &read, core::Millis now,
                     FollowerActions &out);
--- a/src/cowslipridge/config/Settings.cpp
+++ b/src/cowslipridge/config/Settings.cpp
@@ -22,6 +22,7 @@
 constexpr std::size_t MaxThreads = 256;
 constexpr std::size_t MinBodyBytes = 1'024;
 constexpr std::size_t MaxBodyBytes = 256UL * 1'024 * 1'024;
+constexpr std::uint64_t MaxWatchers = 100'000;
 constexpr std::uint64_t MaxPort = 65'535;
 constexpr std::size_t KeyDigits = 64;
 
@@ -120,6 +121,8 @@
     Settings.InstancesAddress = readUrl(reader, "instances", true);
     Settings.RatingsAddress = readUrl(reader, "ratings", false);
     Settings.WeightsAddress = readUrl(reader, "weights", false);
+    Settings.ConfigWatchers = static_cast<unsigned>(reader.count(
+        "config_watchers", Settings.ConfigWatchers, 1, MaxWatchers));
     reader.finish();
   }
 
--- a/src/cowslipridge/config/Settings.hpp
+++ b/src/cowslipridge/config/Settings.hpp
@@ -40,6 +40,7 @@
   std::string InstancesAddress; ///< `instances`
   std::string RatingsAddress;   ///< `ratings`; may be left out
   std::string WeightsAddress;   ///< `weights`; may be left out
+  unsigned ConfigWatchers = 32; ///< `config_watchers = 32`, over the fleet
   // [security]; keys in hex
   std::string FleetKey;     ///< `fleet_key`, 32 bytes: peers prove it
   std::string SessionKey;   ///< `session_key`, 32 bytes: seals session tokens
