Copy no bytes from an empty line's null pointer

Cause: the undefined-behaviour sanitizer reported memcpy from a null pointer for lines that inih is shown as empty (asan preset, unit_config).

Change: string_view::copy, which is defined for no bytes.

--- a/src/cowslipridge/config/internal/IniText.cpp
+++ b/src/cowslipridge/config/internal/IniText.cpp
@@ -3,7 +3,6 @@
 #include <ini.h>
 
 #include <algorithm>
-#include <cstring>
 
 namespace cowslipridge::config::internal {
 
@@ -58,7 +57,7 @@
       return nullptr;
     const std::string_view line = takeLine();
     const std::string_view shown = prepare(line, size);
-    std::memcpy(buf, shown.data(), shown.size());
+    shown.copy(buf, shown.size());
     buf[shown.size()] = '\0';
     return buf;
   }
