--- /dev/null
+++ b/src/cowslipridge/sidecar/Sidecar.cpp
@@ -0,0 +1,271 @@
+#include "cowslipridge/sidecar/Sidecar.hpp"
+
+#include "cowslipridge/core/Visit.hpp"
+#include "cowslipridge/sidecar/RequestChecks.hpp"
+
+#include <xxhash.h>
+
+namespace cowslipridge::sidecar {
+
+using core::Errc;
+
+namespace {
+
+/// Evidence records that ride on one message.
+constexpr std::size_t EvidencePerMessage = 16;
+/// Grades that ride on one message.
+constexpr std::size_t GradesPerMessage = 32;
+
+/// One asker of a shared answer. The request goes on without it, so that its
+/// retry finds the answer.
+class Follower final : public rpc::ServedCall {
+public:
+  Follower(std::shared_ptr<SharedAnswer> answer,
+           std::shared_ptr<rpc::AnswerSink> sink)
+      : Answer(std::move(answer)), Sink(std::move(sink)) {}
+  void abandon() override { Answer->unfollow(Sink.get()); }
+
+private:
+  std::shared_ptr<SharedAnswer> Answer;
+  std::shared_ptr<rpc::AnswerSink> Sink;
+};
+
+} // namespace
+
+Sidecar::Sidecar(rpc::EventLoop &loop, const core::Clock &time,
+                 observe::EventLog &events, SidecarSettings settings,
+                 rpc::ConfigurationPort source, OpenJournal openJournal,
+                 OpenRunner openRunner)
+    : Context{loop,    time,    events,  std::move(settings),
+              nullptr, nullptr, nullptr, nullptr,
+              nullptr, false,   false,   {}},
+      Source(std::move(source)), MakeJournal(std::move(openJournal)),
+      MakeRunner(std::move(openRunner)), Pauses(Context.Settings.PauseLimit) {
+  const rollout::EvidenceSource self{Context.Settings.Instance,
+                                     Context.Settings.Start};
+  Context.Guard = std::make_unique<rollout::ExposureGuard>(
+      self, Context.Settings.Start.value());
+}
+
+Sidecar::~Sidecar() = default;
+
+void Sidecar::configure(std::shared_ptr<const config::Bundle> bundle) {
+  if (Context.Configuration && bundle->Number <= Context.Configuration->Number)
+    return;
+  Context.Configuration = std::move(bundle);
+  const config::ServiceDeclaration *service = Context.service();
+  if (service == nullptr)
+    return;
+  if (!Context.Journal)
+    openParts(*service);
+  Context.Guard->configure(*service);
+}
+
+void Sidecar::openParts(const config::ServiceDeclaration &service) {
+  limits::AdmissionSettings settings;
+  settings.MaxConcurrency = service.MaxConcurrency;
+  settings.MaxQueue = service.MaxQueue;
+  Context.Door = std::make_unique<limits::Admission>(
+      settings, Context.Settings.Start.value());
+  Context.Backend = MakeRunner(service.Kind);
+  Context.Journal = MakeJournal(service);
+}
+
+void Sidecar::onRollout(
+    std::function<void(const rollout::RolloutActions &)> listener) {
+  RolloutListener = std::move(listener);
+}
+
+void Sidecar::takeGrades(const std::vector<platform::Grade> &grades) {
+  for (const platform::Grade &it : grades) {
+    Grades.onGrade(it);
+    report(Context.Guard->onGrade(it.Request, it.Score, Context.now()));
+  }
+}
+
+void Sidecar::report(const rollout::RolloutActions &actions) {
+  for (const rollout::RolloutAction &action : actions) {
+    if (const auto *it = std::get_if<rollout::CutOff>(&action))
+      Context.Events.report(
+          observe::EventNumber::VersionCutOff,
+          {{}, it->Version, {}, it->Organisation.str() + " " + it->Reason});
+  }
+  if (!actions.empty() && RolloutListener)
+    RolloutListener(actions);
+}
+
+void Sidecar::startTicking() { tick(); }
+
+void Sidecar::tick() {
+  const core::Millis now = Context.now();
+  if (const auto pause = Pauses.tick(now)) {
+    Context.Events.report(observe::EventNumber::PauseDetected,
+                          {{}, {}, {}, std::to_string(pause->count()) + " ms"});
+  }
+  if (Context.Door)
+    apply(Context.Door->tick(now));
+  if (const auto *service = Context.service())
+    Answers.expire(now - service->DedupWindow);
+  Context.Loop.postAfter(Context.Settings.TickInterval,
+                         [weak = weak_from_this()] {
+                           if (const auto self = weak.lock())
+                             self->tick();
+                         });
+}
+
+void Sidecar::announceLeaving() { Context.Leaving = true; }
+
+void Sidecar::drain() {
+  Context.Leaving = true;
+  Context.Refusing = true;
+  if (Context.Door)
+    apply(Context.Door->refuseQueued(Errc::Leaving, Context.now()));
+}
+
+bool Sidecar::idle() const { return Flows.empty(); }
+
+std::shared_ptr<ledger::Ledger> Sidecar::journal() const {
+  return Context.Journal;
+}
+
+std::shared_ptr<rpc::ServedCall>
+Sidecar::run(rpc::RunRequest request, std::shared_ptr<rpc::AnswerSink> sink) {
+  hear(request.Sender);
+  const DoorState door{Context.Settings.Service, Context.Settings.Versions,
+                       Context.Configuration.get(), Context.Refusing};
+  const std::optional<Errc> refusal = findRefusal(request, door);
+  if (refusal) {
+    auto flow = std::make_shared<RunFlow>(Context, *this, core::RequestId(),
+                                          std::move(request), std::move(sink));
+    flow->refuse(*refusal, {});
+    return flow;
+  }
+  if (request.Idempotent && !request.IdempotencyKey.empty())
+    return runKeyed(std::move(request), std::move(sink));
+  return admit(std::move(request), std::move(sink));
+}
+
+// A retry attaches to the running request, or gets the kept answer.
+std::shared_ptr<rpc::ServedCall>
+Sidecar::runKeyed(rpc::RunRequest request,
+                  std::shared_ptr<rpc::AnswerSink> sink) {
+  const std::uint64_t bodyHash =
+      XXH3_64bits(request.Body.data(), request.Body.size());
+  const KeyedAnswers::Item *earlier = Answers.find(request.Request);
+  if (earlier != nullptr && earlier->BodyHash != bodyHash) {
+    rpc::RunResult result;
+    result.Result = core::Outcome::NotRun;
+    result.Error = Errc::Malformed;
+    result.Detail = "the key was used for another request";
+    result.Callee = statusFor(request.Sender.Instance);
+    sink->end(std::move(result));
+    return nullptr;
+  }
+  if (earlier != nullptr) {
+    Context.Events.report(observe::EventNumber::RunReplayed,
+                          {request.Request, request.Version, {}, {}});
+    earlier->Answer->follow(sink);
+    return std::make_shared<Follower>(earlier->Answer, std::move(sink));
+  }
+  const std::shared_ptr<SharedAnswer> answer =
+      Answers.begin(request.Request, bodyHash, Context.now());
+  answer->follow(sink);
+  admit(std::move(request), answer);
+  return std::make_shared<Follower>(answer, std::move(sink));
+}
+
+std::shared_ptr<RunFlow> Sidecar::admit(rpc::RunRequest request,
+                                        std::shared_ptr<rpc::AnswerSink> sink) {
+  Grades.onRequest(request.Request, request.Sender.Instance);
+  core::RequestId ticket(request.Request.str() + "#" +
+                         std::to_string(NextTicket++));
+  auto flow = std::make_shared<RunFlow>(Context, *this, ticket,
+                                        std::move(request), std::move(sink));
+  Flows.emplace(std::move(ticket), flow);
+  apply(Context.Door->arrive(flow->arrival(), Context.now()));
+  return flow;
+}
+
+void Sidecar::apply(const limits::AdmissionActions &actions) {
+  const auto withFlow = [this](const core::RequestId &ticket, auto action) {
+    const auto it = Flows.find(ticket);
+    if (it == Flows.end())
+      return;
+    const std::shared_ptr<RunFlow> flow = it->second;
+    action(*flow);
+  };
+  for (const limits::AdmissionAction &action : actions) {
+    std::visit(core::Overloaded{[&](const limits::StartRequest &it) {
+                                  withFlow(it.Request,
+                                           [](RunFlow &flow) { flow.start(); });
+                                },
+                                [](const limits::QueueRequest &) {},
+                                [&](const limits::RefuseRequest &it) {
+                                  withFlow(it.Request, [&](RunFlow &flow) {
+                                    flow.refuse(it.Reason, it.RetryAfter);
+                                  });
+                                }},
+               action);
+  }
+}
+
+void Sidecar::forget(const core::RequestId &ticket) { Flows.erase(ticket); }
+
+void Sidecar::hear(const rpc::PeerStatus &status) {
+  const core::Generation own = Context.Configuration
+                                   ? Context.Configuration->Number
+                                   : core::Generation();
+  Source.OnPeer(status, Context.now());
+  for (const rollout::EvidenceRecord &it : status.Evidence)
+    report(Context.Guard->onEvidence(it, Context.now()));
+  for (const rpc::CutOffNotice &it : status.CutOffs) {
+    if (it.Configuration == own)
+      Context.Guard->onCutOff(it.Cut);
+  }
+}
+
+rpc::PeerStatus Sidecar::status() const {
+  rpc::PeerStatus status;
+  status.Instance = Context.Settings.Instance;
+  status.Start = Context.Settings.Start;
+  status.Leaving = Context.Leaving;
+  if (Context.Configuration)
+    status.Configuration = Context.Configuration->Number;
+  status.ConfigurationAge = Source.State().Age;
+  if (Context.Door) {
+    status.InFlight = Context.Door->inFlight();
+    status.Queued = Context.Door->queued();
+    status.ConcurrencyLimit = Context.Door->concurrencyLimit();
+    status.PredictedWait = Context.Door->predictedWait(Context.now());
+  }
+  for (const rollout::CutOff &it : Context.Guard->cutOffs())
+    status.CutOffs.push_back({it, status.Configuration});
+  return status;
+}
+
+rpc::PeerStatus Sidecar::statusFor(const core::InstanceId &peer) {
+  rpc::PeerStatus reply = status();
+  Spread.add(Context.Guard->takeChangedEvidence(EvidencePerMessage));
+  reply.Evidence = Spread.take(peer, EvidencePerMessage);
+  reply.Grades = Grades.take(peer, GradesPerMessage);
+  return reply;
+}
+
+rpc::PeerStatus Sidecar::exchange(const rpc::PeerStatus &status) {
+  hear(status);
+  return statusFor(status.Instance);
+}
+
+rpc::BundleContent Sidecar::bundle() { return Source.Bundle(); }
+
+core::Generation Sidecar::offerBundle(const core::InstanceId &sender,
+                                      rpc::BundleContent content) {
+  Source.OnOffer(sender, std::move(content));
+  return Source.State().Number;
+}
+
+unsigned Sidecar::deliverBills(const std::vector<std::string> & /*lines*/) {
+  return 0;
+}
+
+} // namespace cowslipridge::sidecar
