Count the traffic of the demo before it has begun

Cause: the first count of served requests read a file that was not there yet and printed a shell error, though the demo went on.

Change: the file is made first.

--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -190,10 +190,11 @@
       "$(field Cowslipridge-Version "$work/traffic.head")" >>"$work/traffic.txt"
   done
 }
+touch "$work/traffic.txt"
 traffic &
 pids[traffic]=$!
 served() {
-  [ "$(grep -c " 200 $1" "$work/traffic.txt" 2>/dev/null)" -ge "$2" ]
+  [ "$(grep -c " 200 $1" "$work/traffic.txt")" -ge "$2" ]
 }
 await "$start_limit" served draft-small@3 10 ||
   fail "draft-small@3 served too little to be withdrawn"
