Cut a link after exactly the bytes asked for

Cause: the proxy sent a whole piece and then looked at its limit, so a short reply arrived whole before the reset; StoreProofTest.connectionResetInMidReply failed in 3 of 7 runs. Change: a piece is sent up to the limit only. Conclusion: a fault of the harness; the store's adapter was right.

--- a/tests/integration/support/ProxyPipe.cpp
+++ b/tests/integration/support/ProxyPipe.cpp
@@ -49,7 +49,9 @@
 }
 
 std::size_t ProxyPipe::allowance(const LinkFaults &faults, Moment now) {
-  const std::size_t size = Pieces.front().Bytes.size();
+  std::size_t size = Pieces.front().Bytes.size();
+  if (faults.ResetAfterBytes > Forwarded)
+    size = std::min(size, faults.ResetAfterBytes - Forwarded);
   if (faults.BytesPerSecond == 0)
     return size;
   ThrottledUntil = now + std::chrono::milliseconds(1000 / PartsPerSecond);
