Hold bills at the entry, recheck waiting requests, bill cascades whole

Cause: three gaps found by reading. Sidecars were handed bills of dead peers and dropped them; a request that waited in a queue ran although its version had been withdrawn since; of a cascade's two bills only the greater was counted. Change: a result carries its bill; the entry keeps the line until the sidecar reports it stored, and hands it to another sidecar of the service when its own is gone or silent for 30 s; an attempt of unknown end leaves an open record. A sidecar checks each request again when it starts and when a configuration comes into force. Bills of one request merge part by part.

--- a/src/cowslipridge/entry/Entry.cpp
+++ b/src/cowslipridge/entry/Entry.cpp
@@ -24,25 +24,26 @@
 Entry::Entry(rpc::EventLoop &loop, const core::Clock &time,
              observe::EventLog &events, const EntrySettings &settings,
              rpc::ConfigurationPort source)
-    : Source(std::move(source)), Context{
-                                     loop,
-                                     time,
-                                     events,
-                                     settings,
-                                     session::TokenSealer(settings.SessionKey),
-                                     std::make_shared<Fleet>(
-                                         loop, time, events,
-                                         FleetSettings{settings.Instance,
-                                                       settings.FleetKey}),
-                                     route::Planner(settings.Seed),
-                                     route::RunnerChooser(settings.Seed + 1),
-                                     limits::RetryBudget({}),
-                                     {},
-                                     ExplainLog(settings.MaxExplanations),
-                                     {},
-                                     {},
-                                     {},
-                                     false} {
+    : Source(std::move(source)),
+      Context{loop,
+              time,
+              events,
+              settings,
+              session::TokenSealer(settings.SessionKey),
+              std::make_shared<Fleet>(
+                  loop, time, events,
+                  FleetSettings{settings.Instance, settings.FleetKey}),
+              route::Planner(settings.Seed),
+              route::RunnerChooser(settings.Seed + 1),
+              limits::RetryBudget({}),
+              {},
+              ExplainLog(settings.MaxExplanations),
+              {},
+              {},
+              {},
+              {},
+              false},
+      Delivery(std::make_shared<BillDelivery>(Context)) {
   Context.Peers->setOwnStatus(
       [this](const core::InstanceId &peer) { return statusFor(peer); });
   Context.Peers->onStatus(
@@ -69,7 +70,10 @@
   return Configuration;
 }
 
-void Entry::startTicking() { Context.Peers->startTicking(); }
+void Entry::startTicking() {
+  Context.Peers->startTicking();
+  Delivery->startTicking();
+}
 
 void Entry::drain() { Leaving = true; }
 
@@ -146,6 +150,7 @@
   }
   for (const rpc::CutOffNotice &it : status.CutOffs)
     takeCutOff(it);
+  Context.Bills.onStored(status.Instance, status.Billed);
   for (const platform::Grade &it : status.Grades) {
     if (const auto observation = Context.Grades.onGrade(it))
       Context.Plans.observe(*observation, Context.now());
--- a/src/cowslipridge/entry/Entry.hpp
+++ b/src/cowslipridge/entry/Entry.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cowslipridge/entry/BillDelivery.hpp"
 #include "cowslipridge/entry/EntryContext.hpp"
 #include "cowslipridge/entry/RequestFlow.hpp"
 #include "cowslipridge/http/Server.hpp"
@@ -64,6 +65,7 @@
   std::map<route::CutOffKey, rpc::CutOffNotice> CutOffs; ///< in force
   core::Generation CutOffsOf; ///< the generation they hold in
   std::set<core::InstanceId> Offering;
+  std::shared_ptr<BillDelivery> Delivery;
   mutable std::mutex ConfigurationGuard;
   std::shared_ptr<const config::Bundle> Configuration;
 };
--- a/src/cowslipridge/entry/EntryContext.hpp
+++ b/src/cowslipridge/entry/EntryContext.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cowslipridge/config/Declaration.hpp"
+#include "cowslipridge/entry/BillHolder.hpp"
 #include "cowslipridge/entry/ExplainLog.hpp"
 #include "cowslipridge/entry/Fleet.hpp"
 #include "cowslipridge/entry/GradeBook.hpp"
@@ -44,6 +45,7 @@
   ExplainLog Explanations;
   GradeBook Grades;
   OwnerCache Owners;
+  BillHolder Bills;
   /// Share of requests that each service's trial version gets now.
   std::map<core::ServiceId, double> TrialShares;
   /// Nothing has confirmed the configuration lately: no session is started on
--- a/src/cowslipridge/entry/RequestFlow.cpp
+++ b/src/cowslipridge/entry/RequestFlow.cpp
@@ -3,6 +3,7 @@
 #include "cowslipridge/core/Visit.hpp"
 #include "cowslipridge/entry/Draft.hpp"
 #include "cowslipridge/entry/Selection.hpp"
+#include "cowslipridge/ledger/BillCodec.hpp"
 
 namespace cowslipridge::entry {
 
@@ -219,12 +220,14 @@
   if (!Answer.gone() || !Call)
     return;
   Call->cancel();
+  holdUnsettledBill();
   explain("the caller went away");
   done();
 }
 
 void RequestFlow::onEnd(const rpc::RunResult &result) {
   Call.reset();
+  holdBill(result);
   Context.Peers->onEnded(Sidecar, result, SentAt);
   learnFrom(result);
   if (result.Error)
@@ -233,6 +236,33 @@
     complete(result);
 }
 
+void RequestFlow::holdBill(const rpc::RunResult &result) {
+  if (!result.BillLine.empty())
+    Context.Bills.hold({Request.Request, Request.Service, result.BillLine,
+                        Sidecar, Context.now()});
+}
+
+// Nobody may have billed an attempt whose end is not known. The open record is
+// listed until a bill that says more is found.
+void RequestFlow::holdUnsettledBill() {
+  ledger::BillPart part;
+  part.Version = Version;
+  part.Part = partName(Running);
+  part.Result = Outcome::Unknown;
+  ledger::Bill bill;
+  bill.Request = Request.Request;
+  bill.Organisation = Request.Organisation;
+  bill.Service = Request.Service;
+  bill.Result = Outcome::Unknown;
+  bill.Parts = {part};
+  bill.At = Context.Time.wall();
+  Context.Bills.hold({Request.Request,
+                      Request.Service,
+                      ledger::encodeBill(bill),
+                      {},
+                      Context.now()});
+}
+
 void RequestFlow::complete(const rpc::RunResult &result) {
   explain("answered by " + Sidecar.str() +
           (result.Replayed ? " from an earlier attempt" : ""));
@@ -396,6 +426,8 @@
 
 void RequestFlow::fail(const rpc::RunResult &result) {
   const Errc reason = toErrc(result.Error);
+  if (result.Result == Outcome::Unknown && result.BillLine.empty())
+    holdUnsettledBill();
   const bool needsTime = isBusy(reason) && result.RetryAfter == core::Millis(0);
   fail({reason, result.Result,
         needsTime ? DefaultRetryAfter : result.RetryAfter, result.Detail});
--- a/src/cowslipridge/entry/RequestFlow.hpp
+++ b/src/cowslipridge/entry/RequestFlow.hpp
@@ -43,6 +43,8 @@
   void onFrame(const std::string &data);
   void onEnd(const rpc::RunResult &result);
 
+  void holdBill(const rpc::RunResult &result);
+  void holdUnsettledBill();
   void complete(const rpc::RunResult &result);
   void judgeDraft();
   void respondDraft();
--- a/src/cowslipridge/ledger/BillMerge.cpp
+++ b/src/cowslipridge/ledger/BillMerge.cpp
@@ -21,7 +21,15 @@
 void mergeInto(std::map<core::RequestId, Bill> &bills, const Bill &bill) {
   const auto [it, isNew] = bills.try_emplace(bill.Request, bill);
   if (!isNew)
-    it->second = preferredBill(it->second, bill);
+    it->second = mergeBills(it->second, bill);
+}
+
+const BillPart &preferredPart(const BillPart &a, const BillPart &b) {
+  const int rankA = rankOf(a.Result);
+  const int rankB = rankOf(b.Result);
+  if (rankA != rankB)
+    return rankA > rankB ? a : b;
+  return a < b ? b : a;
 }
 
 template <typename Visit>
@@ -59,12 +67,21 @@
 
 } // namespace
 
-const Bill &preferredBill(const Bill &a, const Bill &b) {
-  const int rankA = rankOf(a.Result);
-  const int rankB = rankOf(b.Result);
-  if (rankA != rankB)
-    return rankA > rankB ? a : b;
-  return a < b ? b : a;
+Bill mergeBills(const Bill &a, const Bill &b) {
+  std::map<std::string, BillPart> parts;
+  for (const Bill *bill : {&a, &b}) {
+    for (const BillPart &it : bill->Parts) {
+      const auto [slot, isNew] = parts.try_emplace(it.Part, it);
+      if (!isNew)
+        slot->second = preferredPart(slot->second, it);
+    }
+  }
+  Bill merged = a < b ? b : a;
+  merged.Result = rankOf(a.Result) > rankOf(b.Result) ? a.Result : b.Result;
+  merged.Parts.clear();
+  for (auto &[name, part] : parts)
+    merged.Parts.push_back(std::move(part));
+  return merged;
 }
 
 void BillMerge::add(const platform::StoreEntry &entry) {
--- a/src/cowslipridge/ledger/BillMerge.hpp
+++ b/src/cowslipridge/ledger/BillMerge.hpp
@@ -10,9 +10,10 @@
 
 namespace cowslipridge::ledger {
 
-/// Of two bills of one request, the one that counts: Ran before Unknown before
-/// NotRun, then the greater. Commutative, associative and idempotent.
-const Bill &preferredBill(const Bill &a, const Bill &b);
+/// One bill of two of the same request. Each part counts once: Ran before
+/// Unknown before NotRun, then the greater; the bill is as its best part is.
+/// Commutative, associative and idempotent.
+Bill mergeBills(const Bill &a, const Bill &b);
 
 /// Merges the stored journals of one service into a report.
 class BillMerge {
--- a/src/cowslipridge/ledger/Ledger.cpp
+++ b/src/cowslipridge/ledger/Ledger.cpp
@@ -118,6 +118,14 @@
     run(calls);
   }
 
+  void bill(const Bill &bill, std::function<void()> done) {
+    {
+      const std::lock_guard lock(Guard);
+      Bills.emplace(bill.Request, std::move(done));
+    }
+    tell(BillAsked{bill});
+  }
+
   template <typename Read> auto read(Read reader) const {
     const std::lock_guard lock(Guard);
     return reader(Machine);
@@ -131,6 +139,8 @@
   Waiters<std::function<void(std::error_code)>> TakeOvers;
   Waiters<std::function<void(std::error_code)>> Starts;
   Waiters<std::function<void()>> Closes;
+  /// Told when a bill of the request is in the journal.
+  std::multimap<core::RequestId, std::function<void()>> Bills;
   Ticket StartTicket = 0;
   Ticket CloseTicket = 0;
 
@@ -185,7 +195,13 @@
     if (auto done = Closes.take(CloseTicket))
       calls.emplace_back(done);
   }
-  void add(Calls &, const Notice &action) {
+  void add(Calls &calls, const Notice &action) {
+    if (action.Kind == NoticeKind::BillWritten) {
+      const auto [begin, end] = Bills.equal_range(action.Request);
+      for (auto it = begin; it != end; ++it)
+        calls.push_back(std::move(it->second));
+      Bills.erase(begin, end);
+    }
     if (Events != nullptr)
       Events->report(numberOf(action.Kind),
                      {action.Request, {}, {}, action.Detail});
@@ -282,7 +298,9 @@
   });
 }
 
-void Ledger::bill(const Bill &bill) { Internals->tell(BillAsked{bill}); }
+void Ledger::bill(const Bill &bill, std::function<void()> done) {
+  Internals->bill(bill, std::move(done));
+}
 
 void Ledger::pin(const SessionPin &wanted,
                  std::function<void(core::Result<SessionPin>)> done) {
--- a/src/cowslipridge/ledger/Ledger.hpp
+++ b/src/cowslipridge/ledger/Ledger.hpp
@@ -50,8 +50,10 @@
   /// The claimed call ended; `done` when that is in the journal, or when a
   /// take-over has sealed the journal and it never will be.
   void settle(const ClaimOutcome &outcome, std::function<void()> done);
-  /// Bills one request; kept in memory until it is in the journal.
-  void bill(const Bill &bill);
+  /// Bills one request; kept in memory until it is in the journal. `done` when
+  /// it is there.
+  void bill(
+      const Bill &bill, std::function<void()> done = [] {});
   /// The version pinned to a bare session id; pins `wanted` if there is none.
   void pin(const SessionPin &wanted,
            std::function<void(core::Result<SessionPin>)> done);
--- a/src/cowslipridge/rpc/Codec.cpp
+++ b/src/cowslipridge/rpc/Codec.cpp
@@ -153,12 +153,16 @@
   auto grades = out.initGrades(status.Grades.size());
   for (unsigned n = 0; n < grades.size(); ++n)
     encode(status.Grades[n], grades[n]);
+  auto billed = out.initBilled(status.Billed.size());
+  for (unsigned n = 0; n < billed.size(); ++n)
+    billed.set(n, status.Billed[n].str());
 }
 
 core::Result<PeerStatus> decode(wire::Status::Reader in) {
   if (in.getEvidence().size() > MaxEvidencePerStatus ||
       in.getCutOffs().size() > MaxEvidencePerStatus ||
-      in.getGrades().size() > MaxEvidencePerStatus)
+      in.getGrades().size() > MaxEvidencePerStatus ||
+      in.getBilled().size() > MaxEvidencePerStatus)
     return Errc::Malformed;
   PeerStatus status;
   status.Instance = core::InstanceId(toString(in.getInstance()));
@@ -177,6 +181,8 @@
     status.CutOffs.push_back(decode(it));
   for (const auto &it : in.getGrades())
     status.Grades.push_back(decode(it));
+  for (const auto &it : in.getBilled())
+    status.Billed.emplace_back(toString(it));
   return status;
 }
 
@@ -267,6 +273,7 @@
   out.setFrames(result.Frames);
   out.setVersion(result.Version.str());
   out.setReplayed(result.Replayed);
+  out.setBill(toData(result.BillLine));
 }
 
 core::Result<RunResult> decode(wire::RunResult::Reader in) {
@@ -286,6 +293,7 @@
   result.Frames = in.getFrames();
   result.Version = core::VersionId(toString(in.getVersion()));
   result.Replayed = in.getReplayed();
+  result.BillLine = toString(in.getBill());
   return result;
 }
 
--- a/src/cowslipridge/rpc/Messages.hpp
+++ b/src/cowslipridge/rpc/Messages.hpp
@@ -37,6 +37,8 @@
   std::vector<CutOffNotice> CutOffs;
   /// Grades of answers that the receiver asked for.
   std::vector<platform::Grade> Grades;
+  /// Requests of the receiver whose bills are in a journal.
+  std::vector<core::RequestId> Billed;
 };
 
 /// Asks a sidecar to run one request.
@@ -76,6 +78,7 @@
   std::uint64_t Frames = 0; ///< frames sent
   core::VersionId Version;
   bool Replayed = false; ///< the answer of an earlier attempt
+  std::string BillLine;  ///< its bill, as ledger::encodeBill() writes it
 };
 
 /// The configuration bundle in force at a peer.
--- a/src/cowslipridge/rpc/PeerClient.cpp
+++ b/src/cowslipridge/rpc/PeerClient.cpp
@@ -273,14 +273,15 @@
 }
 
 void PeerClient::deliverBills(
-    const std::vector<std::string> &lines, core::Millis timeout,
-    std::function<void(core::Result<unsigned>)> done) {
+    const core::InstanceId &self, const std::vector<std::string> &lines,
+    core::Millis timeout, std::function<void(core::Result<unsigned>)> done) {
   Internals->ask<unsigned>(
       [&](wire::Peer::Client &peer) {
         auto request = peer.deliverBillsRequest();
         auto out = request.initLines(lines.size());
         for (unsigned n = 0; n < out.size(); ++n)
           out.set(n, toData(lines[n]));
+        request.setSender(self.str());
         return request.send();
       },
       timeout,
--- a/src/cowslipridge/rpc/PeerClient.hpp
+++ b/src/cowslipridge/rpc/PeerClient.hpp
@@ -67,7 +67,8 @@
   /// Hands a newer bundle over; `done` hears the generation in force there.
   void offerBundle(const BundleContent &content, core::Millis timeout,
                    std::function<void(core::Result<core::Generation>)> done);
-  void deliverBills(const std::vector<std::string> &lines, core::Millis timeout,
+  void deliverBills(const core::InstanceId &self,
+                    const std::vector<std::string> &lines, core::Millis timeout,
                     std::function<void(core::Result<unsigned>)> done);
 
 private:
--- a/src/cowslipridge/rpc/Server.cpp
+++ b/src/cowslipridge/rpc/Server.cpp
@@ -55,7 +55,8 @@
     std::vector<std::string> lines;
     for (const auto it : context.getParams().getLines())
       lines.push_back(toString(it));
-    context.getResults().setAccepted(Handler->deliverBills(lines));
+    const core::InstanceId sender(context.getParams().getSender().cStr());
+    context.getResults().setAccepted(Handler->deliverBills(sender, lines));
     return kj::READY_NOW;
   }
 
--- a/src/cowslipridge/rpc/Server.hpp
+++ b/src/cowslipridge/rpc/Server.hpp
@@ -44,7 +44,8 @@
   virtual core::Generation offerBundle(const core::InstanceId &sender,
                                        BundleContent content) = 0;
   /// Takes bill lines over; returns how many were accepted.
-  virtual unsigned deliverBills(const std::vector<std::string> &lines) = 0;
+  virtual unsigned deliverBills(const core::InstanceId &sender,
+                                const std::vector<std::string> &lines) = 0;
 };
 
 struct ServerSettings {
--- a/src/cowslipridge/rpc/schema/Fleet.capnp
+++ b/src/cowslipridge/rpc/schema/Fleet.capnp
@@ -48,6 +48,7 @@
   generationAgeMs @11 :UInt32; # since the generation was known to be newest
   trialShareMicro @12 :UInt32; # of the callee's service, in millionths
   grades @10 :List(Grade);  # of answers that the receiver asked for
+  billed @13 :List(Text);   # requests of the receiver whose bills are stored
 }
 
 struct Grade {
@@ -96,6 +97,7 @@
   frames @9 :UInt64;         # frames sent; fewer received means a gap
   version @10 :Text;
   replayed @11 :Bool;        # the answer of an earlier attempt
+  bill @12 :Data;            # JSON; the caller holds it until it is stored
 }
 
 # Receives one answer; implemented by the entry.
@@ -117,7 +119,7 @@
   bundle @2 () -> (generation :UInt64, content :Data);
   # Bill lines that the caller holds for a journal owned by the callee; each
   # is one JSON object, keyed by request, so that repetition is harmless.
-  deliverBills @3 (lines :List(Data)) -> (accepted :UInt32);
+  deliverBills @3 (lines :List(Data), sender :Text) -> (accepted :UInt32);
   # Hands a newer bundle to a callee that is behind; returns the generation
   # in force there afterwards.
   offerBundle @4 (sender :Text, generation :UInt64, content :Data)
--- a/src/cowslipridge/sidecar/RunFlow.cpp
+++ b/src/cowslipridge/sidecar/RunFlow.cpp
@@ -1,6 +1,7 @@
 #include "cowslipridge/sidecar/RunFlow.hpp"
 
 #include "cowslipridge/core/Visit.hpp"
+#include "cowslipridge/ledger/BillCodec.hpp"
 #include "cowslipridge/sidecar/Billing.hpp"
 
 #include <algorithm>
@@ -53,6 +54,10 @@
     refuse(Abandoned ? Errc::Cancelled : Errc::DeadlineExceeded, {});
     return;
   }
+  if (const auto refusal = Owner.refusalOf(Request)) {
+    refuse(*refusal, {});
+    return;
+  }
   if (!Context.Guard->admits(Request.Version, Request.Organisation)) {
     refuseUnadmitted();
     return;
@@ -134,9 +139,12 @@
 }
 
 void RunFlow::run() {
-  if (Deadline <= Context.now() || Context.Refusing) {
+  std::optional<Errc> refusal = Owner.refusalOf(Request);
+  if (!refusal && Deadline <= Context.now())
+    refusal = Errc::DeadlineExceeded;
+  if (refusal) {
     settle(Outcome::NotRun);
-    refuse(Context.Refusing ? Errc::Leaving : Errc::DeadlineExceeded, {});
+    refuse(*refusal, {});
     return;
   }
   Running = true;
@@ -212,6 +220,7 @@
   result.PromptTokens = usage.PromptTokens;
   result.CachedTokens = usage.CachedTokens;
   result.AnswerTokens = usage.AnswerTokens;
+  result.BillLine = BillLine;
   end(std::move(result));
 }
 
@@ -232,9 +241,11 @@
       Context.service()->findVersion(Request.Version);
   config::VersionDeclaration unpriced;
   unpriced.Name = Request.Version;
-  Context.Journal->bill(makeBill(Request,
-                                 version == nullptr ? unpriced : *version,
-                                 outcome, usage, Context.Time.wall()));
+  const ledger::Bill made =
+      makeBill(Request, version == nullptr ? unpriced : *version, outcome,
+               usage, Context.Time.wall());
+  BillLine = ledger::encodeBill(made);
+  Owner.store(made, Request.Sender.Instance);
 }
 
 void RunFlow::releaseSlot(bool failed) {
@@ -280,6 +291,16 @@
   Owner.forget(Ticket);
 }
 
+void RunFlow::onConfiguration() {
+  if (Admitted || Running || Ended)
+    return;
+  const auto refusal = Owner.refusalOf(Request);
+  if (!refusal)
+    return;
+  Owner.apply(Context.Door->cancel(Ticket, Context.now()));
+  refuse(*refusal, {});
+}
+
 // A claimed call goes on to its end, because only its end tells the outcome.
 void RunFlow::abandon() {
   if (Abandoned || Ended)
--- a/src/cowslipridge/sidecar/RunFlow.hpp
+++ b/src/cowslipridge/sidecar/RunFlow.hpp
@@ -4,6 +4,7 @@
 #include "cowslipridge/sidecar/SidecarContext.hpp"
 
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace cowslipridge::sidecar {
@@ -16,6 +17,12 @@
   virtual rpc::PeerStatus statusFor(const core::InstanceId &peer) = 0;
   /// Carries out what admission decided.
   virtual void apply(const limits::AdmissionActions &actions) = 0;
+  /// Puts a bill into the journal and tells `entry` when it is there.
+  virtual void store(const ledger::Bill &bill,
+                     const core::InstanceId &entry) = 0;
+  /// Why a request may not run here now; nothing when it may.
+  [[nodiscard]] virtual std::optional<core::Errc>
+  refusalOf(const rpc::RunRequest &request) const = 0;
   /// The flow has ended.
   virtual void forget(const core::RequestId &ticket) = 0;
 };
@@ -36,6 +43,9 @@
   void refuse(core::Errc reason, core::Millis retryAfter,
               const core::InstanceId &owner = {});
   void abandon() override;
+  /// A newer configuration is in force: ends a request that waits and may not
+  /// run any more.
+  void onConfiguration();
   /// True once the runner may have been given the request.
   [[nodiscard]] bool isRunning() const { return Running; }
   [[nodiscard]] core::Millis deadline() const { return Deadline; }
@@ -73,6 +83,7 @@
   int Status = 0;
   std::uint64_t Frames = 0;
   std::string KeptAnswer; ///< of a claimed call, for retries
+  std::string BillLine;   ///< once the run is billed
   bool AnswerTooLarge = false;
 };
 
--- a/src/cowslipridge/sidecar/Sidecar.cpp
+++ b/src/cowslipridge/sidecar/Sidecar.cpp
@@ -1,6 +1,7 @@
 #include "cowslipridge/sidecar/Sidecar.hpp"
 
 #include "cowslipridge/core/Visit.hpp"
+#include "cowslipridge/ledger/BillCodec.hpp"
 #include "cowslipridge/sidecar/RequestChecks.hpp"
 
 #include <xxhash.h>
@@ -15,6 +16,8 @@
 constexpr std::size_t EvidencePerMessage = 16;
 /// Grades that ride on one message.
 constexpr std::size_t GradesPerMessage = 32;
+/// Receipts of bills that ride on one message.
+constexpr std::size_t ReceiptsPerMessage = 128;
 
 /// Time between looks for lost grades and answers to forget.
 constexpr core::Millis SweepInterval{1'000};
@@ -62,6 +65,7 @@
   if (!Context.Journal)
     openParts(*service);
   Context.Guard->configure(*service);
+  refuseWaitingUnpermitted();
 }
 
 void Sidecar::openParts(const config::ServiceDeclaration &service) {
@@ -158,9 +162,7 @@
 std::shared_ptr<rpc::ServedCall>
 Sidecar::run(rpc::RunRequest request, std::shared_ptr<rpc::AnswerSink> sink) {
   hear(request.Sender);
-  const DoorState door{Context.Settings.Service, Context.Settings.Versions,
-                       Context.Configuration.get(), Context.Refusing};
-  const std::optional<Errc> refusal = findRefusal(request, door);
+  const std::optional<Errc> refusal = refusalOf(request);
   if (refusal) {
     auto flow = std::make_shared<RunFlow>(Context, *this, core::RequestId(),
                                           std::move(request), std::move(sink));
@@ -276,6 +278,7 @@
   Spread.add(Context.Guard->takeChangedEvidence(EvidencePerMessage));
   reply.Evidence = Spread.take(peer, EvidencePerMessage);
   reply.Grades = Grades.take(peer, GradesPerMessage);
+  reply.Billed = Receipts.take(peer, ReceiptsPerMessage);
   return reply;
 }
 
@@ -292,8 +295,42 @@
   return Source.State().Number;
 }
 
-unsigned Sidecar::deliverBills(const std::vector<std::string> & /*lines*/) {
-  return 0;
+// Bills of another sidecar, which may be gone.
+unsigned Sidecar::deliverBills(const core::InstanceId &sender,
+                               const std::vector<std::string> &lines) {
+  unsigned accepted = 0;
+  for (const std::string &line : lines) {
+    const core::Result<ledger::Bill> bill = ledger::decodeBill(line);
+    if (!bill || !Context.Journal || bill->Service != Context.Settings.Service)
+      continue;
+    store(*bill, sender);
+    ++accepted;
+  }
+  return accepted;
+}
+
+void Sidecar::store(const ledger::Bill &bill, const core::InstanceId &entry) {
+  Context.Journal->bill(bill, [weak = weak_from_this(), &loop = Context.Loop,
+                               entry, request = bill.Request] {
+    loop.post([weak, entry, request] {
+      if (const auto self = weak.lock())
+        self->Receipts.add(entry, request);
+    });
+  });
+}
+
+std::optional<Errc> Sidecar::refusalOf(const rpc::RunRequest &request) const {
+  return findRefusal(request,
+                     {Context.Settings.Service, Context.Settings.Versions,
+                      Context.Configuration.get(), Context.Refusing});
+}
+
+// A request that was let in under an older configuration and has not started
+// is under the new one.
+void Sidecar::refuseWaitingUnpermitted() {
+  const auto flows = Flows;
+  for (const auto &[ticket, flow] : flows)
+    flow->onConfiguration();
 }
 
 } // namespace cowslipridge::sidecar
--- a/src/cowslipridge/sidecar/Sidecar.hpp
+++ b/src/cowslipridge/sidecar/Sidecar.hpp
@@ -4,6 +4,7 @@
 #include "cowslipridge/rpc/ConfigurationPort.hpp"
 #include "cowslipridge/rpc/EvidenceFeed.hpp"
 #include "cowslipridge/rpc/Server.hpp"
+#include "cowslipridge/sidecar/BillReceipts.hpp"
 #include "cowslipridge/sidecar/GradeOutbox.hpp"
 #include "cowslipridge/sidecar/KeyedAnswers.hpp"
 #include "cowslipridge/sidecar/PauseDetector.hpp"
@@ -59,15 +60,20 @@
   rpc::BundleContent bundle() override;
   core::Generation offerBundle(const core::InstanceId &sender,
                                rpc::BundleContent content) override;
-  unsigned deliverBills(const std::vector<std::string> &lines) override;
+  unsigned deliverBills(const core::InstanceId &sender,
+                        const std::vector<std::string> &lines) override;
 
   // FlowOwner
   rpc::PeerStatus statusFor(const core::InstanceId &peer) override;
   void apply(const limits::AdmissionActions &actions) override;
   void forget(const core::RequestId &ticket) override;
+  void store(const ledger::Bill &bill, const core::InstanceId &entry) override;
+  [[nodiscard]] std::optional<core::Errc>
+  refusalOf(const rpc::RunRequest &request) const override;
 
 private:
   void hear(const rpc::PeerStatus &status);
+  void refuseWaitingUnpermitted();
   void openParts(const config::ServiceDeclaration &service);
   void tick();
   void sweep(core::Millis now);
@@ -86,6 +92,7 @@
   rpc::EvidenceFeed Spread;
   KeyedAnswers Answers;
   GradeOutbox Grades;
+  BillReceipts Receipts;
   unsigned RolloutStep = 0;
   core::Millis LastSweep;
   std::map<core::RequestId, std::shared_ptr<RunFlow>> Flows; ///< by ticket
--- a/tests/unit/rpc/RpcHarness.cpp
+++ b/tests/unit/rpc/RpcHarness.cpp
@@ -37,7 +37,8 @@
   return content.Number;
 }
 
-unsigned ScriptedHandler::deliverBills(const std::vector<std::string> &lines) {
+unsigned ScriptedHandler::deliverBills(const core::InstanceId & /*sender*/,
+                                       const std::vector<std::string> &lines) {
   return static_cast<unsigned>(lines.size());
 }
 
--- a/tests/unit/rpc/RpcHarness.hpp
+++ b/tests/unit/rpc/RpcHarness.hpp
@@ -24,7 +24,8 @@
   BundleContent bundle() override;
   core::Generation offerBundle(const core::InstanceId &sender,
                                BundleContent content) override;
-  unsigned deliverBills(const std::vector<std::string> &lines) override;
+  unsigned deliverBills(const core::InstanceId &sender,
+                        const std::vector<std::string> &lines) override;
 
   unsigned abandoned() const;
   void countAbandoned();
--- a/tests/unit/rpc/RunTest.cpp
+++ b/tests/unit/rpc/RunTest.cpp
@@ -160,10 +160,11 @@
                                 EXPECT_EQ(*number, core::Generation(9));
                                 ++done;
                               });
-    pair.client().deliverBills({"a", "b"}, core::Millis(1'000), [&](auto n) {
-      EXPECT_TRUE(n.ok() && *n == 2U);
-      ++done;
-    });
+    pair.client().deliverBills(core::InstanceId("entry-1"), {"a", "b"},
+                               core::Millis(1'000), [&](auto n) {
+                                 EXPECT_TRUE(n.ok() && *n == 2U);
+                                 ++done;
+                               });
   });
   EXPECT_TRUE(support::eventually([&] { return done == 4; }));
 }
