Prove that a leaving sidecar gets no new work, and that stops cut off nothing

Cause: the first form of the proof of invariant 8 also passed with the mechanisms off: sequential calls went to the less loaded sidecar anyway.

--- a/tests/integration/ProofTest.cpp
+++ b/tests/integration/ProofTest.cpp
@@ -172,21 +172,25 @@
     return eventually([&] { return !held.back().text().empty(); }) &&
            runsOf(*Runners[0]) > before;
   }));
+  Balancer balancer(entryBases());
+  Load load(balancer, 8, {.Service = "fitting", .MaxTokens = 2}, StewardKey);
+  const auto atStart = runsOf(*Runners[0]);
+  ASSERT_TRUE(eventually([&] { return runsOf(*Runners[0]) > atStart + 10; }))
+      << "the sidecar that is to leave must be getting work";
   Sidecars[0]->process().terminate();
-  const auto callFor = [&](std::chrono::milliseconds time) {
+  const auto answerFor = [&](std::chrono::milliseconds time) {
     const auto end = std::chrono::steady_clock::now() + time;
-    int calls = 0;
-    for (; std::chrono::steady_clock::now() < end; ++calls) {
-      const auto result =
-          caller.call(makeChat({.Service = "fitting", .MaxTokens = 1}));
-      EXPECT_EQ(result.status(), 200) << result.Response.Body;
-    }
-    return calls;
+    const auto wanted = load.answered() + 20;
+    return eventually([&] {
+      return std::chrono::steady_clock::now() > end && load.answered() > wanted;
+    });
   };
-  callFor(LeavingGrace);
+  ASSERT_TRUE(answerFor(LeavingGrace));
   const auto atLeaving = runsOf(*Runners[0]);
-  EXPECT_GT(callFor(std::chrono::seconds(2)), 10);
+  ASSERT_TRUE(answerFor(std::chrono::seconds(2)));
   EXPECT_EQ(runsOf(*Runners[0]), atLeaving);
+  load.stop();
+  EXPECT_TRUE(load.failures().empty()) << describe(load.failures());
   EXPECT_TRUE(Sidecars[0]->process().running())
       << "the streams must still be under way";
   for (OpenCall &it : held)
