Give the daemon its watchers, its gauges and honest ages

Cause: config_watchers was parsed but not used; the configuration's gauges were documented but never set; a bundle that a peer offered was taken as confirmed at that moment, so two isolated daemons of one generation could call each other fresh.

--- a/programs/cowslipridged/ConfigurationService.cpp
+++ b/programs/cowslipridged/ConfigurationService.cpp
@@ -9,6 +9,14 @@
 /// Bundles of peers that wait to be read; more are dropped.
 constexpr std::size_t MaxOffers = 8;
 
+constexpr double MillisPerSecond = 1'000;
+
+config::FollowerSettings toFollowerSettings(const ProcessContext &process) {
+  config::FollowerSettings settings;
+  settings.WatchersWanted = process.Settings.ConfigWatchers;
+  return settings;
+}
+
 } // namespace
 
 ConfigurationService::ConfigurationService(ProcessContext &process)
@@ -21,7 +29,7 @@
     Role->configure(std::move(bundle));
   };
   Source = std::make_unique<config::Follower>(
-      config::FollowerSettings{}, Process.Settings.Instance, Process.Keys,
+      toFollowerSettings(Process), Process.Settings.Instance, Process.Keys,
       Process.Time, Process.Events, std::move(hooks));
 }
 
@@ -63,12 +71,22 @@
 
 void ConfigurationService::tick() {
   Source->tick();
+  reportGauges();
   Process.Loop.postAfter(TickInterval, [this, stopped = Stopped] {
     if (!*stopped)
       tick();
   });
 }
 
+void ConfigurationService::reportGauges() {
+  using observe::GaugeName;
+  Process.Counts.set(GaugeName::ConfigurationGeneration, {},
+                     static_cast<double>(Source->generation().value()));
+  Process.Counts.set(GaugeName::ConfigurationAgeSeconds, {},
+                     static_cast<double>(Source->age().count()) /
+                         MillisPerSecond);
+}
+
 // The follower asks for the bundle when the offer is newer than its own.
 void ConfigurationService::takeOffer(const core::InstanceId &peer,
                                      rpc::BundleContent content) {
@@ -78,7 +96,8 @@
       Offers.clear();
     Offers[peer] = std::move(content.Content);
   }
-  Source->onPeer(peer, {content.Number, {}, Process.Time.monotonic()});
+  Source->onPeer(
+      peer, {content.Number, config::UnknownAge, Process.Time.monotonic()});
 }
 
 void ConfigurationService::fetch(const core::InstanceId &peer, FetchDone done) {
--- a/programs/cowslipridged/ConfigurationService.hpp
+++ b/programs/cowslipridged/ConfigurationService.hpp
@@ -31,6 +31,7 @@
   using FetchDone = std::function<void(core::Result<std::string>)>;
 
   void tick();
+  void reportGauges();
   void takeOffer(const core::InstanceId &peer, rpc::BundleContent content);
   void fetch(const core::InstanceId &peer, FetchDone done);
 
--- a/src/cowslipridge/config/FollowerMachine.cpp
+++ b/src/cowslipridge/config/FollowerMachine.cpp
@@ -5,14 +5,12 @@
 #include "cowslipridge/core/Error.hpp"
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 namespace cowslipridge::config {
 
 namespace {
 
-constexpr core::Millis Forever{std::numeric_limits<std::int32_t>::max()};
 constexpr std::uint64_t RankRange = std::uint64_t(1) << 32U;
 constexpr unsigned RankDigits = 8;
 
@@ -34,8 +32,8 @@
 
 core::Millis FollowerMachine::age(core::Millis now) const {
   if (!ConfirmedAt)
-    return Forever;
-  return std::clamp(now - *ConfirmedAt, core::Millis(0), Forever);
+    return UnknownAge;
+  return std::clamp(now - *ConfirmedAt, core::Millis(0), UnknownAge);
 }
 
 bool FollowerMachine::stale(core::Millis now) const {
--- a/src/cowslipridge/config/FollowerMachine.hpp
+++ b/src/cowslipridge/config/FollowerMachine.hpp
@@ -7,6 +7,7 @@
 #include "cowslipridge/core/Result.hpp"
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -39,6 +40,10 @@
   bool DatesAnswers = true;    ///< a late answer confirms only its own time
 };
 
+/// The age of a configuration that nobody has confirmed.
+inline constexpr core::Millis UnknownAge{
+    std::numeric_limits<std::int32_t>::max()};
+
 /// What a peer says of its configuration; rides on every message.
 struct PeerConfiguration {
   core::Generation Number;
--- a/tests/unit/config/FollowerMachineTest.cpp
+++ b/tests/unit/config/FollowerMachineTest.cpp
@@ -104,6 +104,13 @@
   EXPECT_TRUE(machine.stale(at(20'000)));
 }
 
+TEST(FollowerMachine, offerOfUnknownAgeConfirmsNothing) {
+  FollowerMachine machine = startedMachine(5);
+  machine.onPeer(Peer, {core::Generation(5), UnknownAge, at(20'000)},
+                 at(20'000));
+  EXPECT_TRUE(machine.stale(at(20'000)));
+}
+
 // A watch that a change ended was answered before its full wait: it must not
 // confirm a time at which a later change may have been published.
 TEST(FollowerMachine, answerThatAChangeEndedConfirmsOnlyItsCall) {
