Keep the adaptive limit above a quarter of the declared one

Cause: added latency through entry and sidecar was p50 2.7, p90 12.7, p99 58 ms (200 requests/s, 9 ms answers). /admin/status showed the concurrency limit falling from 32 to 3 while two requests ran: on a busy machine the times of short answers vary, and the limit took that for an overloaded runner, so that requests waited in the queue. Ruled out: queueing in the entry (its routed events come at once). Change: MinConcurrency is a quarter of the declared maximum.

--- a/src/cowslipridge/sidecar/Sidecar.cpp
+++ b/src/cowslipridge/sidecar/Sidecar.cpp
@@ -3,6 +3,7 @@
 #include "cowslipridge/core/Visit.hpp"
 #include "cowslipridge/sidecar/RequestChecks.hpp"
 
+#include <algorithm>
 #include <xxhash.h>
 
 namespace cowslipridge::sidecar {
@@ -11,6 +12,10 @@
 
 namespace {
 
+/// The adaptive limit never falls below this part of the declared one: engines
+/// batch, so noise in the times of short answers must not serialise them.
+constexpr unsigned MinConcurrencyDivisor = 4;
+
 /// Evidence records that ride on one message.
 constexpr std::size_t EvidencePerMessage = 16;
 /// Grades that ride on one message.
@@ -67,6 +72,8 @@
 void Sidecar::openParts(const config::ServiceDeclaration &service) {
   limits::AdmissionSettings settings;
   settings.MaxConcurrency = service.MaxConcurrency;
+  settings.MinConcurrency =
+      std::max(1U, service.MaxConcurrency / MinConcurrencyDivisor);
   settings.MaxQueue = service.MaxQueue;
   Context.Door = std::make_unique<limits::Admission>(
       settings, Context.Settings.Start.value());
