--- a/src/cowslipridge/sidecar/Sidecar.cpp
+++ b/src/cowslipridge/sidecar/Sidecar.cpp
@@ -1,6 +1,7 @@
 #include "cowslipridge/sidecar/Sidecar.hpp"
 
 #include "cowslipridge/core/Visit.hpp"
+#include "cowslipridge/sidecar/BillLine.hpp"
 #include "cowslipridge/sidecar/RequestChecks.hpp"
 
 #include <algorithm>
@@ -299,8 +300,19 @@
   return Source.State().Number;
 }
 
-unsigned Sidecar::deliverBills(const std::vector<std::string> & /*lines*/) {
-  return 0;
+unsigned Sidecar::deliverBills(const std::vector<std::string> &lines) {
+  if (!Context.Journal)
+    return 0;
+  unsigned accepted = 0;
+  for (const std::string &it : lines) {
+    const std::optional<ledger::Bill> bill = readBillLine(it);
+    const bool own = bill && bill->Service == Context.Settings.Service;
+    if (!own || !Context.Journal->hasRoom())
+      continue;
+    Context.Journal->bill(*bill);
+    ++accepted;
+  }
+  return accepted;
 }
 
 } // namespace cowslipridge::sidecar
