--- a/src/cowslipridge/sidecar/Sidecar.cpp
+++ b/src/cowslipridge/sidecar/Sidecar.cpp
@@ -4,6 +4,7 @@
 #include "cowslipridge/ledger/BillCodec.hpp"
 #include "cowslipridge/sidecar/RequestChecks.hpp"
 
+#include <algorithm>
 #include <xxhash.h>
 
 namespace cowslipridge::sidecar {
@@ -12,6 +13,10 @@
 
 namespace {
 
+/// The adaptive limit never falls below this part of the declared one: engines
+/// batch, so noise in the times of short answers must not serialise them.
+constexpr unsigned MinConcurrencyDivisor = 4;
+
 /// Evidence records that ride on one message.
 constexpr std::size_t EvidencePerMessage = 16;
 /// Grades that ride on one message.
@@ -71,6 +76,8 @@
 void Sidecar::openParts(const config::ServiceDeclaration &service) {
   limits::AdmissionSettings settings;
   settings.MaxConcurrency = service.MaxConcurrency;
+  settings.MinConcurrency =
+      std::max(1U, service.MaxConcurrency / MinConcurrencyDivisor);
   settings.MaxQueue = service.MaxQueue;
   Context.Door = std::make_unique<limits::Admission>(
       settings, Context.Settings.Start.value());
@@ -301,7 +308,8 @@
   unsigned accepted = 0;
   for (const std::string &line : lines) {
     const core::Result<ledger::Bill> bill = ledger::decodeBill(line);
-    if (!bill || !Context.Journal || bill->Service != Context.Settings.Service)
+    const bool own = bill.ok() && bill->Service == Context.Settings.Service;
+    if (!own || !Context.Journal || !Context.Journal->hasRoom())
       continue;
     store(*bill, sender);
     ++accepted;
