Hold exposure credits for each organisation as well

Cause: a version that is bad for one organisation alone was trusted on the grades of all others, so that its window there stayed open. Change: a credit window, and trust in it, for each organisation beside the one over all; a step waits while an organisation's evidence is doubtful.

--- a/src/cowslipridge/rollout/GuardState.cpp
+++ b/src/cowslipridge/rollout/GuardState.cpp
@@ -20,6 +20,8 @@
 constexpr double SteadyFalseCutOff = 0.001;
 /// Part of the cut-off threshold at which the window stops growing.
 constexpr double DistrustAt = 0.5;
+/// Trust that a step needs in each organisation.
+constexpr double TrustToAdvance = 0.5;
 /// Ungraded requests are forgotten after this long; later grades are ignored.
 constexpr core::Millis ForgetAfter{900'000};
 constexpr core::Millis ForgetInterval{10'000};
@@ -46,7 +48,7 @@
     CutOffs.clear();
     Step = 0;
     StepDone = false;
-    Trust = 0;
+    Trust.clear();
   }
   Service = service;
 }
@@ -67,27 +69,35 @@
     const core::OrganisationId &organisation) const {
   if (isCutOff(version, organisation))
     return false;
-  return !isTrial(version) || Credits.taken() < ownWindow();
+  if (!isTrial(version))
+    return true;
+  const auto own = CreditsOf.find(organisation);
+  return hasCredit(Credits, {}) &&
+         hasCredit(own == CreditsOf.end() ? CreditWindow() : own->second,
+                   organisation);
 }
 
 // Credits -------------------------------------------------------------------
 
-// Grows by one for each grade while nothing speaks against the version, as
-// slow start does, and shrinks to the initial credits as evidence against it
-// mounts.
-std::size_t ExposureGuard::State::fleetWindow() const {
-  if (!Service.Rollout)
-    return 0;
-  const auto grades =
-      static_cast<double>(totals(Service.Rollout->Trial, {}).Grades);
-  return Service.Rollout->InitialCredits +
-         static_cast<std::size_t>(grades * Trust);
+double
+ExposureGuard::State::trustIn(const core::OrganisationId &organisation) const {
+  const auto it = Trust.find(organisation);
+  return it == Trust.end() ? 0 : it->second;
 }
 
-std::size_t ExposureGuard::State::ownWindow() const {
-  const std::size_t fleet = fleetWindow();
+// The window of all sidecars grows by one for each grade while nothing speaks
+// against the version, as slow start does, and shrinks to the initial credits
+// as evidence against it mounts. Each sidecar has its part of it.
+bool ExposureGuard::State::hasCredit(
+    const CreditWindow &credits,
+    const core::OrganisationId &organisation) const {
+  const auto grades =
+      static_cast<double>(totals(Service.Rollout->Trial, organisation).Grades);
+  const std::size_t fleet =
+      Service.Rollout->InitialCredits +
+      static_cast<std::size_t>(grades * trustIn(organisation));
   const std::size_t rest = fleet % PeerCount;
-  return fleet / PeerCount + (PeerRank < rest ? 1 : 0);
+  return credits.taken() < fleet / PeerCount + (PeerRank < rest ? 1 : 0);
 }
 
 void ExposureGuard::State::setPeers(unsigned rank, unsigned count) {
@@ -97,6 +107,8 @@
 
 void ExposureGuard::State::advance(core::Millis now) {
   Credits.advance(now);
+  for (auto &[organisation, credits] : CreditsOf)
+    credits.advance(now);
   forgetOld(now);
 }
 
@@ -136,13 +148,19 @@
   if (!InFlight.emplace(request, started).second)
     return;
   count(started, std::nullopt);
-  if (isTrial(version))
-    Credits.onStart(request, now);
+  if (!isTrial(version))
+    return;
+  Credits.onStart(request, now);
+  CreditsOf[organisation].onStart(request, now);
 }
 
 void ExposureGuard::State::onNotRun(const core::RequestId &request) {
-  InFlight.erase(request);
+  const auto it = InFlight.find(request);
+  if (it == InFlight.end())
+    return;
   Credits.onNotRun(request);
+  CreditsOf[it->second.Organisation].onNotRun(request);
+  InFlight.erase(it);
 }
 
 RolloutActions ExposureGuard::State::onGrade(const core::RequestId &request,
@@ -153,6 +171,7 @@
   const Started started = it->second;
   InFlight.erase(it);
   Credits.onGrade(request, now);
+  CreditsOf[started.Organisation].onGrade(request, now);
   count(started, std::clamp(score, 0.0, 1.0));
   return judge({Service.Name, started.Version, started.Organisation});
 }
@@ -219,7 +238,9 @@
   RolloutActions actions;
   judgeScope({key.Version, {}}, actions);
   judgeScope({key.Version, key.Organisation}, actions);
-  updateTrust();
+  // The trial is compared anew when the version it replaces has grades.
+  if (Service.Rollout && !isTrial(key.Version))
+    judgeScope({Service.Rollout->Trial, {}}, actions);
   judgeStep(actions);
   return actions;
 }
@@ -232,6 +253,9 @@
   if (!bound || isCutOff(scope.first, scope.second))
     return;
   const double evidence = test.evidence(*bound);
+  const double share = evidence / thresholdOf(scope);
+  if (isTrial(scope.first))
+    Trust[scope.second] = std::clamp(1 - share / DistrustAt, 0.0, 1.0);
   if (evidence < thresholdOf(scope))
     return;
   const CutOff cutOff{Service.Name, scope.first, scope.second,
@@ -240,28 +264,20 @@
   actions.emplace_back(cutOff);
 }
 
-void ExposureGuard::State::updateTrust() {
-  if (!Service.Rollout)
-    return;
-  const Scope scope{Service.Rollout->Trial, {}};
-  const auto test = Tests.find(scope);
-  const std::optional<double> bound = baselineBound(scope);
-  Trust = 0;
-  if (test == Tests.end() || !bound)
-    return;
-  const double share = test->second.evidence(*bound) / thresholdOf(scope);
-  Trust = std::clamp(1 - share / DistrustAt, 0.0, 1.0);
-}
-
 // A step is complete when its grades have come and nothing speaks against the
-// version.
+// version, nor much for any one organisation.
 void ExposureGuard::State::judgeStep(RolloutActions &actions) {
   if (!Service.Rollout || StepDone || isCutOff(Service.Rollout->Trial, {}))
     return;
   if (Step >= Service.Rollout->Steps.size())
     return;
   const std::uint64_t grades = totals(Service.Rollout->Trial, {}).Grades;
-  if (grades < StepBase + Service.Rollout->GradesPerStep || Trust < 1)
+  if (grades < StepBase + Service.Rollout->GradesPerStep || trustIn({}) < 1)
+    return;
+  const bool isDoubted =
+      std::any_of(Trust.begin(), Trust.end(),
+                  [](const auto &x) { return x.second < TrustToAdvance; });
+  if (isDoubted)
     return;
   StepDone = true;
   actions.emplace_back(AdvanceStep{Service.Name, Service.Rollout->Trial, Step});
--- a/src/cowslipridge/rollout/GuardState.hpp
+++ b/src/cowslipridge/rollout/GuardState.hpp
@@ -52,10 +52,10 @@
   double thresholdOf(const Scope &scope) const;
   RolloutActions judge(const EvidenceKey &key);
   void judgeScope(const Scope &scope, RolloutActions &actions);
-  void updateTrust();
+  double trustIn(const core::OrganisationId &organisation) const;
   void judgeStep(RolloutActions &actions);
-  std::size_t fleetWindow() const;
-  std::size_t ownWindow() const;
+  bool hasCredit(const CreditWindow &credits,
+                 const core::OrganisationId &organisation) const;
   void count(const Started &started, std::optional<double> score);
   void forgetOld(core::Millis now);
 
@@ -67,8 +67,10 @@
   std::map<Scope, QualityTest> Tests;
   std::map<Scope, GradeTotals> OwnBaselines;
   std::map<Scope, CutOff> CutOffs;
-  CreditWindow Credits;
-  double Trust = 0; ///< 0..1: how fast the window may grow
+  CreditWindow Credits; ///< over all organisations
+  std::map<core::OrganisationId, CreditWindow> CreditsOf;
+  /// 0..1 for the trial version: how far its windows may grow.
+  std::map<core::OrganisationId, double> Trust;
   unsigned Step = 0;
   std::uint64_t StepBase = 0; ///< trial grades when the step began
   bool StepDone = false;
