--- /dev/null
+++ b/src/cowslipridge/entry/RequestFlow.cpp
@@ -0,0 +1,430 @@
+#include "cowslipridge/entry/RequestFlow.hpp"
+
+#include "cowslipridge/core/Visit.hpp"
+#include "cowslipridge/entry/Draft.hpp"
+#include "cowslipridge/entry/Selection.hpp"
+
+namespace cowslipridge::entry {
+
+using core::Errc;
+using core::Outcome;
+
+namespace {
+
+/// Hops to the owner of a key that one request may take.
+constexpr unsigned MaxRedirects = 3;
+/// Attempts of one request, whatever the retry budget allows.
+constexpr unsigned MaxAttempts = 6;
+/// Time to come back when nothing says more.
+constexpr core::Millis DefaultRetryAfter{1'000};
+constexpr int FirstErrorStatus = 400;
+
+Errc toErrc(std::error_code ec) {
+  return ec.category() == core::errorCategory() ? static_cast<Errc>(ec.value())
+                                                : Errc::Internal;
+}
+
+bool isBusy(Errc reason) {
+  const int status = core::httpStatus(reason);
+  return status == 429 || status == 503;
+}
+
+} // namespace
+
+std::string_view RequestFlow::partName(Part part) {
+  switch (part) {
+  case Part::Single:
+    return "single";
+  case Part::Draft:
+    return "draft";
+  case Part::Better:
+    break;
+  }
+  return "better";
+}
+
+RequestFlow::RequestFlow(EntryContext &context, CallerRequest request,
+                         std::shared_ptr<http::Responder> responder,
+                         core::Millis arrivedAt, std::function<void()> onDone)
+    : Context(context), Request(std::move(request)),
+      Answer(std::move(responder)), Deadline(arrivedAt + Request.TimeLimit),
+      OnDone(std::move(onDone)) {
+  Facts.Request = Request.Request;
+  Facts.Organisation = Request.Organisation;
+  Facts.Service = Request.Service;
+  Facts.RequestClass = Request.Prompt.RequestClass;
+  Facts.PromptTokens = Request.Prompt.Tokens;
+  Facts.PrefixHashes = Request.Prompt.PrefixHashes;
+  Facts.Stream = Request.Stream;
+}
+
+void RequestFlow::start() {
+  Context.Explanations.begin({Request.Request,
+                              Request.Organisation,
+                              Request.Service,
+                              Request.Configuration->Number,
+                              {}});
+  Context.Events.report(observe::EventNumber::RequestReceived,
+                        {Request.Request, {}, {}, Request.Organisation.str()});
+  Context.Retries.onFirstAttempt();
+  if (openSession())
+    plan();
+}
+
+bool RequestFlow::openSession() {
+  if (Request.SessionText.empty()) {
+    Session = core::SessionId("s-" + Request.Request.str());
+    return true;
+  }
+  const auto facts = Context.Sealer.open(Request.SessionText);
+  const bool own = facts.ok() && facts->Organisation == Request.Organisation &&
+                   facts->Service == Request.Service;
+  if (!own) {
+    fail({Errc::InvalidSession, Outcome::NotRun, {}, {}});
+    return false;
+  }
+  Session = facts->Session;
+  SessionToken = Request.SessionText;
+  SessionIsPinned = true;
+  Facts.PinnedVersion = facts->Version;
+  return true;
+}
+
+void RequestFlow::plan() {
+  Facts.Remaining = remaining();
+  route::CutOffSet barred = Context.CutOffs;
+  barred.insert(Avoided.begin(), Avoided.end());
+  if (Context.ConfigurationIsStale && !SessionIsPinned)
+    barTrials(barred);
+  const auto share = Context.TrialShares.find(Request.Service);
+  const route::Plan chosen = Context.Plans.plan(
+      Facts, Request.service(), barred,
+      share == Context.TrialShares.end() ? 0.0 : share->second, Context.now());
+  std::visit(core::Overloaded{[&](const route::SinglePlan &it) {
+                                begin(Part::Single, it.Version);
+                              },
+                              [&](const route::CascadePlan &it) {
+                                Cascade = it;
+                                begin(Part::Draft, it.Cheap);
+                              },
+                              [&](const route::NoPlan &it) {
+                                fail({it.Reason, Outcome::NotRun, {}, {}});
+                              }},
+             chosen);
+}
+
+void RequestFlow::barTrials(route::CutOffSet &barred) const {
+  for (const config::VersionDeclaration &it : Request.service().Versions) {
+    if (it.State == config::VersionState::Trial)
+      barred.insert({Request.Service, it.Name, {}});
+  }
+}
+
+void RequestFlow::begin(Part part, const core::VersionId &version) {
+  Running = part;
+  Version = version;
+  Tried.clear();
+  explain("plan: " + std::string(partName(part)) + " on " + version.str());
+  attempt();
+}
+
+void RequestFlow::attempt() {
+  Facts.Remaining = remaining();
+  const auto sidecar = selectSidecar(Context, Request, Facts, Version, Tried);
+  if (sidecar)
+    send(*sidecar);
+  else
+    fail({Errc::NoRunner, Outcome::NotRun, DefaultRetryAfter, {}});
+}
+
+void RequestFlow::send(const core::InstanceId &sidecar) {
+  rpc::PeerClient *client = Context.Peers->client(sidecar);
+  if (client == nullptr) {
+    fail({Errc::NoRunner, Outcome::NotRun, DefaultRetryAfter, {}});
+    return;
+  }
+  Sidecar = sidecar;
+  Tried.push_back(toRunner(sidecar));
+  ++Attempts;
+  Status = 0;
+  Fields.clear();
+  Body.clear();
+  SentAt = Context.now();
+  FirstByteAfter = {};
+  explain("sent to " + sidecar.str());
+  Context.Events.report(observe::EventNumber::RequestRouted,
+                        {Request.Request, Version, {}, sidecar.str()});
+  Context.Peers->onSent(sidecar);
+  // Events of an attempt that was given up are dropped.
+  const auto ifCurrent = [weak = weak_from_this(),
+                          number = Attempts](auto action) {
+    const auto self = weak.lock();
+    if (self && !self->Done && self->Attempts == number)
+      action(*self);
+  };
+  rpc::AnswerEvents events;
+  events.OnHead = [ifCurrent](int status, http::Headers fields) {
+    ifCurrent([&](RequestFlow &it) { it.onHead(status, std::move(fields)); });
+  };
+  events.OnFrame = [ifCurrent](const std::string &data) {
+    ifCurrent([&](RequestFlow &it) { it.onFrame(data); });
+  };
+  events.OnEnd = [ifCurrent](const rpc::RunResult &result) {
+    ifCurrent([&](RequestFlow &it) { it.onEnd(result); });
+  };
+  Call = client->run(makeRunRequest(), std::move(events));
+}
+
+rpc::RunRequest RequestFlow::makeRunRequest() const {
+  const bool isDraft = Running == Part::Draft;
+  rpc::RunRequest run;
+  run.Sender = Context.Peers->ownStatusFor(Sidecar);
+  run.Request = Request.Request;
+  run.Organisation = Request.Organisation;
+  run.Service = Request.Service;
+  run.Version = Version;
+  run.Session = Session;
+  run.SessionIsPinned = SessionIsPinned;
+  // A draft may be thrown away, so a retry must not be given it.
+  if (Running == Part::Single)
+    run.IdempotencyKey = Request.IdempotencyKey;
+  run.Idempotent = Request.Idempotent;
+  run.Method = Request.Method;
+  run.Target = Request.Target;
+  run.Fields = Request.Fields;
+  run.Body = isDraft ? toDraftBody(Request.Body) : Request.Body;
+  run.Stream = Request.Stream && !isDraft;
+  run.Remaining = remaining();
+  run.Attempt = Attempts;
+  run.Part = partName(Running);
+  run.PrefixHashes = Request.Prompt.PrefixHashes;
+  return run;
+}
+
+void RequestFlow::onHead(int status, http::Headers fields) {
+  Status = status;
+  Fields = std::move(fields);
+}
+
+void RequestFlow::onFrame(const std::string &data) {
+  if (FirstByteAfter == core::Millis(0))
+    FirstByteAfter = Context.now() - SentAt;
+  const bool streams =
+      Request.Stream && Running != Part::Draft && Status < FirstErrorStatus;
+  if (!streams) {
+    Body += data;
+    return;
+  }
+  Answer.streamEvent(data, labels());
+  if (!Answer.gone() || !Call)
+    return;
+  Call->cancel();
+  explain("the caller went away");
+  done();
+}
+
+void RequestFlow::onEnd(const rpc::RunResult &result) {
+  Call.reset();
+  Context.Peers->onEnded(Sidecar, result, SentAt);
+  learnFrom(result);
+  if (result.Error)
+    recover(result);
+  else
+    complete(result);
+}
+
+void RequestFlow::complete(const rpc::RunResult &result) {
+  explain("answered by " + Sidecar.str() +
+          (result.Replayed ? " from an earlier attempt" : ""));
+  if (!Request.Idempotent)
+    Context.Owners.learn(claimKey(Request), Request.service().Shards, Sidecar);
+  if (Running == Part::Draft)
+    judgeDraft();
+  else
+    respond();
+}
+
+// An answer that is no completion, such as an engine's refusal of the request,
+// goes to the caller as it is.
+void RequestFlow::judgeDraft() {
+  const auto facts = readDraft(Body, Version);
+  if (!facts) {
+    respond();
+    return;
+  }
+  const double score = route::checkScore(*facts);
+  Context.Plans.observe(route::CheckObservation{
+      Request.Service, Facts.RequestClass, Version, score});
+  explain("draft checked: " + std::to_string(score) + " of " +
+          std::to_string(Cascade.AcceptAbove));
+  if (score >= Cascade.AcceptAbove) {
+    CheckScore = score;
+    respondDraft();
+    return;
+  }
+  Context.Events.report(observe::EventNumber::RequestEscalated,
+                        {Request.Request, Cascade.Better, {}, {}});
+  begin(Part::Better, Cascade.Better);
+}
+
+void RequestFlow::respondDraft() {
+  if (!Request.Stream) {
+    Body = toCallerBody(Body, Request.Body);
+  } else {
+    for (const std::string &it : toChunks(Body))
+      Answer.streamEvent(it, labels());
+  }
+  respond();
+}
+
+void RequestFlow::respond() {
+  if (Answer.started())
+    Answer.finishStream();
+  else
+    Answer.respond(Status, Fields, std::move(Body), labels());
+  Context.Events.report(observe::EventNumber::RequestEnded,
+                        {Request.Request, Version, {}, {}});
+  route::GradeObservation answer;
+  answer.Service = Request.Service;
+  answer.Organisation = Request.Organisation;
+  answer.RequestClass = Facts.RequestClass;
+  answer.Version = Version;
+  answer.CheckScore = CheckScore;
+  answer.Escalated = Running == Part::Better;
+  Context.Grades.onAnswer(Request.Request, answer);
+  done();
+}
+
+void RequestFlow::learnFrom(const rpc::RunResult &result) {
+  route::AnswerObservation seen;
+  seen.Runner = toRunner(Sidecar);
+  seen.PrefixHashes = Request.Prompt.PrefixHashes;
+  seen.PromptTokens = result.PromptTokens;
+  seen.CachedTokens = result.CachedTokens;
+  seen.TimeToFirstToken = FirstByteAfter;
+  seen.Failed = result.Error == Errc::RunnerFailed ||
+                result.Error == Errc::RunnerUnavailable ||
+                result.Error == Errc::OutcomeUnknown;
+  Context.Runners.observe(seen, Context.now());
+  if (!result.Error)
+    Context.Plans.observe(route::DurationObservation{Request.Service, Version,
+                                                     Context.now() - SentAt});
+}
+
+void RequestFlow::recover(const rpc::RunResult &result) {
+  explain("failed at " + Sidecar.str() + ": " +
+          std::string(core::slug(toErrc(result.Error))) + " (" +
+          std::string(core::toString(result.Result)) + ") " + result.Detail);
+  if (Running == Part::Draft && remaining() > core::Millis(0)) {
+    begin(Part::Better, Cascade.Better);
+    return;
+  }
+  AttemptFacts facts;
+  facts.Idempotent = Request.Idempotent;
+  facts.AnswerStarted = Answer.started();
+  facts.PlansLeft = !SessionIsPinned && Attempts < MaxAttempts;
+  facts.OnTrial = isOnTrial();
+  facts.Remaining = remaining();
+  std::visit(
+      core::Overloaded{
+          [&](const RedirectToOwner &it) { redirect(it.Owner, result); },
+          [&](const RetryElsewhere &it) { retryElsewhere(result, it.IsFree); },
+          [&](const PlanAgain &) { planAgain(); },
+          [&](const GiveUp &) { fail(result); }},
+      decideRetry(result, facts));
+}
+
+void RequestFlow::redirect(const core::InstanceId &owner,
+                           const rpc::RunResult &result) {
+  const bool known = Context.Peers->client(owner) != nullptr;
+  if (!known || ++Redirects > MaxRedirects) {
+    fail(result);
+    return;
+  }
+  Context.Owners.learn(claimKey(Request), Request.service().Shards, owner);
+  send(owner);
+}
+
+void RequestFlow::retryElsewhere(const rpc::RunResult &result, bool isFree) {
+  if (Attempts >= MaxAttempts || (!isFree && !Context.Retries.tryTake())) {
+    fail(result);
+    return;
+  }
+  Facts.Remaining = remaining();
+  const auto sidecar = selectSidecar(Context, Request, Facts, Version, Tried);
+  if (!sidecar) {
+    fail(result);
+    return;
+  }
+  Context.Events.report(observe::EventNumber::RequestRetried,
+                        {Request.Request, Version, {}, sidecar->str()});
+  send(*sidecar);
+}
+
+void RequestFlow::planAgain() {
+  Avoided.insert({Request.Service, Version, {}});
+  plan();
+}
+
+void RequestFlow::onSuspect(const core::InstanceId &sidecar) {
+  const bool canMove =
+      Call && Sidecar == sidecar && Request.Idempotent && !Answer.started();
+  if (!canMove)
+    return;
+  Call->cancel();
+  Call.reset();
+  rpc::RunResult result;
+  result.Result = Outcome::Unknown;
+  result.Error = Errc::OutcomeUnknown;
+  result.Detail = "the sidecar does not answer";
+  recover(result);
+}
+
+void RequestFlow::fail(const rpc::RunResult &result) {
+  const Errc reason = toErrc(result.Error);
+  const bool needsTime = isBusy(reason) && result.RetryAfter == core::Millis(0);
+  fail({reason, result.Result,
+        needsTime ? DefaultRetryAfter : result.RetryAfter, result.Detail});
+}
+
+void RequestFlow::fail(const Failure &failure) {
+  const std::string reason(core::slug(failure.Reason));
+  explain("refused: " + reason);
+  Context.Events.report(observe::EventNumber::RequestRefused,
+                        {Request.Request, Version, {}, reason});
+  Answer.fail(failure, labels());
+  done();
+}
+
+void RequestFlow::done() {
+  if (Done)
+    return;
+  Done = true;
+  OnDone();
+}
+
+void RequestFlow::explain(std::string text) {
+  Context.Explanations.add(Request.Request,
+                           {Context.Time.wall(), std::move(text)});
+}
+
+core::Millis RequestFlow::remaining() const { return Deadline - Context.now(); }
+
+bool RequestFlow::isOnTrial() const {
+  const auto *version = Request.service().findVersion(Version);
+  return version != nullptr && version->State == config::VersionState::Trial;
+}
+
+AnswerLabels RequestFlow::labels() {
+  const bool mustSeal = !SessionIsPinned && !Version.empty();
+  const bool sealed = !SessionToken.empty() && SealedVersion == Version;
+  if (mustSeal && !sealed) {
+    SealedVersion = Version;
+    SessionToken =
+        Context.Sealer.seal({Session, Request.Organisation, Request.Service,
+                             Version, Context.Time.wall()});
+  }
+  return {Request.Request, Version, SessionToken};
+}
+
+} // namespace cowslipridge::entry
