--- a/bench/exposure/Main.cpp
+++ b/bench/exposure/Main.cpp
@@ -23,6 +23,7 @@
 DEFINE_bool(fleet_only, false, "leave the other methods out");
 DEFINE_string(csv, "", "file for one line a run");
 DEFINE_string(svg, "", "file for the plot");
+DEFINE_int32(length_s, 900, "simulated length of the guard's runs");
 DEFINE_int32(sidecars, 4, "sidecars that serve the trial version");
 
 namespace cowslipridge::exposure {
@@ -42,6 +43,7 @@
 std::vector<Method> allMethods() {
   FleetShape shape;
   shape.TrialSidecars = static_cast<unsigned>(FLAGS_sidecars);
+  shape.Length = core::Millis(1'000) * FLAGS_length_s;
   std::vector<Method> methods = {
       {"exposure guard", [shape](const Scenario &x, std::uint64_t seed) {
          return runFleet(x, seed, shape);
@@ -146,7 +148,8 @@
 
 void printHead() {
   std::cout << "runs of each row: " << FLAGS_seeds << ", seeds from "
-            << FLAGS_first_seed << ", trial sidecars: " << FLAGS_sidecars
+            << FLAGS_first_seed << ", guard's runs of " << FLAGS_length_s
+            << " s, trial sidecars: " << FLAGS_sidecars
             << "\n\n| scenario | method | bad answers served | cut off | "
                "after s | false cut-offs | full share | after s |\n"
             << "| --- | --- | --- | --- | --- | --- | --- | --- |" << std::endl;
--- a/src/cowslipridge/ledger/CommitPacer.cpp
+++ b/src/cowslipridge/ledger/CommitPacer.cpp
@@ -34,12 +34,14 @@
                           std::ceil(missing * MillisPerCommit)));
 }
 
-core::Millis CommitPacer::commitAt(bool urgent, core::Millis oldest) const {
-  if (urgent)
+core::Millis CommitPacer::commitAt(CommitNeed need, core::Millis oldest) const {
+  if (need == CommitNeed::Now)
     return std::max(NextAllowed, earnedAt(1));
   const double reserve = Settings.Burst / 2.0;
-  return std::max(
-      {NextAllowed, earnedAt(1 + reserve), oldest + Settings.MaxInterval});
+  const core::Millis spare = std::max(NextAllowed, earnedAt(1 + reserve));
+  if (need == CommitNeed::Soon)
+    return spare;
+  return std::max(spare, oldest + Settings.MaxInterval);
 }
 
 void CommitPacer::onCommit(core::Millis now) {
--- a/src/cowslipridge/ledger/CommitPacer.hpp
+++ b/src/cowslipridge/ledger/CommitPacer.hpp
@@ -15,18 +15,26 @@
   unsigned Burst = 8; ///< commits that an idle ledger may make back to back
 };
 
+/// How soon the queued records should be committed.
+enum class CommitNeed {
+  Later, ///< bills: nobody waits
+  Soon,  ///< outcomes: at once while commits are to spare
+  Now,   ///< claims and pins: a caller waits
+};
+
 /// Decides when the next commit may start. Each ledger earns commits at its
 /// part of the fleet's budget and saves up to a burst of them, so that a rare
-/// claim is committed at once. Commits that carry no claim leave half of the
-/// burst for claims.
+/// claim is committed at once. Commits that no caller waits for leave half of
+/// the burst to those that one does.
 class CommitPacer {
 public:
   explicit CommitPacer(PacerSettings settings);
 
   void setFleetSize(std::size_t ledgers);
   /// The earliest time for a commit of records of which the oldest came at
-  /// `oldest`; `urgent` when a caller waits for it.
-  [[nodiscard]] core::Millis commitAt(bool urgent, core::Millis oldest) const;
+  /// `oldest`.
+  [[nodiscard]] core::Millis commitAt(CommitNeed need,
+                                      core::Millis oldest) const;
   void onCommit(core::Millis now);
 
 private:
--- a/src/cowslipridge/ledger/JournalAppender.cpp
+++ b/src/cowslipridge/ledger/JournalAppender.cpp
@@ -14,6 +14,12 @@
 constexpr core::Millis MinRetryDelay{20};
 constexpr core::Millis MaxRetryDelay{1'000};
 
+CommitNeed needOf(const QueuedRecord &record) {
+  if (std::holds_alternative<ClaimOutcome>(record.Record))
+    return CommitNeed::Soon;
+  return record.Waiter != 0 ? CommitNeed::Now : CommitNeed::Later;
+}
+
 } // namespace
 
 JournalAppender::JournalAppender(AppenderSettings settings)
@@ -24,7 +30,7 @@
   if (Queue.empty())
     OldestQueued = now;
   QueueBytes += encodedSize(record.Record);
-  QueueIsUrgent = QueueIsUrgent || record.Waiter != 0;
+  QueueNeed = std::max(QueueNeed, needOf(record));
   Queue.push_back(std::move(record));
 }
 
@@ -63,9 +69,9 @@
     return NotBefore;
   if (Queue.empty())
     return SealWanted || VerifyWanted ? std::optional(NotBefore) : std::nullopt;
-  const bool urgent = QueueIsUrgent || SealWanted || VerifyWanted ||
-                      QueueBytes >= Settings.MaxBatchBytes;
-  return Pacer.commitAt(urgent, OldestQueued);
+  const bool isPressed =
+      SealWanted || VerifyWanted || QueueBytes >= Settings.MaxBatchBytes;
+  return Pacer.commitAt(isPressed ? CommitNeed::Now : QueueNeed, OldestQueued);
 }
 
 bool JournalAppender::isBatchDue(core::Millis now) const {
@@ -84,7 +90,8 @@
                        std::make_move_iterator(end));
   Queue.erase(Queue.begin(), end);
   QueueBytes = Queue.empty() ? 0 : QueueBytes - batch.Bytes;
-  QueueIsUrgent = QueueIsUrgent && !Queue.empty();
+  if (Queue.empty())
+    QueueNeed = CommitNeed::Later;
   batch.Head = {newAppendId(), Segments, {}, HeadRecords};
   for (const QueuedRecord &it : batch.Records)
     batch.Head.Records.push_back(it.Record);
@@ -115,8 +122,10 @@
 std::optional<StoreCommand> JournalAppender::next(core::Millis now) {
   if (CallUnderWay || IsSealed || now < NotBefore)
     return std::nullopt;
-  if (Step == Phase::Idle && HeadBytes >= Settings.RollBytes)
+  if (Step == Phase::Idle && HeadBytes >= Settings.RollBytes) {
     Step = Phase::Roll;
+    Pacer.onCommit(now); // a segment is a write as well
+  }
   if (Step == Phase::Idle && isBatchDue(now)) {
     freezeBatch();
     Pacer.onCommit(now);
--- a/src/cowslipridge/ledger/JournalAppender.hpp
+++ b/src/cowslipridge/ledger/JournalAppender.hpp
@@ -17,7 +17,7 @@
   core::ServiceId Service;
   JournalId Journal;
   std::string Writer; ///< unique per process; part of each append's id
-  std::size_t RollBytes = 65'536;      ///< head size that starts a segment
+  std::size_t RollBytes = 4'096;       ///< head size that starts a segment
   std::size_t MaxBatchBytes = 262'144; ///< records of one commit
   PacerSettings Pacer;
 };
@@ -46,7 +46,7 @@
   explicit JournalAppender(AppenderSettings settings);
 
   /// Queues a record; committed before all records queued later, or with them.
-  /// Records that somebody waits for are committed sooner.
+  /// Claims and pins that somebody waits for are committed first of all.
   void append(QueuedRecord record, core::Millis now);
   /// Drops a queued record that was not sent yet; false when it was sent.
   bool dropQueued(Ticket waiter);
@@ -104,7 +104,7 @@
   CommitPacer Pacer;
   std::vector<QueuedRecord> Queue;
   std::size_t QueueBytes = 0;
-  bool QueueIsUrgent = false;
+  CommitNeed QueueNeed = CommitNeed::Later;
   core::Millis OldestQueued;
   std::optional<Batch> Frozen;
   std::vector<JournalRecord> HeadRecords; ///< committed and not yet rolled
--- a/src/cowslipridge/ledger/JournalMachine.hpp
+++ b/src/cowslipridge/ledger/JournalMachine.hpp
@@ -117,7 +117,7 @@
   core::Millis DedupWindow{600'000};
   core::Millis MaxClaimWait{2'000}; ///< for a claim's commit
   core::Millis PollInterval{2'000};
-  std::size_t RollBytes = 65'536;
+  std::size_t RollBytes = 4'096;
   PacerSettings Pacer;
 };
 
