Carry the sum of low scores between processes

Cause: evidence that came over the wire lacked the sum, so that remote grades counted at their least. Conclusion: an older peer sends 0, which only weakens the evidence.

--- a/src/cowslipridge/rpc/Codec.cpp
+++ b/src/cowslipridge/rpc/Codec.cpp
@@ -73,6 +73,7 @@
   out.setGrades(record.Counters.Grades);
   out.setScoreSumMicro(record.Counters.ScoreSumMicro);
   out.setBadGrades(record.Counters.BadGrades);
+  out.setBadScoreSumMicro(record.Counters.BadScoreSumMicro);
 }
 
 rollout::EvidenceRecord decode(wire::Evidence::Reader in) {
@@ -87,6 +88,7 @@
   record.Counters.Grades = in.getGrades();
   record.Counters.ScoreSumMicro = in.getScoreSumMicro();
   record.Counters.BadGrades = in.getBadGrades();
+  record.Counters.BadScoreSumMicro = in.getBadScoreSumMicro();
   return record;
 }
 
--- a/src/cowslipridge/rpc/schema/Fleet.capnp
+++ b/src/cowslipridge/rpc/schema/Fleet.capnp
@@ -22,6 +22,7 @@
   grades @6 :UInt64;
   scoreSumMicro @7 :UInt64; # sum of scores, in millionths
   badGrades @8 :UInt64;
+  badScoreSumMicro @9 :UInt64; # sum of the bad grades' scores
 }
 
 # A cut-off never reverts within a generation.
