--- a/src/cowslipridge/rollout/GuardState.cpp
+++ b/src/cowslipridge/rollout/GuardState.cpp
@@ -19,7 +19,7 @@
 constexpr double SteadyMaxLoss = 0.1;
 constexpr double SteadyFalseCutOff = 0.001;
 /// Part of the cut-off threshold at which the window stops growing.
-constexpr double DistrustAt = 0.3;
+constexpr double DistrustAt = 0.5;
 /// Trust that a step needs in each organisation.
 constexpr double TrustToAdvance = 0.5;
 /// Ungraded requests are forgotten after this long; later grades are ignored.
