--- a/src/cowslipridge/rollout/CreditWindow.cpp
+++ b/src/cowslipridge/rollout/CreditWindow.cpp
@@ -12,6 +12,7 @@
 
 void CreditWindow::onStart(const core::RequestId &request, core::Millis now) {
   Open.emplace(request, now);
+  Peak = std::max(Peak, taken());
 }
 
 void CreditWindow::onNotRun(const core::RequestId &request) {
