--- a/src/cowslipridge/rollout/CreditWindow.cpp
+++ b/src/cowslipridge/rollout/CreditWindow.cpp
@@ -12,7 +12,6 @@
 
 void CreditWindow::onStart(const core::RequestId &request, core::Millis now) {
   Open.emplace(request, now);
-  Peak = std::max(Peak, taken());
 }
 
 void CreditWindow::onNotRun(const core::RequestId &request) {
--- a/src/cowslipridge/rollout/CreditWindow.hpp
+++ b/src/cowslipridge/rollout/CreditWindow.hpp
@@ -21,8 +21,6 @@
 class CreditWindow {
 public:
   [[nodiscard]] std::size_t taken() const { return Open.size() + Lost; }
-  /// The most that were taken at once so far.
-  [[nodiscard]] std::size_t peak() const { return Peak; }
   /// Takes a credit.
   void onStart(const core::RequestId &request, core::Millis now);
   /// Gives the credit back; the request never ran.
@@ -38,7 +36,6 @@
 
   std::map<core::RequestId, core::Millis> Open; ///< started at
   std::size_t Lost = 0;
-  std::size_t Peak = 0;
   std::optional<core::Millis> NextReturn;
   core::Millis ReturnInterval;
 };
--- a/src/cowslipridge/rollout/GuardState.cpp
+++ b/src/cowslipridge/rollout/GuardState.cpp
@@ -20,8 +20,6 @@
 constexpr double SteadyFalseCutOff = 0.001;
 /// Part of the cut-off threshold at which the window stops growing.
 constexpr double DistrustAt = 0.5;
-/// Window in relation to the most credits that were taken at once.
-constexpr double PeakFactor = 2;
 /// Trust that a step needs in each organisation.
 constexpr double TrustToAdvance = 0.5;
 /// Ungraded requests are forgotten after this long; later grades are ignored.
@@ -89,21 +87,17 @@
 
 // The window of all sidecars grows by one for each grade while nothing speaks
 // against the version, as slow start does, and shrinks to the initial credits
-// as evidence against it mounts. Each sidecar has its part of it, and no more
-// than twice what it ever used: a window far above the traffic would not bind
-// before all trust is gone.
+// as evidence against it mounts. Each sidecar has its part of it.
 bool ExposureGuard::State::hasCredit(
     const CreditWindow &credits,
     const core::OrganisationId &organisation) const {
-  const double peers = PeerCount;
   const auto grades =
       static_cast<double>(totals(Service.Rollout->Trial, organisation).Grades);
-  const unsigned initial = Service.Rollout->InitialCredits;
-  const unsigned own =
-      initial / PeerCount + (PeerRank < initial % PeerCount ? 1 : 0);
-  const double usable = PeakFactor * static_cast<double>(credits.peak() + 1);
-  const double grown = std::min(grades / peers, usable) * trustIn(organisation);
-  return static_cast<double>(credits.taken()) + 1 <= own + grown;
+  const std::size_t fleet =
+      Service.Rollout->InitialCredits +
+      static_cast<std::size_t>(grades * trustIn(organisation));
+  const std::size_t rest = fleet % PeerCount;
+  return credits.taken() < fleet / PeerCount + (PeerRank < rest ? 1 : 0);
 }
 
 void ExposureGuard::State::setPeers(unsigned rank, unsigned count) {
