--- a/bench/store_economy/CountingStore.cpp
+++ b/bench/store_economy/CountingStore.cpp
@@ -60,7 +60,7 @@
 }
 
 void CountingStore::call(ledger::StoreCommand command,
-                         std::function<void(StoreReply)> done) {
+                         const std::function<void(StoreReply)> &done) {
   std::exponential_distribution<double> extra(1 / MeanExtraDelayMs);
   const auto half =
       core::Millis(std::llround((FixedDelayMs + extra(Random)) / 2));
--- a/bench/store_economy/CountingStore.hpp
+++ b/bench/store_economy/CountingStore.hpp
@@ -48,7 +48,7 @@
       : Time(timeline), Random(seed) {}
 
   void call(ledger::StoreCommand command,
-            std::function<void(ledger::StoreReply)> done);
+            const std::function<void(ledger::StoreReply)> &done);
   StoreCounts takeCounts() { return std::exchange(Counts, {}); }
 
 private:
