--- a/bench/overload/Gates.cpp
+++ b/bench/overload/Gates.cpp
@@ -10,6 +10,7 @@
 
 constexpr unsigned MaxConcurrency = 32;
 constexpr unsigned FixedLimit = 16;
+constexpr unsigned CapacityLimit = 8;
 constexpr unsigned FixedQueue = 64;
 constexpr unsigned NoBound = 1'000'000;
 constexpr core::Millis FixedRetryAfter{1'000};
@@ -44,6 +45,8 @@
     return "fifo";
   case Policy::FixedLimit:
     return "fixed-limit";
+  case Policy::FixedAtCapacity:
+    return "fixed-at-capacity";
   case Policy::Admission:
     break;
   }
@@ -56,6 +59,8 @@
     return FixedGate(MaxConcurrency, NoBound);
   case Policy::FixedLimit:
     return FixedGate(FixedLimit, FixedQueue);
+  case Policy::FixedAtCapacity:
+    return FixedGate(CapacityLimit, FixedQueue);
   case Policy::Admission:
     break;
   }
--- a/bench/overload/Gates.hpp
+++ b/bench/overload/Gates.hpp
@@ -34,7 +34,12 @@
 
 using Gate = std::variant<FixedGate, TestedGate>;
 
-enum class Policy { Fifo, FixedLimit, Admission };
+enum class Policy {
+  Fifo,            ///< no bound on the queue
+  FixedLimit,      ///< a limit that was guessed at twice the capacity
+  FixedAtCapacity, ///< a limit that was measured and set right
+  Admission,
+};
 std::string nameOf(Policy policy);
 Gate makeGate(Policy policy, std::uint64_t seed);
 
--- a/bench/overload/Main.cpp
+++ b/bench/overload/Main.cpp
@@ -47,8 +47,8 @@
 }
 
 void runShape(const Shape &shape, Report &report) {
-  for (const Policy policy :
-       {Policy::Fifo, Policy::FixedLimit, Policy::Admission}) {
+  for (const Policy policy : {Policy::Fifo, Policy::FixedLimit,
+                              Policy::FixedAtCapacity, Policy::Admission}) {
     const auto results =
         runSeeds(FLAGS_seeds, FLAGS_threads, [&](std::uint64_t seed) {
           return Run(shape, policy, seed).run();
--- a/bench/support/Report.cpp
+++ b/bench/support/Report.cpp
@@ -17,6 +17,8 @@
     items.push_back(item);
 }
 
+std::string quoted(const std::string &field) { return '"' + field + '"'; }
+
 std::string formatSpread(const Spread &spread) {
   std::ostringstream out;
   out << std::setprecision(4) << spread.Median << " [" << spread.P10 << ", "
@@ -63,9 +65,9 @@
   for (const RowKey &row : Rows) {
     for (const auto &[figure, values] : Values.at(row)) {
       const Spread spread = spreadOf(values);
-      csv << row.Scenario << ',' << row.Policy << ',' << figure << ','
-          << values.size() << ',' << spread.P10 << ',' << spread.Median << ','
-          << spread.P90 << '\n';
+      csv << quoted(row.Scenario) << ',' << quoted(row.Policy) << ','
+          << quoted(figure) << ',' << values.size() << ',' << spread.P10 << ','
+          << spread.Median << ',' << spread.P90 << '\n';
       if (figure == plotted)
         bars.push_back({row.Scenario, row.Policy, spread});
     }
