Predict an organisation's wait from the share it got of late

Cause: at load 2 with a flood, the flooder's requests were queued as if all waiting work but no new arrival went before them, and were refused late. Change: an organisation that used over 1.5 times its fair share waits by its recent share; others as before.

--- a/src/cowslipridge/limits/FairQueue.cpp
+++ b/src/cowslipridge/limits/FairQueue.cpp
@@ -6,6 +6,11 @@
 
 namespace {
 
+/// Part of its weight that started work keeps at each later start.
+/// Use over the fair share up to which an organisation still goes first.
+constexpr double FairTolerance = 1.5;
+constexpr double RecentKeep = 0.98;
+
 double workOf(const Arrival &arrival) {
   return std::max(1.0, static_cast<double>(arrival.ExpectedWork.count()));
 }
@@ -43,6 +48,9 @@
   tenant.Weight = arrival.Weight;
   const double start = std::max(VirtualTime, tenant.NextStart);
   VirtualTime = start;
+  for (auto &[organisation, other] : ByOrganisation)
+    other.Recent *= RecentKeep;
+  tenant.Recent += workOf(arrival);
   tenant.NextStart = start + workOf(arrival) / weightOf(arrival.Weight);
 }
 
@@ -97,21 +105,35 @@
       });
 }
 
-double FairQueue::workAhead(const Arrival &arrival) const {
-  double ownWork = 0;
+FairQueue::Share FairQueue::shareOf(const Arrival &arrival) const {
   double weights = weightOf(arrival.Weight);
+  double recent = 0;
+  double ownRecent = 0;
   for (const auto &[organisation, tenant] : ByOrganisation) {
-    if (organisation != arrival.Organisation) {
-      if (!tenant.Requests.empty())
-        weights += weightOf(tenant.Weight);
-      continue;
-    }
-    const auto later = tenant.Requests.upper_bound(arrival.Deadline);
-    for (auto it = tenant.Requests.begin(); it != later; ++it)
-      ownWork += workOf(it->second);
+    recent += tenant.Recent;
+    if (organisation == arrival.Organisation)
+      ownRecent = tenant.Recent;
+    else if (!tenant.Requests.empty() || tenant.Recent > 0)
+      weights += weightOf(tenant.Weight);
   }
-  const double shareOfAll = weightOf(arrival.Weight) / weights;
-  return std::min(Work, ownWork / shareOfAll);
+  const double used = recent > 0 ? ownRecent / recent : 0;
+  return {weightOf(arrival.Weight) / weights, used};
+}
+
+double FairQueue::workAhead(const Arrival &arrival) const {
+  const auto tenant = ByOrganisation.find(arrival.Organisation);
+  if (tenant == ByOrganisation.end())
+    return 0;
+  double ownWork = 0;
+  const auto &requests = tenant->second.Requests;
+  const auto later = requests.upper_bound(arrival.Deadline);
+  for (auto it = requests.begin(); it != later; ++it)
+    ownWork += workOf(it->second);
+  const Share share = shareOf(arrival);
+  // One that used less than its share goes before the others' waiting work.
+  if (share.Used < FairTolerance * share.Fair)
+    return std::min(Work, ownWork / share.Fair);
+  return ownWork / share.Used;
 }
 
 } // namespace cowslipridge::limits
--- a/src/cowslipridge/limits/FairQueue.hpp
+++ b/src/cowslipridge/limits/FairQueue.hpp
@@ -32,8 +32,10 @@
   [[nodiscard]] bool empty() const { return Size == 0; }
   /// Expected work of all that wait.
   [[nodiscard]] double waitingWork() const { return Work; }
-  /// Work that starts before `arrival` would: never more than all that waits,
-  /// nor more than its own organisation's share makes it wait for.
+  /// Work that starts before `arrival` would: its own organisation's waiting
+  /// work, and what the others start meanwhile. That is taken from the share
+  /// that the organisation got of late; one under its fair share waits for no
+  /// more than all that waits now.
   [[nodiscard]] double workAhead(const Arrival &arrival) const;
 
 private:
@@ -41,12 +43,19 @@
   struct Tenant {
     Waiting Requests;
     double Work = 0;
+    double Recent = 0;    ///< work started of late, discounted per start
     double NextStart = 0; ///< virtual time at which its next request starts
     unsigned Weight = 1;
   };
   using Tenants = std::map<core::OrganisationId, Tenant>;
 
   Arrival take(Tenants::iterator tenant, Waiting::iterator request);
+  /// Parts of the started work, 0..1.
+  struct Share {
+    double Fair = 0; ///< by weight
+    double Used = 0; ///< of late
+  };
+  [[nodiscard]] Share shareOf(const Arrival &arrival) const;
   void forgetIfIdle(Tenants::iterator tenant);
 
   Tenants ByOrganisation;
