Predict the wait of deferrable work from the capacity left idle

Cause: drafts were queued as if the whole capacity drained their queue, and under lasting overload refused only when their deadline neared. Change: their predicted wait uses the part of the limit that other work left free over the last 10 s.

--- a/src/cowslipridge/limits/Admission.cpp
+++ b/src/cowslipridge/limits/Admission.cpp
@@ -18,6 +18,9 @@
 constexpr double HeadroomShare = 0.125;
 /// Part of a request's slack that the queue may use up.
 constexpr double UsableSlack = 0.5;
+/// Time over which the idle part of the capacity is averaged.
+constexpr double IdleMemoryMillis = 10'000;
+constexpr double MinIdleShare = 0.02;
 /// Deferrable work starts this many expected times before its deadline at the
 /// latest, even when other work waits.
 constexpr double DeferrableLead = 2;
@@ -77,6 +80,7 @@
   void startWaiting(core::Millis now, AdmissionActions &actions);
   void startFrom(FairQueue &queue, core::Millis now, AdmissionActions &actions);
   void promoteUrgent(core::Millis now);
+  void measureIdle(core::Millis now);
   void refuseLate(FairQueue &queue, core::Millis now,
                   AdmissionActions &actions);
 
@@ -87,6 +91,9 @@
   FairQueue Prompt;   ///< starts as soon as its turn comes
   FairQueue Deferred; ///< waits for idle capacity
   std::map<core::RequestId, Arrival> Running;
+  /// Part of the limit that prompt work has left free of late.
+  double IdleShare = 1;
+  core::Millis IdleMeasuredAt;
 };
 
 core::Millis Admission::State::drainTime(double work) const {
@@ -164,7 +171,10 @@
 void Admission::State::enqueue(const Arrival &arrival, core::Millis now,
                                AdmissionActions &actions) {
   FairQueue &queue = arrival.Deferrable ? Deferred : Prompt;
-  const core::Millis wait = slotWait() + drainTime(queue.workAhead(arrival));
+  double ahead = queue.workAhead(arrival);
+  if (arrival.Deferrable)
+    ahead /= std::max(MinIdleShare, IdleShare);
+  const core::Millis wait = slotWait() + drainTime(ahead);
   if (!mayWait(arrival, wait, now) || Settings.MaxQueue == 0) {
     refuse(arrival, core::Errc::Overloaded, now, actions);
     return;
@@ -261,8 +271,21 @@
     refuse(arrival, core::Errc::DeadlineExceeded, now, actions);
 }
 
+void Admission::State::measureIdle(core::Millis now) {
+  const auto isPrompt = [](const auto &entry) {
+    return !entry.second.Deferrable;
+  };
+  const auto prompt = static_cast<double>(
+      std::count_if(Running.begin(), Running.end(), isPrompt));
+  const double idle = std::max(0.0, 1 - prompt / Limit.current());
+  const auto elapsed = static_cast<double>((now - IdleMeasuredAt).count());
+  IdleMeasuredAt = now;
+  IdleShare += (1 - std::exp(-elapsed / IdleMemoryMillis)) * (idle - IdleShare);
+}
+
 AdmissionActions Admission::State::tick(core::Millis now) {
   AdmissionActions actions;
+  measureIdle(now);
   startWaiting(now, actions);
   refuseLate(Prompt, now, actions);
   refuseLate(Deferred, now, actions);
