--- a/src/cowslipridge/rpc/schema/Fleet.capnp
+++ b/src/cowslipridge/rpc/schema/Fleet.capnp
@@ -45,6 +45,13 @@
   predictedWaitMs @7 :UInt32;
   evidence @8 :List(Evidence);
   cutOffs @9 :List(CutOff);
+  generationAgeMs @11 :UInt32; # since the generation was known to be newest
+  grades @10 :List(Grade);  # of answers that the receiver asked for
+}
+
+struct Grade {
+  request @0 :Text;
+  scoreMicro @1 :UInt32;    # 0 to 1, in millionths
 }
 
 struct RunRequest {
@@ -110,6 +117,10 @@
   # Bill lines that the caller holds for a journal owned by the callee; each
   # is one JSON object, keyed by request, so that repetition is harmless.
   deliverBills @3 (lines :List(Data)) -> (accepted :UInt32);
+  # Hands a newer bundle to a callee that is behind; returns the generation
+  # in force there afterwards.
+  offerBundle @4 (sender :Text, generation :UInt64, content :Data)
+      -> (generation :UInt64);
 }
 
 # Bootstrap capability: gives a Peer only to a caller that proves the fleet
