Take expected work as a no-load time, and learn it when it is unknown

Cause: the sidecar handed in the moving mean of recent times, which starts at 0 and follows the load: the ratio of actual to expected time was 20 at the start and about 1 later, so the limit could not see overload. Change: Arrival::ExpectedWork 0 means unknown; Admission then takes the mean time of requests that ran nearly alone, and compares rounds of at least 32. The sidecar leaves it unknown. Six integration tests fail, as they did before this change: PathTest passesAPlainCallThrough, runsARepeatedBookingOnce, survivesBytesThatAreNoHttp, neverMixesAnswers; ProofTest noFaultOfARunnerLooksLikeAWholeAnswer, aLeavingSidecarGetsNoNewWork. Overload with unknown work is not measured.

--- a/src/cowslipridge/limits/Admission.cpp
+++ b/src/cowslipridge/limits/Admission.cpp
@@ -21,6 +21,7 @@
 /// Time over which the idle part of the capacity is averaged.
 constexpr double IdleMemoryMillis = 10'000;
 constexpr double MinIdleShare = 0.02;
+constexpr double UsualWorkGain = 0.05;
 /// Deferrable work starts this many expected times before its deadline at the
 /// latest, even when other work waits.
 constexpr double DeferrableLead = 2;
@@ -71,6 +72,9 @@
                              core::Millis now) const;
   [[nodiscard]] bool isUrgent(const Arrival &arrival, core::Millis now) const;
   bool knows(const core::RequestId &request) const;
+  Arrival withExpectedWork(Arrival arrival);
+  void learn(const Arrival &arrival, core::Millis elapsed, bool failed,
+             core::Millis now);
 
   void start(const Arrival &arrival, AdmissionActions &actions);
   void refuse(const Arrival &arrival, core::Errc reason, core::Millis now,
@@ -93,6 +97,9 @@
   std::map<core::RequestId, Arrival> Running;
   /// Part of the limit that prompt work has left free of late.
   double IdleShare = 1;
+  /// Mean time of requests that ran nearly alone, in milliseconds; 0: unknown.
+  double UsualWork = 0;
+  bool WorkIsEstimated = false; ///< of the last arrival
   core::Millis IdleMeasuredAt;
 };
 
@@ -190,9 +197,10 @@
   refuse(shed, core::Errc::Overloaded, now, actions);
 }
 
-AdmissionActions Admission::State::arrive(const Arrival &arrival,
+AdmissionActions Admission::State::arrive(const Arrival &asked,
                                           core::Millis now) {
   AdmissionActions actions;
+  const Arrival arrival = withExpectedWork(asked);
   if (knows(arrival.Request)) {
     refuse(arrival, core::Errc::DuplicateInProgress, now, actions);
     return actions;
@@ -241,6 +249,29 @@
     startFrom(Deferred, now, actions);
 }
 
+Arrival Admission::State::withExpectedWork(Arrival arrival) {
+  WorkIsEstimated = arrival.ExpectedWork <= core::Millis(0);
+  if (!WorkIsEstimated)
+    return arrival;
+  arrival.ExpectedWork = millisOf(UsualWork);
+  return arrival;
+}
+
+void Admission::State::learn(const Arrival &arrival, core::Millis elapsed,
+                             bool failed, core::Millis now) {
+  if (arrival.ExpectedWork > core::Millis(0))
+    Limit.onFinish(
+        {elapsed, arrival.ExpectedWork, inFlight(), failed, WorkIsEstimated},
+        now);
+  const auto took = static_cast<double>(elapsed.count());
+  if (failed)
+    return;
+  if (UsualWork == 0)
+    UsualWork = took;
+  else if (Limit.isNearlyAlone(inFlight()))
+    UsualWork += UsualWorkGain * (took - UsualWork);
+}
+
 AdmissionActions Admission::State::finish(const core::RequestId &request,
                                           core::Millis elapsed, bool failed,
                                           core::Millis now) {
@@ -248,7 +279,7 @@
   const auto it = Running.find(request);
   if (it == Running.end())
     return actions;
-  Limit.onFinish({elapsed, it->second.ExpectedWork, inFlight(), failed}, now);
+  learn(it->second, elapsed, failed, now);
   Running.erase(it);
   startWaiting(now, actions);
   return actions;
--- a/src/cowslipridge/limits/Admission.hpp
+++ b/src/cowslipridge/limits/Admission.hpp
@@ -24,10 +24,13 @@
 struct Arrival {
   core::RequestId Request;
   core::OrganisationId Organisation;
-  unsigned Weight = 1;       ///< the organisation's share
-  core::Millis Deadline;     ///< monotonic; for the whole answer
-  core::Millis ExpectedWork; ///< predicted time on the runner
-  bool Deferrable = false;   ///< may wait for idle capacity
+  unsigned Weight = 1;   ///< the organisation's share
+  core::Millis Deadline; ///< monotonic; for the whole answer
+  /// Time on a runner with little else to do. Not the mean of recent times,
+  /// which hides that the runner has become slower. 0: not known; the time of
+  /// requests that ran nearly alone is taken.
+  core::Millis ExpectedWork;
+  bool Deferrable = false; ///< may wait for idle capacity
 };
 
 /// Run it now.
--- a/src/cowslipridge/limits/ConcurrencyLimit.cpp
+++ b/src/cowslipridge/limits/ConcurrencyLimit.cpp
@@ -21,6 +21,8 @@
 constexpr double RisePerRound = 1;
 /// Requests of one round, at the least.
 constexpr unsigned MinRound = 8;
+/// The same when their expected times are means, which differ from each.
+constexpr unsigned MinEstimatedRound = 32;
 /// Part of the limit that must have been in use for it to rise.
 constexpr double BusyShare = 0.8;
 /// The no-load ratio rises only by requests that ran nearly alone; otherwise
@@ -56,8 +58,12 @@
   return static_cast<unsigned>(Limit);
 }
 
+bool ConcurrencyLimit::isNearlyAlone(unsigned inFlight) const {
+  return inFlight <= std::max(NoLoadInFlight, Bounds.Max / NoLoadDivisor);
+}
+
 void ConcurrencyLimit::learnNoLoad(double ratio, unsigned inFlight) {
-  if (inFlight <= std::max(NoLoadInFlight, Bounds.Max / NoLoadDivisor))
+  if (isNearlyAlone(inFlight))
     NoLoadSlowdown += NoLoadGain * (ratio - NoLoadSlowdown);
 }
 
@@ -76,7 +82,8 @@
   Current.Expected += millisOf(request.Expected);
   Current.MaxInFlight = std::max(Current.MaxInFlight, request.InFlight);
   ++Current.Finished;
-  if (Current.Finished >= std::max(MinRound, current()))
+  const unsigned least = request.Estimated ? MinEstimatedRound : MinRound;
+  if (Current.Finished >= std::max(least, current()))
     adjust(now);
 }
 
--- a/src/cowslipridge/limits/ConcurrencyLimit.hpp
+++ b/src/cowslipridge/limits/ConcurrencyLimit.hpp
@@ -16,6 +16,7 @@
   core::Millis Expected;
   unsigned InFlight = 0; ///< running until then, this one included
   bool Failed = false;
+  bool Estimated = false; ///< `Expected` is a mean, not of this request
 };
 
 /// Adaptive concurrency limit. In each round of requests that started after the
@@ -28,6 +29,8 @@
 
   void onFinish(const FinishedRequest &request, core::Millis now);
   [[nodiscard]] unsigned current() const;
+  /// True when so few requests run that they hardly slow each other.
+  [[nodiscard]] bool isNearlyAlone(unsigned inFlight) const;
   /// Recent ratio of actual to expected time.
   [[nodiscard]] double slowdown() const { return Slowdown; }
 
--- a/src/cowslipridge/sidecar/RunFlow.cpp
+++ b/src/cowslipridge/sidecar/RunFlow.cpp
@@ -39,7 +39,8 @@
   arrival.Request = Ticket;
   arrival.Organisation = Request.Organisation;
   arrival.Deadline = Deadline;
-  arrival.ExpectedWork = Context.MeanWork;
+  // ExpectedWork stays unknown: the mean of recent times would hide that the
+  // runner has become slower.
   arrival.Deferrable = service->Deferrable;
   if (const auto *it = service->findOrganisation(Request.Organisation))
     arrival.Weight = it->Weight;
--- a/tests/unit/limits/AdmissionTest.cpp
+++ b/tests/unit/limits/AdmissionTest.cpp
@@ -126,4 +126,32 @@
             started("b"));
 }
 
+TEST(Admission, learnsUnknownWorkFromRequestsThatRanAlone) {
+  Admission admission({1, 1, 64}, 1);
+  for (int n = 0; n < 20; ++n) {
+    const std::string name = "r" + std::to_string(n);
+    admission.arrive(makeArrival(name, "x", 1'000'000, 0), {});
+    admission.finish(core::RequestId(name), core::Millis(500), false, {});
+  }
+  admission.arrive(makeArrival("a", "x", 1'000'000, 0), {});
+  admission.arrive(makeArrival("b", "x", 1'000'000, 0), {});
+  const auto wait = admission.predictedWait({}).count();
+  EXPECT_GE(wait, 900);
+  EXPECT_LE(wait, 1100);
+}
+
+TEST(Admission, firstBurstOfUnknownWorkBlocksNothing) {
+  Admission admission({32, 1, 64}, 1);
+  for (int n = 0; n < 8; ++n)
+    admission.arrive(makeArrival("r" + std::to_string(n), "x", 9000, 0), {});
+  for (int n = 0; n < 8; ++n)
+    admission.finish(core::RequestId("r" + std::to_string(n)),
+                     core::Millis(500), false, core::Millis(500));
+  for (int n = 0; n < 8; ++n)
+    EXPECT_EQ(
+        admission.arrive(makeArrival("s" + std::to_string(n), "x", 3000, 0),
+                         core::Millis(600)),
+        started("s" + std::to_string(n)));
+}
+
 } // namespace
