Learn the usual work from the first 32 requests

Cause: with work unknown, the usual time was that of the first request to end, a short one; the limit fell to 5 for a capacity of 8.

--- a/bench/overload/Main.cpp
+++ b/bench/overload/Main.cpp
@@ -22,6 +22,11 @@
     shape.Load = load;
     shapes.push_back(shape);
   }
+  Shape unknown = shapes[1];
+  unknown.Name = "load 2.0, work unknown";
+  unknown.DraftShare = 0;
+  unknown.WorkUnknown = true;
+  shapes.push_back(unknown);
   Shape flood;
   flood.Name = "flood, load 2";
   flood.Load = 2;
--- a/bench/overload/Run.cpp
+++ b/bench/overload/Run.cpp
@@ -120,6 +120,8 @@
       core::OrganisationId("org" + std::to_string(caller->Organisation));
   wish.ExpectedWork = core::Millis(
       std::llround(drawLogNormal(Generator, caller->Work, PredictionSigma)));
+  if (Driven.WorkUnknown)
+    wish.ExpectedWork = core::Millis(0);
   wish.Deferrable = draft;
   if (!isMeasured(Events.now()))
     return caller;
--- a/bench/overload/Run.hpp
+++ b/bench/overload/Run.hpp
@@ -18,6 +18,7 @@
   double Load = 1;          ///< offered work over the fleet's capacity
   double DraftShare = 0.2;  ///< of the work: deferrable
   double FloodShare = 0.25; ///< of the prompt work: organisation 0's
+  bool WorkUnknown = false; ///< no time is predicted for a request
   core::Millis Length{90'000};
   core::Millis BrownOutAt{0}; ///< 0: none
   core::Millis BrownOutLength{30'000};
--- a/src/cowslipridge/limits/Admission.cpp
+++ b/src/cowslipridge/limits/Admission.cpp
@@ -21,7 +21,8 @@
 /// Time over which the idle part of the capacity is averaged.
 constexpr double IdleMemoryMillis = 10'000;
 constexpr double MinIdleShare = 0.02;
-constexpr double UsualWorkGain = 0.05;
+constexpr double UsualWorkGain = 0.01;
+constexpr unsigned MinUsualWorkSamples = 32;
 /// Deferrable work starts this many expected times before its deadline at the
 /// latest, even when other work waits.
 constexpr double DeferrableLead = 2;
@@ -97,8 +98,10 @@
   std::map<core::RequestId, Arrival> Running;
   /// Part of the limit that prompt work has left free of late.
   double IdleShare = 1;
-  /// Mean time of requests that ran nearly alone, in milliseconds; 0: unknown.
+  /// Mean time of the first requests, then of those that ran nearly alone, in
+  /// milliseconds; 0: unknown.
   double UsualWork = 0;
+  unsigned UsualWorkSamples = 0;
   bool WorkIsEstimated = false; ///< of the last arrival
   core::Millis IdleMeasuredAt;
 };
@@ -259,15 +262,17 @@
 
 void Admission::State::learn(const Arrival &arrival, core::Millis elapsed,
                              bool failed, core::Millis now) {
-  if (arrival.ExpectedWork > core::Millis(0))
+  if (!WorkIsEstimated || UsualWorkSamples == MinUsualWorkSamples)
     Limit.onFinish(
         {elapsed, arrival.ExpectedWork, inFlight(), failed, WorkIsEstimated},
         now);
   const auto took = static_cast<double>(elapsed.count());
   if (failed)
     return;
-  if (UsualWork == 0)
-    UsualWork = took;
+  // The first to end are short ones, so the mean starts over several; its
+  // scale matters little, because the limit compares ratios.
+  if (UsualWorkSamples < MinUsualWorkSamples)
+    UsualWork += (took - UsualWork) / ++UsualWorkSamples;
   else if (Limit.isNearlyAlone(inFlight()))
     UsualWork += UsualWorkGain * (took - UsualWork);
 }
