--- a/bench/overload/Main.cpp
+++ b/bench/overload/Main.cpp
@@ -22,6 +22,11 @@
     shape.Load = load;
     shapes.push_back(shape);
   }
+  Shape unknown = shapes[1];
+  unknown.Name = "load 2.0, work unknown";
+  unknown.DraftShare = 0;
+  unknown.WorkUnknown = true;
+  shapes.push_back(unknown);
   Shape flood;
   flood.Name = "flood, load 2";
   flood.Load = 2;
@@ -47,8 +52,8 @@
 }
 
 void runShape(const Shape &shape, Report &report) {
-  for (const Policy policy :
-       {Policy::Fifo, Policy::FixedLimit, Policy::Admission}) {
+  for (const Policy policy : {Policy::Fifo, Policy::FixedLimit,
+                              Policy::FixedAtCapacity, Policy::Admission}) {
     const auto results =
         runSeeds(FLAGS_seeds, FLAGS_threads, [&](std::uint64_t seed) {
           return Run(shape, policy, seed).run();
--- a/src/cowslipridge/limits/Admission.cpp
+++ b/src/cowslipridge/limits/Admission.cpp
@@ -18,6 +18,11 @@
 constexpr double HeadroomShare = 0.125;
 /// Part of a request's slack that the queue may use up.
 constexpr double UsableSlack = 0.5;
+/// Time over which the idle part of the capacity is averaged.
+constexpr double IdleMemoryMillis = 10'000;
+constexpr double MinIdleShare = 0.02;
+constexpr double UsualWorkGain = 0.01;
+constexpr unsigned MinUsualWorkSamples = 32;
 /// Deferrable work starts this many expected times before its deadline at the
 /// latest, even when other work waits.
 constexpr double DeferrableLead = 2;
@@ -68,6 +73,9 @@
                              core::Millis now) const;
   [[nodiscard]] bool isUrgent(const Arrival &arrival, core::Millis now) const;
   bool knows(const core::RequestId &request) const;
+  Arrival withExpectedWork(Arrival arrival);
+  void learn(const Arrival &arrival, core::Millis elapsed, bool failed,
+             core::Millis now);
 
   void start(const Arrival &arrival, AdmissionActions &actions);
   void refuse(const Arrival &arrival, core::Errc reason, core::Millis now,
@@ -77,6 +85,7 @@
   void startWaiting(core::Millis now, AdmissionActions &actions);
   void startFrom(FairQueue &queue, core::Millis now, AdmissionActions &actions);
   void promoteUrgent(core::Millis now);
+  void measureIdle(core::Millis now);
   void refuseLate(FairQueue &queue, core::Millis now,
                   AdmissionActions &actions);
 
@@ -87,6 +96,14 @@
   FairQueue Prompt;   ///< starts as soon as its turn comes
   FairQueue Deferred; ///< waits for idle capacity
   std::map<core::RequestId, Arrival> Running;
+  /// Part of the limit that prompt work has left free of late.
+  double IdleShare = 1;
+  /// Mean time of the first requests, then of those that ran nearly alone, in
+  /// milliseconds; 0: unknown.
+  double UsualWork = 0;
+  unsigned UsualWorkSamples = 0;
+  bool WorkIsEstimated = false; ///< of the last arrival
+  core::Millis IdleMeasuredAt;
 };
 
 core::Millis Admission::State::drainTime(double work) const {
@@ -164,7 +181,10 @@
 void Admission::State::enqueue(const Arrival &arrival, core::Millis now,
                                AdmissionActions &actions) {
   FairQueue &queue = arrival.Deferrable ? Deferred : Prompt;
-  const core::Millis wait = slotWait() + drainTime(queue.workAhead(arrival));
+  double ahead = queue.workAhead(arrival);
+  if (arrival.Deferrable)
+    ahead /= std::max(MinIdleShare, IdleShare);
+  const core::Millis wait = slotWait() + drainTime(ahead);
   if (!mayWait(arrival, wait, now) || Settings.MaxQueue == 0) {
     refuse(arrival, core::Errc::Overloaded, now, actions);
     return;
@@ -180,9 +200,10 @@
   refuse(shed, core::Errc::Overloaded, now, actions);
 }
 
-AdmissionActions Admission::State::arrive(const Arrival &arrival,
+AdmissionActions Admission::State::arrive(const Arrival &asked,
                                           core::Millis now) {
   AdmissionActions actions;
+  const Arrival arrival = withExpectedWork(asked);
   if (knows(arrival.Request)) {
     refuse(arrival, core::Errc::DuplicateInProgress, now, actions);
     return actions;
@@ -231,6 +252,31 @@
     startFrom(Deferred, now, actions);
 }
 
+Arrival Admission::State::withExpectedWork(Arrival arrival) {
+  WorkIsEstimated = arrival.ExpectedWork <= core::Millis(0);
+  if (!WorkIsEstimated)
+    return arrival;
+  arrival.ExpectedWork = millisOf(UsualWork);
+  return arrival;
+}
+
+void Admission::State::learn(const Arrival &arrival, core::Millis elapsed,
+                             bool failed, core::Millis now) {
+  if (!WorkIsEstimated || UsualWorkSamples == MinUsualWorkSamples)
+    Limit.onFinish(
+        {elapsed, arrival.ExpectedWork, inFlight(), failed, WorkIsEstimated},
+        now);
+  const auto took = static_cast<double>(elapsed.count());
+  if (failed)
+    return;
+  // The first to end are short ones, so the mean starts over several; its
+  // scale matters little, because the limit compares ratios.
+  if (UsualWorkSamples < MinUsualWorkSamples)
+    UsualWork += (took - UsualWork) / ++UsualWorkSamples;
+  else if (Limit.isNearlyAlone(inFlight()))
+    UsualWork += UsualWorkGain * (took - UsualWork);
+}
+
 AdmissionActions Admission::State::finish(const core::RequestId &request,
                                           core::Millis elapsed, bool failed,
                                           core::Millis now) {
@@ -238,7 +284,7 @@
   const auto it = Running.find(request);
   if (it == Running.end())
     return actions;
-  Limit.onFinish({elapsed, it->second.ExpectedWork, inFlight(), failed}, now);
+  learn(it->second, elapsed, failed, now);
   Running.erase(it);
   startWaiting(now, actions);
   return actions;
@@ -261,8 +307,21 @@
     refuse(arrival, core::Errc::DeadlineExceeded, now, actions);
 }
 
+void Admission::State::measureIdle(core::Millis now) {
+  const auto isPrompt = [](const auto &entry) {
+    return !entry.second.Deferrable;
+  };
+  const auto prompt = static_cast<double>(
+      std::count_if(Running.begin(), Running.end(), isPrompt));
+  const double idle = std::max(0.0, 1 - prompt / Limit.current());
+  const auto elapsed = static_cast<double>((now - IdleMeasuredAt).count());
+  IdleMeasuredAt = now;
+  IdleShare += (1 - std::exp(-elapsed / IdleMemoryMillis)) * (idle - IdleShare);
+}
+
 AdmissionActions Admission::State::tick(core::Millis now) {
   AdmissionActions actions;
+  measureIdle(now);
   startWaiting(now, actions);
   refuseLate(Prompt, now, actions);
   refuseLate(Deferred, now, actions);
