--- a/src/cowslipridge/config/internal/BlockingStore.cpp
+++ b/src/cowslipridge/config/internal/BlockingStore.cpp
@@ -1,5 +1,7 @@
 #include "cowslipridge/config/internal/BlockingStore.hpp"
 
+#include "cowslipridge/core/Error.hpp"
+
 #include <future>
 #include <memory>
 #include <utility>
@@ -8,6 +10,9 @@
 
 namespace {
 
+/// A read has no effect, so that it is repeated when its reply is lost.
+constexpr int MaxReadAttempts = 4;
+
 /// Calls `start` with a callback and waits for what the callback is given.
 template <typename Value, typename Start> Value await(Start start) {
   // Shared, because the callback may still be running when the wait ends.
@@ -24,7 +29,10 @@
 core::Result<std::optional<platform::StoreEntry>>
 BlockingStore::get(const std::string &key) {
   using Answer = core::Result<std::optional<platform::StoreEntry>>;
-  return await<Answer>([&](auto done) { Store.get(key, std::move(done)); });
+  Answer answer = core::Errc::StoreUnavailable;
+  for (int n = 0; n < MaxReadAttempts && !answer.ok(); ++n)
+    answer = await<Answer>([&](auto done) { Store.get(key, std::move(done)); });
+  return answer;
 }
 
 platform::SwapStatus
--- a/tests/integration/BillingProofTest.cpp
+++ b/tests/integration/BillingProofTest.cpp
@@ -146,6 +146,7 @@
 TEST_F(BillingProofTest, billsEqualTheAnswersWhenASidecarDiesInMidStream) {
   open(2, fittingText("active"), {"--runner_tokens_per_second=100"});
   std::vector<OpenCall> calls;
+  calls.reserve(16);
   for (int n = 0; n < 16; ++n)
     calls.push_back(Steward->start(
         makeChat({.Service = "fitting", .MaxTokens = 60, .Stream = true})));
--- a/tests/property/config/PublisherProperties.cpp
+++ b/tests/property/config/PublisherProperties.cpp
@@ -67,8 +67,14 @@
     // Another operator publishes between two calls of this one.
     if (Active.size() <= MaxNesting && roll(8) == 0)
       publishOne();
-    // The first call reads the manifest that the publication is based on.
-    Bases.emplace(Active.back(), Last.Number);
+    const StoreFault fault = rollFault();
+    // The first read that succeeds is what the publication is based on.
+    if (fault == StoreFault::None)
+      Bases.emplace(Active.back(), Last.Number);
+    return fault;
+  }
+
+  StoreFault rollFault() {
     switch (roll(24)) {
     case 0:
       return StoreFault::Unavailable;
--- a/tests/unit/config/PublisherTest.cpp
+++ b/tests/unit/config/PublisherTest.cpp
@@ -50,6 +50,15 @@
   EXPECT_EQ(*inForce().Services.findService(Desk.Name), Desk);
 }
 
+TEST_F(PublisherTest, aLostReadIsRepeated) {
+  int calls = 0;
+  Store.NextFault = [&] {
+    return ++calls == 1 ? StoreFault::Unavailable : StoreFault::None;
+  };
+  const auto result = publish(publicationOf("asha", {Drafting}));
+  EXPECT_TRUE(std::holds_alternative<Published>(result));
+}
+
 TEST_F(PublisherTest, sameContentAgainChangesNothing) {
   publish(publicationOf("asha", {Drafting}));
   const auto result = publish(publicationOf("ravi", {Drafting}));
