--- a/src/cowslipridge/sidecar/RunFlow.cpp
+++ b/src/cowslipridge/sidecar/RunFlow.cpp
@@ -22,9 +22,6 @@
 /// Time to come back when the journal cannot be written.
 constexpr core::Millis StoreRetryAfter{1'000};
 
-/// Part of the newest observation in the moving mean of run times.
-constexpr std::int64_t MeanWorkDivisor = 8;
-
 } // namespace
 
 RunFlow::RunFlow(SidecarContext &context, FlowOwner &owner,
@@ -254,9 +251,6 @@
     return;
   Admitted = false;
   const core::Millis elapsed = Context.now() - StartedAt;
-  if (Running && !failed)
-    Context.MeanWork =
-        Context.MeanWork + (elapsed - Context.MeanWork) / MeanWorkDivisor;
   Owner.apply(Context.Door->finish(Ticket, elapsed, failed, Context.now()));
 }
 
--- a/src/cowslipridge/sidecar/Sidecar.cpp
+++ b/src/cowslipridge/sidecar/Sidecar.cpp
@@ -49,7 +49,7 @@
                  OpenRunner openRunner)
     : Context{loop,    time,    events,  std::move(settings),
               nullptr, nullptr, nullptr, nullptr,
-              nullptr, false,   false,   {}},
+              nullptr, false,   false},
       Source(std::move(source)), MakeJournal(std::move(openJournal)),
       MakeRunner(std::move(openRunner)), Pauses(Context.Settings.PauseLimit) {
   const rollout::EvidenceSource self{Context.Settings.Instance,
--- a/src/cowslipridge/sidecar/SidecarContext.hpp
+++ b/src/cowslipridge/sidecar/SidecarContext.hpp
@@ -49,7 +49,6 @@
   std::unique_ptr<rollout::ExposureGuard> Guard;
   bool Leaving = false;  ///< said in every reply
   bool Refusing = false; ///< no work is started any more
-  core::Millis MeanWork; ///< moving mean of the time on the runner
 
   [[nodiscard]] core::Millis now() const { return Time.monotonic(); }
   /// The declaration of this sidecar's service; null before the first one.
