Put a changed declaration's admission limits in force

Cause: a sidecar made its admission once, so max_concurrency and max_queue of a later configuration never held until it was restarted; found by reading. Ruled out: a new Admission (it would lose what runs and waits). Change: Admission::reconfigure; the adaptive limit learns anew under new bounds. Conclusion: invariant 10 holds for limits as well; proved by unit test only.

--- a/src/cowslipridge/limits/Admission.cpp
+++ b/src/cowslipridge/limits/Admission.cpp
@@ -44,6 +44,7 @@
         Limit({settings.MinConcurrency, settings.MaxConcurrency}),
         Generator(seed) {}
 
+  void reconfigure(const AdmissionSettings &settings);
   AdmissionActions arrive(const Arrival &arrival, core::Millis now);
   AdmissionActions finish(const core::RequestId &request, core::Millis elapsed,
                           bool failed, core::Millis now);
@@ -344,6 +345,19 @@
 
 Admission::~Admission() = default;
 
+void Admission::State::reconfigure(const AdmissionSettings &settings) {
+  const bool sameBounds = settings.MinConcurrency == Settings.MinConcurrency &&
+                          settings.MaxConcurrency == Settings.MaxConcurrency;
+  if (!sameBounds)
+    Limit =
+        ConcurrencyLimit({settings.MinConcurrency, settings.MaxConcurrency});
+  Settings = settings;
+}
+
+void Admission::reconfigure(const AdmissionSettings &settings) {
+  Internals->reconfigure(settings);
+}
+
 AdmissionActions Admission::arrive(const Arrival &arrival, core::Millis now) {
   return Internals->arrive(arrival, now);
 }
--- a/src/cowslipridge/limits/Admission.hpp
+++ b/src/cowslipridge/limits/Admission.hpp
@@ -64,6 +64,9 @@
   Admission(AdmissionSettings settings, std::uint64_t seed);
   ~Admission();
 
+  /// Takes the settings of a newer configuration. Work that has started goes
+  /// on; a changed bound is learnt under anew.
+  void reconfigure(const AdmissionSettings &settings);
   AdmissionActions arrive(const Arrival &arrival, core::Millis now);
   /// A started request ended after `elapsed` on the runner.
   AdmissionActions finish(const core::RequestId &request, core::Millis elapsed,
--- a/src/cowslipridge/sidecar/Sidecar.cpp
+++ b/src/cowslipridge/sidecar/Sidecar.cpp
@@ -27,6 +27,16 @@
 /// Time between looks for lost grades and answers to forget.
 constexpr core::Millis SweepInterval{1'000};
 
+limits::AdmissionSettings
+toAdmissionSettings(const config::ServiceDeclaration &service) {
+  limits::AdmissionSettings settings;
+  settings.MaxConcurrency = service.MaxConcurrency;
+  settings.MinConcurrency =
+      std::max(1U, service.MaxConcurrency / MinConcurrencyDivisor);
+  settings.MaxQueue = service.MaxQueue;
+  return settings;
+}
+
 /// One asker of a shared answer. The request goes on without it, so that its
 /// retry finds the answer.
 class Follower final : public rpc::ServedCall {
@@ -69,18 +79,15 @@
     return;
   if (!Context.Journal)
     openParts(*service);
+  else
+    Context.Door->reconfigure(toAdmissionSettings(*service));
   Context.Guard->configure(*service);
   refuseWaitingUnpermitted();
 }
 
 void Sidecar::openParts(const config::ServiceDeclaration &service) {
-  limits::AdmissionSettings settings;
-  settings.MaxConcurrency = service.MaxConcurrency;
-  settings.MinConcurrency =
-      std::max(1U, service.MaxConcurrency / MinConcurrencyDivisor);
-  settings.MaxQueue = service.MaxQueue;
   Context.Door = std::make_unique<limits::Admission>(
-      settings, Context.Settings.Start.value());
+      toAdmissionSettings(service), Context.Settings.Start.value());
   Context.Backend = MakeRunner(service.Kind);
   Context.Journal = MakeJournal(service);
 }
--- a/tests/unit/limits/AdmissionTest.cpp
+++ b/tests/unit/limits/AdmissionTest.cpp
@@ -118,6 +118,23 @@
   EXPECT_TRUE(actions == started("draft") || next == started("draft"));
 }
 
+TEST(Admission, newSettingsHoldForWhatComesNext) {
+  Admission admission({4, 4, 8}, 1);
+  admission.arrive(makeArrival("a", "x"), {});
+  admission.arrive(makeArrival("b", "x"), {});
+  admission.reconfigure({1, 1, 1});
+  EXPECT_EQ(admission.concurrencyLimit(), 1U);
+  EXPECT_EQ(admission.arrive(makeArrival("c", "x"), {}), queued("c"));
+  const auto refused = admission.arrive(makeArrival("d", "x"), {});
+  EXPECT_TRUE(std::holds_alternative<RefuseRequest>(refused.back()));
+  admission.finish(core::RequestId("a"), core::Millis(100), false,
+                   core::Millis(100));
+  EXPECT_EQ(admission.queued(), 1U);
+  EXPECT_EQ(admission.finish(core::RequestId("b"), core::Millis(100), false,
+                             core::Millis(100)),
+            started("c"));
+}
+
 TEST(Admission, cancelledRequestFreesItsPlace) {
   Admission admission({1, 1, 8}, 1);
   admission.arrive(makeArrival("a", "x"), {});
