Derive the key of a claim in one place

Cause: entry and sidecar each worked out the key of a non-idempotent call by the same rule; had one changed, calls would have gone to the wrong shard's owner. The ledger's simulated cluster had a member that nothing used. Ruled out: the entry's function for both (it takes a caller's request). Change: ledger::claimKeyOf, called by both; the unused member is gone. Conclusion: one rule, one place.

--- a/src/cowslipridge/entry/Selection.cpp
+++ b/src/cowslipridge/entry/Selection.cpp
@@ -1,6 +1,7 @@
 #include "cowslipridge/entry/Selection.hpp"
 
 #include "cowslipridge/entry/Rendezvous.hpp"
+#include "cowslipridge/ledger/ClaimKey.hpp"
 
 #include <algorithm>
 
@@ -32,9 +33,8 @@
 } // namespace
 
 ledger::IdempotencyKey claimKey(const CallerRequest &request) {
-  const std::string &given = request.IdempotencyKey;
-  return {request.Organisation, request.Service,
-          given.empty() ? request.Request.str() : given};
+  return ledger::claimKeyOf(request.Organisation, request.Service,
+                            request.IdempotencyKey, request.Request);
 }
 
 std::optional<core::InstanceId>
--- a/src/cowslipridge/sidecar/RunFlow.cpp
+++ b/src/cowslipridge/sidecar/RunFlow.cpp
@@ -2,6 +2,7 @@
 
 #include "cowslipridge/core/Visit.hpp"
 #include "cowslipridge/ledger/BillCodec.hpp"
+#include "cowslipridge/ledger/ClaimKey.hpp"
 #include "cowslipridge/sidecar/Billing.hpp"
 
 #include <algorithm>
@@ -310,9 +311,8 @@
 }
 
 ledger::IdempotencyKey RunFlow::key() const {
-  const std::string &given = Request.IdempotencyKey;
-  return {Request.Organisation, Request.Service,
-          given.empty() ? Request.Request.str() : given};
+  return ledger::claimKeyOf(Request.Organisation, Request.Service,
+                            Request.IdempotencyKey, Request.Request);
 }
 
 } // namespace cowslipridge::sidecar
--- a/tests/property/ledger/LedgerCluster.hpp
+++ b/tests/property/ledger/LedgerCluster.hpp
@@ -116,7 +116,6 @@
   unsigned ModelRequests = 0;
   bool Healed = false;
   std::map<Ticket, Call> Calls;
-  std::map<Ticket, SessionPin> PinAsks;
   std::map<IdempotencyKey, int> Runs;
   std::set<core::RequestId> Served;
   std::map<core::RequestId, Bill> EntryBills;
