--- a/bench/store_economy/CountingStore.cpp
+++ b/bench/store_economy/CountingStore.cpp
@@ -6,11 +6,11 @@
 
 namespace cowslipridge::store_economy {
 
+using backing::SwapStatus;
 using ledger::ReadKey;
 using ledger::ReadReply;
 using ledger::StoreReply;
 using ledger::SwapKey;
-using platform::SwapStatus;
 
 namespace {
 
@@ -52,7 +52,7 @@
             ++Counts.Reads;
             const auto it = Entries.find(x.Key);
             if (it == Entries.end())
-              return ReadReply(std::optional<platform::StoreEntry>());
+              return ReadReply(std::optional<backing::StoreEntry>());
             Counts.Bytes += it->second.Value.size();
             return ReadReply(std::optional(it->second));
           }},
--- a/bench/store_economy/CountingStore.hpp
+++ b/bench/store_economy/CountingStore.hpp
@@ -57,8 +57,8 @@
   Timeline &Time;
   core::Random Random;
   StoreCounts Counts;
-  platform::Revision Last = 0;
-  std::unordered_map<std::string, platform::StoreEntry> Entries;
+  backing::Revision Last = 0;
+  std::unordered_map<std::string, backing::StoreEntry> Entries;
 };
 
 } // namespace cowslipridge::store_economy
--- a/programs/cowslipctl/BillCommand.cpp
+++ b/programs/cowslipctl/BillCommand.cpp
@@ -22,7 +22,7 @@
 
 using Report = core::Result<ledger::BillReport>;
 
-Report readReport(platform::Store &store, const core::ServiceId &service) {
+Report readReport(backing::Store &store, const core::ServiceId &service) {
   const auto promise = std::make_shared<std::promise<Report>>();
   ledger::readBills(store, service, [promise](Report report) {
     promise->set_value(std::move(report));
--- a/programs/cowslipctl/Fleet.cpp
+++ b/programs/cowslipctl/Fleet.cpp
@@ -22,8 +22,8 @@
   std::future<Answer> Reply;
 };
 
-Question ask(const platform::InstanceRecord &instance,
-             const std::string &target, const std::string &adminKey) {
+Question ask(const backing::InstanceRecord &instance, const std::string &target,
+             const std::string &adminKey) {
   const std::string base =
       "http://" + instance.Address + ":" + std::to_string(instance.HttpPort);
   auto client = std::make_unique<http::Client>(base, AnswerTimeout);
@@ -41,11 +41,11 @@
 } // namespace
 
 std::vector<InstanceAnswer>
-askInstances(const std::vector<platform::InstanceRecord> &instances,
+askInstances(const std::vector<backing::InstanceRecord> &instances,
              const std::string &target, const std::string &adminKey) {
   std::vector<Question> questions;
   questions.reserve(instances.size());
-  for (const platform::InstanceRecord &it : instances)
+  for (const backing::InstanceRecord &it : instances)
     questions.push_back(ask(it, target, adminKey));
   std::vector<InstanceAnswer> answers;
   answers.reserve(instances.size());
--- a/programs/cowslipctl/Platform.cpp
+++ b/programs/cowslipctl/Platform.cpp
@@ -1,8 +1,8 @@
 #include "Platform.hpp"
 
+#include "cowslipridge/backing/ConsulInstanceList.hpp"
+#include "cowslipridge/backing/ConsulStore.hpp"
 #include "cowslipridge/core/Error.hpp"
-#include "cowslipridge/platform/ConsulInstanceList.hpp"
-#include "cowslipridge/platform/ConsulStore.hpp"
 
 #include <gflags/gflags.h>
 
@@ -21,21 +21,21 @@
 
 } // namespace
 
-std::shared_ptr<platform::Store> openStore() {
+std::shared_ptr<backing::Store> openStore() {
   if (!FLAGS_store.empty())
-    return platform::makeConsulStore(FLAGS_store, PlatformTimeout);
+    return backing::makeConsulStore(FLAGS_store, PlatformTimeout);
   std::cerr << "cowslipctl: --store URL is missing\n";
   return nullptr;
 }
 
-std::optional<std::vector<platform::InstanceRecord>> fetchInstances() {
+std::optional<std::vector<backing::InstanceRecord>> fetchInstances() {
   if (FLAGS_instances.empty()) {
     std::cerr << "cowslipctl: --instances URL is missing\n";
     return std::nullopt;
   }
-  using Records = core::Result<std::vector<platform::InstanceRecord>>;
+  using Records = core::Result<std::vector<backing::InstanceRecord>>;
   const auto list =
-      platform::makeConsulInstanceList(FLAGS_instances, PlatformTimeout);
+      backing::makeConsulInstanceList(FLAGS_instances, PlatformTimeout);
   const auto promise = std::make_shared<std::promise<Records>>();
   list->fetch(
       [promise](Records records) { promise->set_value(std::move(records)); });
--- a/programs/cowslipridged/EntryRole.cpp
+++ b/programs/cowslipridged/EntryRole.cpp
@@ -87,7 +87,7 @@
   Work->handle(std::move(message), std::move(responder));
 }
 
-void EntryRole::takeList(std::vector<platform::InstanceRecord> records) {
+void EntryRole::takeList(std::vector<backing::InstanceRecord> records) {
   Process.Loop.post([work = Work, records = std::move(records)] {
     work->context().Peers->takeList(records);
   });
--- a/programs/cowslipridged/ListPoller.cpp
+++ b/programs/cowslipridged/ListPoller.cpp
@@ -25,7 +25,7 @@
 void ListPoller::poll() {
   Process.Instances->fetch(
       [this, stopped = Stopped](
-          core::Result<std::vector<platform::InstanceRecord>> records) {
+          core::Result<std::vector<backing::InstanceRecord>> records) {
         if (*stopped)
           return;
         if (records.ok()) {
--- a/programs/cowslipridged/ProcessContext.cpp
+++ b/programs/cowslipridged/ProcessContext.cpp
@@ -1,7 +1,7 @@
 #include "ProcessContext.hpp"
 
-#include "cowslipridge/platform/ConsulInstanceList.hpp"
-#include "cowslipridge/platform/ConsulStore.hpp"
+#include "cowslipridge/backing/ConsulInstanceList.hpp"
+#include "cowslipridge/backing/ConsulStore.hpp"
 
 #include <random>
 
@@ -38,8 +38,8 @@
     : Settings(std::move(settings)), Start(newIncarnation(Time)),
       Counts(Settings.Instance, Settings.Domain),
       Events(Time, Settings.Instance, Start, EventCapacity, &Counts),
-      Keys(platform::makeConsulStore(Settings.StoreAddress, PlatformTimeout)),
-      Instances(platform::makeConsulInstanceList(Settings.InstancesAddress,
-                                                 PlatformTimeout)) {}
+      Keys(backing::makeConsulStore(Settings.StoreAddress, PlatformTimeout)),
+      Instances(backing::makeConsulInstanceList(Settings.InstancesAddress,
+                                                PlatformTimeout)) {}
 
 } // namespace cowslipridge::daemon
--- a/programs/cowslipridged/ProcessContext.hpp
+++ b/programs/cowslipridged/ProcessContext.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "cowslipridge/backing/InstanceList.hpp"
+#include "cowslipridge/backing/Store.hpp"
 #include "cowslipridge/config/Settings.hpp"
 #include "cowslipridge/core/Clock.hpp"
 #include "cowslipridge/kernel/Kernel.hpp"
 #include "cowslipridge/observe/EventLog.hpp"
 #include "cowslipridge/observe/Metrics.hpp"
-#include "cowslipridge/platform/InstanceList.hpp"
-#include "cowslipridge/platform/Store.hpp"
 #include "cowslipridge/rpc/EventLoop.hpp"
 
 #include <atomic>
@@ -24,8 +24,8 @@
   const core::Incarnation Start;
   observe::Metrics Counts;
   observe::EventLog Events;
-  std::shared_ptr<platform::Store> Keys;
-  std::shared_ptr<platform::InstanceList> Instances;
+  std::shared_ptr<backing::Store> Keys;
+  std::shared_ptr<backing::InstanceList> Instances;
   rpc::EventLoop Loop;
   std::atomic<bool> Leaving = false;
 };
--- a/programs/cowslipridged/Registration.cpp
+++ b/programs/cowslipridged/Registration.cpp
@@ -51,13 +51,13 @@
       });
 }
 
-platform::InstanceRecord Registration::record() const {
+backing::InstanceRecord Registration::record() const {
   const config::DaemonSettings &settings = Process.Settings;
-  platform::InstanceRecord record;
+  backing::InstanceRecord record;
   record.Name = settings.Instance;
   record.Kind = settings.Role == config::DaemonRole::Entry
-                    ? platform::Role::Entry
-                    : platform::Role::Sidecar;
+                    ? backing::Role::Entry
+                    : backing::Role::Sidecar;
   record.Domain = settings.Domain;
   record.Start = Process.Start;
   record.Address = settings.Address;
--- a/programs/cowslipridged/Registration.hpp
+++ b/programs/cowslipridged/Registration.hpp
@@ -15,7 +15,7 @@
 
 private:
   void publish();
-  [[nodiscard]] platform::InstanceRecord record() const;
+  [[nodiscard]] backing::InstanceRecord record() const;
 
   ProcessContext &Process;
   std::shared_ptr<std::atomic<bool>> Stopped;
--- a/programs/cowslipridged/RolloutService.cpp
+++ b/programs/cowslipridged/RolloutService.cpp
@@ -1,6 +1,6 @@
 #include "RolloutService.hpp"
 
-#include "cowslipridge/platform/CloudEventsRatings.hpp"
+#include "cowslipridge/backing/CloudEventsRatings.hpp"
 
 #include <algorithm>
 
@@ -19,8 +19,8 @@
     : Process(process), Work(std::move(work)),
       Stopped(std::make_shared<std::atomic<bool>>(false)) {
   if (!Process.Settings.RatingsAddress.empty())
-    Grades = platform::makeCloudEventsRatings(Process.Settings.RatingsAddress,
-                                              RatingsTimeout);
+    Grades = backing::makeCloudEventsRatings(Process.Settings.RatingsAddress,
+                                             RatingsTimeout);
   Record = std::make_shared<rollout::RolloutStepper>(
       Process.Keys, [&loop = Process.Loop, it = Work,
                      stopped = Stopped](const rollout::RolloutRecord &record) {
@@ -57,7 +57,7 @@
   const core::RunnerId runner(Process.Settings.Instance.str());
   Grades->fetch(
       runner, Cursor,
-      [this, stopped = Stopped](const core::Result<platform::GradePage> &page) {
+      [this, stopped = Stopped](const core::Result<backing::GradePage> &page) {
         if (*stopped)
           return;
         Process.Loop.post([this, stopped, page] {
@@ -86,13 +86,13 @@
 // Sidecars that serve the trial version share its exposure credits; all of
 // them order themselves by name.
 void RolloutService::takeList(
-    const std::vector<platform::InstanceRecord> &records) {
+    const std::vector<backing::InstanceRecord> &records) {
   const config::ServiceDeclaration *service = Work->context().service();
   if (service == nullptr || !service->Rollout)
     return;
   const core::VersionId &trial = service->Rollout->Trial;
   std::vector<core::InstanceId> names = {Process.Settings.Instance};
-  for (const platform::InstanceRecord &it : records) {
+  for (const backing::InstanceRecord &it : records) {
     const bool serves = std::find(it.Versions.begin(), it.Versions.end(),
                                   trial) != it.Versions.end();
     if (serves && it.Service == service->Name && it.Name != names.front() &&
--- a/programs/cowslipridged/RolloutService.hpp
+++ b/programs/cowslipridged/RolloutService.hpp
@@ -2,7 +2,7 @@
 
 #include "ProcessContext.hpp"
 
-#include "cowslipridge/platform/Ratings.hpp"
+#include "cowslipridge/backing/Ratings.hpp"
 #include "cowslipridge/rollout/RolloutStepper.hpp"
 #include "cowslipridge/sidecar/Sidecar.hpp"
 
@@ -20,7 +20,7 @@
   /// Takes a newer configuration. From any thread.
   void configure(const config::Bundle &bundle);
   /// The list of instances was read.
-  void takeList(const std::vector<platform::InstanceRecord> &records);
+  void takeList(const std::vector<backing::InstanceRecord> &records);
 
 private:
   using StopFlag = std::shared_ptr<std::atomic<bool>>;
@@ -30,7 +30,7 @@
 
   ProcessContext &Process;
   std::shared_ptr<sidecar::Sidecar> Work;
-  std::shared_ptr<platform::Ratings> Grades; ///< null: no rating service
+  std::shared_ptr<backing::Ratings> Grades; ///< null: no rating service
   std::shared_ptr<rollout::RolloutStepper> Record;
   std::uint64_t Cursor = 0; ///< of the grades; loop's thread
   StopFlag Stopped;
--- a/programs/cowslipridged/SidecarRole.cpp
+++ b/programs/cowslipridged/SidecarRole.cpp
@@ -150,14 +150,14 @@
   responder->respond(http::makeProblem(problem));
 }
 
-void SidecarRole::takeList(std::vector<platform::InstanceRecord> records) {
+void SidecarRole::takeList(std::vector<backing::InstanceRecord> records) {
   Process.Loop.post([this, records = std::move(records)] {
     const auto journal = Work->journal();
     if (!journal)
       return;
     const auto sidecars =
         std::count_if(records.begin(), records.end(), [](const auto &x) {
-          return x.Kind == platform::Role::Sidecar;
+          return x.Kind == backing::Role::Sidecar;
         });
     journal->setFleetSize(std::max<std::size_t>(1, sidecars));
     takeOverLost(*journal, records);
@@ -169,10 +169,10 @@
 // Sealing its journal is safe even if it is not.
 void SidecarRole::takeOverLost(
     ledger::Ledger &journal,
-    const std::vector<platform::InstanceRecord> &records) {
+    const std::vector<backing::InstanceRecord> &records) {
   const core::Millis now = Process.Time.monotonic();
-  for (const platform::InstanceRecord &it : records) {
-    const bool same = it.Kind == platform::Role::Sidecar &&
+  for (const backing::InstanceRecord &it : records) {
+    const bool same = it.Kind == backing::Role::Sidecar &&
                       it.Service == Process.Settings.Runner->Service &&
                       it.Name != Process.Settings.Instance;
     if (same)
--- a/programs/cowslipridged/SidecarRole.hpp
+++ b/programs/cowslipridged/SidecarRole.hpp
@@ -28,7 +28,7 @@
   [[nodiscard]] bool ready() const override;
   void handle(http::Request message,
               std::shared_ptr<http::Responder> responder) override;
-  void takeList(std::vector<platform::InstanceRecord> records) override;
+  void takeList(std::vector<backing::InstanceRecord> records) override;
   [[nodiscard]] std::string statusJson() override;
   [[nodiscard]] std::string
   explainJson(const core::RequestId &request) override;
@@ -39,7 +39,7 @@
   std::shared_ptr<runner::Runner> makeRunner(config::ServiceKind kind);
 
   void takeOverLost(ledger::Ledger &journal,
-                    const std::vector<platform::InstanceRecord> &records);
+                    const std::vector<backing::InstanceRecord> &records);
 
   ProcessContext &Process;
   /// Sidecars of the same service, and when they were last listed.
--- a/src/cowslipridge/platform/CloudEventsRatings.cpp
+++ b/src/cowslipridge/backing/CloudEventsRatings.cpp
@@ -1,15 +1,15 @@
-#include "cowslipridge/platform/CloudEventsRatings.hpp"
+#include "cowslipridge/backing/CloudEventsRatings.hpp"
 
+#include "cowslipridge/backing/internal/GradeCodec.hpp"
 #include "cowslipridge/core/Error.hpp"
+#include "cowslipridge/core/UriEncoding.hpp"
 #include "cowslipridge/http/Client.hpp"
-#include "cowslipridge/platform/internal/GradeCodec.hpp"
-#include "cowslipridge/platform/internal/UriEncoding.hpp"
 
 #include <charconv>
 #include <optional>
 #include <utility>
 
-namespace cowslipridge::platform {
+namespace cowslipridge::backing {
 
 namespace {
 
@@ -45,7 +45,7 @@
   void fetch(const core::RunnerId &subject, std::uint64_t cursor,
              std::function<void(core::Result<GradePage>)> done) override {
     const std::string target =
-        "/grades?subject=" + internal::encodeComponent(subject.str()) +
+        "/grades?subject=" + core::encodeComponent(subject.str()) +
         "&after=" + std::to_string(cursor);
     Calls.fetchAsync(
         {"GET", target, {}, ""},
@@ -65,4 +65,4 @@
   return std::make_shared<CloudEventsRatings>(base, timeout);
 }
 
-} // namespace cowslipridge::platform
+} // namespace cowslipridge::backing
--- a/src/cowslipridge/platform/CloudEventsRatings.hpp
+++ b/src/cowslipridge/backing/CloudEventsRatings.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "cowslipridge/backing/Ratings.hpp"
 #include "cowslipridge/core/Clock.hpp"
-#include "cowslipridge/platform/Ratings.hpp"
 
 #include <memory>
 #include <string>
 
-namespace cowslipridge::platform {
+namespace cowslipridge::backing {
 
 /// A rating service that answers CloudEvents batches at `base`. Errors:
 /// StoreUnavailable when it does not answer or refuses, Malformed when its
@@ -14,4 +14,4 @@
 std::shared_ptr<Ratings> makeCloudEventsRatings(const std::string &base,
                                                 core::Millis timeout);
 
-} // namespace cowslipridge::platform
+} // namespace cowslipridge::backing
--- a/src/cowslipridge/platform/ConsulInstanceList.cpp
+++ b/src/cowslipridge/backing/ConsulInstanceList.cpp
@@ -1,13 +1,13 @@
-#include "cowslipridge/platform/ConsulInstanceList.hpp"
+#include "cowslipridge/backing/ConsulInstanceList.hpp"
 
+#include "cowslipridge/backing/internal/InstanceCodec.hpp"
 #include "cowslipridge/core/Error.hpp"
+#include "cowslipridge/core/UriEncoding.hpp"
 #include "cowslipridge/http/Client.hpp"
-#include "cowslipridge/platform/internal/InstanceCodec.hpp"
-#include "cowslipridge/platform/internal/UriEncoding.hpp"
 
 #include <utility>
 
-namespace cowslipridge::platform {
+namespace cowslipridge::backing {
 
 namespace {
 
@@ -32,8 +32,8 @@
 
   void withdraw(const core::InstanceId &name,
                 std::function<void(std::error_code)> done) override {
-    put("/v1/agent/service/deregister/" + internal::encodeComponent(name.str()),
-        "", std::move(done));
+    put("/v1/agent/service/deregister/" + core::encodeComponent(name.str()), "",
+        std::move(done));
   }
 
   void fetch(std::function<void(core::Result<std::vector<InstanceRecord>>)>
@@ -71,4 +71,4 @@
   return std::make_shared<ConsulInstanceList>(base, timeout);
 }
 
-} // namespace cowslipridge::platform
+} // namespace cowslipridge::backing
--- a/src/cowslipridge/platform/ConsulInstanceList.hpp
+++ b/src/cowslipridge/backing/ConsulInstanceList.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "cowslipridge/backing/InstanceList.hpp"
 #include "cowslipridge/core/Clock.hpp"
-#include "cowslipridge/platform/InstanceList.hpp"
 
 #include <memory>
 #include <string>
 
-namespace cowslipridge::platform {
+namespace cowslipridge::backing {
 
 /// An instance list that speaks Consul's agent and health HTTP API at `base`.
 /// Errors: StoreUnavailable when it does not answer or refuses, Malformed when
@@ -14,4 +14,4 @@
 std::shared_ptr<InstanceList> makeConsulInstanceList(const std::string &base,
                                                      core::Millis timeout);
 
-} // namespace cowslipridge::platform
+} // namespace cowslipridge::backing
--- a/src/cowslipridge/platform/ConsulStore.cpp
+++ b/src/cowslipridge/backing/ConsulStore.cpp
@@ -1,9 +1,9 @@
-#include "cowslipridge/platform/ConsulStore.hpp"
+#include "cowslipridge/backing/ConsulStore.hpp"
 
+#include "cowslipridge/backing/internal/KvCodec.hpp"
 #include "cowslipridge/core/Error.hpp"
+#include "cowslipridge/core/UriEncoding.hpp"
 #include "cowslipridge/http/Client.hpp"
-#include "cowslipridge/platform/internal/KvCodec.hpp"
-#include "cowslipridge/platform/internal/UriEncoding.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -12,7 +12,7 @@
 #include <optional>
 #include <utility>
 
-namespace cowslipridge::platform {
+namespace cowslipridge::backing {
 
 namespace {
 
@@ -21,7 +21,7 @@
 constexpr int FirstServerError = 500;
 
 std::string target(const std::string &key) {
-  return "/v1/kv/" + internal::encodePath(key);
+  return "/v1/kv/" + core::encodePath(key);
 }
 
 std::string cas(Revision expected) {
@@ -197,4 +197,4 @@
   return std::make_shared<ConsulStore>(base, timeout);
 }
 
-} // namespace cowslipridge::platform
+} // namespace cowslipridge::backing
--- a/src/cowslipridge/platform/ConsulStore.hpp
+++ b/src/cowslipridge/backing/ConsulStore.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
+#include "cowslipridge/backing/Store.hpp"
 #include "cowslipridge/core/Clock.hpp"
-#include "cowslipridge/platform/Store.hpp"
 
 #include <memory>
 #include <string>
 
-namespace cowslipridge::platform {
+namespace cowslipridge::backing {
 
 /// A store that speaks Consul's KV HTTP API at `base`. Each call but watch()
 /// ends within `timeout`. Errors of reads: StoreUnavailable when the service
@@ -14,4 +14,4 @@
 std::shared_ptr<Store> makeConsulStore(const std::string &base,
                                        core::Millis timeout);
 
-} // namespace cowslipridge::platform
+} // namespace cowslipridge::backing
--- a/src/cowslipridge/platform/InstanceList.hpp
+++ b/src/cowslipridge/backing/InstanceList.hpp
@@ -9,7 +9,7 @@
 #include <string>
 #include <vector>
 
-namespace cowslipridge::platform {
+namespace cowslipridge::backing {
 
 enum class Role { Entry, Sidecar };
 
@@ -43,4 +43,4 @@
       std::function<void(core::Result<std::vector<InstanceRecord>>)> done) = 0;
 };
 
-} // namespace cowslipridge::platform
+} // namespace cowslipridge::backing
--- a/src/cowslipridge/platform/Ratings.hpp
+++ b/src/cowslipridge/backing/Ratings.hpp
@@ -8,7 +8,7 @@
 #include <functional>
 #include <vector>
 
-namespace cowslipridge::platform {
+namespace cowslipridge::backing {
 
 /// A grade of one answer, 0 (useless) to 1 (perfect).
 struct Grade {
@@ -32,4 +32,4 @@
                      std::function<void(core::Result<GradePage>)> done) = 0;
 };
 
-} // namespace cowslipridge::platform
+} // namespace cowslipridge::backing
--- a/src/cowslipridge/platform/Store.hpp
+++ b/src/cowslipridge/backing/Store.hpp
@@ -10,7 +10,7 @@
 #include <vector>
 
 /// Ports to the platform's services, and their adapters.
-namespace cowslipridge::platform {
+namespace cowslipridge::backing {
 
 /// The store's counter of changes to one key; 0 means that the key is absent.
 using Revision = std::uint64_t;
@@ -62,4 +62,4 @@
                      std::function<void(core::Result<WatchResult>)> done) = 0;
 };
 
-} // namespace cowslipridge::platform
+} // namespace cowslipridge::backing
--- a/src/cowslipridge/platform/WeightStore.cpp
+++ b/src/cowslipridge/backing/WeightStore.cpp
@@ -1,13 +1,13 @@
-#include "cowslipridge/platform/WeightStore.hpp"
+#include "cowslipridge/backing/WeightStore.hpp"
 
 #include "cowslipridge/core/Error.hpp"
+#include "cowslipridge/core/UriEncoding.hpp"
 #include "cowslipridge/http/Client.hpp"
-#include "cowslipridge/platform/internal/UriEncoding.hpp"
 
 #include <charconv>
 #include <utility>
 
-namespace cowslipridge::platform {
+namespace cowslipridge::backing {
 
 namespace {
 
@@ -55,7 +55,7 @@
   void fetch(const core::VersionId &version,
              std::function<void(core::Result<WeightAnswer>)> done) override {
     Calls.fetchAsync(
-        {"GET", "/weights/" + internal::encodeComponent(version.str()), {}, ""},
+        {"GET", "/weights/" + core::encodeComponent(version.str()), {}, ""},
         [version,
          done = std::move(done)](const core::Result<http::Response> &response) {
           done(readAnswer(version, response));
@@ -73,4 +73,4 @@
   return std::make_shared<WeightStoreClient>(base, timeout);
 }
 
-} // namespace cowslipridge::platform
+} // namespace cowslipridge::backing
--- a/src/cowslipridge/platform/WeightStore.hpp
+++ b/src/cowslipridge/backing/WeightStore.hpp
@@ -9,7 +9,7 @@
 #include <string>
 #include <variant>
 
-namespace cowslipridge::platform {
+namespace cowslipridge::backing {
 
 /// The weights of one version, as the store describes them.
 struct WeightSet {
@@ -41,4 +41,4 @@
 std::shared_ptr<WeightStore> makeWeightStoreClient(const std::string &base,
                                                    core::Millis timeout);
 
-} // namespace cowslipridge::platform
+} // namespace cowslipridge::backing
--- a/src/cowslipridge/platform/internal/GradeCodec.cpp
+++ b/src/cowslipridge/backing/internal/GradeCodec.cpp
@@ -1,4 +1,4 @@
-#include "cowslipridge/platform/internal/GradeCodec.hpp"
+#include "cowslipridge/backing/internal/GradeCodec.hpp"
 
 #include "cowslipridge/core/Error.hpp"
 
@@ -7,7 +7,7 @@
 #include <optional>
 #include <utility>
 
-namespace cowslipridge::platform::internal {
+namespace cowslipridge::backing::internal {
 
 namespace {
 
@@ -48,4 +48,4 @@
   return grades;
 }
 
-} // namespace cowslipridge::platform::internal
+} // namespace cowslipridge::backing::internal
--- a/src/cowslipridge/platform/internal/InstanceCodec.cpp
+++ b/src/cowslipridge/backing/internal/InstanceCodec.cpp
@@ -1,4 +1,4 @@
-#include "cowslipridge/platform/internal/InstanceCodec.hpp"
+#include "cowslipridge/backing/internal/InstanceCodec.hpp"
 
 #include "cowslipridge/core/Error.hpp"
 
@@ -9,7 +9,7 @@
 #include <optional>
 #include <utility>
 
-namespace cowslipridge::platform::internal {
+namespace cowslipridge::backing::internal {
 
 namespace {
 
@@ -140,4 +140,4 @@
   return records;
 }
 
-} // namespace cowslipridge::platform::internal
+} // namespace cowslipridge::backing::internal
--- a/src/cowslipridge/platform/internal/InstanceCodec.hpp
+++ b/src/cowslipridge/backing/internal/InstanceCodec.hpp
@@ -1,13 +1,13 @@
 #pragma once
 
+#include "cowslipridge/backing/InstanceList.hpp"
 #include "cowslipridge/core/Result.hpp"
-#include "cowslipridge/platform/InstanceList.hpp"
 
 #include <string>
 #include <string_view>
 #include <vector>
 
-namespace cowslipridge::platform::internal {
+namespace cowslipridge::backing::internal {
 
 /// The registration body of one daemon.
 std::string writeRegistration(const InstanceRecord &record);
@@ -16,4 +16,4 @@
 /// out, so that one bad registration hides no other daemon.
 core::Result<std::vector<InstanceRecord>> parseHealth(std::string_view body);
 
-} // namespace cowslipridge::platform::internal
+} // namespace cowslipridge::backing::internal
--- a/src/cowslipridge/platform/internal/KvCodec.cpp
+++ b/src/cowslipridge/backing/internal/KvCodec.cpp
@@ -1,14 +1,14 @@
-#include "cowslipridge/platform/internal/KvCodec.hpp"
+#include "cowslipridge/backing/internal/KvCodec.hpp"
 
+#include "cowslipridge/core/Base64.hpp"
 #include "cowslipridge/core/Error.hpp"
-#include "cowslipridge/platform/internal/Base64.hpp"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <utility>
 
-namespace cowslipridge::platform::internal {
+namespace cowslipridge::backing::internal {
 
 namespace {
 
@@ -29,7 +29,7 @@
     return entry;
   if (!value->is_string())
     return std::nullopt;
-  auto bytes = decodeBase64(value->get_ref<const std::string &>());
+  auto bytes = core::decodeBase64(value->get_ref<const std::string &>());
   if (!bytes)
     return std::nullopt;
   entry.Value = std::move(*bytes);
@@ -62,4 +62,4 @@
   return decision.get<bool>();
 }
 
-} // namespace cowslipridge::platform::internal
+} // namespace cowslipridge::backing::internal
--- a/src/cowslipridge/config/BundleReader.cpp
+++ b/src/cowslipridge/config/BundleReader.cpp
@@ -48,7 +48,7 @@
 
 } // namespace
 
-core::Result<StoredBundle> readStoredBundle(platform::Store &store) {
+core::Result<StoredBundle> readStoredBundle(backing::Store &store) {
   internal::BlockingStore blocking(store);
   for (int n = 0; n < MaxAttempts; ++n) {
     auto found = readOnce(blocking);
--- a/src/cowslipridge/config/BundleReader.hpp
+++ b/src/cowslipridge/config/BundleReader.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "cowslipridge/backing/Store.hpp"
 #include "cowslipridge/config/Declaration.hpp"
 #include "cowslipridge/config/Manifest.hpp"
 #include "cowslipridge/core/Result.hpp"
-#include "cowslipridge/platform/Store.hpp"
 
 namespace cowslipridge::config {
 
@@ -15,6 +15,6 @@
 
 /// Reads what the store has in force now; for command-line tools. Blocks.
 /// Generation 0 with no services means that nothing was ever published.
-core::Result<StoredBundle> readStoredBundle(platform::Store &store);
+core::Result<StoredBundle> readStoredBundle(backing::Store &store);
 
 } // namespace cowslipridge::config
--- a/src/cowslipridge/config/Follower.cpp
+++ b/src/cowslipridge/config/Follower.cpp
@@ -13,7 +13,7 @@
 class Follower::Impl : public std::enable_shared_from_this<Impl> {
 public:
   Impl(FollowerSettings settings, const core::InstanceId &self,
-       std::shared_ptr<platform::Store> store, const core::Clock &clock,
+       std::shared_ptr<backing::Store> store, const core::Clock &clock,
        observe::EventLog &events, FollowerHooks hooks)
       : Machine(settings, self), Store(std::move(store)), Time(clock),
         Events(events), Hooks(std::move(hooks)) {}
@@ -49,18 +49,18 @@
     const std::string key(ManifestKey);
     Store->watch(key, action.Index, action.Wait,
                  [self = weak_from_this()](
-                     const core::Result<platform::WatchResult> &answer) {
+                     const core::Result<backing::WatchResult> &answer) {
                    if (const auto it = self.lock())
                      it->onManifest(answer);
                  });
   }
 
-  void onManifest(const core::Result<platform::WatchResult> &answer) {
+  void onManifest(const core::Result<backing::WatchResult> &answer) {
     StoredText text = std::optional<std::string>();
     std::uint64_t index = 0;
     if (answer.ok()) {
       index = answer->Index;
-      for (const platform::StoreEntry &it : answer->Entries) {
+      for (const backing::StoreEntry &it : answer->Entries) {
         if (it.Key == ManifestKey)
           text = std::optional(it.Value);
       }
@@ -76,7 +76,7 @@
     Store->get(
         contentKey(action.Hash),
         [self = weak_from_this(), hash = action.Hash](
-            const core::Result<std::optional<platform::StoreEntry>> &answer) {
+            const core::Result<std::optional<backing::StoreEntry>> &answer) {
           if (const auto it = self.lock())
             it->onContent(hash, answer);
         });
@@ -84,7 +84,7 @@
 
   void
   onContent(const std::string &hash,
-            const core::Result<std::optional<platform::StoreEntry>> &answer) {
+            const core::Result<std::optional<backing::StoreEntry>> &answer) {
     StoredText text = std::optional<std::string>();
     if (!answer.ok())
       text = answer.error();
@@ -154,14 +154,14 @@
   bool Stopped = false;
   std::mutex Delivery; ///< Delivered; held while OnInForce runs
   core::Generation Delivered;
-  const std::shared_ptr<platform::Store> Store;
+  const std::shared_ptr<backing::Store> Store;
   const core::Clock &Time;
   observe::EventLog &Events;
   const FollowerHooks Hooks;
 };
 
 Follower::Follower(FollowerSettings settings, const core::InstanceId &self,
-                   std::shared_ptr<platform::Store> store,
+                   std::shared_ptr<backing::Store> store,
                    const core::Clock &clock, observe::EventLog &events,
                    FollowerHooks hooks)
     : Internals(std::make_shared<Impl>(settings, self, std::move(store), clock,
--- a/src/cowslipridge/config/Follower.hpp
+++ b/src/cowslipridge/config/Follower.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "cowslipridge/backing/Store.hpp"
 #include "cowslipridge/config/Declaration.hpp"
 #include "cowslipridge/config/FollowerMachine.hpp"
 #include "cowslipridge/core/Clock.hpp"
-#include "cowslipridge/platform/Store.hpp"
 
 #include <functional>
 #include <memory>
@@ -32,7 +32,7 @@
 class Follower {
 public:
   Follower(FollowerSettings settings, const core::InstanceId &self,
-           std::shared_ptr<platform::Store> store, const core::Clock &clock,
+           std::shared_ptr<backing::Store> store, const core::Clock &clock,
            observe::EventLog &events, FollowerHooks hooks);
   ~Follower();
   Follower(const Follower &) = delete;
--- a/src/cowslipridge/config/Publisher.cpp
+++ b/src/cowslipridge/config/Publisher.cpp
@@ -12,15 +12,15 @@
 
 namespace {
 
+using backing::SwapStatus;
 using internal::BlockingStore;
-using platform::SwapStatus;
 
 constexpr int MaxAttempts = 20;
 
 /// The manifest as it stands in the store.
 struct StoredManifest {
   Manifest Value;
-  platform::Revision ModifiedAt = 0; ///< 0: the store has none
+  backing::Revision ModifiedAt = 0; ///< 0: the store has none
 };
 
 /// One service of the publication, ready to be written.
@@ -33,7 +33,7 @@
 /// One run of the publisher.
 class Run {
 public:
-  Run(platform::Store &store, const Publication &wanted)
+  Run(backing::Store &store, const Publication &wanted)
       : Store(store), Wanted(wanted) {}
 
   PublishResult publish() {
@@ -279,7 +279,7 @@
 
 } // namespace
 
-Publisher::Publisher(platform::Store &store) : Store(store) {}
+Publisher::Publisher(backing::Store &store) : Store(store) {}
 
 PublishResult Publisher::publish(const Publication &publication) {
   return Run(Store, publication).publish();
--- a/src/cowslipridge/config/Publisher.hpp
+++ b/src/cowslipridge/config/Publisher.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "cowslipridge/backing/Store.hpp"
 #include "cowslipridge/config/Declaration.hpp"
 #include "cowslipridge/config/Manifest.hpp"
 #include "cowslipridge/core/Finding.hpp"
-#include "cowslipridge/platform/Store.hpp"
 
 #include <optional>
 #include <string>
@@ -60,13 +60,13 @@
 /// configuration is in force, never a mix.
 class Publisher {
 public:
-  explicit Publisher(platform::Store &store);
+  explicit Publisher(backing::Store &store);
 
   /// Blocks until the outcome is known or the store has failed repeatedly.
   PublishResult publish(const Publication &publication);
 
 private:
-  platform::Store &Store;
+  backing::Store &Store;
 };
 
 } // namespace cowslipridge::config
--- a/src/cowslipridge/config/internal/BlockingStore.cpp
+++ b/src/cowslipridge/config/internal/BlockingStore.cpp
@@ -24,30 +24,30 @@
 
 } // namespace
 
-BlockingStore::BlockingStore(platform::Store &store) : Store(store) {}
+BlockingStore::BlockingStore(backing::Store &store) : Store(store) {}
 
-core::Result<std::optional<platform::StoreEntry>>
+core::Result<std::optional<backing::StoreEntry>>
 BlockingStore::get(const std::string &key) {
-  using Answer = core::Result<std::optional<platform::StoreEntry>>;
+  using Answer = core::Result<std::optional<backing::StoreEntry>>;
   Answer answer = core::Errc::StoreUnavailable;
   for (int n = 0; n < MaxReadAttempts && !answer.ok(); ++n)
     answer = await<Answer>([&](auto done) { Store.get(key, std::move(done)); });
   return answer;
 }
 
-platform::SwapStatus
-BlockingStore::compareAndSwap(const std::string &key, const std::string &value,
-                              platform::Revision expected) {
-  return await<platform::SwapResult>([&](auto done) {
+backing::SwapStatus BlockingStore::compareAndSwap(const std::string &key,
+                                                  const std::string &value,
+                                                  backing::Revision expected) {
+  return await<backing::SwapResult>([&](auto done) {
            Store.compareAndSwap(key, value, expected, std::move(done));
          })
       .Status;
 }
 
-platform::SwapStatus
+backing::SwapStatus
 BlockingStore::compareAndDelete(const std::string &key,
-                                platform::Revision expected) {
-  return await<platform::SwapResult>([&](auto done) {
+                                backing::Revision expected) {
+  return await<backing::SwapResult>([&](auto done) {
            Store.compareAndDelete(key, expected, std::move(done));
          })
       .Status;
--- a/src/cowslipridge/config/internal/BlockingStore.hpp
+++ b/src/cowslipridge/config/internal/BlockingStore.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "cowslipridge/backing/Store.hpp"
 #include "cowslipridge/core/Result.hpp"
-#include "cowslipridge/platform/Store.hpp"
 
 #include <optional>
 #include <string>
@@ -12,17 +12,17 @@
 /// block.
 class BlockingStore {
 public:
-  explicit BlockingStore(platform::Store &store);
+  explicit BlockingStore(backing::Store &store);
 
-  core::Result<std::optional<platform::StoreEntry>> get(const std::string &key);
-  platform::SwapStatus compareAndSwap(const std::string &key,
-                                      const std::string &value,
-                                      platform::Revision expected);
-  platform::SwapStatus compareAndDelete(const std::string &key,
-                                        platform::Revision expected);
+  core::Result<std::optional<backing::StoreEntry>> get(const std::string &key);
+  backing::SwapStatus compareAndSwap(const std::string &key,
+                                     const std::string &value,
+                                     backing::Revision expected);
+  backing::SwapStatus compareAndDelete(const std::string &key,
+                                       backing::Revision expected);
 
 private:
-  platform::Store &Store;
+  backing::Store &Store;
 };
 
 } // namespace cowslipridge::config::internal
--- a/src/cowslipridge/platform/internal/Base64.cpp
+++ b/src/cowslipridge/core/Base64.cpp
@@ -1,10 +1,10 @@
-#include "cowslipridge/platform/internal/Base64.hpp"
+#include "cowslipridge/core/Base64.hpp"
 
 #include <openssl/evp.h>
 
 #include <algorithm>
 
-namespace cowslipridge::platform::internal {
+namespace cowslipridge::core {
 
 namespace {
 
@@ -51,4 +51,4 @@
   return bytes;
 }
 
-} // namespace cowslipridge::platform::internal
+} // namespace cowslipridge::core
--- a/src/cowslipridge/platform/internal/UriEncoding.cpp
+++ b/src/cowslipridge/core/UriEncoding.cpp
@@ -1,6 +1,6 @@
-#include "cowslipridge/platform/internal/UriEncoding.hpp"
+#include "cowslipridge/core/UriEncoding.hpp"
 
-namespace cowslipridge::platform::internal {
+namespace cowslipridge::core {
 
 namespace {
 
@@ -36,4 +36,4 @@
   return escape(text, false);
 }
 
-} // namespace cowslipridge::platform::internal
+} // namespace cowslipridge::core
--- a/src/cowslipridge/entry/Entry.cpp
+++ b/src/cowslipridge/entry/Entry.cpp
@@ -151,7 +151,7 @@
   for (const rpc::CutOffNotice &it : status.CutOffs)
     takeCutOff(it);
   Context.Bills.onStored(status.Instance, status.Billed);
-  for (const platform::Grade &it : status.Grades) {
+  for (const backing::Grade &it : status.Grades) {
     if (const auto observation = Context.Grades.onGrade(it))
       Context.Plans.observe(*observation, Context.now());
   }
--- a/src/cowslipridge/entry/Fleet.cpp
+++ b/src/cowslipridge/entry/Fleet.cpp
@@ -45,10 +45,10 @@
   });
 }
 
-void Fleet::takeList(const std::vector<platform::InstanceRecord> &records) {
-  std::vector<platform::InstanceRecord> sidecars;
-  for (const platform::InstanceRecord &it : records) {
-    if (it.Kind == platform::Role::Sidecar)
+void Fleet::takeList(const std::vector<backing::InstanceRecord> &records) {
+  std::vector<backing::InstanceRecord> sidecars;
+  for (const backing::InstanceRecord &it : records) {
+    if (it.Kind == backing::Role::Sidecar)
       sidecars.push_back(it);
   }
   apply(Members.onList(sidecars, Time.monotonic()));
@@ -65,7 +65,7 @@
   }
 }
 
-void Fleet::connect(const platform::InstanceRecord &record) {
+void Fleet::connect(const backing::InstanceRecord &record) {
   rpc::PeerClientSettings settings;
   settings.Self = Settings.Self;
   settings.Peer = record.Name;
--- a/src/cowslipridge/entry/Fleet.hpp
+++ b/src/cowslipridge/entry/Fleet.hpp
@@ -47,7 +47,7 @@
   void onSuspect(std::function<void(const core::InstanceId &)> listener);
   void startTicking();
 
-  void takeList(const std::vector<platform::InstanceRecord> &records);
+  void takeList(const std::vector<backing::InstanceRecord> &records);
   /// Runners that may be given work of `service`.
   [[nodiscard]] std::vector<route::RunnerView>
   views(const core::ServiceId &service) const;
@@ -71,7 +71,7 @@
   };
 
   void apply(const membership::DirectoryActions &actions);
-  void connect(const platform::InstanceRecord &record);
+  void connect(const backing::InstanceRecord &record);
   void probe(const core::InstanceId &name);
   void hear(const core::InstanceId &name, const rpc::PeerStatus &status,
             core::Millis sentAfter);
--- a/src/cowslipridge/entry/GradeBook.cpp
+++ b/src/cowslipridge/entry/GradeBook.cpp
@@ -14,7 +14,7 @@
 }
 
 std::optional<route::GradeObservation>
-GradeBook::onGrade(const platform::Grade &grade) {
+GradeBook::onGrade(const backing::Grade &grade) {
   const auto it = Answers.find(grade.Request);
   if (it == Answers.end())
     return std::nullopt;
--- a/src/cowslipridge/entry/GradeBook.hpp
+++ b/src/cowslipridge/entry/GradeBook.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "cowslipridge/platform/Ratings.hpp"
+#include "cowslipridge/backing/Ratings.hpp"
 #include "cowslipridge/route/Planner.hpp"
 
 #include <cstddef>
@@ -20,7 +20,7 @@
   void onAnswer(const core::RequestId &request,
                 const route::GradeObservation &answer);
   /// The observation that a grade completes; nothing for unknown requests.
-  std::optional<route::GradeObservation> onGrade(const platform::Grade &grade);
+  std::optional<route::GradeObservation> onGrade(const backing::Grade &grade);
 
 private:
   std::map<core::RequestId, route::GradeObservation> Answers;
--- a/src/cowslipridge/ledger/BillMerge.cpp
+++ b/src/cowslipridge/ledger/BillMerge.cpp
@@ -84,7 +84,7 @@
   return merged;
 }
 
-void BillMerge::add(const platform::StoreEntry &entry) {
+void BillMerge::add(const backing::StoreEntry &entry) {
   const std::string prefix = journalPrefix(Service);
   if (entry.Key.rfind(prefix, 0) != 0) {
     Damaged.push_back(entry.Key);
@@ -100,8 +100,7 @@
     addHead(parts->Journal, entry);
 }
 
-void BillMerge::addHead(const JournalId &id,
-                        const platform::StoreEntry &entry) {
+void BillMerge::addHead(const JournalId &id, const backing::StoreEntry &entry) {
   const core::Result<JournalHead> head = decodeHead(entry.Value);
   if (!head) {
     Damaged.push_back(entry.Key);
@@ -112,7 +111,7 @@
 }
 
 void BillMerge::addSegment(const JournalId &id, unsigned segment,
-                           const platform::StoreEntry &entry) {
+                           const backing::StoreEntry &entry) {
   const auto records = decodeSegment(entry.Value);
   if (!records)
     Damaged.push_back(entry.Key);
--- a/src/cowslipridge/ledger/BillMerge.hpp
+++ b/src/cowslipridge/ledger/BillMerge.hpp
@@ -21,7 +21,7 @@
   explicit BillMerge(core::ServiceId service) : Service(std::move(service)) {}
 
   /// Takes one stored entry under the service's journal prefix.
-  void add(const platform::StoreEntry &entry);
+  void add(const backing::StoreEntry &entry);
   [[nodiscard]] BillReport report() const;
 
 private:
@@ -35,9 +35,9 @@
     std::optional<core::Outcome> Result;
   };
 
-  void addHead(const JournalId &id, const platform::StoreEntry &entry);
+  void addHead(const JournalId &id, const backing::StoreEntry &entry);
   void addSegment(const JournalId &id, unsigned segment,
-                  const platform::StoreEntry &entry);
+                  const backing::StoreEntry &entry);
   static std::vector<Fate> fatesOf(const Journal &journal);
   static void addBills(const Journal &journal, BillReport &report);
   static void addFates(const Journal &journal,
--- a/src/cowslipridge/ledger/BillReader.cpp
+++ b/src/cowslipridge/ledger/BillReader.cpp
@@ -4,9 +4,9 @@
 
 namespace cowslipridge::ledger {
 
-void readBills(platform::Store &store, const core::ServiceId &service,
+void readBills(backing::Store &store, const core::ServiceId &service,
                std::function<void(core::Result<BillReport>)> done) {
-  using Entries = std::vector<platform::StoreEntry>;
+  using Entries = std::vector<backing::StoreEntry>;
   store.list(journalPrefix(service), [service, done = std::move(done)](
                                          const core::Result<Entries> &entries) {
     if (!entries) {
@@ -14,7 +14,7 @@
       return;
     }
     BillMerge merge(service);
-    for (const platform::StoreEntry &it : *entries)
+    for (const backing::StoreEntry &it : *entries)
       merge.add(it);
     done(merge.report());
   });
--- a/src/cowslipridge/ledger/BillReader.hpp
+++ b/src/cowslipridge/ledger/BillReader.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "cowslipridge/backing/Store.hpp"
 #include "cowslipridge/core/Ids.hpp"
 #include "cowslipridge/core/Result.hpp"
 #include "cowslipridge/ledger/Records.hpp"
-#include "cowslipridge/platform/Store.hpp"
 
 #include <functional>
 #include <map>
@@ -25,7 +25,7 @@
 /// Reads every journal of `service` and merges the bills by request. Only
 /// reads, so it may run at any time. Does not block; `done` is called once, on
 /// any thread.
-void readBills(platform::Store &store, const core::ServiceId &service,
+void readBills(backing::Store &store, const core::ServiceId &service,
                std::function<void(core::Result<BillReport>)> done);
 
 } // namespace cowslipridge::ledger
--- a/src/cowslipridge/ledger/JournalAppender.cpp
+++ b/src/cowslipridge/ledger/JournalAppender.cpp
@@ -7,7 +7,7 @@
 
 namespace cowslipridge::ledger {
 
-using platform::SwapStatus;
+using backing::SwapStatus;
 
 namespace {
 
@@ -232,8 +232,8 @@
 }
 
 void JournalAppender::onHead(const JournalHead &head,
-                             platform::Revision revision,
-                             AppenderResult &result, core::Millis now) {
+                             backing::Revision revision, AppenderResult &result,
+                             core::Millis now) {
   if (head.Append != Frozen->Head.Append) {
     onForeignHead(head, revision, result, now);
     return;
@@ -247,7 +247,7 @@
 }
 
 void JournalAppender::onForeignHead(const JournalHead &head,
-                                    platform::Revision revision,
+                                    backing::Revision revision,
                                     AppenderResult &result, core::Millis now) {
   const bool isOwn = IsOpen && head.Append == LastAppend;
   if (Frozen->Committed && !head.sealed()) {
--- a/src/cowslipridge/ledger/JournalAppender.hpp
+++ b/src/cowslipridge/ledger/JournalAppender.hpp
@@ -86,14 +86,14 @@
   std::optional<core::Millis> batchAt() const;
   std::optional<StoreCommand> commandOfPhase();
   void commitBatch(AppenderResult &result);
-  void onSwap(platform::SwapStatus status, AppenderResult &result,
+  void onSwap(backing::SwapStatus status, AppenderResult &result,
               core::Millis now);
-  void onRolled(platform::SwapStatus status, AppenderResult &result,
+  void onRolled(backing::SwapStatus status, AppenderResult &result,
                 core::Millis now);
   void onRead(const ReadReply &reply, AppenderResult &result, core::Millis now);
-  void onHead(const JournalHead &head, platform::Revision revision,
+  void onHead(const JournalHead &head, backing::Revision revision,
               AppenderResult &result, core::Millis now);
-  void onForeignHead(const JournalHead &head, platform::Revision revision,
+  void onForeignHead(const JournalHead &head, backing::Revision revision,
                      AppenderResult &result, core::Millis now);
   void seal(AppenderResult &result);
   void backOff(core::Millis now);
@@ -112,7 +112,7 @@
   unsigned Segments = 0;
   std::string LastAppend;
   std::uint64_t AppendCount = 0;
-  platform::Revision Known = 0;
+  backing::Revision Known = 0;
   Phase Step = Phase::Idle;
   bool CallUnderWay = false;
   bool IsOpen = false;
--- a/src/cowslipridge/ledger/Ledger.cpp
+++ b/src/cowslipridge/ledger/Ledger.cpp
@@ -73,7 +73,7 @@
 
 class Ledger::Impl : public std::enable_shared_from_this<Ledger::Impl> {
 public:
-  Impl(LedgerSettings settings, std::shared_ptr<platform::Store> store,
+  Impl(LedgerSettings settings, std::shared_ptr<backing::Store> store,
        const core::Clock &clock, observe::EventLog &events)
       : Settings(std::move(settings)), Store(std::move(store)), Time(clock),
         Events(&events), Machine(machineSettingsOf(Settings)) {}
@@ -212,16 +212,15 @@
                         call = action.Call](StoreReply answer) {
       self->tell(StoreReplied{call, std::move(answer)});
     };
-    std::visit(
-        core::Overloaded{[&](const SwapKey &x) {
-                           Store->compareAndSwap(
-                               x.Key, x.Value, x.Expected,
-                               [reply](platform::SwapResult result) {
-                                 reply(result.Status);
-                               });
-                         },
-                         [&](const ReadKey &x) { Store->get(x.Key, reply); }},
-        action.Command);
+    std::visit(core::Overloaded{
+                   [&](const SwapKey &x) {
+                     Store->compareAndSwap(x.Key, x.Value, x.Expected,
+                                           [reply](backing::SwapResult result) {
+                                             reply(result.Status);
+                                           });
+                   },
+                   [&](const ReadKey &x) { Store->get(x.Key, reply); }},
+               action.Command);
   }
 
   std::chrono::milliseconds sleepTime() const {
@@ -248,7 +247,7 @@
     }
   }
 
-  const std::shared_ptr<platform::Store> Store;
+  const std::shared_ptr<backing::Store> Store;
   const core::Clock &Time;
   observe::EventLog *Events;
   mutable std::mutex Guard;
@@ -259,7 +258,7 @@
   std::thread Timer;
 };
 
-Ledger::Ledger(LedgerSettings settings, std::shared_ptr<platform::Store> store,
+Ledger::Ledger(LedgerSettings settings, std::shared_ptr<backing::Store> store,
                const core::Clock &clock, observe::EventLog &events)
     : Internals(std::make_shared<Impl>(std::move(settings), std::move(store),
                                        clock, events)) {
--- a/src/cowslipridge/ledger/Ledger.hpp
+++ b/src/cowslipridge/ledger/Ledger.hpp
@@ -1,11 +1,11 @@
 #pragma once
 
+#include "cowslipridge/backing/Store.hpp"
 #include "cowslipridge/core/Ids.hpp"
 #include "cowslipridge/core/Result.hpp"
 #include "cowslipridge/ledger/ClaimDecision.hpp"
 #include "cowslipridge/ledger/Records.hpp"
 #include "cowslipridge/ledger/ShardHash.hpp"
-#include "cowslipridge/platform/Store.hpp"
 
 #include <functional>
 #include <memory>
@@ -35,7 +35,7 @@
 /// methods are thread-safe and never block; callbacks come on any thread.
 class Ledger {
 public:
-  Ledger(LedgerSettings settings, std::shared_ptr<platform::Store> store,
+  Ledger(LedgerSettings settings, std::shared_ptr<backing::Store> store,
          const core::Clock &clock, observe::EventLog &events);
   ~Ledger();
 
--- a/src/cowslipridge/ledger/ShardKeeper.cpp
+++ b/src/cowslipridge/ledger/ShardKeeper.cpp
@@ -192,7 +192,7 @@
   KeeperResult result;
   const Phase ended = Step;
   Step = Phase::Idle;
-  if (const auto *status = std::get_if<platform::SwapStatus>(&reply)) {
+  if (const auto *status = std::get_if<backing::SwapStatus>(&reply)) {
     onSwapped(*status, ended, now);
     return result;
   }
@@ -209,14 +209,14 @@
 }
 
 // What a write did is learnt by reading, whatever its reply said.
-void ShardKeeper::onSwapped(platform::SwapStatus status, Phase ended,
+void ShardKeeper::onSwapped(backing::SwapStatus status, Phase ended,
                             core::Millis now) {
-  if (status == platform::SwapStatus::Unavailable)
+  if (status == backing::SwapStatus::Unavailable)
     retryLater(now);
   if (ended != Phase::SwapTable)
     return;
   NextPoll = now;
-  Mismatches = status == platform::SwapStatus::Mismatch ? Mismatches + 1 : 0;
+  Mismatches = status == backing::SwapStatus::Mismatch ? Mismatches + 1 : 0;
   if (Mismatches > 0)
     NotBefore = now + spread(Settings.Journal, Mismatches);
 }
--- a/src/cowslipridge/ledger/ShardKeeper.hpp
+++ b/src/cowslipridge/ledger/ShardKeeper.hpp
@@ -119,7 +119,7 @@
   void queueTargets();
   void endTakeOvers(KeeperResult &result);
   void onTarget(const ReadReply &reply, KeeperResult &result, core::Millis now);
-  void onSwapped(platform::SwapStatus status, Phase ended, core::Millis now);
+  void onSwapped(backing::SwapStatus status, Phase ended, core::Millis now);
   void startAdoption(KeeperResult &result, core::Millis claimsAfter);
   void onAdoptionRead(const ReadReply &reply, KeeperResult &result,
                       core::Millis now, core::Millis claimsAfter);
@@ -129,7 +129,7 @@
 
   KeeperSettings Settings;
   std::optional<ShardTable> Table;
-  platform::Revision TableRevision = 0;
+  backing::Revision TableRevision = 0;
   std::vector<ShardState> States;
   std::set<JournalId> KnownSealed;
   /// Instances to take over, each with the journals that the first read of the
@@ -137,7 +137,7 @@
   std::map<core::InstanceId, std::optional<std::set<JournalId>>> Suspects;
   std::deque<JournalId> Targets; ///< journals to seal
   std::optional<JournalHead> TargetHead;
-  platform::Revision TargetRevision = 0;
+  backing::Revision TargetRevision = 0;
   std::optional<Adoption> Adopting;
   std::optional<core::Millis> OwnerlessSince;
   bool Impatient = false;
--- a/src/cowslipridge/ledger/StoreCommand.hpp
+++ b/src/cowslipridge/ledger/StoreCommand.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "cowslipridge/backing/Store.hpp"
 #include "cowslipridge/core/Result.hpp"
-#include "cowslipridge/platform/Store.hpp"
 
 #include <optional>
 #include <string>
@@ -13,7 +13,7 @@
 struct SwapKey {
   std::string Key;
   std::string Value;
-  platform::Revision Expected = 0;
+  backing::Revision Expected = 0;
 };
 
 struct ReadKey {
@@ -23,9 +23,9 @@
 /// One call to the store that a decision asks its shell to make.
 using StoreCommand = std::variant<SwapKey, ReadKey>;
 
-using ReadReply = core::Result<std::optional<platform::StoreEntry>>;
+using ReadReply = core::Result<std::optional<backing::StoreEntry>>;
 
 /// The store's answer to a StoreCommand.
-using StoreReply = std::variant<platform::SwapStatus, ReadReply>;
+using StoreReply = std::variant<backing::SwapStatus, ReadReply>;
 
 } // namespace cowslipridge::ledger
--- a/src/cowslipridge/membership/Directory.cpp
+++ b/src/cowslipridge/membership/Directory.cpp
@@ -7,15 +7,15 @@
 Directory::Directory(DirectorySettings settings) : Settings(settings) {}
 
 DirectoryActions
-Directory::onList(const std::vector<platform::InstanceRecord> &records,
+Directory::onList(const std::vector<backing::InstanceRecord> &records,
                   core::Millis now) {
   DirectoryActions actions;
-  for (const platform::InstanceRecord &it : records)
+  for (const backing::InstanceRecord &it : records)
     takeListed(it, now, actions);
   return actions;
 }
 
-bool Directory::isStale(const platform::InstanceRecord &record) const {
+bool Directory::isStale(const backing::InstanceRecord &record) const {
   const auto it = Past.find(record.Name);
   if (it == Past.end())
     return false;
@@ -36,7 +36,7 @@
 
 // The list lags: it never revives an incarnation that said it is leaving, and
 // never brings an older incarnation back.
-void Directory::takeListed(const platform::InstanceRecord &record,
+void Directory::takeListed(const backing::InstanceRecord &record,
                            core::Millis now, DirectoryActions &actions) {
   if (isStale(record))
     return;
--- a/src/cowslipridge/membership/Directory.hpp
+++ b/src/cowslipridge/membership/Directory.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
+#include "cowslipridge/backing/InstanceList.hpp"
 #include "cowslipridge/core/Clock.hpp"
 #include "cowslipridge/core/Ids.hpp"
-#include "cowslipridge/platform/InstanceList.hpp"
 
 #include <compare>
 #include <cstdint>
@@ -17,7 +17,7 @@
 enum class Liveness { Live, Suspect, Leaving, Gone };
 
 struct Member {
-  platform::InstanceRecord Record;
+  backing::InstanceRecord Record;
   Liveness State = Liveness::Live;
   core::Millis HeardAt; ///< monotonic; of the last direct reply
   unsigned FailuresInRow = 0;
@@ -32,7 +32,7 @@
 
 /// Connect to the member.
 struct ConnectMember {
-  platform::InstanceRecord Record;
+  backing::InstanceRecord Record;
 };
 /// Drop the connection to the member.
 struct DropMember {
@@ -52,7 +52,7 @@
 public:
   explicit Directory(DirectorySettings settings);
 
-  DirectoryActions onList(const std::vector<platform::InstanceRecord> &records,
+  DirectoryActions onList(const std::vector<backing::InstanceRecord> &records,
                           core::Millis now);
   void onReply(const core::InstanceId &name, core::Incarnation start,
                bool leaving, core::Millis now);
@@ -79,10 +79,10 @@
     core::Millis At;
   };
 
-  void takeListed(const platform::InstanceRecord &record, core::Millis now,
+  void takeListed(const backing::InstanceRecord &record, core::Millis now,
                   DirectoryActions &actions);
   [[nodiscard]] bool isGone(const Slot &slot, core::Millis now) const;
-  [[nodiscard]] bool isStale(const platform::InstanceRecord &record) const;
+  [[nodiscard]] bool isStale(const backing::InstanceRecord &record) const;
   void remember(const Member &member, core::Millis now);
 
   DirectorySettings Settings;
--- a/src/cowslipridge/rollout/RolloutStepper.cpp
+++ b/src/cowslipridge/rollout/RolloutStepper.cpp
@@ -20,7 +20,7 @@
 } // namespace
 
 RolloutStepper::RolloutStepper(
-    std::shared_ptr<platform::Store> store,
+    std::shared_ptr<backing::Store> store,
     std::function<void(const RolloutRecord &)> onRecord)
     : Store(std::move(store)), OnRecord(std::move(onRecord)) {}
 
@@ -108,11 +108,11 @@
 
 // What a write did is learnt by reading, whatever its reply said.
 void RolloutStepper::writeRecord(const RolloutRecord &record,
-                                 platform::Revision expected) {
+                                 backing::Revision expected) {
   Store->compareAndSwap(
       recordKey(Service), encodeRecord(record), expected,
-      [self = shared_from_this()](platform::SwapResult result) {
-        if (result.Status != platform::SwapStatus::Unavailable) {
+      [self = shared_from_this()](backing::SwapResult result) {
+        if (result.Status != backing::SwapStatus::Unavailable) {
           self->readRecord();
           return;
         }
--- a/src/cowslipridge/rollout/RolloutStepper.hpp
+++ b/src/cowslipridge/rollout/RolloutStepper.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "cowslipridge/platform/Store.hpp"
+#include "cowslipridge/backing/Store.hpp"
 #include "cowslipridge/rollout/RolloutRecord.hpp"
 
 #include <functional>
@@ -19,7 +19,7 @@
 class RolloutStepper : public std::enable_shared_from_this<RolloutStepper> {
 public:
   /// `onRecord` hears every record that was read; it is called on any thread.
-  RolloutStepper(std::shared_ptr<platform::Store> store,
+  RolloutStepper(std::shared_ptr<backing::Store> store,
                  std::function<void(const RolloutRecord &)> onRecord);
 
   /// Takes a newer declaration. Without a roll-out nothing is done.
@@ -34,7 +34,7 @@
   [[nodiscard]] std::size_t pending() const;
 
 private:
-  using Entry = std::optional<platform::StoreEntry>;
+  using Entry = std::optional<backing::StoreEntry>;
 
   struct NextMove {
     std::optional<RolloutRecord> Stored; ///< of the declared roll-out
@@ -43,11 +43,11 @@
   };
 
   NextMove decide(const core::Result<Entry> &entry);
-  void writeRecord(const RolloutRecord &record, platform::Revision expected);
+  void writeRecord(const RolloutRecord &record, backing::Revision expected);
   void readRecord();
   void onRead(const core::Result<Entry> &entry);
 
-  std::shared_ptr<platform::Store> Store;
+  std::shared_ptr<backing::Store> Store;
   std::function<void(const RolloutRecord &)> OnRecord;
   mutable std::mutex Guard;
   core::ServiceId Service;
--- a/src/cowslipridge/rpc/Codec.cpp
+++ b/src/cowslipridge/rpc/Codec.cpp
@@ -113,13 +113,13 @@
   return notice;
 }
 
-void encode(const platform::Grade &grade, wire::Grade::Builder out) {
+void encode(const backing::Grade &grade, wire::Grade::Builder out) {
   out.setRequest(grade.Request.str());
   const double score = std::clamp(grade.Score, 0.0, 1.0);
   out.setScoreMicro(static_cast<std::uint32_t>(score * MicroPerUnit));
 }
 
-platform::Grade decode(wire::Grade::Reader in) {
+backing::Grade decode(wire::Grade::Reader in) {
   const double score = std::min(1.0, in.getScoreMicro() / MicroPerUnit);
   return {core::RequestId(toString(in.getRequest())), score};
 }
--- a/src/cowslipridge/rpc/Messages.hpp
+++ b/src/cowslipridge/rpc/Messages.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "cowslipridge/backing/Ratings.hpp"
 #include "cowslipridge/core/Clock.hpp"
 #include "cowslipridge/core/Ids.hpp"
 #include "cowslipridge/core/Outcome.hpp"
 #include "cowslipridge/http/Message.hpp"
-#include "cowslipridge/platform/Ratings.hpp"
 #include "cowslipridge/rollout/Evidence.hpp"
 #include "cowslipridge/rollout/ExposureGuard.hpp"
 
@@ -36,7 +36,7 @@
   std::vector<rollout::EvidenceRecord> Evidence;
   std::vector<CutOffNotice> CutOffs;
   /// Grades of answers that the receiver asked for.
-  std::vector<platform::Grade> Grades;
+  std::vector<backing::Grade> Grades;
   /// Requests of the receiver whose bills are in a journal.
   std::vector<core::RequestId> Billed;
 };
--- a/src/cowslipridge/sidecar/GradeOutbox.cpp
+++ b/src/cowslipridge/sidecar/GradeOutbox.cpp
@@ -13,19 +13,19 @@
   Order.pop_front();
 }
 
-void GradeOutbox::onGrade(const platform::Grade &grade) {
+void GradeOutbox::onGrade(const backing::Grade &grade) {
   const auto sender = Senders.find(grade.Request);
   if (sender == Senders.end())
     return;
-  std::deque<platform::Grade> &queue = Waiting[sender->second];
+  std::deque<backing::Grade> &queue = Waiting[sender->second];
   queue.push_back(grade);
   if (queue.size() > MaxWaitingPerEntry)
     queue.pop_front();
 }
 
-std::vector<platform::Grade> GradeOutbox::take(const core::InstanceId &entry,
-                                               std::size_t limit) {
-  std::vector<platform::Grade> grades;
+std::vector<backing::Grade> GradeOutbox::take(const core::InstanceId &entry,
+                                              std::size_t limit) {
+  std::vector<backing::Grade> grades;
   const auto it = Waiting.find(entry);
   if (it == Waiting.end())
     return grades;
--- a/src/cowslipridge/sidecar/GradeOutbox.hpp
+++ b/src/cowslipridge/sidecar/GradeOutbox.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "cowslipridge/backing/Ratings.hpp"
 #include "cowslipridge/core/Ids.hpp"
-#include "cowslipridge/platform/Ratings.hpp"
 
 #include <cstddef>
 #include <deque>
@@ -20,15 +20,15 @@
   /// `entry` sent this request.
   void onRequest(const core::RequestId &request, const core::InstanceId &entry);
   /// Queues a grade for the entry that sent the request.
-  void onGrade(const platform::Grade &grade);
+  void onGrade(const backing::Grade &grade);
   /// The next grades for an entry.
-  std::vector<platform::Grade> take(const core::InstanceId &entry,
-                                    std::size_t limit);
+  std::vector<backing::Grade> take(const core::InstanceId &entry,
+                                   std::size_t limit);
 
 private:
   std::map<core::RequestId, core::InstanceId> Senders;
   std::deque<core::RequestId> Order; ///< oldest first
-  std::map<core::InstanceId, std::deque<platform::Grade>> Waiting;
+  std::map<core::InstanceId, std::deque<backing::Grade>> Waiting;
 };
 
 } // namespace cowslipridge::sidecar
--- a/src/cowslipridge/sidecar/Sidecar.cpp
+++ b/src/cowslipridge/sidecar/Sidecar.cpp
@@ -97,8 +97,8 @@
   RolloutListener = std::move(listener);
 }
 
-void Sidecar::takeGrades(const std::vector<platform::Grade> &grades) {
-  for (const platform::Grade &it : grades) {
+void Sidecar::takeGrades(const std::vector<backing::Grade> &grades) {
+  for (const backing::Grade &it : grades) {
     Grades.onGrade(it);
     report(Context.Guard->onGrade(it.Request, it.Score, Context.now()));
   }
--- a/src/cowslipridge/sidecar/Sidecar.hpp
+++ b/src/cowslipridge/sidecar/Sidecar.hpp
@@ -41,7 +41,7 @@
   void drain();
   [[nodiscard]] bool idle() const;
   /// Takes grades of answers given here.
-  void takeGrades(const std::vector<platform::Grade> &grades);
+  void takeGrades(const std::vector<backing::Grade> &grades);
   /// What the store records of the service's roll-out.
   void takeRollout(const rollout::RolloutRecord &record);
   /// This sidecar's place among those that serve the trial version.
--- a/src/standins/KeyValueStore.cpp
+++ b/src/standins/KeyValueStore.cpp
@@ -1,6 +1,6 @@
 #include "standins/KeyValueStore.hpp"
 
-#include "cowslipridge/platform/internal/Base64.hpp"
+#include "cowslipridge/core/Base64.hpp"
 #include "standins/RequestParts.hpp"
 
 #include <nlohmann/json.hpp>
@@ -209,7 +209,7 @@
                   {"Flags", 0},
                   {"Value", nullptr}};
     if (!item.Value.empty())
-      entry["Value"] = platform::internal::encodeBase64(item.Value);
+      entry["Value"] = core::encodeBase64(item.Value);
     if (!item.Session.empty())
       entry["Session"] = item.Session;
     items.push_back(std::move(entry));
--- a/tests/integration/BillingProofTest.cpp
+++ b/tests/integration/BillingProofTest.cpp
@@ -4,8 +4,8 @@
 #include "support/Declarations.hpp"
 #include "support/Load.hpp"
 
+#include "cowslipridge/backing/ConsulStore.hpp"
 #include "cowslipridge/ledger/BillReader.hpp"
-#include "cowslipridge/platform/ConsulStore.hpp"
 
 #include "support/Waiting.hpp"
 
@@ -52,7 +52,7 @@
 
   ledger::BillReport readBills() {
     const auto port =
-        platform::makeConsulStore(Fleet.store().Base, StoreTimeout);
+        backing::makeConsulStore(Fleet.store().Base, StoreTimeout);
     support::Promised<core::Result<ledger::BillReport>> heard;
     ledger::readBills(*port, Fitting,
                       [&](const auto &report) { heard.set(report); });
--- a/tests/integration/StoreProofTest.cpp
+++ b/tests/integration/StoreProofTest.cpp
@@ -4,8 +4,8 @@
 #include "support/Caller.hpp"
 #include "support/FaultProxy.hpp"
 
+#include "cowslipridge/backing/ConsulStore.hpp"
 #include "cowslipridge/core/Error.hpp"
-#include "cowslipridge/platform/ConsulStore.hpp"
 #include "standins/Host.hpp"
 #include "standins/KeyValueStore.hpp"
 
@@ -16,7 +16,7 @@
 
 using namespace cowslipridge;
 using namespace cowslipridge::integration;
-using namespace cowslipridge::platform;
+using namespace cowslipridge::backing;
 using namespace cowslipridge::standins;
 
 namespace {
--- a/tests/integration/support/Cluster.cpp
+++ b/tests/integration/support/Cluster.cpp
@@ -2,9 +2,9 @@
 
 #include "Declarations.hpp"
 
+#include "cowslipridge/backing/ConsulStore.hpp"
 #include "cowslipridge/config/DeclarationParser.hpp"
 #include "cowslipridge/config/Publisher.hpp"
-#include "cowslipridge/platform/ConsulStore.hpp"
 
 #include "support/Waiting.hpp"
 
@@ -95,7 +95,7 @@
       publication.Services.push_back(std::move(*service));
   for (const core::Finding &it : findings.items())
     ADD_FAILURE() << core::toString(it);
-  const auto port = platform::makeConsulStore(Store->Base, StoreTimeout);
+  const auto port = backing::makeConsulStore(Store->Base, StoreTimeout);
   const auto result = config::Publisher(*port).publish(publication);
   EXPECT_TRUE(std::holds_alternative<config::Published>(result));
 }
--- a/tests/property/platform/CodecProperty.cpp
+++ b/tests/property/backing/CodecProperty.cpp
@@ -1,8 +1,8 @@
-#include "cowslipridge/platform/internal/Base64.hpp"
-#include "cowslipridge/platform/internal/GradeCodec.hpp"
-#include "cowslipridge/platform/internal/InstanceCodec.hpp"
-#include "cowslipridge/platform/internal/KvCodec.hpp"
-#include "cowslipridge/platform/internal/UriEncoding.hpp"
+#include "cowslipridge/backing/internal/GradeCodec.hpp"
+#include "cowslipridge/backing/internal/InstanceCodec.hpp"
+#include "cowslipridge/backing/internal/KvCodec.hpp"
+#include "cowslipridge/core/Base64.hpp"
+#include "cowslipridge/core/UriEncoding.hpp"
 
 #include "cowslipridge/http/Message.hpp"
 
@@ -14,8 +14,8 @@
 #include <vector>
 
 using namespace cowslipridge;
-using namespace cowslipridge::platform;
-using namespace cowslipridge::platform::internal;
+using namespace cowslipridge::backing;
+using namespace cowslipridge::backing::internal;
 
 namespace {
 
@@ -23,23 +23,25 @@
 
 TEST(CodecProperty, base64KeepsAnyBytes) {
   support::expectHolds(Histories, [](const std::string &bytes) {
-    RC_ASSERT(decodeBase64(encodeBase64(bytes)) == bytes);
+    RC_ASSERT(core::decodeBase64(core::encodeBase64(bytes)) == bytes);
   });
 }
 
 TEST(CodecProperty, base64TakesAnyText) {
   support::expectHolds(Histories, [](const std::string &text) {
-    const auto bytes = decodeBase64(text);
-    const bool same = !bytes || encodeBase64(*bytes).size() == text.size();
+    const auto bytes = core::decodeBase64(text);
+    const bool same =
+        !bytes || core::encodeBase64(*bytes).size() == text.size();
     RC_ASSERT(same);
   });
 }
 
 TEST(CodecProperty, escapedTextsDecodeToThemselves) {
   support::expectHolds(Histories, [](const std::string &text) {
-    const std::string query = "a=" + encodeComponent(text);
+    const std::string query = "a=" + core::encodeComponent(text);
     RC_ASSERT(http::findQueryParameter(query, "a") == text);
-    RC_ASSERT(encodePath(text).find_first_of("?# \r\n") == std::string::npos);
+    RC_ASSERT(core::encodePath(text).find_first_of("?# \r\n") ==
+              std::string::npos);
   });
 }
 
--- a/tests/property/ledger/SimulatedStore.cpp
+++ b/tests/property/ledger/SimulatedStore.cpp
@@ -6,7 +6,7 @@
 
 namespace cowslipridge::ledger::simulation {
 
-using platform::SwapStatus;
+using backing::SwapStatus;
 
 namespace {
 
@@ -49,7 +49,7 @@
 
 bool SimulatedStore::apply(const SwapKey &swap) {
   const auto it = Entries.find(swap.Key);
-  const platform::Revision current =
+  const backing::Revision current =
       it == Entries.end() ? 0 : it->second.ModifiedAt;
   const bool compares =
       LeftOut != Omission::TableRevision || !isTable(swap.Key);
@@ -69,8 +69,8 @@
 ReadReply SimulatedStore::read(const std::string &key, bool isOwner) const {
   const auto it = Entries.find(key);
   if (it == Entries.end())
-    return std::optional<platform::StoreEntry>();
-  platform::StoreEntry entry = it->second;
+    return std::optional<backing::StoreEntry>();
+  backing::StoreEntry entry = it->second;
   const auto seal = PretendedSeals.find(key);
   if (!isOwner && seal != PretendedSeals.end())
     entry.Value = seal->second;
--- a/tests/property/ledger/SimulatedStore.hpp
+++ b/tests/property/ledger/SimulatedStore.hpp
@@ -66,7 +66,7 @@
             const std::function<void(StoreReply)> &done);
   void setFaults(StoreFaults faults) { Faults = faults; }
   void setDown(bool down) { IsDown = down; }
-  [[nodiscard]] const std::map<std::string, platform::StoreEntry> &
+  [[nodiscard]] const std::map<std::string, backing::StoreEntry> &
   entries() const {
     return Entries;
   }
@@ -88,8 +88,8 @@
   Omission LeftOut;
   bool IsDown = false;
   std::uint64_t CallCount = 0;
-  platform::Revision LastRevision = 0;
-  std::map<std::string, platform::StoreEntry> Entries;
+  backing::Revision LastRevision = 0;
+  std::map<std::string, backing::StoreEntry> Entries;
   std::map<std::string, std::string> PretendedSeals;
 };
 
--- a/tests/property/membership/DirectoryProperties.cpp
+++ b/tests/property/membership/DirectoryProperties.cpp
@@ -29,10 +29,10 @@
   return core::InstanceId("sidecar-" + std::to_string(n));
 }
 
-platform::InstanceRecord recordOf(const Step &step) {
-  platform::InstanceRecord it;
+backing::InstanceRecord recordOf(const Step &step) {
+  backing::InstanceRecord it;
   it.Name = nameOf(step.Name);
-  it.Kind = platform::Role::Sidecar;
+  it.Kind = backing::Role::Sidecar;
   it.Start = Incarnation(static_cast<std::uint64_t>(step.Start));
   it.Address = "127.0.0.1";
   it.Service = Drafting;
--- a/tests/property/rollout/StepperProperties.cpp
+++ b/tests/property/rollout/StepperProperties.cpp
@@ -13,9 +13,9 @@
 constexpr int Histories = 10'000;
 
 /// One key; calls wait until the test lets them take effect.
-class SteppedStore final : public platform::Store {
+class SteppedStore final : public backing::Store {
 public:
-  using Entry = std::optional<platform::StoreEntry>;
+  using Entry = std::optional<backing::StoreEntry>;
 
   void get(const std::string &,
            std::function<void(core::Result<Entry>)> done) override {
@@ -27,36 +27,36 @@
     });
   }
   void list(const std::string &,
-            std::function<void(core::Result<std::vector<platform::StoreEntry>>)>
+            std::function<void(core::Result<std::vector<backing::StoreEntry>>)>
                 done) override {
     done(core::Errc::StoreUnavailable);
   }
   void compareAndSwap(const std::string &key, const std::string &value,
-                      platform::Revision expected,
-                      std::function<void(platform::SwapResult)> done) override {
+                      backing::Revision expected,
+                      std::function<void(backing::SwapResult)> done) override {
     Waiting.emplace_back([=, this](int fault) {
       if (fault == 0) {
-        done({platform::SwapStatus::Unavailable});
+        done({backing::SwapStatus::Unavailable});
         return;
       }
       const bool matches = (Stored ? Stored->ModifiedAt : 0) == expected;
       if (matches && fault != 1)
-        Stored = platform::StoreEntry{key, value, ++Last};
+        Stored = backing::StoreEntry{key, value, ++Last};
       if (fault <= 2)
-        done({platform::SwapStatus::LostReply});
+        done({backing::SwapStatus::LostReply});
       else
-        done({matches ? platform::SwapStatus::Swapped
-                      : platform::SwapStatus::Mismatch});
+        done({matches ? backing::SwapStatus::Swapped
+                      : backing::SwapStatus::Mismatch});
     });
   }
   void
-  compareAndDelete(const std::string &, platform::Revision,
-                   std::function<void(platform::SwapResult)> done) override {
-    done({platform::SwapStatus::Unavailable});
+  compareAndDelete(const std::string &, backing::Revision,
+                   std::function<void(backing::SwapResult)> done) override {
+    done({backing::SwapStatus::Unavailable});
   }
-  void watch(
-      const std::string &, std::uint64_t, core::Millis,
-      std::function<void(core::Result<platform::WatchResult>)> done) override {
+  void
+  watch(const std::string &, std::uint64_t, core::Millis,
+        std::function<void(core::Result<backing::WatchResult>)> done) override {
     done(core::Errc::StoreUnavailable);
   }
 
@@ -77,7 +77,7 @@
 
 private:
   Entry Stored;
-  platform::Revision Last = 0;
+  backing::Revision Last = 0;
   std::vector<std::function<void(int)>> Waiting;
 };
 
--- a/tests/standins/ConsulStoreTest.cpp
+++ b/tests/standins/ConsulStoreTest.cpp
@@ -1,11 +1,11 @@
 #include "HostFixture.hpp"
 
+#include "cowslipridge/backing/ConsulStore.hpp"
 #include "cowslipridge/core/Error.hpp"
-#include "cowslipridge/platform/ConsulStore.hpp"
 #include "standins/KeyValueStore.hpp"
 
 using namespace cowslipridge;
-using namespace cowslipridge::platform;
+using namespace cowslipridge::backing;
 using namespace cowslipridge::standins;
 
 namespace {
--- a/tests/standins/PlatformTest.cpp
+++ b/tests/standins/PlatformTest.cpp
@@ -1,15 +1,15 @@
 #include "HostFixture.hpp"
 
+#include "cowslipridge/backing/CloudEventsRatings.hpp"
+#include "cowslipridge/backing/ConsulInstanceList.hpp"
+#include "cowslipridge/backing/WeightStore.hpp"
 #include "cowslipridge/core/Error.hpp"
-#include "cowslipridge/platform/CloudEventsRatings.hpp"
-#include "cowslipridge/platform/ConsulInstanceList.hpp"
-#include "cowslipridge/platform/WeightStore.hpp"
 #include "standins/InstanceRegistry.hpp"
 #include "standins/RatingService.hpp"
 #include "standins/WeightServer.hpp"
 
 using namespace cowslipridge;
-using namespace cowslipridge::platform;
+using namespace cowslipridge::backing;
 using namespace cowslipridge::standins;
 
 namespace {
--- a/tests/support/FaultyStore.hpp
+++ b/tests/support/FaultyStore.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
+#include "cowslipridge/backing/Store.hpp"
 #include "cowslipridge/core/Error.hpp"
-#include "cowslipridge/platform/Store.hpp"
 
 #include <functional>
 #include <map>
@@ -24,7 +24,7 @@
 struct CallerCrashed {};
 
 /// A store in memory that answers within the call and injects faults.
-class FaultyStore final : public platform::Store {
+class FaultyStore final : public backing::Store {
 public:
   /// Asked before each call; may itself use the store.
   std::function<StoreFault()> NextFault = [] { return StoreFault::None; };
@@ -33,23 +33,22 @@
   /// Counts all calls.
   std::size_t Calls = 0;
 
-  void
-  get(const std::string &key,
-      std::function<void(core::Result<std::optional<platform::StoreEntry>>)>
-          done) override {
+  void get(const std::string &key,
+           std::function<void(core::Result<std::optional<backing::StoreEntry>>)>
+               done) override {
     if (!readable()) {
       done(core::Errc::StoreUnavailable);
       return;
     }
     const auto it = Entries.find(key);
     if (it == Entries.end())
-      done(std::optional<platform::StoreEntry>());
+      done(std::optional<backing::StoreEntry>());
     else
       done(std::optional(it->second));
   }
 
   void list(const std::string &prefix,
-            std::function<void(core::Result<std::vector<platform::StoreEntry>>)>
+            std::function<void(core::Result<std::vector<backing::StoreEntry>>)>
                 done) override {
     if (!readable()) {
       done(core::Errc::StoreUnavailable);
@@ -59,8 +58,8 @@
   }
 
   void compareAndSwap(const std::string &key, const std::string &value,
-                      platform::Revision expected,
-                      std::function<void(platform::SwapResult)> done) override {
+                      backing::Revision expected,
+                      std::function<void(backing::SwapResult)> done) override {
     change(
         [&] {
           if (revisionOf(key) != expected)
@@ -72,8 +71,8 @@
   }
 
   void
-  compareAndDelete(const std::string &key, platform::Revision expected,
-                   std::function<void(platform::SwapResult)> done) override {
+  compareAndDelete(const std::string &key, backing::Revision expected,
+                   std::function<void(backing::SwapResult)> done) override {
     change(
         [&] {
           if (revisionOf(key) != expected)
@@ -85,18 +84,19 @@
         done);
   }
 
-  void watch(
-      const std::string &prefix, std::uint64_t /*index*/, core::Millis /*wait*/,
-      std::function<void(core::Result<platform::WatchResult>)> done) override {
+  void
+  watch(const std::string &prefix, std::uint64_t /*index*/,
+        core::Millis /*wait*/,
+        std::function<void(core::Result<backing::WatchResult>)> done) override {
     if (!readable()) {
       done(core::Errc::StoreUnavailable);
       return;
     }
-    done(platform::WatchResult{below(prefix), Index});
+    done(backing::WatchResult{below(prefix), Index});
   }
 
   /// Sees the entries without faults.
-  [[nodiscard]] const std::map<std::string, platform::StoreEntry> &
+  [[nodiscard]] const std::map<std::string, backing::StoreEntry> &
   entries() const {
     return Entries;
   }
@@ -116,8 +116,8 @@
   }
 
   void change(const std::function<bool()> &apply,
-              const std::function<void(platform::SwapResult)> &done) {
-    using platform::SwapStatus;
+              const std::function<void(backing::SwapResult)> &done) {
+    using backing::SwapStatus;
     ++Calls;
     const StoreFault fault = NextFault();
     if (fault == StoreFault::Crash)
@@ -141,14 +141,14 @@
       done({applied ? SwapStatus::Swapped : SwapStatus::Mismatch});
   }
 
-  [[nodiscard]] platform::Revision revisionOf(const std::string &key) const {
+  [[nodiscard]] backing::Revision revisionOf(const std::string &key) const {
     const auto it = Entries.find(key);
     return it == Entries.end() ? 0 : it->second.ModifiedAt;
   }
 
-  [[nodiscard]] std::vector<platform::StoreEntry>
+  [[nodiscard]] std::vector<backing::StoreEntry>
   below(const std::string &prefix) const {
-    std::vector<platform::StoreEntry> found;
+    std::vector<backing::StoreEntry> found;
     for (const auto &[key, entry] : Entries) {
       if (key.starts_with(prefix))
         found.push_back(entry);
@@ -156,7 +156,7 @@
     return found;
   }
 
-  std::map<std::string, platform::StoreEntry> Entries;
+  std::map<std::string, backing::StoreEntry> Entries;
   std::uint64_t Index = 0;
 };
 
--- a/tests/unit/ledger/JournalAppenderTest.cpp
+++ b/tests/unit/ledger/JournalAppenderTest.cpp
@@ -6,7 +6,7 @@
 
 using namespace cowslipridge;
 using namespace cowslipridge::ledger;
-using platform::SwapStatus;
+using backing::SwapStatus;
 
 namespace {
 
@@ -38,10 +38,10 @@
     return Appender.onReply(status, Now);
   }
   AppenderResult answerRead(const std::string &value,
-                            platform::Revision revision) {
+                            backing::Revision revision) {
     Now = Now + core::Millis(2'000);
     EXPECT_TRUE(std::holds_alternative<ReadKey>(Appender.next(Now).value()));
-    return Appender.onReply(ReadReply(std::optional(platform::StoreEntry{
+    return Appender.onReply(ReadReply(std::optional(backing::StoreEntry{
                                 LastSwap.Key, value, revision})),
                             Now);
   }
--- a/tests/unit/membership/DirectoryTest.cpp
+++ b/tests/unit/membership/DirectoryTest.cpp
@@ -12,10 +12,10 @@
 const core::ServiceId Drafting("drafting");
 const core::InstanceId Name("sidecar-kochi-a-1");
 
-platform::InstanceRecord record(std::uint64_t start, bool leaving = false) {
-  platform::InstanceRecord it;
+backing::InstanceRecord record(std::uint64_t start, bool leaving = false) {
+  backing::InstanceRecord it;
   it.Name = Name;
-  it.Kind = platform::Role::Sidecar;
+  it.Kind = backing::Role::Sidecar;
   it.Start = Incarnation(start);
   it.Address = "127.0.0.1";
   it.RpcPort = 9080;
