Add an HTTP/1.1 engine on one event loop

Change: http1/ has strict parsers without I/O over Boost.Beast's, a server that reports the caller's leaving at once, and a pooled client that passes answers of other requests over, drops connections with unasked bytes, keeps to Keep-Alive and probes silent peers. Ruled out: hand-written parsing (Beast's is kept for years by others); Beast's own message types (they hide where a body ends on the connection). Conclusion: carries the gateway; the entry daemon stays on http/ for now.

--- /dev/null
+++ b/src/cowslipridge/http1/Client.cpp
@@ -0,0 +1,152 @@
+#include "cowslipridge/http1/Client.hpp"
+
+#include "cowslipridge/http1/internal/ClientConnection.hpp"
+
+#include <boost/asio/post.hpp>
+
+#include <map>
+#include <unordered_map>
+#include <vector>
+
+namespace cowslipridge::http1 {
+
+std::string_view toString(CallFailure failure) {
+  switch (failure) {
+  case CallFailure::NotConnected:
+    return "not-connected";
+  case CallFailure::NoRoom:
+    return "no-room";
+  case CallFailure::BrokenEarly:
+    return "broken-early";
+  case CallFailure::Broken:
+    return "broken";
+  case CallFailure::Malformed:
+    return "malformed";
+  case CallFailure::TimedOut:
+    break;
+  }
+  return "timed-out";
+}
+
+namespace {
+
+/// A call that never got a connection.
+class RefusedCall final : public Call {
+public:
+  explicit RefusedCall(std::shared_ptr<CallEvents> events)
+      : Events(std::move(events)) {}
+  void deliver() {
+    if (Events)
+      Events->onFailure(CallFailure::NoRoom);
+  }
+  void cancel() override { Events = nullptr; }
+  void pause() override {}
+  void resume() override {}
+
+private:
+  std::shared_ptr<CallEvents> Events;
+};
+
+} // namespace
+
+class Client::Impl : public std::enable_shared_from_this<Impl> {
+  using Connection = std::shared_ptr<internal::ClientConnection>;
+
+public:
+  Impl(boost::asio::io_context &loop, const core::Clock &clock,
+       ClientLimits limits)
+      : Loop(loop), Clock(clock), Limits(limits) {}
+
+  std::shared_ptr<Call> call(CallSpec spec,
+                             std::shared_ptr<CallEvents> events) {
+    Connection connection = takeIdle(spec.Server);
+    if (!connection && Counts[spec.Server] >= spec.MaxConnections)
+      return refuse(std::move(events));
+    if (!connection)
+      connection = open(spec.Server);
+    return connection->start(std::move(spec), std::move(events));
+  }
+
+  void forget(const Endpoint &server) {
+    for (const Connection &it : std::exchange(Idle[server], {}))
+      it->shutDown();
+  }
+
+  void closeAll() {
+    auto all = std::exchange(Open, {});
+    for (const auto &[key, it] : all)
+      it.second->shutDown();
+  }
+
+  std::size_t Opened = 0;
+
+private:
+  std::shared_ptr<Call> refuse(std::shared_ptr<CallEvents> events) {
+    const auto refused = std::make_shared<RefusedCall>(std::move(events));
+    boost::asio::post(Loop, [refused] { refused->deliver(); });
+    return refused;
+  }
+
+  Connection takeIdle(const Endpoint &server) {
+    const core::Millis now = Clock.monotonic();
+    auto &idle = Idle[server];
+    while (!idle.empty()) {
+      // The one used last is the least likely to be closed by the server.
+      const Connection connection = idle.back();
+      idle.pop_back();
+      if (connection->isUsable(now))
+        return connection;
+      connection->shutDown();
+    }
+    return nullptr;
+  }
+
+  Connection open(const Endpoint &server) {
+    const std::weak_ptr<Impl> weak = weak_from_this();
+    internal::ClientConnection::Owner owner{
+        [weak, server](const Connection &it) {
+          if (const auto self = weak.lock())
+            self->Idle[server].push_back(it);
+        },
+        [weak, server](internal::ClientConnection *it) {
+          if (const auto self = weak.lock())
+            self->drop(server, it);
+        }};
+    const auto connection = std::make_shared<internal::ClientConnection>(
+        Loop, Clock, Limits, std::move(owner));
+    Open.emplace(connection.get(), std::pair(server, connection));
+    ++Counts[server];
+    ++Opened;
+    return connection;
+  }
+
+  void drop(const Endpoint &server, internal::ClientConnection *connection) {
+    std::erase_if(Idle[server],
+                  [&](const Connection &it) { return it.get() == connection; });
+    if (Open.erase(connection) != 0)
+      --Counts[server];
+  }
+
+  boost::asio::io_context &Loop;
+  const core::Clock &Clock;
+  const ClientLimits Limits;
+  std::map<Endpoint, std::vector<Connection>> Idle;
+  std::map<Endpoint, std::size_t> Counts;
+  std::unordered_map<internal::ClientConnection *,
+                     std::pair<Endpoint, Connection>>
+      Open;
+};
+
+Client::Client(boost::asio::io_context &loop, const core::Clock &clock,
+               ClientLimits limits)
+    : Internals(std::make_shared<Impl>(loop, clock, limits)) {}
+Client::~Client() { Internals->closeAll(); }
+
+std::shared_ptr<Call> Client::call(CallSpec spec,
+                                   std::shared_ptr<CallEvents> events) {
+  return Internals->call(std::move(spec), std::move(events));
+}
+void Client::forget(const Endpoint &server) { Internals->forget(server); }
+std::size_t Client::opened() const { return Internals->Opened; }
+
+} // namespace cowslipridge::http1
--- /dev/null
+++ b/src/cowslipridge/http1/RequestParser.cpp
@@ -0,0 +1,88 @@
+#include "cowslipridge/http1/RequestParser.hpp"
+
+#include "cowslipridge/http1/internal/PushParser.hpp"
+
+namespace cowslipridge::http1 {
+
+namespace http = boost::beast::http;
+
+class RequestParser::Impl {
+public:
+  explicit Impl(RequestLimits limits) {
+    Parser.eager(true);
+    Parser.header_limit(static_cast<std::uint32_t>(limits.MaxHeaderBytes));
+    Parser.body_limit(limits.MaxBodyBytes);
+  }
+
+  ParseStatus parse(std::string &input) {
+    const auto ec = internal::feed(Parser, input);
+    if (ec)
+      return statusOf(ec);
+    if (Parser.is_header_done() && !HeadTaken && !takeHead())
+      return ParseStatus::Malformed;
+    return Parser.is_done() ? ParseStatus::Complete : ParseStatus::NeedMore;
+  }
+
+  internal::PushParser<true> Parser;
+  RequestHead Head;
+  bool HeadTaken = false;
+
+private:
+  static ParseStatus statusOf(const boost::beast::error_code &ec) {
+    if (ec == http::error::header_limit)
+      return ParseStatus::HeaderTooLarge;
+    if (ec == http::error::body_limit)
+      return ParseStatus::BodyTooLarge;
+    return ParseStatus::Malformed;
+  }
+
+  bool takeHead() {
+    HeadTaken = true;
+    Head.Method = std::move(Parser.Method);
+    Head.Target = std::move(Parser.Target);
+    Head.Fields = std::move(Parser.Fields);
+    Head.KeepAlive = Parser.keep_alive();
+    Head.SinceHttp11 = Parser.Version >= 11;
+    Head.Body = framing();
+    return isUnambiguous();
+  }
+
+  [[nodiscard]] Framing framing() const {
+    if (Parser.chunked())
+      return Framing::Chunked;
+    return Head.Fields.count("Content-Length") != 0 ? Framing::Length
+                                                    : Framing::None;
+  }
+
+  // The parser takes an unknown transfer coding for a request without a body.
+  [[nodiscard]] bool isUnambiguous() const {
+    const std::size_t codings = Head.Fields.count("Transfer-Encoding");
+    const std::size_t lengths = Head.Fields.count("Content-Length");
+    if (codings + lengths > 1)
+      return false;
+    if (codings == 1 &&
+        (!Head.SinceHttp11 ||
+         !sameName(*Head.Fields.find("Transfer-Encoding"), "chunked")))
+      return false;
+    if (Head.SinceHttp11 && Head.Fields.count("Host") != 1)
+      return false;
+    return !Head.Target.empty() && Head.Target.front() == '/';
+  }
+};
+
+RequestParser::RequestParser(RequestLimits limits)
+    : Internals(std::make_unique<Impl>(limits)) {}
+RequestParser::~RequestParser() = default;
+RequestParser::RequestParser(RequestParser &&) noexcept = default;
+RequestParser &RequestParser::operator=(RequestParser &&) noexcept = default;
+
+ParseStatus RequestParser::parse(std::string &input) {
+  return Internals->parse(input);
+}
+bool RequestParser::headDone() const { return Internals->HeadTaken; }
+const RequestHead &RequestParser::head() const { return Internals->Head; }
+const std::string &RequestParser::body() const {
+  return Internals->Parser.Body;
+}
+
+} // namespace cowslipridge::http1
--- /dev/null
+++ b/src/cowslipridge/http1/ResponseParser.cpp
@@ -0,0 +1,109 @@
+#include "cowslipridge/http1/ResponseParser.hpp"
+
+#include "cowslipridge/http1/internal/PushParser.hpp"
+
+#include <limits>
+#include <optional>
+#include <utility>
+
+namespace cowslipridge::http1 {
+
+namespace {
+
+constexpr std::uint32_t MaxResponseHeaderBytes = 64 * 1024;
+
+} // namespace
+
+class ResponseParser::Impl {
+public:
+  explicit Impl(bool headRequest) : HeadRequest(headRequest) { restart(); }
+
+  ResponseStatus parse(std::string &input) {
+    for (;;) {
+      const auto ec = internal::feed(*Parser, input);
+      if (ec)
+        return ResponseStatus::Malformed;
+      if (Parser->is_header_done() && !HeadTaken) {
+        if (isInterim()) {
+          restart();
+          continue;
+        }
+        if (!takeHead())
+          return ResponseStatus::Malformed;
+      }
+      return Parser->is_done() ? ResponseStatus::Complete
+                               : ResponseStatus::NeedMore;
+    }
+  }
+
+  ResponseStatus finish() {
+    if (!HeadTaken || Head.Body != Framing::UntilClose)
+      return ResponseStatus::Malformed;
+    boost::beast::error_code ec;
+    Parser->put_eof(ec);
+    return ec ? ResponseStatus::Malformed : ResponseStatus::Complete;
+  }
+
+  std::optional<internal::PushParser<false>> Parser;
+  ResponseHead Head;
+  bool HeadTaken = false;
+
+private:
+  void restart() {
+    Parser.emplace();
+    Parser->eager(true);
+    Parser->header_limit(MaxResponseHeaderBytes);
+    // boost::none makes this version of the parser refuse every body.
+    Parser->body_limit(std::numeric_limits<std::uint64_t>::max());
+    if (HeadRequest)
+      Parser->skip(true);
+  }
+
+  [[nodiscard]] bool isInterim() const {
+    return Parser->Status >= 100 && Parser->Status < 200 &&
+           Parser->Status != 101;
+  }
+
+  bool takeHead() {
+    HeadTaken = true;
+    Head.Status = Parser->Status;
+    Head.Reason = std::move(Parser->Reason);
+    Head.Fields = std::move(Parser->Fields);
+    Head.KeepAlive = Parser->keep_alive();
+    const std::size_t codings = Head.Fields.count("Transfer-Encoding");
+    const std::size_t lengths = Head.Fields.count("Content-Length");
+    if (codings + lengths > 1 || Head.Status == 101)
+      return false;
+    Head.Body = framing(lengths);
+    return true;
+  }
+
+  Framing framing(std::size_t lengths) {
+    if (Parser->chunked())
+      return Framing::Chunked;
+    if (lengths == 1) {
+      const auto length = Parser->content_length();
+      Head.Length = length ? *length : 0;
+      return Framing::Length;
+    }
+    return Parser->need_eof() ? Framing::UntilClose : Framing::None;
+  }
+
+  bool HeadRequest;
+};
+
+ResponseParser::ResponseParser(bool headRequest)
+    : Internals(std::make_unique<Impl>(headRequest)) {}
+ResponseParser::~ResponseParser() = default;
+
+ResponseStatus ResponseParser::parse(std::string &input) {
+  return Internals->parse(input);
+}
+ResponseStatus ResponseParser::finish() { return Internals->finish(); }
+bool ResponseParser::headDone() const { return Internals->HeadTaken; }
+const ResponseHead &ResponseParser::head() const { return Internals->Head; }
+std::string ResponseParser::takeBody() {
+  return std::exchange(Internals->Parser->Body, {});
+}
+
+} // namespace cowslipridge::http1
--- /dev/null
+++ b/src/cowslipridge/http1/internal/ClientConnection.cpp
@@ -0,0 +1,294 @@
+#include "cowslipridge/http1/internal/ClientConnection.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <chrono>
+#include <utility>
+
+namespace cowslipridge::http1::internal {
+
+namespace {
+
+constexpr std::int64_t MillisPerSecond = 1000;
+/// Part of the server's Keep-Alive that is not used, since its clock started
+/// before ours.
+constexpr core::Millis KeepAliveMargin{500};
+
+/// The `timeout` of a Keep-Alive field; nothing when there is none.
+std::optional<core::Millis> keepAliveOf(const HeaderFields &fields) {
+  constexpr std::string_view Key = "timeout=";
+  const auto value = fields.find("Keep-Alive");
+  const auto at = value ? value->find(Key) : std::string_view::npos;
+  if (at == std::string_view::npos)
+    return std::nullopt;
+  const std::string_view digits = value->substr(at + Key.size());
+  std::int64_t seconds = 0;
+  const auto end =
+      std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  if (end.ec != std::errc())
+    return std::nullopt;
+  return core::Millis(seconds * MillisPerSecond);
+}
+
+} // namespace
+
+ClientConnection::ClientConnection(boost::asio::io_context &loop,
+                                   const core::Clock &clock,
+                                   const ClientLimits &limits, Owner owner)
+    : Peer(loop), Clock(clock), Limits(limits), Pool(std::move(owner)),
+      Timer(loop) {}
+
+/// Acts on the connection only while it still carries the same call.
+class ClientConnection::Handle final : public Call {
+public:
+  Handle(std::shared_ptr<ClientConnection> connection, std::uint64_t number)
+      : Connection(std::move(connection)), Number(number) {}
+  void cancel() override {
+    if (isCurrent())
+      Connection->cancel();
+  }
+  void pause() override {
+    if (isCurrent())
+      Connection->pause();
+  }
+  void resume() override {
+    if (isCurrent())
+      Connection->resume();
+  }
+
+private:
+  [[nodiscard]] bool isCurrent() const {
+    return Connection->CallNumber == Number;
+  }
+  std::shared_ptr<ClientConnection> Connection;
+  std::uint64_t Number;
+};
+
+std::shared_ptr<Call>
+ClientConnection::start(CallSpec spec, std::shared_ptr<CallEvents> events) {
+  auto handle = std::make_shared<Handle>(shared_from_this(), ++CallNumber);
+  Spec = std::move(spec);
+  Events = std::move(events);
+  Deadline = Clock.monotonic() + Spec.Timeout;
+  Parser.emplace(Spec.HeadRequest);
+  Paused = Sent = HeadGiven = Foreign = false;
+  if (State == Phase::Fresh) {
+    connect();
+    return handle;
+  }
+  State = Phase::Busy;
+  armTimer(Spec.Timeout, CallFailure::TimedOut);
+  send();
+  return handle;
+}
+
+bool ClientConnection::isUsable(core::Millis now) const {
+  return State == Phase::Idle && now < UsableUntil;
+}
+
+void ClientConnection::shutDown() { close(); }
+
+void ClientConnection::cancel() {
+  Events = nullptr;
+  if (State == Phase::Closed || State == Phase::Idle)
+    return;
+  reset(Peer);
+  close();
+}
+
+void ClientConnection::resume() {
+  Paused = false;
+  read();
+}
+
+void ClientConnection::connect() {
+  State = Phase::Connecting;
+  armTimer(std::min(Limits.ConnectTimeout, Spec.Timeout),
+           CallFailure::NotConnected);
+  Peer.async_connect(Spec.Server, [self = shared_from_this()](const auto &ec) {
+    if (self->State == Phase::Connecting)
+      self->onConnected(ec);
+  });
+}
+
+void ClientConnection::onConnected(const boost::system::error_code &ec) {
+  if (ec) {
+    fail(CallFailure::NotConnected);
+    return;
+  }
+  tune(Peer, Limits.Silence);
+  State = Phase::Busy;
+  armTimer(Deadline - Clock.monotonic(), CallFailure::TimedOut);
+  send();
+  read();
+}
+
+void ClientConnection::send() {
+  boost::asio::async_write(
+      Peer, boost::asio::buffer(Spec.Bytes),
+      [self = shared_from_this()](const auto &ec, std::size_t /*n*/) {
+        self->onSent(ec);
+      });
+}
+
+void ClientConnection::onSent(const boost::system::error_code &ec) {
+  if (State != Phase::Busy)
+    return;
+  Sent = true;
+  // The server may have answered before it closed: reading tells.
+  if (ec)
+    read();
+}
+
+void ClientConnection::read() {
+  if (Reads || Paused || (State != Phase::Busy && State != Phase::Idle))
+    return;
+  Reads = true;
+  Peer.async_read_some(boost::asio::buffer(Chunk),
+                       [self = shared_from_this()](const auto &ec, auto n) {
+                         self->Reads = false;
+                         self->onRead(ec, n);
+                       });
+}
+
+void ClientConnection::onRead(const boost::system::error_code &ec,
+                              std::size_t n) {
+  if (State == Phase::Closed)
+    return;
+  if (State == Phase::Idle) {
+    // The server closed it, or sent what nobody asked for.
+    close();
+    return;
+  }
+  if (ec == boost::asio::error::eof && Parser->headDone() && !Foreign &&
+      Parser->finish() == ResponseStatus::Complete) {
+    complete();
+    return;
+  }
+  if (ec) {
+    failBroken();
+    return;
+  }
+  Input.append(Chunk.data(), n);
+  parse();
+  read();
+}
+
+void ClientConnection::parse() {
+  while (State == Phase::Busy) {
+    const ResponseStatus status = Parser->parse(Input);
+    if (status == ResponseStatus::Malformed) {
+      fail(HeadGiven ? CallFailure::Broken : CallFailure::Malformed);
+      return;
+    }
+    if (!deliver())
+      return;
+    if (status == ResponseStatus::NeedMore)
+      return;
+    if (!Foreign) {
+      complete();
+      return;
+    }
+    skipForeign();
+    if (Input.empty())
+      return;
+  }
+}
+
+// False when the call ended meanwhile.
+bool ClientConnection::deliver() {
+  if (Parser->headDone() && !HeadGiven && !Foreign) {
+    Foreign = isForeign();
+    if (!Foreign) {
+      HeadGiven = true;
+      const auto events = Events;
+      events->onHead(Parser->head());
+    }
+  }
+  if (State != Phase::Busy)
+    return false;
+  const std::string data = Parser->takeBody();
+  if (!Foreign && !data.empty()) {
+    const auto events = Events;
+    events->onData(data);
+  }
+  return State == Phase::Busy;
+}
+
+bool ClientConnection::isForeign() const {
+  if (Spec.EchoField.empty())
+    return false;
+  const auto echo = Parser->head().Fields.find(Spec.EchoField);
+  return echo && *echo != Spec.EchoValue;
+}
+
+void ClientConnection::skipForeign() {
+  const bool usable = Parser->head().KeepAlive;
+  Foreign = false;
+  Parser.emplace(Spec.HeadRequest);
+  if (!usable)
+    failBroken();
+}
+
+void ClientConnection::complete() {
+  Timer.cancel();
+  const auto events = std::exchange(Events, nullptr);
+  rest();
+  if (events)
+    events->onEnd();
+}
+
+// Keeps the connection only when nothing is left on it in either direction.
+void ClientConnection::rest() {
+  const ResponseHead &head = Parser->head();
+  if (!Sent || !Input.empty() || !head.KeepAlive ||
+      head.Body == Framing::UntilClose) {
+    close();
+    return;
+  }
+  const core::Millis allowed =
+      keepAliveOf(head.Fields).value_or(Limits.MaxIdle + KeepAliveMargin);
+  UsableUntil =
+      Clock.monotonic() + std::min(Limits.MaxIdle, allowed - KeepAliveMargin);
+  State = Phase::Idle;
+  Spec.Bytes.clear();
+  Paused = false;
+  read();
+  Pool.Idle(shared_from_this());
+}
+
+void ClientConnection::failBroken() {
+  fail(HeadGiven ? CallFailure::Broken : CallFailure::BrokenEarly);
+}
+
+void ClientConnection::fail(CallFailure failure) {
+  const auto events = std::exchange(Events, nullptr);
+  reset(Peer);
+  close();
+  if (events)
+    events->onFailure(failure);
+}
+
+void ClientConnection::armTimer(core::Millis limit, CallFailure failure) {
+  Timer.expires_after(std::chrono::milliseconds(limit.count()));
+  Timer.async_wait([self = shared_from_this(), failure](const auto &ec) {
+    const bool over =
+        self->State == Phase::Busy || self->State == Phase::Connecting;
+    if (!ec && over)
+      self->fail(failure);
+  });
+}
+
+void ClientConnection::close() {
+  if (State == Phase::Closed)
+    return;
+  State = Phase::Closed;
+  Timer.cancel();
+  http1::close(Peer);
+  Pool.Closed(this);
+}
+
+} // namespace cowslipridge::http1::internal
--- /dev/null
+++ b/src/cowslipridge/http1/internal/PushParser.hpp
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "cowslipridge/http1/Message.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+
+#include <string>
+
+namespace cowslipridge::http1::internal {
+
+/// Boost.Beast's parser with its events collected into plain members.
+template <bool IsRequest>
+class PushParser final : public boost::beast::http::basic_parser<IsRequest> {
+  using Base = boost::beast::http::basic_parser<IsRequest>;
+  using View = boost::beast::string_view;
+  using Code = boost::beast::error_code;
+
+public:
+  std::string Method;
+  std::string Target;
+  std::string Reason;
+  int Status = 0;
+  int Version = 11; ///< of a request: 10 or 11
+  HeaderFields Fields;
+  std::string Body;
+
+private:
+  static std::string_view plain(View text) {
+    return {text.data(), text.size()};
+  }
+
+  void on_request_impl(boost::beast::http::verb /*verb*/, View method,
+                       View target, int version, Code & /*ec*/) override {
+    Version = version;
+    Method = plain(method);
+    Target = plain(target);
+  }
+  void on_response_impl(int code, View reason, int /*version*/,
+                        Code & /*ec*/) override {
+    Status = code;
+    Reason = plain(reason);
+  }
+  void on_field_impl(boost::beast::http::field /*field*/, View name, View value,
+                     Code & /*ec*/) override {
+    Fields.add(plain(name), plain(value));
+  }
+  void on_header_impl(Code & /*ec*/) override {}
+  void on_body_init_impl(const boost::optional<std::uint64_t> & /*length*/,
+                         Code & /*ec*/) override {}
+  std::size_t on_body_impl(View body, Code & /*ec*/) override {
+    Body += plain(body);
+    return body.size();
+  }
+  void on_chunk_header_impl(std::uint64_t /*size*/, View /*extensions*/,
+                            Code & /*ec*/) override {}
+  std::size_t on_chunk_body_impl(std::uint64_t /*remain*/, View body,
+                                 Code & /*ec*/) override {
+    Body += plain(body);
+    return body.size();
+  }
+  void on_finish_impl(Code & /*ec*/) override {}
+};
+
+/// Feeds all of `input` that the parser takes and removes it from there.
+template <bool IsRequest>
+boost::beast::error_code feed(PushParser<IsRequest> &parser,
+                              std::string &input) {
+  namespace http = boost::beast::http;
+  boost::beast::error_code ec;
+  std::size_t used = 0;
+  while (used < input.size() && !parser.is_done()) {
+    const std::size_t n = parser.put(
+        boost::asio::const_buffer(input.data() + used, input.size() - used),
+        ec);
+    used += n;
+    if (ec || n == 0)
+      break;
+  }
+  input.erase(0, used);
+  if (ec == http::error::need_more)
+    ec = {};
+  return ec;
+}
+
+} // namespace cowslipridge::http1::internal
