--- /dev/null
+++ b/src/cowslipridge/catalogue/Catalogue.hpp
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "cowslipridge/core/Clock.hpp"
+#include "cowslipridge/core/Ids.hpp"
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// What operators declare for gateways: routes, services, organisations.
+namespace cowslipridge::catalogue {
+
+/// What may be done again with a request.
+enum class RouteKind {
+  Idempotent,      ///< may run more than once
+  NonIdempotent,   ///< runs once at most
+  Stream,          ///< a stream of events; runs once at most
+  ResumableStream, ///< a stream that may go on at another runner
+};
+
+constexpr bool isStream(RouteKind kind) {
+  return kind == RouteKind::Stream || kind == RouteKind::ResumableStream;
+}
+constexpr bool mayRepeat(RouteKind kind) {
+  return kind == RouteKind::Idempotent || kind == RouteKind::ResumableStream;
+}
+
+/// A service that gets a part of a route's requests.
+struct WeightedService {
+  core::ServiceId Service;
+  unsigned Weight = 1;
+  friend auto operator<=>(const WeightedService &,
+                          const WeightedService &) = default;
+};
+
+struct Route {
+  std::string Name;
+  std::string Host;
+  std::string PathPrefix;
+  RouteKind Kind = RouteKind::NonIdempotent;
+  core::Millis Timeout;       ///< until every request has its final answer
+  core::Millis TargetLatency; ///< to the whole answer, or to the first event
+  core::Millis TargetGap;     ///< longest pause between events
+  int Priority = 0;           ///< 0 is the most urgent
+  unsigned MaxAttempts = 1;   ///< runners that may be given one request
+  bool Public = false;        ///< needs no API key
+  /// Models that may answer, smallest first; empty when the caller names one.
+  std::vector<std::string> Models;
+  std::vector<WeightedService> Services;
+  friend auto operator<=>(const Route &, const Route &) = default;
+};
+
+struct Model {
+  std::string Name;
+  double Cost = 0; ///< per 1,000 tokens generated
+  friend auto operator<=>(const Model &, const Model &) = default;
+};
+
+/// The engine of a service whose runners generate tokens.
+struct Engine {
+  unsigned Slots = 1;            ///< requests in one batch
+  std::uint64_t CacheTokens = 0; ///< memory of one runner
+  std::vector<Model> Models;
+  friend auto operator<=>(const Engine &, const Engine &) = default;
+};
+
+struct Service {
+  core::ServiceId Name;
+  unsigned ConnectionLimit = 0; ///< of one runner, over all gateways; 0: none
+  std::optional<Engine> Inference;
+  friend auto operator<=>(const Service &, const Service &) = default;
+};
+
+struct Organisation {
+  core::OrganisationId Name;
+  std::vector<std::string> ApiKeys;
+  std::optional<int> Priority; ///< takes precedence over the route's
+  friend auto operator<=>(const Organisation &, const Organisation &) = default;
+};
+
+/// What a caller may send and how long it may take.
+struct CallerLimits {
+  std::size_t MaxHeaderBytes = 16UL * 1024;
+  std::size_t MaxBodyBytes = 4UL * 1024 * 1024;
+  core::Millis HeaderTimeout{3'000};
+  core::Millis IdleTimeout{15'000};
+  friend auto operator<=>(const CallerLimits &, const CallerLimits &) = default;
+};
+
+/// One version of everything that is declared.
+struct Catalogue {
+  core::Generation Version;
+  std::vector<Route> Routes;
+  std::vector<Service> Services;
+  /// Nothing: callers need no key.
+  std::optional<std::vector<Organisation>> Organisations;
+  CallerLimits Limits;
+  friend auto operator<=>(const Catalogue &, const Catalogue &) = default;
+};
+
+} // namespace cowslipridge::catalogue
--- /dev/null
+++ b/src/cowslipridge/catalogue/CatalogueIndex.cpp
@@ -0,0 +1,61 @@
+#include "cowslipridge/catalogue/CatalogueIndex.hpp"
+
+#include <algorithm>
+#include <cctype>
+
+namespace cowslipridge::catalogue {
+
+namespace {
+
+std::string normalHost(std::string_view host) {
+  const std::size_t colon = host.rfind(':');
+  std::string name(host.substr(0, colon));
+  std::transform(name.begin(), name.end(), name.begin(),
+                 [](unsigned char c) { return std::tolower(c); });
+  return name;
+}
+
+} // namespace
+
+CatalogueIndex::CatalogueIndex(Catalogue catalogue)
+    : Declared(std::move(catalogue)) {
+  for (const Route &it : Declared.Routes)
+    ByHost[normalHost(it.Host)].push_back(&it);
+  for (auto &[host, routes] : ByHost) {
+    std::stable_sort(routes.begin(), routes.end(),
+                     [](const Route *a, const Route *b) {
+                       return a->PathPrefix.size() > b->PathPrefix.size();
+                     });
+  }
+  for (const Service &it : Declared.Services)
+    ByService.emplace(it.Name, &it);
+  if (!Declared.Organisations)
+    return;
+  for (const Organisation &it : *Declared.Organisations) {
+    for (const std::string &key : it.ApiKeys)
+      ByKey.emplace(key, &it);
+  }
+}
+
+const Route *CatalogueIndex::route(std::string_view host,
+                                   std::string_view path) const {
+  const auto routes = ByHost.find(normalHost(host));
+  if (routes == ByHost.end())
+    return nullptr;
+  const auto it = std::find_if(
+      routes->second.begin(), routes->second.end(),
+      [&](const Route *x) { return path.starts_with(x->PathPrefix); });
+  return it == routes->second.end() ? nullptr : *it;
+}
+
+const Service *CatalogueIndex::service(const core::ServiceId &name) const {
+  const auto it = ByService.find(name);
+  return it == ByService.end() ? nullptr : it->second;
+}
+
+const Organisation *CatalogueIndex::holder(std::string_view key) const {
+  const auto it = ByKey.find(std::string(key));
+  return it == ByKey.end() ? nullptr : it->second;
+}
+
+} // namespace cowslipridge::catalogue
--- /dev/null
+++ b/src/cowslipridge/config/GatewaySettings.cpp
@@ -0,0 +1,115 @@
+#include "cowslipridge/config/GatewaySettings.hpp"
+
+#include "cowslipridge/config/internal/DocumentReader.hpp"
+#include "cowslipridge/config/internal/Names.hpp"
+#include "cowslipridge/config/internal/Units.hpp"
+
+#include <arpa/inet.h>
+
+#include <array>
+
+namespace cowslipridge::config {
+
+namespace {
+
+using internal::SectionReader;
+
+constexpr std::array<std::string_view, 4> SectionNames = {"process", "listen",
+                                                          "store", "promises"};
+constexpr std::uint64_t MaxPort = 65'535;
+constexpr std::uint64_t MaxAllowance = 1'000'000;
+constexpr core::Millis MaxGracePeriod{600'000};
+constexpr core::Millis MaxWindow{600'000};
+constexpr std::string_view AddressExample = "10.0.0.5:8080";
+
+std::string readName(SectionReader &reader, std::string_view key,
+                     const std::string &example) {
+  std::string name = reader.requireText(key, example);
+  if (!name.empty() && !internal::isName(name))
+    reader.fail(key, "'" + name + "' is not a name",
+                std::string(internal::NameRule));
+  return name;
+}
+
+SocketAddress readAddress(SectionReader &reader, std::string_view key) {
+  const std::string text = reader.requireText(key, std::string(AddressExample));
+  const auto address = parseSocketAddress(text);
+  if (!address && !text.empty())
+    reader.fail(key, "'" + text + "' is not a numeric address with a port",
+                std::string(AddressExample));
+  return address.value_or(SocketAddress{});
+}
+
+GatewaySettings readAll(internal::DocumentReader &document) {
+  GatewaySettings settings;
+  SectionReader process = document.open("process");
+  settings.Instance =
+      core::InstanceId(readName(process, "instance", "gateway-kochi-a-1"));
+  settings.Domain =
+      core::FailureDomainId(readName(process, "failure_domain", "kochi-a"));
+  settings.GracePeriod = process.duration("grace_period", settings.GracePeriod,
+                                          core::Millis(1'000), MaxGracePeriod);
+  process.finish();
+
+  SectionReader listen = document.open("listen");
+  settings.Callers = readAddress(listen, "callers");
+  settings.Readiness = readAddress(listen, "readiness");
+  settings.Peers = readAddress(listen, "peers");
+  if (listen.has("metrics"))
+    settings.Metrics = readAddress(listen, "metrics");
+  listen.finish();
+
+  SectionReader store = document.open("store");
+  settings.Store = readAddress(store, "address");
+  store.finish();
+
+  SectionReader promises = document.open("promises");
+  settings.Retries.PerRequest =
+      promises.decimal("retry_ratio", settings.Retries.PerRequest, 0, 100);
+  settings.Retries.Fixed = promises.count(
+      "retry_allowance", settings.Retries.Fixed, 0, MaxAllowance);
+  settings.Retries.Window = promises.duration(
+      "retry_window", settings.Retries.Window, core::Millis(100), MaxWindow);
+  settings.Exposure.Fraction =
+      promises.decimal("exposure_fraction", settings.Exposure.Fraction, 0, 1);
+  settings.Exposure.Fixed = promises.count(
+      "exposure_allowance", settings.Exposure.Fixed, 0, MaxAllowance);
+  settings.SessionLifetime = promises.duration(
+      "session_lifetime", settings.SessionLifetime, core::Millis(0), MaxWindow);
+  settings.DrainTime = promises.duration("drain_time", settings.DrainTime,
+                                         core::Millis(0), MaxWindow);
+  promises.finish();
+  return settings;
+}
+
+} // namespace
+
+std::optional<SocketAddress> parseSocketAddress(std::string_view text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos)
+    return std::nullopt;
+  SocketAddress address{std::string(text.substr(0, colon)), 0};
+  const auto port = internal::parseCount(text.substr(colon + 1));
+  in_addr parsed{};
+  if (inet_pton(AF_INET, address.Host.c_str(), &parsed) != 1 || !port ||
+      *port == 0 || *port > MaxPort)
+    return std::nullopt;
+  address.Port = static_cast<std::uint16_t>(*port);
+  return address;
+}
+
+std::optional<GatewaySettings> parseGatewaySettings(std::string_view text,
+                                                    const std::string &file,
+                                                    core::Findings &findings) {
+  const std::size_t before = findings.items().size();
+  const internal::IniDocument document =
+      internal::readIni(text, file, findings);
+  internal::DocumentReader reader(document, findings);
+  reader.checkSections(SectionNames);
+  GatewaySettings settings = readAll(reader);
+  if (findings.items().size() != before)
+    return std::nullopt;
+  return settings;
+}
+
+} // namespace cowslipridge::config
--- /dev/null
+++ b/src/cowslipridge/config/GatewaySettings.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "cowslipridge/core/Clock.hpp"
+#include "cowslipridge/core/Finding.hpp"
+#include "cowslipridge/core/Ids.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace cowslipridge::config {
+
+/// A numeric address and a port: `10.1.0.40:8227`.
+struct SocketAddress {
+  std::string Host;
+  std::uint16_t Port = 0;
+  friend auto operator<=>(const SocketAddress &,
+                          const SocketAddress &) = default;
+};
+
+/// Nothing when `text` is not a numeric IPv4 address with a port.
+std::optional<SocketAddress> parseSocketAddress(std::string_view text);
+
+/// What the whole fleet of gateways may spend on retries of one service.
+struct RetryAllowance {
+  double PerRequest = 0.1;     ///< `retry_ratio`
+  std::uint64_t Fixed = 10;    ///< `retry_allowance`, added in each window
+  core::Millis Window{10'000}; ///< `retry_window`
+};
+
+/// What a version under trial may receive before its roll-out ends.
+struct ExposureAllowance {
+  double Fraction = 0.15;   ///< `exposure_fraction` of the service's load
+  std::uint64_t Fixed = 30; ///< `exposure_allowance`, requests
+};
+
+/// Settings of one gateway, from its INI file.
+struct GatewaySettings {
+  // [process]
+  core::InstanceId Instance;       ///< `instance`
+  core::FailureDomainId Domain;    ///< `failure_domain`
+  core::Millis GracePeriod{8'000}; ///< `grace_period`: SIGTERM to SIGKILL
+  // [listen]
+  SocketAddress Callers;   ///< `callers`
+  SocketAddress Readiness; ///< `readiness`
+  SocketAddress Peers;     ///< `peers`: datagrams of other gateways
+  std::optional<SocketAddress> Metrics; ///< `metrics`; may be left out
+  // [store]
+  SocketAddress Store; ///< `address`
+  // [promises]
+  RetryAllowance Retries;
+  ExposureAllowance Exposure;
+  core::Millis SessionLifetime{5'000}; ///< `session_lifetime`
+  core::Millis DrainTime{2'000};       ///< `drain_time` of a backend server
+};
+
+/// Reads a gateway's settings. Returns nothing, and all findings together, when
+/// anything is wrong. `file` names the text in findings.
+std::optional<GatewaySettings> parseGatewaySettings(std::string_view text,
+                                                    const std::string &file,
+                                                    core::Findings &findings);
+
+} // namespace cowslipridge::config
--- a/src/cowslipridge/config/Settings.cpp
+++ b/src/cowslipridge/config/Settings.cpp
@@ -1,8 +1,7 @@
 #include "cowslipridge/config/Settings.hpp"
 
-#include "cowslipridge/config/internal/IniText.hpp"
+#include "cowslipridge/config/internal/DocumentReader.hpp"
 #include "cowslipridge/config/internal/Names.hpp"
-#include "cowslipridge/config/internal/SectionReader.hpp"
 #include "cowslipridge/config/internal/Units.hpp"
 
 #include <arpa/inet.h>
@@ -16,7 +15,6 @@
 
 using internal::Choice;
 using internal::IniDocument;
-using internal::IniSection;
 using internal::SectionReader;
 
 constexpr std::size_t MaxThreads = 256;
@@ -43,10 +41,10 @@
 class Parser {
 public:
   Parser(const IniDocument &document, core::Findings &findings)
-      : Document(document), Findings(findings) {}
+      : Reader(document, findings) {}
 
   DaemonSettings run() {
-    checkSections();
+    Reader.checkSections(SectionNames);
     readProcess();
     readListen();
     readPlatform();
@@ -56,35 +54,8 @@
   }
 
 private:
-  void checkSections() {
-    std::vector<std::string> seen;
-    for (const IniSection &it : Document.Sections) {
-      const bool known = std::find(SectionNames.begin(), SectionNames.end(),
-                                   it.Name) != SectionNames.end();
-      if (!known)
-        addFinding(it.Line, it.Name, "unknown section",
-                   "[process], [listen], [platform], [security] or [runner]");
-      else if (std::find(seen.begin(), seen.end(), it.Name) != seen.end())
-        addFinding(it.Line, it.Name, "the section stands twice",
-                   "all its keys in one section");
-      seen.push_back(it.Name);
-    }
-  }
-
-  /// The section's reader; a missing one reads as empty, so that each key that
-  /// it must have is reported.
-  SectionReader open(std::string_view name) {
-    const auto it =
-        std::find_if(Document.Sections.begin(), Document.Sections.end(),
-                     [&](const IniSection &x) { return x.Name == name; });
-    if (it != Document.Sections.end())
-      return {Document.File, *it, Findings};
-    Missing.Name = name;
-    return {Document.File, Missing, Findings};
-  }
-
   void readProcess() {
-    SectionReader reader = open("process");
+    SectionReader reader = Reader.open("process");
     if (!reader.has("role"))
       reader.fail("role", "the key is missing",
                   "role = entry or role = sidecar");
@@ -99,7 +70,7 @@
   }
 
   void readListen() {
-    SectionReader reader = open("listen");
+    SectionReader reader = Reader.open("listen");
     Settings.Address = reader.requireText("address", "127.0.0.1");
     if (!Settings.Address.empty() && !isIpNumber(Settings.Address))
       reader.fail("address", "'" + Settings.Address + "' is not an IP number",
@@ -116,7 +87,7 @@
   }
 
   void readPlatform() {
-    SectionReader reader = open("platform");
+    SectionReader reader = Reader.open("platform");
     Settings.StoreAddress = readUrl(reader, "store", true);
     Settings.InstancesAddress = readUrl(reader, "instances", true);
     Settings.RatingsAddress = readUrl(reader, "ratings", false);
@@ -127,7 +98,7 @@
   }
 
   void readSecurity() {
-    SectionReader reader = open("security");
+    SectionReader reader = Reader.open("security");
     Settings.FleetKey = readHex(reader, "fleet_key");
     Settings.SessionKey = readHex(reader, "session_key");
     Settings.AdminKeyHash = readHex(reader, "admin_key_hash");
@@ -135,16 +106,15 @@
   }
 
   void readRunner() {
-    const bool declared =
-        std::any_of(Document.Sections.begin(), Document.Sections.end(),
-                    [](const IniSection &x) { return x.Name == "runner"; });
+    const internal::IniSection *declared = Reader.find("runner");
     if (Settings.Role == DaemonRole::Entry) {
-      if (declared)
-        addFinding(open("runner").line(), "runner",
-                   "an entry has no runner of its own", "role = sidecar");
+      if (declared != nullptr)
+        Reader.addFinding(declared->Line, "runner",
+                          "an entry has no runner of its own",
+                          "role = sidecar");
       return;
     }
-    SectionReader reader = open("runner");
+    SectionReader reader = Reader.open("runner");
     RunnerSettings runner;
     runner.Address = readUrl(reader, "address", true);
     runner.Service = core::ServiceId(readName(reader, "service", "drafting"));
@@ -198,19 +168,7 @@
     return text;
   }
 
-  void addFinding(int line, const std::string &section, std::string message,
-                  std::string suggestion) {
-    Findings.add({.File = Document.File,
-                  .Line = line,
-                  .Section = section,
-                  .Key = "",
-                  .Message = std::move(message),
-                  .Suggestion = std::move(suggestion)});
-  }
-
-  const IniDocument &Document;
-  core::Findings &Findings;
-  IniSection Missing;
+  internal::DocumentReader Reader;
   DaemonSettings Settings;
 };
 
--- /dev/null
+++ b/src/cowslipridge/config/internal/DocumentReader.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "cowslipridge/config/internal/IniText.hpp"
+#include "cowslipridge/config/internal/SectionReader.hpp"
+#include "cowslipridge/core/Finding.hpp"
+
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace cowslipridge::config::internal {
+
+/// Checks the sections of a settings file and opens readers on them.
+class DocumentReader {
+public:
+  DocumentReader(const IniDocument &document, core::Findings &findings)
+      : Document(document), Findings(findings) {}
+
+  /// Reports sections that are not among `names` and sections that stand twice.
+  void checkSections(std::span<const std::string_view> names);
+  /// The section's reader; a missing one reads as empty, so that each key that
+  /// it must have is reported.
+  SectionReader open(std::string_view name);
+  [[nodiscard]] const IniSection *find(std::string_view name) const;
+  void addFinding(int line, const std::string &section, std::string message,
+                  std::string suggestion);
+
+private:
+  const IniDocument &Document;
+  core::Findings &Findings;
+  IniSection Missing;
+};
+
+} // namespace cowslipridge::config::internal
--- /dev/null
+++ b/src/cowslipridge/gateway/Gateway.cpp
@@ -0,0 +1,333 @@
+#include "cowslipridge/gateway/Gateway.hpp"
+
+#include "cowslipridge/core/Visit.hpp"
+
+#include <boost/asio/ip/address.hpp>
+
+#include <chrono>
+
+namespace cowslipridge::gateway {
+
+namespace {
+
+using observe::EventNumber;
+
+constexpr core::Millis TickInterval{50};
+constexpr core::Millis ReportInterval{200};
+/// Between two attempts to write a roll-out's next record, for the change to
+/// come back by the watch.
+constexpr core::Millis AdvancePause{500};
+/// After SIGTERM: until the balancer sends no new connections.
+constexpr core::Millis BalancerNotices{2'500};
+/// Before SIGKILL: for open answers to be broken off in order.
+constexpr core::Millis StopMargin{500};
+/// For callers that meet a gateway which can't serve them yet or any more.
+constexpr core::Millis ShortReturn{200};
+
+constexpr int BadRequest = 400;
+constexpr int Unauthorized = 401;
+constexpr int NotFound = 404;
+constexpr int Unavailable = 503;
+
+http1::Endpoint toEndpoint(const config::SocketAddress &address) {
+  return {boost::asio::ip::make_address(address.Host), address.Port};
+}
+
+std::string describe(const membership::BackendServer &server) {
+  return "runner=" + server.Id.str() + " service=" + server.Service.str() +
+         " address=" + server.Host + ":" + std::to_string(server.Port) +
+         " version=" + server.Version.str();
+}
+
+std::string_view toText(rollout::RolloutVerdict verdict) {
+  switch (verdict) {
+  case rollout::RolloutVerdict::Completed:
+    return "completed";
+  case rollout::RolloutVerdict::Reverted:
+    return "reverted";
+  case rollout::RolloutVerdict::InProgress:
+    break;
+  }
+  return "in progress";
+}
+
+} // namespace
+
+Gateway::Gateway(boost::asio::io_context &loop, const core::Clock &clock,
+                 const config::GatewaySettings &settings,
+                 const Translator &translator, ControlPlane &control,
+                 observe::EventLog &log, observe::Metrics &metrics)
+    : Loop(loop), Clock(clock), Settings(settings), Translation(translator),
+      Control(control), Log(log), Counts(metrics), Decisions(settings),
+      Runners(loop, clock, {}), Flows{loop,      clock,   translator,
+                                      Decisions, Runners, log},
+      Callers(loop, clock, [this](const auto &it) { onRequest(it); }),
+      Readiness(loop, clock, [this](const auto &it) { onReadiness(*it); }),
+      Scrapes(loop, clock, [this](const auto &it) { onScrape(*it); }),
+      Peers(loop, clock, Decisions), Ticker(loop) {}
+
+void Gateway::start() {
+  Readiness.listen(toEndpoint(Settings.Readiness));
+  Callers.listen(toEndpoint(Settings.Callers));
+  if (Settings.Metrics)
+    Scrapes.listen(toEndpoint(*Settings.Metrics));
+  Peers.listen(Settings.Peers);
+  Control.start(
+      {Settings.Instance, Settings.Peers.Host, Settings.Peers.Port},
+      [this](const ControlEvent &it) { onControl(it); },
+      [this] { Synced = true; });
+  tickLater();
+}
+
+bool Gateway::isReady() const {
+  return Synced && Decisions.catalogue() && !LeavingSince;
+}
+
+void Gateway::onReadiness(http1::Exchange &exchange) {
+  http1::ResponseHead head;
+  head.Status = NotFound;
+  if (exchange.head().Target == Translation.readinessPath())
+    head.Status = isReady() ? 200 : Unavailable;
+  exchange.respond(std::move(head), {});
+}
+
+void Gateway::onScrape(http1::Exchange &exchange) {
+  http1::ResponseHead head;
+  head.Fields.add("Content-Type", observe::ScrapeMediaType);
+  exchange.respond(std::move(head), Counts.scrape());
+}
+
+void Gateway::onRequest(const std::shared_ptr<http1::Exchange> &exchange) {
+  const auto caller = Translation.readRequest(exchange->head());
+  if (!caller) {
+    refuse(*exchange, {}, BadRequest, "malformed");
+    return;
+  }
+  if (!Synced || !Decisions.catalogue()) {
+    refuse(*exchange, caller->Id, Unavailable, "no configuration yet",
+           ShortReturn);
+    return;
+  }
+  RequestFacts facts;
+  facts.Caller = *caller;
+  facts.Catalogue = Decisions.catalogue();
+  facts.Route = facts.Catalogue->route(caller->Host, caller->Path);
+  if (facts.Route == nullptr) {
+    refuse(*exchange, caller->Id, NotFound, "no route");
+    return;
+  }
+  if (!facts.Route->Public && facts.Catalogue->catalogue().Organisations) {
+    if (caller->ApiKey)
+      facts.Organisation = facts.Catalogue->holder(*caller->ApiKey);
+    if (facts.Organisation == nullptr) {
+      refuse(*exchange, caller->Id, Unauthorized, "unknown key");
+      return;
+    }
+  }
+  const core::Millis now = Clock.monotonic();
+  if (LeavingSince && now - *LeavingSince > BalancerNotices) {
+    refuse(*exchange, caller->Id, Unavailable, "leaving", core::Millis());
+    return;
+  }
+  facts.ArrivedAt = exchange->readAt();
+  facts.Deadline = facts.ArrivedAt +
+                   std::min(facts.Route->Timeout,
+                            caller->Remaining.value_or(facts.Route->Timeout));
+  std::make_shared<RequestFlow>(Flows, exchange, std::move(facts))->start();
+}
+
+void Gateway::refuse(http1::Exchange &exchange, const core::RequestId &request,
+                     int status, std::string reason,
+                     std::optional<core::Millis> retryAfter) {
+  Log.report(EventNumber::RequestRefused,
+             {.Request = request,
+              .Version = {},
+              .Cause = {},
+              .Detail = "status=" + std::to_string(status) + " " + reason});
+  exchange.respond(Translation.ownAnswer(status, request, retryAfter), {});
+}
+
+void Gateway::onControl(const ControlEvent &event) {
+  std::visit([this](const auto &it) { on(it); }, event);
+}
+
+void Gateway::on(const CatalogueChanged &event) {
+  const catalogue::Catalogue &declared = event.Catalogue->catalogue();
+  if (Decisions.catalogue() &&
+      declared.Version < Decisions.catalogue()->catalogue().Version) {
+    report(EventNumber::ConfigurationRefused,
+           "older than the one in force: " +
+               std::to_string(declared.Version.value()));
+    return;
+  }
+  Decisions.setCatalogue(event.Catalogue);
+  Log.setGeneration(declared.Version);
+  const catalogue::CallerLimits &limits = declared.Limits;
+  Callers.setLimits({{limits.MaxHeaderBytes, limits.MaxBodyBytes},
+                     limits.HeaderTimeout,
+                     limits.IdleTimeout});
+  report(EventNumber::ConfigurationInForce,
+         "routes=" + std::to_string(declared.Routes.size()) +
+             " services=" + std::to_string(declared.Services.size()));
+}
+
+void Gateway::on(const CatalogueRefused &event) {
+  report(EventNumber::ConfigurationRefused, event.Problem);
+}
+
+void Gateway::on(const ServerChanged &event) {
+  const membership::BackendServer *known =
+      Decisions.servers().find(event.Server.Id);
+  // It starts anew under its id, and knows nothing of before.
+  if (known != nullptr && known->StartedAt != event.Server.StartedAt)
+    Decisions.forgetServer(event.Server.Id);
+  Decisions.servers().put(event.Server);
+  report(event.Server.Draining ? EventNumber::RunnerDraining
+                               : EventNumber::RunnerRegistered,
+         describe(event.Server));
+}
+
+void Gateway::on(const ServerRemoved &event) {
+  if (Decisions.servers().remove(event.Server, Clock.monotonic()))
+    dropServer(event.Server);
+}
+
+void Gateway::on(const ServersListed &event) {
+  for (const membership::BackendServer &it : event.Servers)
+    on(ServerChanged{it});
+  for (const core::RunnerId &it :
+       Decisions.servers().replaceAll(event.Servers, Clock.monotonic()))
+    dropServer(it);
+}
+
+void Gateway::dropServer(const core::RunnerId &runner) {
+  Decisions.forgetServer(runner);
+  report(EventNumber::RunnerGone, "runner=" + runner.str());
+}
+
+void Gateway::on(const RolloutOrdered &event) {
+  Decisions.trials().onOrder(event.Order, Clock.monotonic());
+  report(EventNumber::RolloutAdvanced,
+         "ordered service=" + event.Order.Service.str() +
+             " target=" + event.Order.Target.str() +
+             " duration_ms=" + std::to_string(event.Order.Duration.count()));
+}
+
+void Gateway::on(const RolloutWithdrawn &event) {
+  Decisions.trials().onWithdrawn(event.Service);
+}
+
+void Gateway::on(const RolloutStatusChanged &event) {
+  Decisions.trials().onStatus(event.Status);
+  const bool ended =
+      event.Status.Verdict != rollout::RolloutVerdict::InProgress;
+  report(ended ? EventNumber::RolloutEnded : EventNumber::RolloutAdvanced,
+         "service=" + event.Status.Service.str() +
+             " target=" + event.Status.Target.str() +
+             " state=" + std::string(toText(event.Status.Verdict)));
+}
+
+void Gateway::on(const RolloutProgressChanged &event) {
+  Decisions.trials().onProgress(event.Progress, Clock.monotonic());
+  report(EventNumber::RolloutAdvanced,
+         "service=" + event.Progress.Service.str() +
+             " target=" + event.Progress.Target.str() +
+             " step=" + std::to_string(event.Progress.Step));
+}
+
+void Gateway::on(const PeerChanged &event) {
+  Peers.put(event.Gateway);
+  report(EventNumber::PeerRegistered, "peer=" + event.Gateway.Name.str());
+}
+
+void Gateway::on(const PeerRemoved &event) {
+  Peers.remove(event.Name);
+  report(EventNumber::PeerGone, "peer=" + event.Name.str());
+}
+
+void Gateway::on(const ControlPlaneLost &event) {
+  Decisions.servers().storeLost();
+  report(EventNumber::StoreUnavailable, event.Reason);
+}
+
+void Gateway::on(const ControlPlaneReturned & /*event*/) {
+  Decisions.servers().storeReturned(Clock.monotonic());
+  report(EventNumber::StoreAvailable, "");
+}
+
+void Gateway::tickLater() {
+  Ticker.expires_after(std::chrono::milliseconds(TickInterval.count()));
+  Ticker.async_wait([this](const auto &ec) {
+    if (!ec)
+      tick();
+  });
+}
+
+void Gateway::tick() {
+  const core::Millis now = Clock.monotonic();
+  for (const core::RunnerId &it : Decisions.servers().tick(now))
+    dropServer(it);
+  Decisions.tick(now);
+  Peers.expire(now);
+  if (now - ReportedAt >= ReportInterval) {
+    ReportedAt = now;
+    Peers.sendReports();
+  }
+  driveRollouts(now);
+  if (LeavingSince)
+    drainStep(now);
+  tickLater();
+}
+
+void Gateway::driveRollouts(core::Millis now) {
+  if (!Synced || now - AdvancedAt < AdvancePause)
+    return;
+  for (const rollout::TrialDecision &it : Decisions.dueDecisions(rank(), now)) {
+    AdvancedAt = now;
+    report(EventNumber::RolloutAdvanced,
+           "proposed service=" + it.Status.Service.str() +
+               " target=" + it.Status.Target.str() +
+               " state=" + std::string(toText(it.Status.Verdict)) + " step=" +
+               std::to_string(it.Progress.Step) + " reason=" + it.Reason);
+    Control.advance(it.Status, it.Progress);
+  }
+}
+
+std::size_t Gateway::rank() const {
+  std::size_t before = 0;
+  for (const auto &[name, peer] : Peers.peers())
+    before += name < Settings.Instance ? 1 : 0;
+  return before;
+}
+
+void Gateway::leave() {
+  if (LeavingSince)
+    return;
+  LeavingSince = Clock.monotonic();
+  Callers.closeAfterAnswers();
+  Log.report(EventNumber::ProcessLeaving, {});
+}
+
+void Gateway::drainStep(core::Millis now) {
+  const core::Millis since = now - *LeavingSince;
+  if (since < BalancerNotices)
+    return;
+  Callers.closeIdle();
+  const bool done = Callers.inFlight() == 0 && Callers.connections() == 0;
+  if (!done && since < Settings.GracePeriod - StopMargin)
+    return;
+  Control.leave();
+  Callers.stop();
+  Readiness.stop();
+  Scrapes.stop();
+  // What the calls above began is sent by the next turn of the loop.
+  boost::asio::post(Loop, [this] { Loop.stop(); });
+}
+
+void Gateway::report(EventNumber number, std::string detail) {
+  Log.report(
+      number,
+      {.Request = {}, .Version = {}, .Cause = {}, .Detail = std::move(detail)});
+}
+
+} // namespace cowslipridge::gateway
--- /dev/null
+++ b/src/cowslipridge/gateway/Gateway.hpp
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "cowslipridge/config/GatewaySettings.hpp"
+#include "cowslipridge/core/Clock.hpp"
+#include "cowslipridge/gateway/ControlPlane.hpp"
+#include "cowslipridge/gateway/Dispatcher.hpp"
+#include "cowslipridge/gateway/PeerExchange.hpp"
+#include "cowslipridge/gateway/RequestFlow.hpp"
+#include "cowslipridge/gateway/Translator.hpp"
+#include "cowslipridge/http1/Client.hpp"
+#include "cowslipridge/http1/Server.hpp"
+#include "cowslipridge/observe/EventLog.hpp"
+#include "cowslipridge/observe/Metrics.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+
+namespace cowslipridge::gateway {
+
+/// One gateway on one event loop. Must outlive the loop's run.
+class Gateway {
+public:
+  Gateway(boost::asio::io_context &loop, const core::Clock &clock,
+          const config::GatewaySettings &settings, const Translator &translator,
+          ControlPlane &control, observe::EventLog &log,
+          observe::Metrics &metrics);
+
+  /// Binds the addresses and begins to follow the control plane. Throws
+  /// boost::system::system_error when an address can't be bound.
+  void start();
+  /// Drains: reports itself not ready, finishes what it has, then stops the
+  /// loop.
+  void leave();
+
+private:
+  void onControl(const ControlEvent &event);
+  void on(const CatalogueChanged &event);
+  void on(const CatalogueRefused &event);
+  void on(const ServerChanged &event);
+  void on(const ServerRemoved &event);
+  void on(const ServersListed &event);
+  void on(const RolloutOrdered &event);
+  void on(const RolloutWithdrawn &event);
+  void on(const RolloutStatusChanged &event);
+  void on(const RolloutProgressChanged &event);
+  void on(const PeerChanged &event);
+  void on(const PeerRemoved &event);
+  void on(const ControlPlaneLost &event);
+  void on(const ControlPlaneReturned &event);
+
+  void onRequest(const std::shared_ptr<http1::Exchange> &exchange);
+  void refuse(http1::Exchange &exchange, const core::RequestId &request,
+              int status, std::string reason,
+              std::optional<core::Millis> retryAfter = std::nullopt);
+  void onReadiness(http1::Exchange &exchange);
+  void onScrape(http1::Exchange &exchange);
+  void dropServer(const core::RunnerId &runner);
+  void tickLater();
+  void tick();
+  void driveRollouts(core::Millis now);
+  void drainStep(core::Millis now);
+  [[nodiscard]] bool isReady() const;
+  [[nodiscard]] std::size_t rank() const;
+  void report(observe::EventNumber number, std::string detail);
+
+  boost::asio::io_context &Loop;
+  const core::Clock &Clock;
+  const config::GatewaySettings Settings;
+  const Translator &Translation;
+  ControlPlane &Control;
+  observe::EventLog &Log;
+  observe::Metrics &Counts;
+  Dispatcher Decisions;
+  http1::Client Runners;
+  FlowContext Flows;
+  http1::Server Callers;
+  http1::Server Readiness;
+  http1::Server Scrapes;
+  PeerExchange Peers;
+  boost::asio::steady_timer Ticker;
+  bool Synced = false;
+  std::optional<core::Millis> LeavingSince;
+  core::Millis ReportedAt;
+  core::Millis AdvancedAt;
+};
+
+} // namespace cowslipridge::gateway
--- /dev/null
+++ b/src/cowslipridge/gateway/PeerExchange.cpp
@@ -0,0 +1,84 @@
+#include "cowslipridge/gateway/PeerExchange.hpp"
+
+#include "cowslipridge/gateway/PeerReportCodec.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/address.hpp>
+
+namespace cowslipridge::gateway {
+
+namespace {
+
+using Udp = boost::asio::ip::udp;
+
+/// What a silent peer has under way counts for so long.
+constexpr core::Millis SilenceLimit{1'500};
+
+} // namespace
+
+PeerExchange::PeerExchange(boost::asio::io_context &loop,
+                           const core::Clock &clock, Dispatcher &dispatcher)
+    : Clock(clock), Decisions(dispatcher), Socket(loop) {}
+
+void PeerExchange::listen(const config::SocketAddress &address) {
+  const Udp::endpoint endpoint(boost::asio::ip::make_address(address.Host),
+                               address.Port);
+  Socket.open(endpoint.protocol());
+  Socket.bind(endpoint);
+  Socket.non_blocking(true);
+  receive();
+}
+
+void PeerExchange::put(const Peer &peer) {
+  Peers.insert_or_assign(peer.Name, peer);
+  Decisions.setPeers(Peers.size());
+}
+
+void PeerExchange::remove(const core::InstanceId &name) {
+  Peers.erase(name);
+  Decisions.forgetPeer(name);
+  Decisions.setPeers(Peers.size());
+}
+
+void PeerExchange::sendReports() {
+  if (Peers.empty())
+    return;
+  const std::string bytes = encodePeerReport(Decisions.report());
+  for (const auto &[name, peer] : Peers) {
+    // A datagram that can't be sent now is as good as lost.
+    boost::system::error_code ignored;
+    const auto host = boost::asio::ip::make_address(peer.Host, ignored);
+    if (!ignored)
+      Socket.send_to(boost::asio::buffer(bytes), Udp::endpoint(host, peer.Port),
+                     0, ignored);
+  }
+}
+
+void PeerExchange::receive() {
+  Socket.async_receive_from(
+      boost::asio::buffer(Buffer), Sender, [this](const auto &ec, auto n) {
+        if (ec == boost::asio::error::operation_aborted)
+          return;
+        if (!ec) {
+          const auto report = decodePeerReport({Buffer.data(), n});
+          if (report && Peers.contains(report->Gateway)) {
+            HeardAt[report->Gateway] = Clock.monotonic();
+            Decisions.onPeerReport(*report);
+          }
+        }
+        receive();
+      });
+}
+
+void PeerExchange::expire(core::Millis now) {
+  for (auto it = HeardAt.begin(); it != HeardAt.end();) {
+    if (now - it->second <= SilenceLimit) {
+      ++it;
+      continue;
+    }
+    Decisions.forgetPeer(it->first);
+    it = HeardAt.erase(it);
+  }
+}
+
+} // namespace cowslipridge::gateway
--- /dev/null
+++ b/src/cowslipridge/gateway/PeerExchange.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "cowslipridge/config/GatewaySettings.hpp"
+#include "cowslipridge/core/Clock.hpp"
+#include "cowslipridge/gateway/ControlPlane.hpp"
+#include "cowslipridge/gateway/Dispatcher.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+
+#include <array>
+#include <map>
+#include <string>
+
+namespace cowslipridge::gateway {
+
+/// Sends this gateway's report to the others and takes theirs, by datagrams. A
+/// lost one is made good by the next.
+class PeerExchange {
+public:
+  PeerExchange(boost::asio::io_context &loop, const core::Clock &clock,
+               Dispatcher &dispatcher);
+
+  /// Throws boost::system::system_error when the address can't be bound.
+  void listen(const config::SocketAddress &address);
+  void put(const Peer &peer);
+  void remove(const core::InstanceId &name);
+  void sendReports();
+  /// Forgets what peers said that have fallen silent.
+  void expire(core::Millis now);
+  [[nodiscard]] const std::map<core::InstanceId, Peer> &peers() const {
+    return Peers;
+  }
+
+private:
+  void receive();
+
+  const core::Clock &Clock;
+  Dispatcher &Decisions;
+  boost::asio::ip::udp::socket Socket;
+  boost::asio::ip::udp::endpoint Sender;
+  std::array<char, 65'536> Buffer{};
+  std::map<core::InstanceId, Peer> Peers;
+  std::map<core::InstanceId, core::Millis> HeardAt;
+};
+
+} // namespace cowslipridge::gateway
--- /dev/null
+++ b/src/cowslipridge/gateway/PeerReportCodec.cpp
@@ -0,0 +1,74 @@
+#include "cowslipridge/gateway/PeerReportCodec.hpp"
+
+#include "cowslipridge/core/Error.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace cowslipridge::gateway {
+
+namespace {
+
+using nlohmann::json;
+
+/// Raised when the layout below changes; other formats are ignored.
+constexpr int Format = 1;
+
+json encodeLoads(const PeerReport &report) {
+  json loads = json::array();
+  for (const auto &[runner, load] : report.Loads)
+    loads.push_back({runner.str(), static_cast<float>(load.PendingMillis),
+                     load.Waiting, load.Running});
+  return loads;
+}
+
+json encodeEvidence(const PeerReport &report) {
+  json evidence = json::array();
+  for (const auto &[key, counts] : report.Evidence)
+    evidence.push_back({key.Service.str(), key.Version.str(), key.Route,
+                        counts.Sent, counts.Judged, counts.Failed, counts.Timed,
+                        counts.LogSlowness});
+  return evidence;
+}
+
+PeerReport decode(const json &message) {
+  PeerReport report;
+  report.Gateway = core::InstanceId(message.at(1).get<std::string>());
+  for (const json &it : message.at(2))
+    report.Loads.emplace(core::RunnerId(it.at(0).get<std::string>()),
+                         route::ServerLoad{it.at(1).get<double>(),
+                                           it.at(2).get<unsigned>(),
+                                           it.at(3).get<unsigned>()});
+  for (const json &it : message.at(3))
+    report.Evidence.emplace(
+        rollout::EvidenceKey{core::ServiceId(it.at(0).get<std::string>()),
+                             core::VersionId(it.at(1).get<std::string>()),
+                             it.at(2).get<std::string>()},
+        rollout::AnswerCounts{
+            it.at(3).get<std::uint64_t>(), it.at(4).get<std::uint64_t>(),
+            it.at(5).get<std::uint64_t>(), it.at(6).get<std::uint64_t>(),
+            it.at(7).get<double>()});
+  return report;
+}
+
+} // namespace
+
+std::string encodePeerReport(const PeerReport &report) {
+  const json message = {Format, report.Gateway.str(), encodeLoads(report),
+                        encodeEvidence(report)};
+  std::string bytes;
+  json::to_msgpack(message, bytes);
+  return bytes;
+}
+
+core::Result<PeerReport> decodePeerReport(std::string_view bytes) {
+  try {
+    const json message = json::from_msgpack(bytes);
+    if (message.at(0) != Format)
+      return core::Errc::Malformed;
+    return decode(message);
+  } catch (const json::exception &) {
+    return core::Errc::Malformed;
+  }
+}
+
+} // namespace cowslipridge::gateway
--- /dev/null
+++ b/src/cowslipridge/gateway/Placement.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "cowslipridge/catalogue/CatalogueIndex.hpp"
+#include "cowslipridge/gateway/CallerRequest.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace cowslipridge::gateway {
+
+/// What is fixed about one request when it arrives.
+struct RequestFacts {
+  CallerRequest Caller;
+  catalogue::CataloguePtr Catalogue; ///< the one that was in force on arrival
+  const catalogue::Route *Route = nullptr;               ///< in `Catalogue`
+  const catalogue::Organisation *Organisation = nullptr; ///< null: public
+  core::Millis ArrivedAt;
+  core::Millis Deadline; ///< monotonic; when the caller must have its answer
+};
+
+/// Index into the route's models, or none when the caller named the model.
+using ModelTier = std::optional<std::size_t>;
+
+/// One runner that a request is to be sent to.
+struct Placement {
+  std::uint64_t Ticket = 0; ///< names this sending in later reports
+  core::ServiceId Service;
+  core::RunnerId Runner;
+  core::VersionId Version;
+  std::string Host;
+  std::uint16_t Port = 0;
+  ModelTier Tier;
+  std::size_t MaxConnections = 1; ///< of this gateway to the runner
+  /// Without any sign of the answer for so long, the runner counts as silent.
+  core::Millis Patience;
+  core::Millis PredictedFirstByte;
+};
+
+/// There is no place now.
+struct NoPlacement {
+  std::string Reason;      ///< for the log
+  core::Millis RetryAfter; ///< when there may be one
+};
+
+using PlacementResult = std::variant<Placement, NoPlacement>;
+
+/// How one sending ended.
+enum class SendOutcome {
+  Served,       ///< whole and good
+  Unreachable,  ///< no connection: not run
+  Rejected,     ///< the runner promised that it did not run
+  FailedAnswer, ///< the runner answered that it failed
+  Broken,       ///< broke off, or bytes that are no answer
+  Silent,       ///< gave no sign within the patience
+  Dropped,      ///< ended by us for reasons that say nothing of the runner
+};
+
+/// Port to the decisions that concern more than one request.
+class Placer {
+public:
+  virtual ~Placer() = default;
+  /// A runner for the request, none of `excluded`. `repeat`: the request was
+  /// sent before, and the budget for repeats must bear it.
+  virtual PlacementResult place(const RequestFacts &facts, ModelTier tier,
+                                const std::vector<core::RunnerId> &excluded,
+                                bool repeat, core::Millis now) = 0;
+  /// The tier that answers first.
+  virtual ModelTier firstTier(const RequestFacts &facts, core::Millis now) = 0;
+  /// The tier to ask instead, after `tier` answered with this confidence; the
+  /// same when its answer is to be kept.
+  virtual ModelTier betterTier(const RequestFacts &facts, std::size_t tier,
+                               int confidence, core::Millis now) = 0;
+  /// The first sign of an answer.
+  virtual void onFirstByte(std::uint64_t ticket, core::Millis now) = 0;
+  virtual void onEnded(std::uint64_t ticket, SendOutcome outcome,
+                       core::Millis now) = 0;
+};
+
+} // namespace cowslipridge::gateway
--- /dev/null
+++ b/src/cowslipridge/gateway/RequestFlow.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include "cowslipridge/core/Clock.hpp"
+#include "cowslipridge/gateway/Placement.hpp"
+#include "cowslipridge/gateway/RequestMachine.hpp"
+#include "cowslipridge/gateway/Translator.hpp"
+#include "cowslipridge/http1/Client.hpp"
+#include "cowslipridge/http1/Server.hpp"
+#include "cowslipridge/observe/EventLog.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace cowslipridge::gateway {
+
+/// What all requests of a gateway share.
+struct FlowContext {
+  boost::asio::io_context &Loop;
+  const core::Clock &Clock;
+  const Translator &Translation;
+  Placer &Decisions;
+  http1::Client &Runners;
+  observe::EventLog &Log;
+};
+
+/// Connects the course of one request with its caller and its runners. Keeps
+/// itself alive until the request is done.
+class RequestFlow final : public RequestActions,
+                          public std::enable_shared_from_this<RequestFlow> {
+public:
+  RequestFlow(FlowContext &context, std::shared_ptr<http1::Exchange> exchange,
+              RequestFacts facts);
+
+  void start();
+
+  void send(const Placement &placement, core::Millis remaining,
+            std::optional<std::uint64_t> after) override;
+  void cancelSend() override;
+  void pass(const http1::ResponseHead &head, std::string_view body) override;
+  void begin(const http1::ResponseHead &head) override;
+  void data(std::string_view bytes) override;
+  void end() override;
+  void abort(const std::string &reason) override;
+  void refuse(const Refusal &refusal) override;
+  void retried(const std::string &reason) override;
+  void escalated(int confidence) override;
+
+private:
+  class Attempt;
+
+  [[nodiscard]] core::Millis now() const { return Context.Clock.monotonic(); }
+  void onHead(const http1::ResponseHead &head);
+  void onData(std::string_view bytes);
+  void onEnd();
+  void onFailure(http1::CallFailure failure);
+  void armTimer();
+  void afterEvent();
+  void report(observe::EventNumber number, const std::string &detail);
+  /// How far the answer came, for the log.
+  [[nodiscard]] std::string progress() const;
+  [[nodiscard]] std::string modelOf(const Placement &placement) const;
+
+  FlowContext &Context;
+  std::shared_ptr<http1::Exchange> Exchange;
+  RequestMachine Machine;
+  boost::asio::steady_timer Timer;
+  std::optional<core::Millis> TimerAt;
+  std::shared_ptr<Attempt> Current;
+  std::shared_ptr<http1::Call> Call;
+  bool Paused = false;
+  std::optional<core::Millis> BegunAt;
+};
+
+} // namespace cowslipridge::gateway
--- /dev/null
+++ b/src/cowslipridge/gateway/RequestMachine.hpp
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "cowslipridge/gateway/EventSplitter.hpp"
+#include "cowslipridge/gateway/Placement.hpp"
+#include "cowslipridge/http1/Client.hpp"
+#include "cowslipridge/http1/Message.hpp"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cowslipridge::gateway {
+
+/// Why a request was refused or given up.
+struct Refusal {
+  int Status = 503;
+  std::string Reason; ///< for the log
+  std::optional<core::Millis> RetryAfter;
+};
+
+/// What a request machine makes happen.
+class RequestActions {
+public:
+  virtual ~RequestActions() = default;
+  /// Sends the request to a runner; `after`: a stream goes on behind this
+  /// event.
+  virtual void send(const Placement &placement, core::Millis remaining,
+                    std::optional<std::uint64_t> after) = 0;
+  /// Ends the sending that is under way so that its runner stops.
+  virtual void cancelSend() = 0;
+  /// Passes a runner's whole answer on.
+  virtual void pass(const http1::ResponseHead &head, std::string_view body) = 0;
+  /// Begins to pass a runner's answer on.
+  virtual void begin(const http1::ResponseHead &head) = 0;
+  virtual void data(std::string_view bytes) = 0;
+  virtual void end() = 0;
+  /// Breaks an answer off that was begun.
+  virtual void abort(const std::string &reason) = 0;
+  /// Answers with a failure of the gateway's own.
+  virtual void refuse(const Refusal &refusal) = 0;
+  virtual void retried(const std::string &reason) = 0;
+  virtual void escalated(int confidence) = 0;
+};
+
+/// The course of one request from its arrival to its answer, without I/O.
+///
+/// Keeps these promises: a request that may not be repeated is sent on only
+/// after a proof that it did not run; 503 is said only when nothing ran; no
+/// event of a stream is lost, repeated or joined from two halves; there is
+/// exactly one answer, and nothing happens after it or after the caller left.
+class RequestMachine {
+public:
+  RequestMachine(RequestFacts facts, Placer &placer, RequestActions &actions);
+
+  void start(core::Millis now);
+  void onHead(const http1::ResponseHead &head, const RunnerVerdict &verdict,
+              core::Millis now);
+  void onData(std::string_view bytes, core::Millis now);
+  void onEnd(core::Millis now);
+  void onFailure(http1::CallFailure failure, core::Millis now);
+  void onCallerLeft(core::Millis now);
+  void onTimer(core::Millis now);
+  /// When onTimer is due next.
+  [[nodiscard]] core::Millis nextTimer() const;
+  [[nodiscard]] bool done() const { return State == Phase::Done; }
+  [[nodiscard]] const RequestFacts &facts() const { return Facts; }
+  /// Events of a stream that the caller was given.
+  [[nodiscard]] std::size_t eventsPassed() const { return EventsPassed; }
+
+private:
+  enum class Phase { Waiting, Gathering, Streaming, Done };
+
+  void sendNext(const std::string &reason, core::Millis now);
+  void onPlacement(const Placement &placement, core::Millis now);
+  void retryOrGiveUp(const std::string &reason, core::Millis now);
+  void giveUp(const std::string &reason, core::Millis retryAfter);
+  void onSuccess(const http1::ResponseHead &head, const RunnerVerdict &verdict,
+                 core::Millis now);
+  void onRunnerFailed(core::Millis now);
+  bool escalate(const RunnerVerdict &verdict, core::Millis now);
+  void passEvents(std::string_view bytes);
+  bool passEvent(const StreamEvent &event);
+  void endStream(core::Millis now);
+  void endGathered(core::Millis now);
+  void onRejected(core::Millis now);
+  void broke(SendOutcome outcome, const std::string &reason, core::Millis now);
+  void ended(SendOutcome outcome, core::Millis now);
+  void finish();
+  [[nodiscard]] bool mayResend() const;
+  [[nodiscard]] core::Millis remaining(core::Millis now) const;
+
+  const RequestFacts Facts;
+  Placer &Decisions;
+  RequestActions &Actions;
+  Phase State = Phase::Waiting;
+  ModelTier Tier;
+  std::optional<Placement> Current;
+  std::vector<core::RunnerId> Excluded;
+  unsigned Sent = 0;        ///< runners that may have got the request
+  unsigned Unreachable = 0; ///< runners without a connection
+  bool MayHaveRun = false;
+  bool Rejected = false; ///< the runner promises that it did not run
+  bool AnswerBegun = false;
+  /// A runner's own failure, passed on if nothing better comes.
+  std::optional<http1::ResponseHead> FailedHead;
+  std::string FailedBody;
+  http1::ResponseHead Head; ///< of the answer that is being gathered
+  std::string Body;
+  EventSplitter Events;
+  std::size_t EventsPassed = 0;
+  std::optional<std::uint64_t> LastEvent; ///< that the caller has
+  std::optional<core::Millis> SilentAt;
+};
+
+} // namespace cowslipridge::gateway
--- /dev/null
+++ b/src/cowslipridge/limits/RetryWindow.cpp
@@ -0,0 +1,48 @@
+#include "cowslipridge/limits/RetryWindow.hpp"
+
+#include <algorithm>
+
+namespace cowslipridge::limits {
+
+namespace {
+
+/// Part of the budget that is left unused, since members come and go and see
+/// the window's edges at different times.
+constexpr double Reserve = 0.2;
+
+} // namespace
+
+RetryWindow::RetryWindow(RetryWindowSettings settings) : Settings(settings) {}
+
+void RetryWindow::setMembers(std::size_t members) {
+  Members = std::max<std::size_t>(1, members);
+}
+
+void RetryWindow::onFirst(core::Millis now) {
+  expire(now);
+  Firsts.push_back(now);
+}
+
+bool RetryWindow::tryTake(core::Millis now) {
+  expire(now);
+  const double allowed =
+      (1 - Reserve) *
+      (Settings.PerRequest * static_cast<double>(Firsts.size()) +
+       Settings.Fixed / static_cast<double>(Members));
+  if (static_cast<double>(Repeats.size()) + 1 > allowed)
+    return false;
+  Repeats.push_back(now);
+  return true;
+}
+
+void RetryWindow::expire(core::Millis now) {
+  const core::Millis oldest = now - Settings.Window;
+  const auto drop = [&](std::deque<core::Millis> &times) {
+    while (!times.empty() && times.front() < oldest)
+      times.pop_front();
+  };
+  drop(Firsts);
+  drop(Repeats);
+}
+
+} // namespace cowslipridge::limits
--- /dev/null
+++ b/src/cowslipridge/membership/ServerRegistry.cpp
@@ -0,0 +1,69 @@
+#include "cowslipridge/membership/ServerRegistry.hpp"
+
+#include <set>
+
+namespace cowslipridge::membership {
+
+void ServerRegistry::put(const BackendServer &server) {
+  Lapsed.erase(server.Id);
+  Servers.insert_or_assign(server.Id, server);
+}
+
+bool ServerRegistry::isUncertain(core::Millis now) const {
+  return StoreAway || (ReturnedAt && now < *ReturnedAt + ReturnTime);
+}
+
+bool ServerRegistry::remove(const core::RunnerId &id, core::Millis now) {
+  const auto it = Servers.find(id);
+  if (it == Servers.end())
+    return false;
+  // One that said it leaves has left.
+  if (isUncertain(now) && !it->second.Draining) {
+    Lapsed.emplace(id, now);
+    return false;
+  }
+  Servers.erase(it);
+  Lapsed.erase(id);
+  return true;
+}
+
+std::vector<core::RunnerId>
+ServerRegistry::replaceAll(const std::vector<BackendServer> &servers,
+                           core::Millis now) {
+  std::set<core::RunnerId> present;
+  for (const BackendServer &it : servers) {
+    put(it);
+    present.insert(it.Id);
+  }
+  std::vector<core::RunnerId> missing;
+  for (const auto &[id, server] : Servers) {
+    if (!present.contains(id))
+      missing.push_back(id);
+  }
+  std::erase_if(missing, [&](const auto &id) { return !remove(id, now); });
+  return missing;
+}
+
+void ServerRegistry::storeReturned(core::Millis now) {
+  StoreAway = false;
+  ReturnedAt = now;
+}
+
+std::vector<core::RunnerId> ServerRegistry::tick(core::Millis now) {
+  std::vector<core::RunnerId> gone;
+  if (isUncertain(now))
+    return gone;
+  for (const auto &[id, since] : Lapsed) {
+    if (Servers.erase(id) != 0)
+      gone.push_back(id);
+  }
+  Lapsed.clear();
+  return gone;
+}
+
+const BackendServer *ServerRegistry::find(const core::RunnerId &id) const {
+  const auto it = Servers.find(id);
+  return it == Servers.end() ? nullptr : &it->second;
+}
+
+} // namespace cowslipridge::membership
--- a/src/cowslipridge/observe/EventCatalogue.hpp
+++ b/src/cowslipridge/observe/EventCatalogue.hpp
@@ -14,6 +14,7 @@
   ProcessStopped = 103,
   SettingsRefused = 104,
   PauseDetected = 105,
+  SettingsChecked = 106,
 
   ConfigurationInForce = 200,
   ConfigurationStale = 201,
@@ -23,6 +24,11 @@
   PeerConnected = 300,
   PeerRefused = 301,
   PeerLost = 302,
+  PeerRegistered = 303,
+  PeerGone = 304,
+  RunnerRegistered = 310,
+  RunnerDraining = 311,
+  RunnerGone = 312,
 
   RequestReceived = 400,
   RequestRouted = 401,
@@ -30,6 +36,7 @@
   RequestEnded = 403,
   RequestRefused = 404,
   RequestEscalated = 405,
+  RequestAbandoned = 406,
 
   RunStarted = 500,
   RunEnded = 501,
--- /dev/null
+++ b/src/cowslipridge/platform/HeaderTranslator.cpp
@@ -0,0 +1,179 @@
+#include "cowslipridge/platform/HeaderTranslator.hpp"
+
+#include "cowslipridge/core/Error.hpp"
+
+#include <array>
+#include <charconv>
+#include <cstdio>
+
+namespace cowslipridge::platform {
+
+namespace {
+
+constexpr std::string_view AttemptId = "Attempt-Id";
+constexpr std::string_view Authorization = "Authorization";
+constexpr std::string_view KeyScheme = "Token ";
+constexpr std::string_view DeadlineRemaining = "Deadline-Remaining";
+constexpr std::string_view LastEventId = "Last-Event-Id";
+constexpr std::string_view ModelName = "Model-Name";
+constexpr std::string_view AnyModel = "*";
+// "PROMPT,OUTPUT": tokens of the prompt, most tokens of the output.
+constexpr std::string_view TokenUsage = "Token-Usage";
+// "ID:TOKENS,...", ids in hexadecimal.
+constexpr std::string_view PromptPrefix = "Prompt-Prefix";
+constexpr std::string_view Session = "Session";
+constexpr std::string_view ExpectedInstance = "Expected-Instance";
+constexpr std::string_view TenantName = "Tenant-Name";
+constexpr std::string_view RequestPriority = "Request-Priority";
+constexpr std::string_view Signature = "Response-Signature";
+constexpr std::string_view NotExecuted = "Not-Executed";
+constexpr std::string_view EstimateConfidence = "Estimate-Confidence";
+constexpr std::string_view RetryAfter = "Retry-After";
+
+/// Only the system sets these towards a runner.
+constexpr std::array<std::string_view, 11> SystemFields = {
+    ExpectedInstance,  "Expected-Version", TenantName,       RequestPriority,
+    "Cache-Retention", "Pin-Duration",     "Kv-Backup",      "Kv-From",
+    "Kv-Fetch",        Authorization,      DeadlineRemaining};
+
+/// Fields of which two would leave it open which one holds.
+constexpr std::array<std::string_view, 9> SingleFields = {
+    AttemptId,  Authorization, DeadlineRemaining, LastEventId,  ModelName,
+    TokenUsage, PromptPrefix,  Session,           "Length-Hint"};
+
+constexpr int MisdirectedRequest = 421;
+
+std::optional<std::uint64_t> parseNumber(std::string_view text, int base = 10) {
+  std::uint64_t value = 0;
+  const char *end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data(), end, value, base);
+  if (text.empty() || parsed.ec != std::errc() || parsed.ptr != end)
+    return std::nullopt;
+  return value;
+}
+
+std::optional<std::uint64_t> numberIn(const http1::HeaderFields &fields,
+                                      std::string_view name) {
+  const auto value = fields.find(name);
+  return value ? parseNumber(*value) : std::nullopt;
+}
+
+std::string textIn(const http1::HeaderFields &fields, std::string_view name) {
+  return std::string(fields.find(name).value_or(""));
+}
+
+void readTokens(std::string_view text, gateway::CallerRequest &request) {
+  const std::size_t comma = text.find(',');
+  request.PromptTokens = parseNumber(text.substr(0, comma)).value_or(0);
+  if (comma != std::string_view::npos)
+    request.MaxOutputTokens = parseNumber(text.substr(comma + 1)).value_or(0);
+}
+
+// Parts after one that can't be read are not used: a prefix must be whole.
+std::vector<gateway::PromptPart> parsePrompt(std::string_view text) {
+  constexpr int Hexadecimal = 16;
+  std::vector<gateway::PromptPart> parts;
+  while (!text.empty()) {
+    const std::size_t comma = text.find(',');
+    const std::string_view item = text.substr(0, comma);
+    const std::size_t colon = item.find(':');
+    if (colon == std::string_view::npos)
+      break;
+    const auto id = parseNumber(item.substr(0, colon), Hexadecimal);
+    const auto tokens = parseNumber(item.substr(colon + 1));
+    if (!id || !tokens)
+      break;
+    parts.push_back({*id, *tokens});
+    text = comma == std::string_view::npos ? std::string_view()
+                                           : text.substr(comma + 1);
+  }
+  return parts;
+}
+
+std::string toSeconds(core::Millis length) {
+  constexpr double MillisPerSecond = 1000;
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%.3f",
+                static_cast<double>(length.count()) / MillisPerSecond);
+  return text.data();
+}
+
+} // namespace
+
+core::Result<gateway::CallerRequest>
+HeaderTranslator::readRequest(const http1::RequestHead &head) const {
+  for (const std::string_view name : SingleFields) {
+    if (head.Fields.count(name) > 1)
+      return core::Errc::Malformed;
+  }
+  gateway::CallerRequest request;
+  request.Id = core::RequestId(textIn(head.Fields, AttemptId));
+  request.Host = textIn(head.Fields, "Host");
+  request.Path = head.Target.substr(0, head.Target.find('?'));
+  if (const auto given = head.Fields.find(Authorization)) {
+    const bool known = given->starts_with(KeyScheme);
+    request.ApiKey = known ? given->substr(KeyScheme.size()) : *given;
+  }
+  if (const auto millis = numberIn(head.Fields, DeadlineRemaining))
+    request.Remaining = core::Millis(static_cast<std::int64_t>(*millis));
+  request.LastEvent = numberIn(head.Fields, LastEventId);
+  request.Model = textIn(head.Fields, ModelName);
+  request.AnyModel = request.Model == AnyModel;
+  readTokens(textIn(head.Fields, TokenUsage), request);
+  request.Prompt = parsePrompt(textIn(head.Fields, PromptPrefix));
+  request.Session = core::SessionId(textIn(head.Fields, Session));
+  return request;
+}
+
+http1::RequestHead
+HeaderTranslator::relay(const http1::RequestHead &head,
+                        const gateway::RelayTerms &terms) const {
+  http1::RequestHead relayed = head;
+  relayed.Fields = http1::endToEnd(head.Fields);
+  for (const std::string_view name : SystemFields)
+    relayed.Fields.remove(name);
+  relayed.Fields.add(DeadlineRemaining,
+                     std::to_string(terms.Remaining.count()));
+  relayed.Fields.add(ExpectedInstance, terms.Runner.str());
+  relayed.Fields.add(RequestPriority, std::to_string(terms.Urgency));
+  if (terms.Organisation)
+    relayed.Fields.add(TenantName, terms.Organisation->str());
+  if (terms.Model)
+    relayed.Fields.set(ModelName, *terms.Model);
+  if (terms.LastEvent)
+    relayed.Fields.set(LastEventId, std::to_string(*terms.LastEvent));
+  return relayed;
+}
+
+gateway::RunnerVerdict
+HeaderTranslator::readAnswer(const http1::ResponseHead &head) const {
+  gateway::RunnerVerdict verdict;
+  verdict.Status = head.Status;
+  verdict.Authentic = head.Fields.find(Signature).has_value();
+  verdict.NotRun = head.Status == MisdirectedRequest ||
+                   head.Fields.find(NotExecuted).has_value();
+  if (const auto confidence = numberIn(head.Fields, EstimateConfidence))
+    verdict.Confidence = static_cast<int>(*confidence);
+  verdict.Id = core::RequestId(textIn(head.Fields, AttemptId));
+  return verdict;
+}
+
+http1::ResponseHead
+HeaderTranslator::ownAnswer(int status, const core::RequestId &request,
+                            std::optional<core::Millis> retryAfter) const {
+  http1::ResponseHead head;
+  head.Status = status;
+  if (!request.empty())
+    head.Fields.add(AttemptId, request.str());
+  if (retryAfter)
+    head.Fields.add(RetryAfter, toSeconds(*retryAfter));
+  return head;
+}
+
+std::string HeaderTranslator::echoField() const {
+  return std::string(AttemptId);
+}
+
+std::string HeaderTranslator::readinessPath() const { return "/v1/readiness"; }
+
+} // namespace cowslipridge::platform
--- /dev/null
+++ b/src/cowslipridge/platform/HeaderTranslator.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "cowslipridge/gateway/Translator.hpp"
+
+namespace cowslipridge::platform {
+
+/// The platform's header names.
+class HeaderTranslator final : public gateway::Translator {
+public:
+  [[nodiscard]] core::Result<gateway::CallerRequest>
+  readRequest(const http1::RequestHead &head) const override;
+  [[nodiscard]] http1::RequestHead
+  relay(const http1::RequestHead &head,
+        const gateway::RelayTerms &terms) const override;
+  [[nodiscard]] gateway::RunnerVerdict
+  readAnswer(const http1::ResponseHead &head) const override;
+  [[nodiscard]] http1::ResponseHead
+  ownAnswer(int status, const core::RequestId &request,
+            std::optional<core::Millis> retryAfter) const override;
+  [[nodiscard]] std::string echoField() const override;
+  [[nodiscard]] std::string readinessPath() const override;
+};
+
+} // namespace cowslipridge::platform
--- /dev/null
+++ b/src/cowslipridge/platform/StoreClient.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "cowslipridge/config/GatewaySettings.hpp"
+#include "cowslipridge/http1/Client.hpp"
+#include "cowslipridge/platform/StoreProtocol.hpp"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace cowslipridge::platform {
+
+/// A whole answer of the store, or none. Status 0: no answer came, and the call
+/// may or may not have been carried out.
+struct StoreReply {
+  int Status = 0;
+  std::string Body;
+  http1::CallFailure Failure = http1::CallFailure::NotConnected; ///< status 0
+};
+
+/// Sends calls to the platform's metadata store.
+class StoreClient {
+public:
+  using Done = std::function<void(const StoreReply &)>;
+
+  StoreClient(boost::asio::io_context &loop, const core::Clock &clock,
+              const config::SocketAddress &address);
+
+  std::shared_ptr<http1::Call> send(const http1::RequestHead &head,
+                                    const std::string &body,
+                                    core::Millis timeout, Done done);
+  std::shared_ptr<http1::Call> send(const StoreCall &call, core::Millis timeout,
+                                    Done done) {
+    return send(call.Head, call.Body, timeout, std::move(done));
+  }
+
+private:
+  http1::Client Connections;
+  http1::Endpoint Address;
+  std::string Host;
+};
+
+} // namespace cowslipridge::platform
--- /dev/null
+++ b/src/cowslipridge/platform/StoreProtocol.cpp
@@ -0,0 +1,121 @@
+#include "cowslipridge/platform/StoreProtocol.hpp"
+
+#include "cowslipridge/core/Base64.hpp"
+#include "cowslipridge/core/Error.hpp"
+#include "cowslipridge/core/UriEncoding.hpp"
+#include "cowslipridge/platform/internal/JsonReader.hpp"
+
+namespace cowslipridge::platform {
+
+namespace {
+
+using internal::Json;
+using internal::textAt;
+using internal::wholeAt;
+
+http1::RequestHead callOf(std::string method, std::string target) {
+  http1::RequestHead head;
+  head.Method = std::move(method);
+  head.Target = std::move(target);
+  return head;
+}
+
+StoreCall callWithBody(std::string target, const Json &body) {
+  StoreCall call{callOf("POST", std::move(target)), body.dump()};
+  call.Head.Fields.add("Content-Type", "application/json");
+  return call;
+}
+
+std::optional<StoreItem> parseItem(const Json &json) {
+  const auto key = textAt(json, "key");
+  const auto revision = wholeAt(json, "revision");
+  if (!key || !revision)
+    return std::nullopt;
+  StoreItem item{*key, {}, *revision, internal::flagAt(json, "deleted")};
+  if (item.Deleted)
+    return item;
+  auto value = core::decodeBase64(textAt(json, "value").value_or(""));
+  if (!value)
+    return std::nullopt;
+  item.Value = std::move(*value);
+  return item;
+}
+
+core::Result<StoreBatch> parseBatch(const std::string &body, const char *key) {
+  const Json json = internal::parseJson(body);
+  const auto at = wholeAt(json, "at");
+  if (!at)
+    return core::Errc::Malformed;
+  StoreBatch batch;
+  batch.At = *at;
+  batch.HasMore = internal::flagAt(json, "hasMore");
+  for (const Json &it : internal::listAt(json, key)) {
+    if (auto item = parseItem(it))
+      batch.Items.push_back(std::move(*item));
+  }
+  return batch;
+}
+
+} // namespace
+
+http1::RequestHead listCall(const std::string &prefix,
+                            const std::string &after) {
+  std::string target =
+      "/v1/kv-range?pathPrefix=" + core::encodeComponent(prefix);
+  if (!after.empty())
+    target += "&after=" + core::encodeComponent(after);
+  return callOf("GET", std::move(target));
+}
+
+http1::RequestHead watchCall(const std::string &prefix, StoreRevision after,
+                             core::Millis wait) {
+  return callOf("GET",
+                "/v1/kv-watch?pathPrefix=" + core::encodeComponent(prefix) +
+                    "&after=" + std::to_string(after) +
+                    "&waitMs=" + std::to_string(wait.count()));
+}
+
+StoreCall writeCall(const std::vector<ConditionalWrite> &writes) {
+  Json conditions = Json::array();
+  Json items = Json::array();
+  for (const ConditionalWrite &it : writes) {
+    Json item{{"key", it.Key}, {"value", core::encodeBase64(it.Value)}};
+    if (it.Lease != 0)
+      item["lease"] = it.Lease;
+    items.push_back(std::move(item));
+    if (it.Conditional)
+      conditions.push_back({{"key", it.Key}, {"revision", it.Expected}});
+  }
+  return callWithBody("/v1/kv-txn", {{"expectedRevision", conditions},
+                                     {"write", items},
+                                     {"remove", Json::array()}});
+}
+
+StoreCall grantLeaseCall(core::Millis lifetime) {
+  return callWithBody("/v1/kv-lease", {{"ttlMs", lifetime.count()}});
+}
+
+StoreCall renewLeaseCall(LeaseId lease) {
+  return {callOf("POST", "/v1/kv-keep/" + std::to_string(lease)), {}};
+}
+
+StoreCall endLeaseCall(LeaseId lease) {
+  return {callOf("DELETE", "/v1/kv-lease-end/" + std::to_string(lease)), {}};
+}
+
+core::Result<StoreBatch> parseListing(const std::string &body) {
+  return parseBatch(body, "entries");
+}
+
+core::Result<StoreBatch> parseChanges(const std::string &body) {
+  return parseBatch(body, "events");
+}
+
+core::Result<LeaseId> parseLease(const std::string &body) {
+  const auto lease = wholeAt(internal::parseJson(body), "lease");
+  if (!lease)
+    return core::Errc::Malformed;
+  return *lease;
+}
+
+} // namespace cowslipridge::platform
--- /dev/null
+++ b/src/cowslipridge/platform/internal/JsonReader.cpp
@@ -0,0 +1,52 @@
+#include "cowslipridge/platform/internal/JsonReader.hpp"
+
+namespace cowslipridge::platform::internal {
+
+namespace {
+
+const Json *valueAt(const Json &object, const char *key) {
+  if (!object.is_object())
+    return nullptr;
+  const auto it = object.find(key);
+  return it == object.end() ? nullptr : &*it;
+}
+
+} // namespace
+
+Json parseJson(const std::string &text) {
+  return Json::parse(text, nullptr, false);
+}
+
+std::optional<std::string> textAt(const Json &object, const char *key) {
+  const Json *value = valueAt(object, key);
+  if (value == nullptr || !value->is_string())
+    return std::nullopt;
+  return value->get<std::string>();
+}
+
+std::optional<std::int64_t> wholeAt(const Json &object, const char *key) {
+  const Json *value = valueAt(object, key);
+  if (value == nullptr || !value->is_number_integer())
+    return std::nullopt;
+  return value->get<std::int64_t>();
+}
+
+std::optional<double> numberAt(const Json &object, const char *key) {
+  const Json *value = valueAt(object, key);
+  if (value == nullptr || !value->is_number())
+    return std::nullopt;
+  return value->get<double>();
+}
+
+bool flagAt(const Json &object, const char *key) {
+  const Json *value = valueAt(object, key);
+  return value != nullptr && value->is_boolean() && value->get<bool>();
+}
+
+const Json &listAt(const Json &object, const char *key) {
+  static const Json Empty = Json::array();
+  const Json *value = valueAt(object, key);
+  return value != nullptr && value->is_array() ? *value : Empty;
+}
+
+} // namespace cowslipridge::platform::internal
--- /dev/null
+++ b/src/cowslipridge/rollout/TrialControl.cpp
@@ -0,0 +1,188 @@
+#include "cowslipridge/rollout/TrialControl.hpp"
+
+#include <array>
+#include <limits>
+
+namespace cowslipridge::rollout {
+
+namespace {
+
+/// One step: from which part of the roll-out's time on, and which share of the
+/// sessions.
+struct TrialStep {
+  double From;
+  double Share;
+};
+
+// Sessions stay on their side through the first half. The shares of the second
+// half keep the requests that a bad version gets within what operators bear,
+// while evidence of one step is in before the next.
+constexpr std::array<TrialStep, 4> Steps = {
+    {{0, 0.08}, {0.52, 0.25}, {0.60, 0.5}, {0.67, 1}}};
+/// Old runners are stopped at completion, whatever still runs there.
+constexpr double LatestCompletion = 0.93;
+/// Gateways later in rank act only when the ones before them did not.
+constexpr core::Millis RankDelay{600};
+
+double partOf(core::Millis elapsed, core::Millis whole) {
+  return static_cast<double>(elapsed.count()) /
+         static_cast<double>(whole.count());
+}
+
+AnswerCounts sumOf(const EvidenceTable &evidence, const RolloutOrder &order,
+                   bool target, const std::string *route) {
+  AnswerCounts sum;
+  for (const auto &[key, counts] : evidence) {
+    const bool fits = key.Service == order.Service &&
+                      (key.Version == order.Target) == target &&
+                      (route == nullptr || key.Route == *route);
+    if (fits)
+      sum += counts;
+  }
+  return sum;
+}
+
+// Looked at as a whole and route by route: a version may be bad on one alone.
+std::optional<std::string> faultOf(const EvidenceTable &evidence,
+                                   const RolloutOrder &order) {
+  if (isWorse(sumOf(evidence, order, true, nullptr),
+              sumOf(evidence, order, false, nullptr)))
+    return "worse than the stable version";
+  for (const auto &[key, counts] : evidence) {
+    if (key.Service != order.Service || key.Version != order.Target)
+      continue;
+    if (isWorse(counts, sumOf(evidence, order, false, &key.Route)))
+      return "worse than the stable version on route " + key.Route;
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+void TrialControl::onOrder(const RolloutOrder &order, core::Millis now) {
+  const auto known = Trials.find(order.Service);
+  if (known != Trials.end() && known->second.Order == order)
+    return;
+  Trial trial;
+  trial.Order = order;
+  trial.Began = now;
+  const auto status = Statuses.find(order.Service);
+  if (status != Statuses.end() && status->second.Target == order.Target) {
+    trial.Verdict = status->second.Verdict;
+    trial.Recorded = true;
+  }
+  const auto progress = Progresses.find(order.Service);
+  if (progress != Progresses.end() &&
+      progress->second.first.Target == order.Target) {
+    trial.Step = progress->second.first.Step;
+    trial.Began = progress->second.second - progress->second.first.Elapsed;
+  }
+  Trials.insert_or_assign(order.Service, trial);
+}
+
+void TrialControl::onWithdrawn(const core::ServiceId &service) {
+  Trials.erase(service);
+}
+
+void TrialControl::onStatus(const RolloutStatus &status) {
+  Statuses.insert_or_assign(status.Service, status);
+  if (status.Verdict == RolloutVerdict::Reverted)
+    Reverted.emplace(status.Service, status.Target);
+  const auto it = Trials.find(status.Service);
+  if (it == Trials.end() || it->second.Order.Target != status.Target)
+    return;
+  it->second.Verdict = status.Verdict;
+  it->second.Recorded = true;
+}
+
+void TrialControl::onProgress(const RolloutProgress &progress,
+                              core::Millis now) {
+  Progresses.insert_or_assign(progress.Service, std::pair(progress, now));
+  const auto it = Trials.find(progress.Service);
+  if (it != Trials.end() && it->second.Order.Target == progress.Target)
+    it->second.Step = progress.Step;
+}
+
+const TrialControl::Trial *
+TrialControl::find(const core::ServiceId &service) const {
+  const auto it = Trials.find(service);
+  return it == Trials.end() ? nullptr : &it->second;
+}
+
+TrialControl::Verdict TrialControl::choose(const core::ServiceId &service,
+                                           std::uint64_t sessionHash) const {
+  const Trial *trial = find(service);
+  if (trial == nullptr)
+    return {};
+  const core::VersionId &target = trial->Order.Target;
+  if (trial->Verdict == RolloutVerdict::Completed)
+    return {Choice::Target, target};
+  if (trial->Verdict == RolloutVerdict::Reverted || !trial->Recorded)
+    return {Choice::Stable, target};
+  const double share = Steps.at(trial->Step.value_or(0)).Share;
+  const double point =
+      static_cast<double>(sessionHash) /
+      static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+  return {point < share ? Choice::Target : Choice::Stable, target};
+}
+
+bool TrialControl::isBanned(const core::ServiceId &service,
+                            const core::VersionId &version) const {
+  return Reverted.contains({service, version});
+}
+
+bool TrialControl::keepsSessions(const core::ServiceId &service,
+                                 core::Millis now) const {
+  const Trial *trial = find(service);
+  return trial != nullptr && trial->Verdict == RolloutVerdict::InProgress &&
+         partOf(now - trial->Began, trial->Order.Duration) <= Steps[1].From;
+}
+
+std::vector<core::ServiceId> TrialControl::underWay() const {
+  std::vector<core::ServiceId> services;
+  for (const auto &[service, trial] : Trials) {
+    if (trial.Verdict == RolloutVerdict::InProgress)
+      services.push_back(service);
+  }
+  return services;
+}
+
+std::optional<TrialDecision> TrialControl::next(const core::ServiceId &service,
+                                                const Observation &observation,
+                                                core::Millis now) const {
+  const Trial *trial = find(service);
+  if (trial == nullptr || trial->Verdict != RolloutVerdict::InProgress)
+    return std::nullopt;
+  const RolloutOrder &order = trial->Order;
+  const core::Millis elapsed = now - trial->Began;
+  const unsigned step = trial->Step.value_or(0);
+  const auto decide = [&](RolloutVerdict verdict, unsigned to,
+                          std::string reason) {
+    return TrialDecision{{service, order.Target, verdict},
+                         {service, order.Target, to, elapsed},
+                         std::move(reason)};
+  };
+  if (const auto fault = faultOf(observation.Evidence, order))
+    return decide(RolloutVerdict::Reverted, step, *fault);
+  const core::Millis mine =
+      elapsed - RankDelay * static_cast<std::int64_t>(observation.Rank);
+  if (mine < core::Millis())
+    return std::nullopt;
+  if (!trial->Recorded)
+    return decide(RolloutVerdict::InProgress, 0, "ordered");
+  const double part = partOf(mine, order.Duration);
+  const bool last = step + 1 >= Steps.size();
+  if (!last && part >= Steps.at(step + 1).From && observation.TargetServes)
+    return decide(RolloutVerdict::InProgress, step + 1, "step is due");
+  const bool emptied =
+      part >= Steps.back().From + 0.04 && observation.StableInFlight == 0;
+  if (last && observation.TargetServes && (emptied || part >= LatestCompletion))
+    return decide(RolloutVerdict::Completed, step,
+                  emptied ? "no request is left on the stable version"
+                          : "the deadline is near");
+  if (part >= 1)
+    return decide(RolloutVerdict::Reverted, step, "not done in time");
+  return std::nullopt;
+}
+
+} // namespace cowslipridge::rollout
--- /dev/null
+++ b/src/cowslipridge/rollout/TrialEvidence.cpp
@@ -0,0 +1,51 @@
+#include "cowslipridge/rollout/TrialEvidence.hpp"
+
+#include <cmath>
+
+namespace cowslipridge::rollout {
+
+namespace {
+
+/// Failures that single faults of a network or a runner explain.
+constexpr std::uint64_t LeastFailures = 3;
+/// A trial fails too often when its share of failures exceeds that of the
+/// stable version by this factor and this difference.
+constexpr double FailureFactor = 2;
+constexpr double FailureDifference = 0.1;
+constexpr std::uint64_t LeastTimed = 6;
+/// Mean slowdown against the stable version that no load explains, as a factor.
+constexpr double SlownessFactor = 2.2;
+
+double share(std::uint64_t part, std::uint64_t whole) {
+  return whole == 0 ? 0
+                    : static_cast<double>(part) / static_cast<double>(whole);
+}
+
+double meanLog(const AnswerCounts &counts) {
+  return counts.Timed == 0
+             ? 0
+             : counts.LogSlowness / static_cast<double>(counts.Timed);
+}
+
+} // namespace
+
+AnswerCounts &AnswerCounts::operator+=(const AnswerCounts &other) {
+  Sent += other.Sent;
+  Judged += other.Judged;
+  Failed += other.Failed;
+  Timed += other.Timed;
+  LogSlowness += other.LogSlowness;
+  return *this;
+}
+
+bool isWorse(const AnswerCounts &trial, const AnswerCounts &stable) {
+  const double tolerated =
+      FailureFactor * share(stable.Failed, stable.Judged) + FailureDifference;
+  if (trial.Failed >= LeastFailures &&
+      share(trial.Failed, trial.Judged) > tolerated)
+    return true;
+  return trial.Timed >= LeastTimed &&
+         meanLog(trial) - meanLog(stable) > std::log(SlownessFactor);
+}
+
+} // namespace cowslipridge::rollout
--- /dev/null
+++ b/src/cowslipridge/rollout/TrialEvidence.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "cowslipridge/core/Ids.hpp"
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace cowslipridge::rollout {
+
+/// What one version's answers to one route are counted under.
+struct EvidenceKey {
+  core::ServiceId Service;
+  core::VersionId Version;
+  std::string Route;
+  friend auto operator<=>(const EvidenceKey &, const EvidenceKey &) = default;
+};
+
+/// Counts that only grow while a process runs.
+struct AnswerCounts {
+  std::uint64_t Sent = 0;   ///< requests given to runners of the version
+  std::uint64_t Judged = 0; ///< of these, ended with a verdict on the runner
+  std::uint64_t Failed = 0;
+  std::uint64_t Timed = 0; ///< answers with a forecast to compare with
+  double LogSlowness = 0;  ///< sum of log(observed / forecast)
+
+  AnswerCounts &operator+=(const AnswerCounts &other);
+  friend auto operator<=>(const AnswerCounts &, const AnswerCounts &) = default;
+};
+
+using EvidenceTable = std::map<EvidenceKey, AnswerCounts>;
+
+/// Whether a version under trial answers worse than the one it replaces.
+bool isWorse(const AnswerCounts &trial, const AnswerCounts &stable);
+
+} // namespace cowslipridge::rollout
--- /dev/null
+++ b/src/cowslipridge/route/PrefillForecast.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "cowslipridge/core/Clock.hpp"
+#include "cowslipridge/core/Ids.hpp"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <unordered_map>
+
+namespace cowslipridge::route {
+
+/// Work that was sent to one runner and is not answered yet.
+struct ServerLoad {
+  double PendingMillis = 0; ///< reading of prompts that have no first token yet
+  unsigned Waiting = 0;     ///< requests without a first token
+  unsigned Running = 0;     ///< requests whose answers are being generated
+  friend auto operator<=>(const ServerLoad &, const ServerLoad &) = default;
+};
+
+/// Forecasts the time to the first token at a runner from the prompts that wait
+/// there, and learns from each answer how fast models read and how slow runners
+/// are. A forecast from work that is on its way reacts before any answer is
+/// late, which observed times alone do not.
+class PrefillForecast {
+public:
+  /// A first guess of a model's reading time; `relativeCost` is 1 for the most
+  /// expensive model of its service.
+  void introduce(const std::string &model, double relativeCost);
+
+  /// Time to read that many tokens on a runner of ordinary speed.
+  [[nodiscard]] double readingMillis(const std::string &model,
+                                     std::uint64_t tokens) const;
+  [[nodiscard]] core::Millis firstToken(const core::RunnerId &runner,
+                                        const std::string &model,
+                                        std::uint64_t uncachedTokens) const;
+
+  void sent(std::uint64_t ticket, const core::RunnerId &runner,
+            const std::string &model, std::uint64_t uncachedTokens,
+            core::Millis now);
+  /// The first token came.
+  void answered(std::uint64_t ticket, core::Millis now);
+  void ended(std::uint64_t ticket);
+  /// What another gateway has sent to a runner.
+  void setRemote(const core::InstanceId &gateway,
+                 const std::map<core::RunnerId, ServerLoad> &loads);
+  void forgetRemote(const core::InstanceId &gateway);
+  void forget(const core::RunnerId &runner);
+
+  /// This gateway's own, for its peers.
+  [[nodiscard]] const std::map<core::RunnerId, ServerLoad> &ownLoads() const {
+    return Own;
+  }
+  /// Of all gateways.
+  [[nodiscard]] ServerLoad load(const core::RunnerId &runner) const;
+  /// How many times slower than others of its service a runner is.
+  [[nodiscard]] double slowness(const core::RunnerId &runner) const;
+
+private:
+  struct Sending {
+    core::RunnerId Runner;
+    std::string Model;
+    std::uint64_t Tokens = 0;
+    double WorkMillis = 0;
+    double PredictedMillis = 0;
+    double AheadMillis = 0;
+    core::Millis SentAt;
+    bool Answered = false;
+  };
+
+  void learn(const Sending &sending, double elapsed);
+
+  std::unordered_map<std::string, double> MillisPerToken;
+  std::unordered_map<core::RunnerId, double> Slowness;
+  std::unordered_map<std::uint64_t, Sending> Sendings;
+  std::map<core::RunnerId, ServerLoad> Own;
+  std::map<core::InstanceId, std::map<core::RunnerId, ServerLoad>> Remote;
+  double BaseMillis = 20;
+};
+
+} // namespace cowslipridge::route
