--- a/src/cowslipridge/gateway/Gateway.cpp
+++ b/src/cowslipridge/gateway/Gateway.cpp
@@ -137,7 +137,7 @@
 }
 
 void Gateway::refuse(http1::Exchange &exchange, const core::RequestId &request,
-                     int status, std::string reason,
+                     int status, const std::string &reason,
                      std::optional<core::Millis> retryAfter) {
   Log.report(EventNumber::RequestRefused,
              {.Request = request,
--- a/src/cowslipridge/gateway/Gateway.hpp
+++ b/src/cowslipridge/gateway/Gateway.hpp
@@ -52,7 +52,7 @@
 
   void onRequest(const std::shared_ptr<http1::Exchange> &exchange);
   void refuse(http1::Exchange &exchange, const core::RequestId &request,
-              int status, std::string reason,
+              int status, const std::string &reason,
               std::optional<core::Millis> retryAfter = std::nullopt);
   void onReadiness(http1::Exchange &exchange);
   void onScrape(http1::Exchange &exchange);
--- a/src/cowslipridge/gateway/RequestFlow.cpp
+++ b/src/cowslipridge/gateway/RequestFlow.cpp
@@ -149,16 +149,17 @@
 
 std::string RequestFlow::progress() const {
   const RequestFacts &facts = Machine.facts();
-  std::string text = " events=" + std::to_string(Machine.eventsPassed()) +
-                     " max_output_tokens=" +
-                     std::to_string(facts.Caller.MaxOutputTokens);
+  std::string text =
+      " events=" + std::to_string(Machine.eventsPassed()) +
+      " max_output_tokens=" + std::to_string(facts.Caller.MaxOutputTokens);
   if (BegunAt)
     text += " first_ms=" + std::to_string((*BegunAt - facts.ArrivedAt).count());
   return text;
 }
 
 void RequestFlow::abort(const std::string &reason) {
-  report(observe::EventNumber::RequestRefused, "broken off: " + reason + progress());
+  report(observe::EventNumber::RequestRefused,
+         "broken off: " + reason + progress());
   Exchange->abort();
 }
 
--- a/src/cowslipridge/http1/Client.cpp
+++ b/src/cowslipridge/http1/Client.cpp
@@ -92,7 +92,7 @@
     auto &idle = Idle[server];
     while (!idle.empty()) {
       // The one used last is the least likely to be closed by the server.
-      const Connection connection = idle.back();
+      Connection connection = idle.back();
       idle.pop_back();
       if (connection->isUsable(now))
         return connection;
@@ -112,7 +112,7 @@
           if (const auto self = weak.lock())
             self->drop(server, it);
         }};
-    const auto connection = std::make_shared<internal::ClientConnection>(
+    auto connection = std::make_shared<internal::ClientConnection>(
         Loop, Clock, Limits, std::move(owner));
     Open.emplace(connection.get(), std::pair(server, connection));
     ++Counts[server];
--- a/src/cowslipridge/http1/RequestParser.cpp
+++ b/src/cowslipridge/http1/RequestParser.cpp
@@ -54,6 +54,11 @@
                                                     : Framing::None;
   }
 
+  static bool isNumber(std::string_view text) {
+    return !text.empty() &&
+           text.find_first_not_of("0123456789") == std::string_view::npos;
+  }
+
   // The parser takes an unknown transfer coding for a request without a body.
   [[nodiscard]] bool isUnambiguous() const {
     const std::size_t codings = Head.Fields.count("Transfer-Encoding");
@@ -64,6 +69,9 @@
         (!Head.SinceHttp11 ||
          !sameName(*Head.Fields.find("Transfer-Encoding"), "chunked")))
       return false;
+    // The parser also takes a list of equal lengths.
+    if (lengths == 1 && !isNumber(*Head.Fields.find("Content-Length")))
+      return false;
     if (Head.SinceHttp11 && Head.Fields.count("Host") != 1)
       return false;
     return !Head.Target.empty() && Head.Target.front() == '/';
--- a/src/cowslipridge/http1/RequestParser.hpp
+++ b/src/cowslipridge/http1/RequestParser.hpp
@@ -9,8 +9,8 @@
 namespace cowslipridge::http1 {
 
 struct RequestLimits {
-  std::size_t MaxHeaderBytes = 16 * 1024;
-  std::size_t MaxBodyBytes = 4 * 1024 * 1024;
+  std::size_t MaxHeaderBytes = 16UL * 1024;
+  std::size_t MaxBodyBytes = 4UL * 1024 * 1024;
 };
 
 enum class ParseStatus {
--- a/src/cowslipridge/http1/internal/ServerConnection.cpp
+++ b/src/cowslipridge/http1/internal/ServerConnection.cpp
@@ -33,7 +33,7 @@
 }
 
 bool ServerConnection::isIdle() const {
-  return State == Phase::Reading && Input.empty() && !Parser->headDone();
+  return State == Phase::Reading && !Begun;
 }
 
 void ServerConnection::shutDown() {
@@ -70,17 +70,17 @@
     read();
     return;
   }
-  const bool first = isIdle();
   Input.append(Chunk.data(), n);
-  if (State == Phase::Reading) {
-    if (first)
-      armTimer();
+  if (State == Phase::Reading)
     parse();
-  }
   read();
 }
 
-void ServerConnection::parse() { onStatus(Parser->parse(Input)); }
+void ServerConnection::parse() {
+  if (!std::exchange(Begun, true))
+    armTimer();
+  onStatus(Parser->parse(Input));
+}
 
 void ServerConnection::onStatus(ParseStatus status) {
   switch (status) {
@@ -241,7 +241,7 @@
     return;
   }
   State = Phase::Reading;
-  AnswerBegun = AnswerEnded = ContinueSent = false;
+  Begun = AnswerBegun = AnswerEnded = ContinueSent = false;
   Parser.emplace(Shared->Limits.Request);
   armTimer();
   // Not from here: the handler of the request before may still be running.
--- a/src/cowslipridge/http1/internal/ServerConnection.hpp
+++ b/src/cowslipridge/http1/internal/ServerConnection.hpp
@@ -76,6 +76,7 @@
   std::string Input;
   std::array<char, 8192> Chunk{};
   bool Reads = false;
+  bool Begun = false; ///< bytes of a request have come
   bool ContinueSent = false;
   core::Millis ReadAt;
   Framing Answer = Framing::None;
--- /dev/null
+++ b/tests/support/ScriptedPlacer.hpp
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "cowslipridge/gateway/RequestMachine.hpp"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace cowslipridge::support {
+
+/// Places requests on runners r1, r2, ... as long as it is told to.
+class ScriptedPlacer final : public gateway::Placer {
+public:
+  gateway::PlacementResult place(const gateway::RequestFacts & /*facts*/,
+                                 gateway::ModelTier tier,
+                                 const std::vector<core::RunnerId> &excluded,
+                                 bool repeat, core::Millis /*now*/) override {
+    if (Places == 0 || (repeat && !AllowRepeats))
+      return gateway::NoPlacement{"no place", core::Millis(300)};
+    --Places;
+    ExcludedLast = excluded;
+    gateway::Placement placement;
+    placement.Ticket = ++Tickets;
+    placement.Runner = core::RunnerId("r" + std::to_string(Tickets));
+    placement.Tier = tier;
+    placement.Patience = core::Millis(400);
+    return placement;
+  }
+  gateway::ModelTier firstTier(const gateway::RequestFacts & /*facts*/,
+                               core::Millis /*now*/) override {
+    return FirstTier;
+  }
+  gateway::ModelTier betterTier(const gateway::RequestFacts & /*facts*/,
+                                std::size_t tier, int confidence,
+                                core::Millis /*now*/) override {
+    return confidence < 50 ? tier + 1 : tier;
+  }
+  void onFirstByte(std::uint64_t /*ticket*/, core::Millis /*now*/) override {}
+  void onEnded(std::uint64_t ticket, gateway::SendOutcome outcome,
+               core::Millis /*now*/) override {
+    Outcomes.emplace(ticket, outcome);
+  }
+
+  int Places = 100;
+  bool AllowRepeats = true;
+  gateway::ModelTier FirstTier;
+  std::uint64_t Tickets = 0;
+  std::vector<core::RunnerId> ExcludedLast;
+  std::map<std::uint64_t, gateway::SendOutcome> Outcomes;
+};
+
+/// Records what a request machine makes happen.
+class RecordedActions final : public gateway::RequestActions {
+public:
+  void send(const gateway::Placement &placement, core::Millis /*remaining*/,
+            std::optional<std::uint64_t> after) override {
+    ++Sends;
+    Open = true;
+    Tier = placement.Tier;
+    After = after;
+  }
+  void cancelSend() override {
+    Cancels += Open ? 1 : 0;
+    Open = false;
+  }
+  void pass(const http1::ResponseHead &head, std::string_view body) override {
+    ++Answers;
+    Status = head.Status;
+    Body = body;
+  }
+  void begin(const http1::ResponseHead &head) override {
+    ++Begins;
+    Status = head.Status;
+  }
+  void data(std::string_view bytes) override { Body += bytes; }
+  void end() override { ++Answers; }
+  void abort(const std::string & /*reason*/) override {
+    ++Answers;
+    Aborted = true;
+  }
+  void refuse(const gateway::Refusal &refusal) override {
+    ++Answers;
+    Status = refusal.Status;
+    RetryAfter = refusal.RetryAfter;
+  }
+  void retried(const std::string & /*reason*/) override {}
+  void escalated(int /*confidence*/) override {}
+
+  int Sends = 0;
+  int Cancels = 0;
+  int Begins = 0;
+  int Answers = 0;
+  bool Open = false;
+  bool Aborted = false;
+  int Status = 0;
+  std::string Body;
+  gateway::ModelTier Tier;
+  std::optional<std::uint64_t> After;
+  std::optional<core::Millis> RetryAfter;
+};
+
+/// Facts of a request on a route of its own.
+inline gateway::RequestFacts requestFacts(catalogue::RouteKind kind,
+                                          unsigned maxAttempts) {
+  catalogue::Catalogue declared;
+  catalogue::Route route;
+  route.Kind = kind;
+  route.MaxAttempts = maxAttempts;
+  route.Timeout = core::Millis(10'000);
+  route.Services = {{core::ServiceId("s"), 1}};
+  declared.Routes = {route};
+  gateway::RequestFacts facts;
+  facts.Catalogue = std::make_shared<const catalogue::CatalogueIndex>(declared);
+  facts.Route = &facts.Catalogue->catalogue().Routes.front();
+  facts.Caller.Id = core::RequestId("id");
+  facts.Deadline = core::Millis(10'000);
+  return facts;
+}
+
+} // namespace cowslipridge::support
--- /dev/null
+++ b/tests/unit/catalogue/CatalogueIndexTest.cpp
@@ -0,0 +1,41 @@
+#include "cowslipridge/catalogue/CatalogueIndex.hpp"
+
+#include <gtest/gtest.h>
+
+using namespace cowslipridge;
+using namespace cowslipridge::catalogue;
+
+namespace {
+
+Route routeAt(const std::string &host, const std::string &prefix) {
+  Route route;
+  route.Name = host + prefix;
+  route.Host = host;
+  route.PathPrefix = prefix;
+  return route;
+}
+
+TEST(CatalogueIndexTest, theLongestPrefixOfTheHostWins) {
+  Catalogue catalogue;
+  catalogue.Routes = {routeAt("a.example", "/x/"),
+                      routeAt("a.example", "/x/y/"), routeAt("b.example", "/")};
+  const CatalogueIndex index(catalogue);
+  EXPECT_EQ(index.route("a.example", "/x/y/z")->PathPrefix, "/x/y/");
+  EXPECT_EQ(index.route("A.Example:80", "/x/q")->PathPrefix, "/x/");
+  EXPECT_EQ(index.route("b.example", "/anything")->PathPrefix, "/");
+  EXPECT_EQ(index.route("a.example", "/x"), nullptr);
+  EXPECT_EQ(index.route("c.example", "/x/"), nullptr);
+}
+
+TEST(CatalogueIndexTest, findsTheHolderOfAKey) {
+  Catalogue catalogue;
+  catalogue.Organisations = {
+      {core::OrganisationId("one"), {"k1", "k2"}, std::nullopt},
+      {core::OrganisationId("two"), {"k3"}, 1}};
+  const CatalogueIndex index(catalogue);
+  EXPECT_EQ(index.holder("k2")->Name.str(), "one");
+  EXPECT_EQ(index.holder("k3")->Name.str(), "two");
+  EXPECT_EQ(index.holder("k4"), nullptr);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/unit/http1/ClientTest.cpp
@@ -0,0 +1,186 @@
+#include "LoopFixture.hpp"
+
+#include "cowslipridge/http1/Client.hpp"
+
+#include <deque>
+
+using namespace cowslipridge;
+using namespace cowslipridge::http1;
+using support::RecordedCall;
+
+namespace {
+
+/// A server that writes scripted bytes: one script a request, over all
+/// connections.
+class ClientTest : public support::LoopFixture {
+protected:
+  ClientTest()
+      : Acceptor(Loop, anyPort()), Address(Acceptor.local_endpoint()),
+        Calls(Loop, Clock, {}) {
+    accept();
+  }
+
+  struct Script {
+    std::string Bytes;
+    bool Close = false;
+    std::string Later = {}; ///< written once the next request has come
+  };
+
+  void accept() {
+    Acceptor.async_accept([this](const auto &ec, Socket socket) {
+      if (ec)
+        return;
+      Peers.push_back(std::make_shared<Socket>(std::move(socket)));
+      serve(Peers.back());
+      accept();
+    });
+  }
+
+  void serve(const std::shared_ptr<Socket> &peer) {
+    const auto input = std::make_shared<std::string>();
+    boost::asio::async_read_until(
+        *peer, boost::asio::dynamic_buffer(*input), "\r\n\r\n",
+        [this, peer, input](const auto &ec, std::size_t) {
+          if (ec)
+            return;
+          ++Requests;
+          if (Scripts.empty())
+            return;
+          const Script script = Scripts.front();
+          Scripts.pop_front();
+          boost::asio::write(*peer, boost::asio::buffer(script.Bytes));
+          if (script.Close)
+            peer->close();
+          else
+            serve(peer);
+        });
+  }
+
+  std::shared_ptr<RecordedCall> call(const std::string &id = "a") {
+    const auto events = std::make_shared<RecordedCall>();
+    CallSpec spec;
+    spec.Server = Address;
+    spec.Bytes = "GET / HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\n\r\n";
+    spec.EchoField = "Id";
+    spec.EchoValue = id;
+    spec.Timeout = Timeout;
+    spec.MaxConnections = MaxConnections;
+    Handle = Calls.call(std::move(spec), events);
+    return events;
+  }
+
+  std::shared_ptr<RecordedCall> callAndWait(const std::string &id = "a") {
+    const auto events = call(id);
+    runUntil([&] { return events->over(); });
+    return events;
+  }
+
+  static std::string answer(const std::string &id, const std::string &body) {
+    return "HTTP/1.1 200 OK\r\nId: " + id +
+           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           body;
+  }
+
+  Tcp::acceptor Acceptor;
+  Endpoint Address;
+  Client Calls;
+  std::vector<std::shared_ptr<Socket>> Peers;
+  std::deque<Script> Scripts;
+  std::shared_ptr<Call> Handle;
+  core::Millis Timeout{5'000};
+  std::size_t MaxConnections = 4;
+  int Requests = 0;
+};
+
+TEST_F(ClientTest, usesAConnectionAgain) {
+  Scripts = {{answer("a", "one")}, {answer("b", "two")}};
+  EXPECT_EQ(callAndWait("a")->Body, "one");
+  EXPECT_EQ(callAndWait("b")->Body, "two");
+  EXPECT_EQ(Calls.opened(), 1U);
+}
+
+TEST_F(ClientTest, anAnswerOfAnotherRequestIsPassedOver) {
+  // The second copy of the first answer comes where the next is expected.
+  Scripts = {{answer("a", "one")}, {answer("a", "one") + answer("b", "two")}};
+  EXPECT_EQ(callAndWait("a")->Body, "one");
+  EXPECT_EQ(callAndWait("b")->Body, "two");
+}
+
+TEST_F(ClientTest, bytesThatNobodyAskedForEndTheConnection) {
+  Scripts = {{answer("a", "one") + answer("a", "one")}, {answer("b", "two")}};
+  EXPECT_EQ(callAndWait("a")->Body, "one");
+  EXPECT_EQ(callAndWait("b")->Body, "two");
+  EXPECT_EQ(Calls.opened(), 2U);
+}
+
+TEST_F(ClientTest, aCutAnswerIsAFailure) {
+  Scripts = {
+      {"HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: 9\r\n\r\npart", true}};
+  const auto events = callAndWait();
+  EXPECT_EQ(events->Failure, CallFailure::Broken);
+  EXPECT_FALSE(events->Ended);
+}
+
+TEST_F(ClientTest, anEndBeforeTheHeadMayHaveRun) {
+  Scripts = {{"", true}};
+  EXPECT_EQ(callAndWait()->Failure, CallFailure::BrokenEarly);
+}
+
+TEST_F(ClientTest, aBodyWithoutALengthIsWholeAtTheEnd) {
+  Scripts = {{"HTTP/1.1 200 OK\r\nId: a\r\n\r\nwhole", true}};
+  const auto events = callAndWait();
+  EXPECT_TRUE(events->Ended);
+  EXPECT_EQ(events->Body, "whole");
+}
+
+TEST_F(ClientTest, aRefusedConnectionSentNothing) {
+  Acceptor.close();
+  EXPECT_EQ(callAndWait()->Failure, CallFailure::NotConnected);
+}
+
+TEST_F(ClientTest, aSilentServerIsGivenUpInTime) {
+  Timeout = core::Millis(100);
+  EXPECT_EQ(callAndWait()->Failure, CallFailure::TimedOut);
+}
+
+TEST_F(ClientTest, noMoreConnectionsThanAllowed) {
+  MaxConnections = 1;
+  const auto first = call("a");
+  EXPECT_EQ(callAndWait("b")->Failure, CallFailure::NoRoom);
+  EXPECT_FALSE(first->over());
+}
+
+TEST_F(ClientTest, aCancelledCallIsSilentAndItsConnectionCloses) {
+  const auto events = call();
+  runUntil([&] { return Requests == 1; });
+  Handle->cancel();
+  bool closed = false;
+  std::array<char, 1> byte{};
+  Peers.front()->async_read_some(boost::asio::buffer(byte),
+                                 [&](const auto &ec, auto) { closed = !!ec; });
+  runUntil([&] { return closed; });
+  EXPECT_FALSE(events->over());
+}
+
+TEST_F(ClientTest, anOldHandleDoesNotTouchALaterCall) {
+  Scripts = {{answer("a", "one")}};
+  callAndWait("a");
+  const auto old = Handle;
+  const auto events = call("b");
+  runUntil([&] { return Requests == 2; });
+  old->cancel();
+  boost::asio::write(*Peers.front(), boost::asio::buffer(answer("b", "two")));
+  runUntil([&] { return events->over(); });
+  EXPECT_EQ(events->Body, "two");
+}
+
+TEST_F(ClientTest, aConnectionIsNotUsedBeyondItsKeepAlive) {
+  Scripts = {{"HTTP/1.1 200 OK\r\nId: a\r\nKeep-Alive: timeout=0\r\n"
+              "Content-Length: 0\r\n\r\n"},
+             {answer("b", "two")}};
+  callAndWait("a");
+  EXPECT_EQ(callAndWait("b")->Body, "two");
+  EXPECT_EQ(Calls.opened(), 2U);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/unit/http1/ServerTest.cpp
@@ -0,0 +1,150 @@
+#include "LoopFixture.hpp"
+
+#include "cowslipridge/http1/Server.hpp"
+
+using namespace cowslipridge;
+using namespace cowslipridge::http1;
+
+namespace {
+
+class ServerTest : public support::LoopFixture {
+protected:
+  ServerTest()
+      : Served(Loop, Clock,
+               [this](std::shared_ptr<Exchange> it) {
+                 Exchanges.push_back(std::move(it));
+               }),
+        Peer(Loop) {
+    // A port that is free now.
+    Tcp::acceptor probe(Loop, anyPort());
+    Address = probe.local_endpoint();
+    probe.close();
+    Served.listen(Address);
+    boost::system::error_code ec;
+    Peer.connect(Address, ec);
+    EXPECT_FALSE(ec);
+    Peer.non_blocking(true);
+    readMore();
+  }
+
+  void readMore() {
+    Peer.async_read_some(boost::asio::buffer(Chunk),
+                         [this](const auto &ec, std::size_t n) {
+                           Received.append(Chunk.data(), n);
+                           if (ec)
+                             Ended = ec;
+                           else
+                             readMore();
+                         });
+  }
+
+  void write(const std::string &text) {
+    boost::asio::write(Peer, boost::asio::buffer(text));
+  }
+  void request(const std::string &fields = "") {
+    write("GET /x HTTP/1.1\r\nHost: h\r\n" + fields + "\r\n");
+    const std::size_t before = Exchanges.size();
+    runUntil([&] { return Exchanges.size() > before; });
+  }
+
+  Server Served;
+  Socket Peer;
+  Endpoint Address;
+  std::vector<std::shared_ptr<Exchange>> Exchanges;
+  std::array<char, 4096> Chunk{};
+  std::string Received;
+  boost::system::error_code Ended;
+};
+
+ResponseHead ok(Framing framing = Framing::None) {
+  ResponseHead head;
+  head.Body = framing;
+  return head;
+}
+
+TEST_F(ServerTest, answersOneRequestAfterTheOther) {
+  request();
+  Exchanges.back()->respond(ok(), "one");
+  request();
+  Exchanges.back()->respond(ok(), "two");
+  runUntil([&] { return Received.ends_with("two"); });
+  EXPECT_NE(Received.find("Content-Length: 3\r\n\r\none"), std::string::npos);
+  EXPECT_EQ(Served.inFlight(), 0U);
+}
+
+TEST_F(ServerTest, pipelinedRequestsAreAnsweredInOrder) {
+  write("GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+  runUntil([&] { return Exchanges.size() == 1; });
+  EXPECT_EQ(Exchanges.back()->head().Target, "/1");
+  Exchanges.back()->respond(ok(), "one");
+  runUntil([&] { return Exchanges.size() == 2; });
+  EXPECT_EQ(Exchanges.back()->head().Target, "/2");
+}
+
+TEST_F(ServerTest, streamsChunksAndEndsThem) {
+  request();
+  Exchanges.back()->begin(ok(Framing::UntilClose));
+  Exchanges.back()->send("abc");
+  Exchanges.back()->end();
+  runUntil([&] { return Received.ends_with("3\r\nabc\r\n0\r\n\r\n"); });
+}
+
+TEST_F(ServerTest, anAbortedAnswerIsNotComplete) {
+  request();
+  Exchanges.back()->begin(ok(Framing::Chunked));
+  Exchanges.back()->send("abc");
+  runUntil([&] { return Received.ends_with("abc\r\n"); });
+  Exchanges.back()->abort();
+  runUntil([&] { return !!Ended; });
+  EXPECT_EQ(Received.find("0\r\n\r\n"), std::string::npos);
+}
+
+TEST_F(ServerTest, theCallersLeavingIsToldAtOnce) {
+  request();
+  bool left = false;
+  Exchanges.back()->onLeft([&] { left = true; });
+  Peer.close();
+  runUntil([&] { return left; });
+  EXPECT_EQ(Served.inFlight(), 0U);
+}
+
+TEST_F(ServerTest, malformedRequestsGet400AndTheirConnectionCloses) {
+  write("GET / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n");
+  runUntil([&] { return !!Ended; });
+  EXPECT_TRUE(Received.starts_with("HTTP/1.1 400 "));
+  EXPECT_NE(Received.find("Connection: close"), std::string::npos);
+  EXPECT_TRUE(Exchanges.empty());
+}
+
+TEST_F(ServerTest, aHeadThatDoesNotComeGets408) {
+  ServerLimits limits;
+  limits.HeaderTimeout = core::Millis(50);
+  limits.IdleTimeout = core::Millis(50);
+  Served.setLimits(limits);
+  write("GET / HTTP/1.1\r\n");
+  runUntil([&] { return !!Ended; });
+  EXPECT_TRUE(Received.starts_with("HTTP/1.1 408 ")) << Received;
+}
+
+TEST_F(ServerTest, drainingClosesAfterTheAnswer) {
+  request();
+  Served.closeAfterAnswers();
+  Served.closeIdle();
+  EXPECT_EQ(Served.connections(), 1U) << "one is being answered";
+  Exchanges.back()->respond(ok(), "last");
+  runUntil([&] { return !!Ended; });
+  EXPECT_NE(Received.find("Connection: close"), std::string::npos);
+  EXPECT_TRUE(Received.ends_with("last"));
+}
+
+TEST_F(ServerTest, expectedContinueIsSent) {
+  write("POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
+        "Content-Length: 2\r\n\r\n");
+  runUntil([&] { return Received == "HTTP/1.1 100 Continue\r\n\r\n"; });
+  write("ab");
+  runUntil([&] { return Exchanges.size() == 1; });
+  EXPECT_EQ(Exchanges.back()->body(), "ab");
+}
+
+} // namespace
--- /dev/null
+++ b/tests/unit/limits/RetryWindowTest.cpp
@@ -0,0 +1,43 @@
+#include "cowslipridge/limits/RetryWindow.hpp"
+
+#include <gtest/gtest.h>
+
+using namespace cowslipridge;
+using namespace cowslipridge::limits;
+using core::Millis;
+
+namespace {
+
+/// Repeats that the window grants at `now`.
+int granted(RetryWindow &window, Millis now) {
+  int n = 0;
+  while (n < 10'000 && window.tryTake(now))
+    ++n;
+  return n;
+}
+
+TEST(RetryWindowTest, membersTogetherStayWithinTheFleetsBudget) {
+  constexpr std::size_t Members = 4;
+  constexpr int FirstsEach = 25;
+  const RetryWindowSettings settings{0.5, 20, Millis(1'000)};
+  int total = 0;
+  for (std::size_t n = 0; n < Members; ++n) {
+    RetryWindow window(settings);
+    window.setMembers(Members);
+    for (int first = 0; first < FirstsEach; ++first)
+      window.onFirst(Millis(0));
+    total += granted(window, Millis(1));
+  }
+  EXPECT_LE(total, 0.5 * FirstsEach * Members + 20);
+  EXPECT_GT(total, 0.5 * (0.5 * FirstsEach * Members + 20));
+}
+
+TEST(RetryWindowTest, whatLeavesTheWindowNoLongerCounts) {
+  RetryWindow window({1, 0, Millis(1'000)});
+  for (int n = 0; n < 10; ++n)
+    window.onFirst(Millis(0));
+  EXPECT_GT(granted(window, Millis(500)), 0);
+  EXPECT_EQ(granted(window, Millis(1'001)), 0);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/unit/platform/DocumentsTest.cpp
@@ -0,0 +1,117 @@
+#include "cowslipridge/platform/Documents.hpp"
+
+#include <gtest/gtest.h>
+
+using namespace cowslipridge;
+using namespace cowslipridge::platform;
+
+namespace {
+
+constexpr const char *Configuration = R"({
+  "version": 7, "unknown": [1],
+  "routes": [
+    {"name": "r1", "host": "h.example", "pathPrefix": "/a/",
+     "routeKind": "streaming", "timeoutMs": 8000, "targetLatencyMs": 3000,
+     "priority": 2, "sizes": ["small", "large"], "service": "llm",
+     "maxAttempts": 3, "public": false, "streamResumption": true,
+     "targetGapMs": 2500},
+    {"name": "r2", "host": "h.example", "pathPrefix": "/b/",
+     "routeKind": "non_idempotent", "timeoutMs": 1000, "public": true,
+     "trafficSplit": [{"service": "x", "weight": 90},
+                      {"service": "y", "weight": 10}]},
+    {"name": "broken", "routeKind": "streaming"}],
+  "services": [
+    {"name": "llm", "connectionLimit": 360, "inferenceEngine":
+      {"slots": 64, "kvCacheTokens": 1000,
+       "models": [{"name": "small", "cost": 0.01},
+                  {"name": "large", "cost": 0.1}]}},
+    {"name": "x"}],
+  "limits": {"maxHeaderBytes": 100, "maxBodyBytes": 200,
+             "headerTimeoutMs": 300, "idleTimeoutMs": 400},
+  "tenants": [{"name": "t", "apiKeys": ["k1", "k2"], "priority": 1}]})";
+
+TEST(DocumentsTest, readsAConfigurationAndNamesWhatItCannot) {
+  std::string problems;
+  const auto parsed = parseCatalogue(Configuration, problems);
+  ASSERT_TRUE(parsed.ok());
+  EXPECT_EQ(parsed->Version, core::Generation(7));
+  ASSERT_EQ(parsed->Routes.size(), 2U);
+  const catalogue::Route &stream = parsed->Routes[0];
+  EXPECT_EQ(stream.Kind, catalogue::RouteKind::ResumableStream);
+  EXPECT_EQ(stream.Models, (std::vector<std::string>{"small", "large"}));
+  EXPECT_EQ(stream.TargetGap, core::Millis(2500));
+  const catalogue::Route &split = parsed->Routes[1];
+  EXPECT_EQ(split.Kind, catalogue::RouteKind::NonIdempotent);
+  EXPECT_TRUE(split.Public);
+  ASSERT_EQ(split.Services.size(), 2U);
+  EXPECT_EQ(split.Services[1].Weight, 10U);
+  EXPECT_EQ(split.MaxAttempts, 1U);
+  ASSERT_EQ(parsed->Services.size(), 2U);
+  EXPECT_EQ(parsed->Services[0].Inference->Models[1].Cost, 0.1);
+  EXPECT_EQ(parsed->Limits.IdleTimeout, core::Millis(400));
+  ASSERT_TRUE(parsed->Organisations);
+  EXPECT_EQ(parsed->Organisations->front().ApiKeys.size(), 2U);
+  EXPECT_NE(problems.find("routes"), std::string::npos);
+}
+
+TEST(DocumentsTest, aConfigurationWithoutAVersionIsRefused) {
+  std::string problems;
+  for (const char *text : {"", "[]", "{}", R"({"version": "7"})", "\xff{"})
+    EXPECT_FALSE(parseCatalogue(text, problems).ok()) << text;
+}
+
+TEST(DocumentsTest, withoutOrganisationsNoKeysAreAskedFor) {
+  std::string problems;
+  const auto parsed = parseCatalogue(R"({"version": 1})", problems);
+  ASSERT_TRUE(parsed.ok());
+  EXPECT_FALSE(parsed->Organisations);
+}
+
+TEST(DocumentsTest, readsABackendServer) {
+  const auto server = parseBackendServer(
+      "i-1", R"({"service":"s","address":"10.0.0.9:8080","zone":"z",
+                 "version":"v1","slots":64,"state":"draining",
+                 "born":1700000000000,"sequenceNumber":4})");
+  ASSERT_TRUE(server.ok());
+  EXPECT_EQ(server->Id.str(), "i-1");
+  EXPECT_EQ(server->Host, "10.0.0.9");
+  EXPECT_EQ(server->Port, 8080);
+  EXPECT_TRUE(server->Draining);
+  EXPECT_EQ(server->StartedAt, core::Millis(1700000000000));
+}
+
+TEST(DocumentsTest, entriesOfOtherWritersNameNoServer) {
+  for (const char *text :
+       {"", "null", "{}", "\xff\xfe",
+        R"({"service":"s","address":"10.0.0.9:8080","zone":"z","version":"v1",
+            "slots":"64","state":"available"})",
+        R"({"service":"s","address":"10.0.0.9:8080","zone":"z","version":"v1",
+            "slots":64,"state":"resting"})",
+        R"({"service":"s","address":"10.0.0.9","zone":"z","version":"v1",
+            "slots":64,"state":"available"})",
+        R"({"service":"s","address":"10.0.0.9:99999","zone":"z","version":"v1",
+            "slots":64,"state":"available"})",
+        R"({"service":7,"address":"10.0.0.9:8080","zone":"z","version":"v1",
+            "slots":64,"state":"available"})",
+        R"({"service":"s","address":"10.0.0.9:8080","zone":"z","slots":64,
+            "state":"available"})"})
+    EXPECT_FALSE(parseBackendServer("i", text).ok()) << text;
+}
+
+TEST(DocumentsTest, readsOrdersAndKeepsStatuses) {
+  const auto order =
+      parseRolloutOrder(R"({"service":"s","target":"v2","durationS":1.5})");
+  ASSERT_TRUE(order.ok());
+  EXPECT_EQ(order->Duration, core::Millis(1500));
+  EXPECT_FALSE(parseRolloutOrder(R"({"service":"s","target":"v2"})").ok());
+  using enum rollout::RolloutVerdict;
+  for (const auto verdict : {InProgress, Completed, Reverted}) {
+    const rollout::RolloutStatus status{core::ServiceId("s"),
+                                        core::VersionId("v2"), verdict};
+    const auto parsed = parseRolloutStatus("s", writeRolloutStatus(status));
+    ASSERT_TRUE(parsed.ok());
+    EXPECT_EQ(*parsed, status);
+  }
+}
+
+} // namespace
--- /dev/null
+++ b/tests/unit/platform/HeaderTranslatorTest.cpp
@@ -0,0 +1,117 @@
+#include "cowslipridge/platform/HeaderTranslator.hpp"
+
+#include <gtest/gtest.h>
+
+using namespace cowslipridge;
+using namespace cowslipridge::platform;
+
+namespace {
+
+http1::RequestHead callersHead() {
+  http1::RequestHead head;
+  head.Method = "POST";
+  head.Target = "/a/b?x=1";
+  for (const auto &[name, value] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"Host", "h.example"},
+           {"Attempt-Id", "9c41"},
+           {"Authorization", "Token secret"},
+           {"Deadline-Remaining", "12000"},
+           {"Last-Event-Id", "12"},
+           {"Model-Name", "*"},
+           {"Token-Usage", "1460,80"},
+           {"Prompt-Prefix", "5c1e:800,e4:250"},
+           {"Session", "s1"},
+           {"X-Other", "kept"}})
+    head.Fields.add(name, value);
+  return head;
+}
+
+TEST(HeaderTranslatorTest, readsWhatACallerSays) {
+  const auto caller = HeaderTranslator().readRequest(callersHead());
+  ASSERT_TRUE(caller.ok());
+  EXPECT_EQ(caller->Id.str(), "9c41");
+  EXPECT_EQ(caller->Path, "/a/b");
+  EXPECT_EQ(caller->ApiKey, "secret");
+  EXPECT_EQ(caller->Remaining, core::Millis(12'000));
+  EXPECT_EQ(caller->LastEvent, 12U);
+  EXPECT_TRUE(caller->AnyModel);
+  EXPECT_EQ(caller->PromptTokens, 1460U);
+  EXPECT_EQ(caller->MaxOutputTokens, 80U);
+  EXPECT_EQ(caller->Prompt,
+            (std::vector<gateway::PromptPart>{{0x5c1e, 800}, {0xe4, 250}}));
+  EXPECT_EQ(caller->Session.str(), "s1");
+}
+
+TEST(HeaderTranslatorTest, aDecidingFieldThatStandsTwiceIsMalformed) {
+  for (const char *name : {"Attempt-Id", "authorization", "Model-Name"}) {
+    http1::RequestHead head = callersHead();
+    head.Fields.add(name, "other");
+    EXPECT_FALSE(HeaderTranslator().readRequest(head).ok()) << name;
+  }
+}
+
+TEST(HeaderTranslatorTest, runnersGetTheSystemsFieldsOnlyFromTheGateway) {
+  http1::RequestHead head = callersHead();
+  for (const char *name :
+       {"Tenant-Name", "Expected-Instance", "Expected-Version",
+        "Request-Priority", "Cache-Retention", "Pin-Duration", "Kv-Backup",
+        "Kv-From", "kv-fetch"})
+    head.Fields.add(name, "forged");
+  gateway::RelayTerms terms;
+  terms.Runner = core::RunnerId("i-7");
+  terms.Organisation = core::OrganisationId("one");
+  terms.Remaining = core::Millis(900);
+  terms.Model = "large";
+  terms.LastEvent = 30;
+  terms.Urgency = 2;
+  const http1::RequestHead relayed = HeaderTranslator().relay(head, terms);
+  for (const http1::HeaderField &it : relayed.Fields.all())
+    EXPECT_NE(it.Value, "forged") << it.Name;
+  EXPECT_EQ(relayed.Method, "POST");
+  EXPECT_EQ(relayed.Target, "/a/b?x=1");
+  EXPECT_EQ(relayed.Fields.find("Attempt-Id"), "9c41");
+  EXPECT_EQ(relayed.Fields.find("X-Other"), "kept");
+  EXPECT_EQ(relayed.Fields.find("Token-Usage"), "1460,80");
+  EXPECT_EQ(relayed.Fields.find("Expected-Instance"), "i-7");
+  EXPECT_EQ(relayed.Fields.find("Tenant-Name"), "one");
+  EXPECT_EQ(relayed.Fields.find("Deadline-Remaining"), "900");
+  EXPECT_EQ(relayed.Fields.find("Model-Name"), "large");
+  EXPECT_EQ(relayed.Fields.find("Last-Event-Id"), "30");
+  EXPECT_FALSE(relayed.Fields.find("Authorization"));
+  EXPECT_EQ(relayed.Fields.count("Deadline-Remaining"), 1U);
+}
+
+TEST(HeaderTranslatorTest, readsWhatARunnerAnswers) {
+  http1::ResponseHead head;
+  head.Status = 200;
+  head.Fields.add("Attempt-Id", "9c41");
+  head.Fields.add("Response-Signature", "3e.1b");
+  head.Fields.add("Estimate-Confidence", "61");
+  const auto verdict = HeaderTranslator().readAnswer(head);
+  EXPECT_TRUE(verdict.Authentic);
+  EXPECT_FALSE(verdict.NotRun);
+  EXPECT_EQ(verdict.Confidence, 61);
+  EXPECT_EQ(verdict.Id.str(), "9c41");
+}
+
+TEST(HeaderTranslatorTest, onlyTwoAnswersProveThatNothingRan) {
+  http1::ResponseHead head;
+  head.Status = 503;
+  EXPECT_FALSE(HeaderTranslator().readAnswer(head).NotRun);
+  head.Status = 421;
+  EXPECT_TRUE(HeaderTranslator().readAnswer(head).NotRun);
+  head.Status = 503;
+  head.Fields.add("Not-Executed", "1");
+  EXPECT_TRUE(HeaderTranslator().readAnswer(head).NotRun);
+}
+
+TEST(HeaderTranslatorTest, ownAnswersSayWhenToComeBack) {
+  const auto head = HeaderTranslator().ownAnswer(503, core::RequestId("9c41"),
+                                                 core::Millis(1'250));
+  EXPECT_EQ(head.Fields.find("Retry-After"), "1.250");
+  EXPECT_EQ(head.Fields.find("Attempt-Id"), "9c41");
+  EXPECT_FALSE(head.Fields.find("Response-Signature"));
+}
+
+} // namespace
--- /dev/null
+++ b/tests/unit/platform/StoreProtocolTest.cpp
@@ -0,0 +1,54 @@
+#include "cowslipridge/platform/StoreProtocol.hpp"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+using namespace cowslipridge;
+using namespace cowslipridge::platform;
+
+namespace {
+
+TEST(StoreProtocolTest, escapesKeysInCalls) {
+  EXPECT_EQ(listCall("a b/", "c&d").Target,
+            "/v1/kv-range?pathPrefix=a%20b%2F&after=c%26d");
+  EXPECT_EQ(watchCall("", 411, core::Millis(20'000)).Target,
+            "/v1/kv-watch?pathPrefix=&after=411&waitMs=20000");
+}
+
+TEST(StoreProtocolTest, readsAListingAndPassesBadItemsOver) {
+  const auto batch = parseListing(
+      R"({"entries":[{"key":"k","value":"bm9kZS0x","revision":412,"lease":0},
+          {"key":"bad","value":"###","revision":1}, 7],
+          "hasMore":true,"at":530})");
+  ASSERT_TRUE(batch.ok());
+  EXPECT_EQ(batch->Items,
+            (std::vector<StoreItem>{{"k", "node-1", 412, false}}));
+  EXPECT_TRUE(batch->HasMore);
+  EXPECT_EQ(batch->At, 530);
+}
+
+TEST(StoreProtocolTest, readsChanges) {
+  const auto batch = parseChanges(
+      R"({"events":[{"key":"old","revision":413,"deleted":true}],"at":413})");
+  ASSERT_TRUE(batch.ok());
+  EXPECT_EQ(batch->Items, (std::vector<StoreItem>{{"old", "", 413, true}}));
+}
+
+TEST(StoreProtocolTest, anAnswerWithoutAPositionIsNoAnswer) {
+  for (const char *text : {"", "{}", "[]", R"({"events":[]})", "\xff"})
+    EXPECT_FALSE(parseChanges(text).ok()) << text;
+  EXPECT_FALSE(parseLease("{}").ok());
+}
+
+TEST(StoreProtocolTest, writesUnderConditions) {
+  const StoreCall call =
+      writeCall({{"a", "node-1", 0, true, 0}, {"b", "x", 77120, false, 0}});
+  EXPECT_EQ(nlohmann::json::parse(call.Body),
+            nlohmann::json::parse(
+                R"({"expectedRevision":[{"key":"a","revision":0}],
+                    "write":[{"key":"a","value":"bm9kZS0x"},
+                             {"key":"b","value":"eA==","lease":77120}],
+                    "remove":[]})"));
+}
+
+} // namespace
