Keep the smallest model on runners of its own; escalate only what fits

Cause: streams ran out of time. Change: route/ModelPools divides the runners between the smallest model and the larger ones by their observed work; route/PrefillForecast learns each runner's pace of events; route/ModelLadder asks the largest model only while its whole answer is forecast to fit. Models in between are no longer asked.

--- a/src/cowslipridge/catalogue/Catalogue.hpp
+++ b/src/cowslipridge/catalogue/Catalogue.hpp
@@ -63,6 +63,7 @@
 struct Engine {
   unsigned Slots = 1;            ///< requests in one batch
   std::uint64_t CacheTokens = 0; ///< memory of one runner
+  unsigned TokensPerEvent = 1;
   std::vector<Model> Models;
   friend auto operator<=>(const Engine &, const Engine &) = default;
 };
--- a/src/cowslipridge/gateway/CallerRequest.hpp
+++ b/src/cowslipridge/gateway/CallerRequest.hpp
@@ -31,6 +31,8 @@
   std::string Model;
   std::uint64_t PromptTokens = 0;
   std::uint64_t MaxOutputTokens = 0;
+  /// The caller's own guess; good in the middle, often far off.
+  std::optional<std::uint64_t> GuessedOutputTokens;
   std::vector<PromptPart> Prompt;
   core::SessionId Session; ///< empty: none
 };
--- a/src/cowslipridge/gateway/Dispatcher.cpp
+++ b/src/cowslipridge/gateway/Dispatcher.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t MaxCacheBlocks = 20'000;
 /// How likely other gateways have had the favourite runner read a shared part.
 constexpr double FavouriteKeeps = 0.7;
+/// Part of the most output tokens that an answer has, without a better guess.
+constexpr double GuessedPartOfMost = 0.35;
 /// Patience with a runner: times the forecast, and at least.
 constexpr std::int64_t PatienceFactor = 4;
 constexpr core::Millis LeastStreamPatience{1'500};
@@ -23,6 +25,8 @@
 constexpr core::Millis ShortReturn{150};
 /// A further plain request in hand makes a runner's answer so much later.
 constexpr double MillisPerPlainRequest = 30;
+/// How much a runner's pace counts against its first token, in events.
+constexpr double EventsThatCount = 5;
 constexpr std::size_t LeastConnections = 4;
 
 std::uint64_t hashOf(const std::string &text) {
@@ -144,7 +148,7 @@
 Dispatcher::rate(const membership::BackendServer &server,
                  const std::vector<route::CacheBlock> &prompt,
                  const std::string &model, const RequestFacts &facts,
-                 bool isFavourite) const {
+                 bool isFavourite, core::Millis now) const {
   Candidate candidate;
   candidate.Server = &server;
   std::uint64_t kept = Cache.keptTokens(prompt, server.Id);
@@ -157,17 +161,37 @@
       Forecast.firstToken(server.Id, model, candidate.UncachedTokens);
   candidate.Score = static_cast<double>(candidate.FirstToken.count());
   const route::ServerLoad load = Forecast.load(server.Id);
-  if (prompt.empty())
+  if (prompt.empty()) {
     candidate.Score += MillisPerPlainRequest * (load.Waiting + load.Running);
-  else
-    // Reading again also pushes another part out of the runner's memory.
-    candidate.Score += Forecast.readingMillis(model, candidate.UncachedTokens);
+    return candidate;
+  }
+  // Reading again also pushes another part out of the runner's memory.
+  candidate.Score += Forecast.readingMillis(model, candidate.UncachedTokens);
+  candidate.Score += EventsThatCount * Forecast.eventMillis(server.Id, now);
   return candidate;
 }
 
+std::vector<const membership::BackendServer *>
+Dispatcher::poolOf(std::vector<const membership::BackendServer *> servers,
+                   ModelTier tier) const {
+  if (!tier || servers.size() < 2)
+    return servers;
+  std::sort(servers.begin(), servers.end(), [](const auto *a, const auto *b) {
+    return route::ModelPools::before(a->Id, b->Id);
+  });
+  const auto bound = servers.begin() + static_cast<std::ptrdiff_t>(
+                                           Pools.smallestPool(servers.size()));
+  if (*tier == 0)
+    servers.erase(bound, servers.end());
+  else
+    servers.erase(servers.begin(), bound);
+  return servers;
+}
+
 std::optional<Dispatcher::Candidate>
 Dispatcher::best(const std::vector<const membership::BackendServer *> &servers,
-                 const std::string &model, const RequestFacts &facts) const {
+                 const std::string &model, const RequestFacts &facts,
+                 core::Millis now) const {
   if (servers.empty())
     return std::nullopt;
   const auto prompt = blocksOf(facts.Caller, model);
@@ -181,7 +205,7 @@
   std::optional<Candidate> chosen;
   for (const auto *server : servers) {
     Candidate candidate =
-        rate(*server, prompt, model, facts, server == favourite);
+        rate(*server, prompt, model, facts, server == favourite, now);
     // Its own failure domain saves a little time, the favourite settles ties.
     candidate.Score += server->Domain == Settings.Domain ? 0 : 1;
     candidate.Score -= server == favourite ? 1 : 0;
@@ -195,9 +219,9 @@
                                   const std::vector<core::RunnerId> &excluded,
                                   bool repeat, core::Millis now) {
   const core::ServiceId service = chooseService(facts);
-  const auto servers = eligible(facts, service, excluded, now);
+  const auto servers = poolOf(eligible(facts, service, excluded, now), tier);
   const std::string model = modelOf(facts, tier);
-  const auto candidate = best(servers, model, facts);
+  const auto candidate = best(servers, model, facts, now);
   if (!candidate)
     return NoPlacement{"no runner", ShortReturn};
   const core::Millis left = facts.Deadline - now;
@@ -242,6 +266,9 @@
   Forecast.sent(placement.Ticket, server.Id, model, candidate.UncachedTokens,
                 now);
   Cache.read(blocksOf(facts.Caller, model), server.Id);
+  if (tier)
+    Pools.sent(*tier == 0,
+               Forecast.readingMillis(model, candidate.UncachedTokens), now);
   if (!facts.Caller.Session.empty())
     Pins.insert_or_assign(facts.Caller.Session.str(), Pin{server.Version, now});
   ++OwnEvidence[{service, server.Version, facts.Route->Name}].Sent;
@@ -258,24 +285,48 @@
   return 0;
 }
 
-core::Millis Dispatcher::forecast(const RequestFacts &facts,
-                                  const std::string &model, core::Millis now) {
-  const auto servers = eligible(facts, chooseService(facts), {}, now);
-  const auto candidate = best(servers, model, facts);
-  return candidate ? candidate->FirstToken
-                   : core::Millis(std::numeric_limits<std::int32_t>::max());
+double Dispatcher::expectedEvents(const RequestFacts &facts,
+                                  const core::ServiceId &service) {
+  const catalogue::Service *declared = facts.Catalogue->service(service);
+  const double perEvent = declared != nullptr && declared->Inference
+                              ? declared->Inference->TokensPerEvent
+                              : 1;
+  const double tokens =
+      facts.Caller.GuessedOutputTokens
+          ? static_cast<double>(*facts.Caller.GuessedOutputTokens)
+          : GuessedPartOfMost *
+                static_cast<double>(facts.Caller.MaxOutputTokens);
+  return tokens / perEvent;
+}
+
+std::optional<route::TierForecast>
+Dispatcher::forecast(const RequestFacts &facts, std::size_t tier,
+                     core::Millis now) {
+  const core::ServiceId service = chooseService(facts);
+  const auto servers = poolOf(eligible(facts, service, {}, now), tier);
+  const auto candidate = best(servers, modelOf(facts, tier), facts, now);
+  if (!candidate)
+    return std::nullopt;
+  const double events = expectedEvents(facts, service);
+  const double pace = Forecast.eventMillis(candidate->Server->Id, now);
+  return route::TierForecast{candidate->FirstToken,
+                             candidate->FirstToken +
+                                 core::Millis(std::llround(events * pace))};
 }
 
 ModelTier Dispatcher::betterTier(const RequestFacts &facts, std::size_t tier,
                                  int confidence, core::Millis now) {
+  const std::size_t largest = facts.Route->Models.size() - 1;
+  const auto ahead =
+      tier < largest ? forecast(facts, largest, now) : std::nullopt;
+  if (!ahead)
+    return tier;
   route::LadderFacts ladder;
   ladder.Confidence = confidence;
-  ladder.Tier = tier;
-  ladder.Elapsed = now - facts.ArrivedAt;
-  ladder.Target = facts.Route->TargetLatency;
-  for (const std::string &model : facts.Route->Models)
-    ladder.FirstToken.push_back(forecast(facts, model, now));
-  return route::betterTier(ladder);
+  ladder.Target = facts.Route->TargetLatency - (now - facts.ArrivedAt);
+  ladder.Deadline = facts.Deadline - now;
+  ladder.Largest = *ahead;
+  return route::asksLargest(ladder) ? largest : tier;
 }
 
 void Dispatcher::onFirstByte(std::uint64_t ticket, core::Millis now) {
@@ -295,6 +346,11 @@
   counts.LogSlowness += std::log(elapsed / predicted);
 }
 
+void Dispatcher::onEvents(std::uint64_t ticket, unsigned events,
+                          core::Millis now) {
+  Forecast.progressed(ticket, events, now);
+}
+
 void Dispatcher::onEnded(std::uint64_t ticket, SendOutcome outcome,
                          core::Millis now) {
   Forecast.ended(ticket);
--- a/src/cowslipridge/gateway/Dispatcher.hpp
+++ b/src/cowslipridge/gateway/Dispatcher.hpp
@@ -7,6 +7,7 @@
 #include "cowslipridge/membership/ServerRegistry.hpp"
 #include "cowslipridge/rollout/TrialControl.hpp"
 #include "cowslipridge/route/ModelLadder.hpp"
+#include "cowslipridge/route/ModelPools.hpp"
 #include "cowslipridge/route/PrefillForecast.hpp"
 #include "cowslipridge/route/PromptCache.hpp"
 
@@ -37,6 +38,8 @@
   ModelTier betterTier(const RequestFacts &facts, std::size_t tier,
                        int confidence, core::Millis now) override;
   void onFirstByte(std::uint64_t ticket, core::Millis now) override;
+  void onEvents(std::uint64_t ticket, unsigned events,
+                core::Millis now) override;
   void onEnded(std::uint64_t ticket, SendOutcome outcome,
                core::Millis now) override;
 
@@ -91,15 +94,23 @@
   Candidate rate(const membership::BackendServer &server,
                  const std::vector<route::CacheBlock> &prompt,
                  const std::string &model, const RequestFacts &facts,
-                 bool isFavourite) const;
+                 bool isFavourite, core::Millis now) const;
+  /// Those of `servers` that serve the tier.
+  std::vector<const membership::BackendServer *>
+  poolOf(std::vector<const membership::BackendServer *> servers,
+         ModelTier tier) const;
   std::optional<Candidate>
   best(const std::vector<const membership::BackendServer *> &servers,
-       const std::string &model, const RequestFacts &facts) const;
+       const std::string &model, const RequestFacts &facts,
+       core::Millis now) const;
   Placement commit(const Candidate &candidate, const core::ServiceId &service,
                    const std::string &model, ModelTier tier,
                    const RequestFacts &facts, core::Millis now);
-  core::Millis forecast(const RequestFacts &facts, const std::string &model,
-                        core::Millis now);
+  std::optional<route::TierForecast>
+  forecast(const RequestFacts &facts, std::size_t tier, core::Millis now);
+  /// Events of the answer, as far as it can be told in advance.
+  static double expectedEvents(const RequestFacts &facts,
+                               const core::ServiceId &service);
   limits::RetryWindow &budget(const core::ServiceId &service);
   [[nodiscard]] rollout::EvidenceTable pooledEvidence() const;
 
@@ -110,6 +121,7 @@
   limits::Ejections Ejections;
   route::PrefillForecast Forecast;
   route::PromptCache Cache;
+  route::ModelPools Pools;
   std::map<core::ServiceId, limits::RetryWindow> Budgets;
   std::unordered_map<std::uint64_t, Sending> Sendings;
   std::unordered_map<std::string, Pin> Pins; ///< of sessions
--- a/src/cowslipridge/gateway/Placement.hpp
+++ b/src/cowslipridge/gateway/Placement.hpp
@@ -75,6 +75,9 @@
                                int confidence, core::Millis now) = 0;
   /// The first sign of an answer.
   virtual void onFirstByte(std::uint64_t ticket, core::Millis now) = 0;
+  /// Whole events of a stream came.
+  virtual void onEvents(std::uint64_t ticket, unsigned events,
+                        core::Millis now) = 0;
   virtual void onEnded(std::uint64_t ticket, SendOutcome outcome,
                        core::Millis now) = 0;
 };
--- a/src/cowslipridge/gateway/RequestMachine.cpp
+++ b/src/cowslipridge/gateway/RequestMachine.cpp
@@ -187,12 +187,15 @@
   }
   if (SilentAt)
     SilentAt = now + std::max(LeastStreamPatience, Facts.Route->TargetGap);
-  passEvents(bytes);
+  passEvents(bytes, now);
 }
 
-void RequestMachine::passEvents(std::string_view bytes) {
+void RequestMachine::passEvents(std::string_view bytes, core::Millis now) {
   std::string whole;
-  for (const StreamEvent &it : Events.push(bytes)) {
+  const std::vector<StreamEvent> events = Events.push(bytes);
+  Decisions.onEvents(Current->Ticket, static_cast<unsigned>(events.size()),
+                     now);
+  for (const StreamEvent &it : events) {
     if (!passEvent(it))
       continue;
     whole += it.Bytes;
--- a/src/cowslipridge/gateway/RequestMachine.hpp
+++ b/src/cowslipridge/gateway/RequestMachine.hpp
@@ -79,7 +79,7 @@
                  core::Millis now);
   void onRunnerFailed(core::Millis now);
   bool escalate(const RunnerVerdict &verdict, core::Millis now);
-  void passEvents(std::string_view bytes);
+  void passEvents(std::string_view bytes, core::Millis now);
   bool passEvent(const StreamEvent &event);
   void endStream(core::Millis now);
   void endGathered(core::Millis now);
--- a/src/cowslipridge/platform/Documents.cpp
+++ b/src/cowslipridge/platform/Documents.cpp
@@ -90,6 +90,8 @@
       std::max<std::int64_t>(1, wholeAt(json, "slots").value_or(1)));
   engine.CacheTokens = static_cast<std::uint64_t>(
       std::max<std::int64_t>(0, wholeAt(json, "kvCacheTokens").value_or(0)));
+  engine.TokensPerEvent = static_cast<unsigned>(
+      std::max<std::int64_t>(1, wholeAt(json, "stride").value_or(1)));
   for (const Json &it : listAt(json, "models")) {
     if (const auto name = textAt(it, "name"))
       engine.Models.push_back({*name, numberAt(it, "cost").value_or(0)});
--- a/src/cowslipridge/platform/HeaderTranslator.cpp
+++ b/src/cowslipridge/platform/HeaderTranslator.cpp
@@ -21,6 +21,7 @@
 constexpr std::string_view TokenUsage = "Token-Usage";
 // "ID:TOKENS,...", ids in hexadecimal.
 constexpr std::string_view PromptPrefix = "Prompt-Prefix";
+constexpr std::string_view LengthHint = "Length-Hint";
 constexpr std::string_view Session = "Session";
 constexpr std::string_view ExpectedInstance = "Expected-Instance";
 constexpr std::string_view TenantName = "Tenant-Name";
@@ -38,8 +39,8 @@
 
 /// Fields of which two would leave it open which one holds.
 constexpr std::array<std::string_view, 9> SingleFields = {
-    AttemptId,  Authorization, DeadlineRemaining, LastEventId,  ModelName,
-    TokenUsage, PromptPrefix,  Session,           "Length-Hint"};
+    AttemptId,  Authorization, DeadlineRemaining, LastEventId, ModelName,
+    TokenUsage, PromptPrefix,  Session,           LengthHint};
 
 constexpr int MisdirectedRequest = 421;
 
@@ -120,6 +121,7 @@
   request.Model = textIn(head.Fields, ModelName);
   request.AnyModel = request.Model == AnyModel;
   readTokens(textIn(head.Fields, TokenUsage), request);
+  request.GuessedOutputTokens = numberIn(head.Fields, LengthHint);
   request.Prompt = parsePrompt(textIn(head.Fields, PromptPrefix));
   request.Session = core::SessionId(textIn(head.Fields, Session));
   return request;
--- a/src/cowslipridge/route/ModelLadder.hpp
+++ b/src/cowslipridge/route/ModelLadder.hpp
@@ -2,27 +2,29 @@
 
 #include "cowslipridge/core/Clock.hpp"
 
-#include <cstddef>
-#include <vector>
-
 namespace cowslipridge::route {
 
+/// What a model could do for a request, were it asked now.
+struct TierForecast {
+  core::Millis FirstToken;
+  core::Millis Whole; ///< until the end of the answer
+};
+
 /// What decides whether a larger model is asked after a smaller one answered.
 struct LadderFacts {
-  int Confidence = 0;   ///< the smaller model's opinion of its answer, 0..100
-  std::size_t Tier = 0; ///< of the answer, 0 is the smallest model
-  core::Millis Elapsed; ///< since the request arrived
-  core::Millis Target;  ///< until the first token
-  /// Forecast of the first token of each tier, were it asked now.
-  std::vector<core::Millis> FirstToken;
+  int Confidence = 0;    ///< the smaller model's opinion of its answer, 0..100
+  core::Millis Target;   ///< what is left of the target for the first token
+  core::Millis Deadline; ///< what is left for the whole answer
+  TierForecast Largest;
 };
 
-/// The tier to ask now; `Tier` itself when its answer is kept.
+/// Whether the largest model is asked instead.
 ///
 /// The pattern it answers: a larger model answers hard requests well but has
 /// less room. Quiet runners take every doubtful request; as the forecast of the
-/// larger model nears the target, only the most doubtful ones go on, and none
-/// once its answer would be late.
-std::size_t betterTier(const LadderFacts &facts);
+/// larger model nears the target or the deadline, only the most doubtful ones
+/// go on, and none once its answer would be late. Models in between are not
+/// asked: they answer few of the requests that the smallest one doubts.
+bool asksLargest(const LadderFacts &facts);
 
 } // namespace cowslipridge::route
--- /dev/null
+++ b/src/cowslipridge/route/ModelPools.cpp
@@ -0,0 +1,51 @@
+#include "cowslipridge/route/ModelPools.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cowslipridge::route {
+
+namespace {
+
+/// Work is forgotten with this half-life.
+constexpr double HalfLifeMillis = 6'000;
+/// The smallest model's share of the runners before any work is known, and the
+/// limits that a passing mixture of requests can't move it beyond.
+constexpr double FirstShare = 0.25;
+constexpr double LeastShare = 0.1;
+constexpr double MostShare = 0.6;
+/// Weight of the first share against observed work, in milliseconds of work.
+constexpr double FirstWeight = 4'000;
+
+} // namespace
+
+void ModelPools::sent(bool smallest, double workMillis, core::Millis now) {
+  decay(now);
+  (smallest ? SmallWork : LargeWork) += workMillis;
+}
+
+std::size_t ModelPools::smallestPool(std::size_t total) const {
+  if (total < 2)
+    return total;
+  const double work = SmallWork + LargeWork;
+  const double share =
+      std::clamp((SmallWork + FirstShare * FirstWeight) / (work + FirstWeight),
+                 LeastShare, MostShare);
+  const auto pool = static_cast<std::size_t>(
+      std::llround(share * static_cast<double>(total)));
+  return std::clamp<std::size_t>(pool, 1, total - 1);
+}
+
+bool ModelPools::before(const core::RunnerId &a, const core::RunnerId &b) {
+  return a < b;
+}
+
+void ModelPools::decay(core::Millis now) {
+  const auto elapsed = static_cast<double>((now - DecayedAt).count());
+  const double kept = std::exp2(-elapsed / HalfLifeMillis);
+  SmallWork *= kept;
+  LargeWork *= kept;
+  DecayedAt = now;
+}
+
+} // namespace cowslipridge::route
--- a/src/cowslipridge/route/PrefillForecast.cpp
+++ b/src/cowslipridge/route/PrefillForecast.cpp
@@ -17,6 +17,11 @@
 constexpr double SlownessRate = 0.15;
 constexpr double LeastSlowness = 0.5;
 constexpr double MostSlowness = 12;
+/// Time between two events on a runner that nothing is known of.
+constexpr double FirstEventMillis = 60;
+constexpr double PaceRate = 0.12;
+/// What was seen of a runner's pace is believed less after this time.
+constexpr double PaceLifeMillis = 3'000;
 /// Each answer under way slows the others a little, in milliseconds.
 constexpr double MillisPerRunning = 2;
 
@@ -89,6 +94,7 @@
     return;
   Sending &sending = it->second;
   sending.Answered = true;
+  sending.EventAt = now;
   ServerLoad &own = Own[sending.Runner];
   own.PendingMillis = std::max(0.0, own.PendingMillis - sending.WorkMillis);
   --own.Waiting;
@@ -112,6 +118,32 @@
   rate = std::clamp(rate + step, LeastMillisPerToken, MostMillisPerToken);
 }
 
+void PrefillForecast::progressed(std::uint64_t ticket, unsigned events,
+                                 core::Millis now) {
+  const auto it = Sendings.find(ticket);
+  if (it == Sendings.end() || events == 0)
+    return;
+  Sending &sending = it->second;
+  const double gap =
+      static_cast<double>((now - sending.EventAt).count()) / events;
+  sending.EventAt = now;
+  Pace &pace = Paces.try_emplace(sending.Runner, Pace{FirstEventMillis, now})
+                   .first->second;
+  pace.EventMillis += PaceRate * (gap - pace.EventMillis);
+  pace.SeenAt = now;
+}
+
+double PrefillForecast::eventMillis(const core::RunnerId &runner,
+                                    core::Millis now) const {
+  const auto it = Paces.find(runner);
+  if (it == Paces.end())
+    return FirstEventMillis;
+  const auto age = static_cast<double>((now - it->second.SeenAt).count());
+  const double belief = std::exp2(-age / PaceLifeMillis);
+  return FirstEventMillis +
+         belief * (it->second.EventMillis - FirstEventMillis);
+}
+
 void PrefillForecast::ended(std::uint64_t ticket) {
   const auto it = Sendings.find(ticket);
   if (it == Sendings.end())
@@ -145,6 +177,7 @@
 
 void PrefillForecast::forget(const core::RunnerId &runner) {
   Slowness.erase(runner);
+  Paces.erase(runner);
 }
 
 } // namespace cowslipridge::route
--- a/src/cowslipridge/route/PrefillForecast.hpp
+++ b/src/cowslipridge/route/PrefillForecast.hpp
@@ -40,6 +40,8 @@
             core::Millis now);
   /// The first token came.
   void answered(std::uint64_t ticket, core::Millis now);
+  /// Further events of a stream came.
+  void progressed(std::uint64_t ticket, unsigned events, core::Millis now);
   void ended(std::uint64_t ticket);
   /// What another gateway has sent to a runner.
   void setRemote(const core::InstanceId &gateway,
@@ -53,6 +55,9 @@
   }
   /// Of all gateways.
   [[nodiscard]] ServerLoad load(const core::RunnerId &runner) const;
+  /// Time between two events of a stream at a runner, from its streams of late.
+  [[nodiscard]] double eventMillis(const core::RunnerId &runner,
+                                   core::Millis now) const;
   /// How many times slower than others of its service a runner is.
   [[nodiscard]] double slowness(const core::RunnerId &runner) const;
 
@@ -66,12 +71,18 @@
     double AheadMillis = 0;
     core::Millis SentAt;
     bool Answered = false;
+    core::Millis EventAt; ///< of the last event
+  };
+  struct Pace {
+    double EventMillis = 0;
+    core::Millis SeenAt;
   };
 
   void learn(const Sending &sending, double elapsed);
 
   std::unordered_map<std::string, double> MillisPerToken;
   std::unordered_map<core::RunnerId, double> Slowness;
+  std::unordered_map<core::RunnerId, Pace> Paces;
   std::unordered_map<std::uint64_t, Sending> Sendings;
   std::map<core::RunnerId, ServerLoad> Own;
   std::map<core::InstanceId, std::map<core::RunnerId, ServerLoad>> Remote;
--- a/tests/support/ScriptedPlacer.hpp
+++ b/tests/support/ScriptedPlacer.hpp
@@ -36,6 +36,8 @@
     return confidence < 50 ? tier + 1 : tier;
   }
   void onFirstByte(std::uint64_t /*ticket*/, core::Millis /*now*/) override {}
+  void onEvents(std::uint64_t /*ticket*/, unsigned /*events*/,
+                core::Millis /*now*/) override {}
   void onEnded(std::uint64_t ticket, gateway::SendOutcome outcome,
                core::Millis /*now*/) override {
     Outcomes.emplace(ticket, outcome);
