Ask the largest model by what its reading costs and what time is free

Change: doubt begins at 50, fades as less than three quarters of the time is free, and counts more for prompts whose parts are kept. Logs name the confidence, events and first token of each streamed answer.

--- a/src/cowslipridge/gateway/RequestFlow.cpp
+++ b/src/cowslipridge/gateway/RequestFlow.cpp
@@ -154,6 +154,8 @@
       " max_output_tokens=" + std::to_string(facts.Caller.MaxOutputTokens);
   if (BegunAt)
     text += " first_ms=" + std::to_string((*BegunAt - facts.ArrivedAt).count());
+  if (const auto confidence = Machine.confidence())
+    text += " confidence=" + std::to_string(*confidence);
   return text;
 }
 
--- a/src/cowslipridge/gateway/RequestMachine.cpp
+++ b/src/cowslipridge/gateway/RequestMachine.cpp
@@ -136,6 +136,7 @@
   if (AnswerBegun)
     return;
   AnswerBegun = true;
+  Confidence = verdict.Confidence;
   // A stream that goes on elsewhere has no length known in advance.
   http1::ResponseHead streamed = head;
   streamed.Fields = http1::endToEnd(head.Fields);
--- a/src/cowslipridge/gateway/RequestMachine.hpp
+++ b/src/cowslipridge/gateway/RequestMachine.hpp
@@ -66,6 +66,8 @@
   [[nodiscard]] bool done() const { return State == Phase::Done; }
   [[nodiscard]] const RequestFacts &facts() const { return Facts; }
   /// Events of a stream that the caller was given.
+  /// What the model that answers thinks of its answer.
+  [[nodiscard]] std::optional<int> confidence() const { return Confidence; }
   [[nodiscard]] std::size_t eventsPassed() const { return EventsPassed; }
 
 private:
@@ -107,6 +109,7 @@
   std::string FailedBody;
   http1::ResponseHead Head; ///< of the answer that is being gathered
   std::string Body;
+  std::optional<int> Confidence;
   EventSplitter Events;
   std::size_t EventsPassed = 0;
   std::optional<std::uint64_t> LastEvent; ///< that the caller has
--- a/src/cowslipridge/route/ModelLadder.cpp
+++ b/src/cowslipridge/route/ModelLadder.cpp
@@ -7,9 +7,13 @@
 namespace {
 
 /// Answers with less confidence are doubted on quiet runners.
-constexpr double DoubtBelow = 60;
+constexpr double DoubtBelow = 50;
 /// Part of the time that has to be left free for the doubt to count in full.
-constexpr double EaseAtSlack = 0.5;
+constexpr double EaseAtSlack = 0.75;
+/// How much the doubt counts for a prompt that is all kept, or all to be read
+/// with no time to spare.
+constexpr double WorthKept = 1.3;
+constexpr double WorthUnread = 0.5;
 
 // Part of `available` that `needed` leaves free; negative when it does not fit.
 double slack(core::Millis available, core::Millis needed) {
@@ -25,7 +29,12 @@
   const double free = std::min(slack(facts.Target, facts.Largest.FirstToken),
                                slack(facts.Deadline, facts.Largest.Whole));
   const double ease = std::clamp(free / EaseAtSlack, 0.0, 1.0);
-  return facts.Confidence < DoubtBelow * ease;
+  // A prompt that is kept costs little; one to be read keeps others waiting,
+  // the more so the less time is free.
+  const double unread = WorthUnread + (1 - WorthUnread) * ease;
+  const double worthwhile =
+      WorthKept + (unread - WorthKept) * facts.Largest.Unread;
+  return facts.Confidence < DoubtBelow * ease * worthwhile;
 }
 
 } // namespace cowslipridge::route
