Test the decisions under their loads; tell crashes from a bad version

Change: evidence counts answers that broke off apart from answers that say they failed, with a higher bar. Ruled out: not judging broken answers at all; a version that breaks every stream would then stay.

--- a/src/cowslipridge/gateway/Dispatcher.cpp
+++ b/src/cowslipridge/gateway/Dispatcher.cpp
@@ -370,11 +370,15 @@
     Ejections.onUnreachable(sending.Runner, now);
     break;
   case SendOutcome::FailedAnswer:
+    Ejections.onFailure(sending.Runner, now);
+    ++counts.Judged;
+    ++counts.Failed;
+    break;
   case SendOutcome::Broken:
   case SendOutcome::Silent:
     Ejections.onFailure(sending.Runner, now);
     ++counts.Judged;
-    ++counts.Failed;
+    ++counts.Broken;
     break;
   case SendOutcome::Rejected:
   case SendOutcome::Dropped:
--- a/src/cowslipridge/gateway/PeerReportCodec.cpp
+++ b/src/cowslipridge/gateway/PeerReportCodec.cpp
@@ -25,8 +25,8 @@
   json evidence = json::array();
   for (const auto &[key, counts] : report.Evidence)
     evidence.push_back({key.Service.str(), key.Version.str(), key.Route,
-                        counts.Sent, counts.Judged, counts.Failed, counts.Timed,
-                        counts.LogSlowness});
+                        counts.Sent, counts.Judged, counts.Failed,
+                        counts.Broken, counts.Timed, counts.LogSlowness});
   return evidence;
 }
 
@@ -46,7 +46,7 @@
         rollout::AnswerCounts{
             it.at(3).get<std::uint64_t>(), it.at(4).get<std::uint64_t>(),
             it.at(5).get<std::uint64_t>(), it.at(6).get<std::uint64_t>(),
-            it.at(7).get<double>()});
+            it.at(7).get<std::uint64_t>(), it.at(8).get<double>()});
   return report;
 }
 
--- a/src/cowslipridge/rollout/TrialEvidence.cpp
+++ b/src/cowslipridge/rollout/TrialEvidence.cpp
@@ -6,12 +6,16 @@
 
 namespace {
 
-/// Failures that single faults of a network or a runner explain.
+/// Failures that single faults of a runner explain.
 constexpr std::uint64_t LeastFailures = 3;
 /// A trial fails too often when its share of failures exceeds that of the
 /// stable version by this factor and this difference.
 constexpr double FailureFactor = 2;
 constexpr double FailureDifference = 0.1;
+/// The same for answers that break off, as they do when runners crash.
+constexpr std::uint64_t LeastBroken = 8;
+constexpr double BrokenFactor = 3;
+constexpr double BrokenDifference = 0.3;
 constexpr std::uint64_t LeastTimed = 6;
 /// Mean slowdown against the stable version that no load explains, as a factor.
 constexpr double SlownessFactor = 2.2;
@@ -27,25 +31,40 @@
              : counts.LogSlowness / static_cast<double>(counts.Timed);
 }
 
+bool failsMore(const AnswerCounts &trial, const AnswerCounts &stable) {
+  return trial.Failed >= LeastFailures &&
+         share(trial.Failed, trial.Judged) >
+             FailureFactor * share(stable.Failed, stable.Judged) +
+                 FailureDifference;
+}
+
+bool breaksMore(const AnswerCounts &trial, const AnswerCounts &stable) {
+  return trial.Broken >= LeastBroken &&
+         share(trial.Broken, trial.Judged) >
+             BrokenFactor * share(stable.Broken, stable.Judged) +
+                 BrokenDifference;
+}
+
+bool isSlower(const AnswerCounts &trial, const AnswerCounts &stable) {
+  return trial.Timed >= LeastTimed &&
+         meanLog(trial) - meanLog(stable) > std::log(SlownessFactor);
+}
+
 } // namespace
 
 AnswerCounts &AnswerCounts::operator+=(const AnswerCounts &other) {
   Sent += other.Sent;
   Judged += other.Judged;
   Failed += other.Failed;
+  Broken += other.Broken;
   Timed += other.Timed;
   LogSlowness += other.LogSlowness;
   return *this;
 }
 
 bool isWorse(const AnswerCounts &trial, const AnswerCounts &stable) {
-  const double tolerated =
-      FailureFactor * share(stable.Failed, stable.Judged) + FailureDifference;
-  if (trial.Failed >= LeastFailures &&
-      share(trial.Failed, trial.Judged) > tolerated)
-    return true;
-  return trial.Timed >= LeastTimed &&
-         meanLog(trial) - meanLog(stable) > std::log(SlownessFactor);
+  return failsMore(trial, stable) || breaksMore(trial, stable) ||
+         isSlower(trial, stable);
 }
 
 } // namespace cowslipridge::rollout
--- a/src/cowslipridge/rollout/TrialEvidence.hpp
+++ b/src/cowslipridge/rollout/TrialEvidence.hpp
@@ -21,9 +21,10 @@
 struct AnswerCounts {
   std::uint64_t Sent = 0;   ///< requests given to runners of the version
   std::uint64_t Judged = 0; ///< of these, ended with a verdict on the runner
-  std::uint64_t Failed = 0;
-  std::uint64_t Timed = 0; ///< answers with a forecast to compare with
-  double LogSlowness = 0;  ///< sum of log(observed / forecast)
+  std::uint64_t Failed = 0; ///< the runner answered that it failed
+  std::uint64_t Broken = 0; ///< broke off or silent; crashes look like that
+  std::uint64_t Timed = 0;  ///< answers with a forecast to compare with
+  double LogSlowness = 0;   ///< sum of log(observed / forecast)
 
   AnswerCounts &operator+=(const AnswerCounts &other);
   friend auto operator<=>(const AnswerCounts &, const AnswerCounts &) = default;
--- /dev/null
+++ b/tests/unit/config/GatewaySettingsTest.cpp
@@ -0,0 +1,62 @@
+#include "cowslipridge/config/GatewaySettings.hpp"
+
+#include <gtest/gtest.h>
+
+using namespace cowslipridge;
+using namespace cowslipridge::config;
+
+namespace {
+
+constexpr const char *Good = "[process]\ninstance = edge-kochi-a-1\n"
+                             "failure_domain = kochi-a\ngrace_period = 8s\n"
+                             "[listen]\ncallers = 10.1.0.40:8227\n"
+                             "readiness = 10.1.0.40:8220\n"
+                             "peers = 10.1.0.40:7340\n"
+                             "metrics = 10.1.0.40:9464\n"
+                             "[store]\naddress = 10.200.1.7:8223\n"
+                             "[promises]\nretry_ratio = 0.9\n"
+                             "retry_window = 10s\nretry_allowance = 54\n"
+                             "exposure_fraction = 0.15\n"
+                             "exposure_allowance = 30\n"
+                             "session_lifetime = 5s\ndrain_time = 2000ms\n";
+
+TEST(GatewaySettingsTest, readsAllThatThePlatformFillsIn) {
+  core::Findings findings;
+  const auto settings = parseGatewaySettings(Good, "g.ini", findings);
+  ASSERT_TRUE(settings) << core::toString(findings.items().front());
+  EXPECT_EQ(settings->Instance.str(), "edge-kochi-a-1");
+  EXPECT_EQ(settings->Callers, (SocketAddress{"10.1.0.40", 8227}));
+  EXPECT_EQ(settings->Metrics, (SocketAddress{"10.1.0.40", 9464}));
+  EXPECT_EQ(settings->Retries.PerRequest, 0.9);
+  EXPECT_EQ(settings->Retries.Window, core::Millis(10'000));
+  EXPECT_EQ(settings->Exposure.Fixed, 30U);
+  EXPECT_EQ(settings->SessionLifetime, core::Millis(5'000));
+}
+
+TEST(GatewaySettingsTest, reportsAllFindingsTogether) {
+  core::Findings findings;
+  EXPECT_FALSE(parseGatewaySettings("[process]\ninstance = a b\n"
+                                    "[listen]\ncallers = host:80\n"
+                                    "readiness = 10.0.0.1:0\n"
+                                    "colour = blue\n"
+                                    "[promises]\nretry_ratio = -1\n"
+                                    "[extra]\n",
+                                    "g.ini", findings));
+  std::string all;
+  for (const core::Finding &it : findings.items())
+    all += core::toString(it) + "\n";
+  for (const char *key : {"instance", "failure_domain", "callers", "readiness",
+                          "peers", "colour", "address", "retry_ratio", "extra"})
+    EXPECT_NE(all.find(key), std::string::npos) << key << "\n" << all;
+}
+
+TEST(GatewaySettingsTest, metricsMayBeLeftOut) {
+  std::string text = Good;
+  text.erase(text.find("metrics"), text.find("[store]") - text.find("metrics"));
+  core::Findings findings;
+  const auto settings = parseGatewaySettings(text, "g.ini", findings);
+  ASSERT_TRUE(settings);
+  EXPECT_FALSE(settings->Metrics);
+}
+
+} // namespace
--- /dev/null
+++ b/tests/unit/gateway/PeerReportCodecTest.cpp
@@ -0,0 +1,38 @@
+#include "cowslipridge/gateway/PeerReportCodec.hpp"
+
+#include <gtest/gtest.h>
+
+using namespace cowslipridge;
+using namespace cowslipridge::gateway;
+
+namespace {
+
+PeerReport sample() {
+  PeerReport report;
+  report.Gateway = core::InstanceId("g");
+  report.Loads = {{core::RunnerId("r"), {12.5, 2, 3}}};
+  rollout::AnswerCounts counts{9, 8, 2, 1, 7, 0.25};
+  report.Evidence = {
+      {{core::ServiceId("s"), core::VersionId("v2"), "route"}, counts}};
+  return report;
+}
+
+TEST(PeerReportCodecTest, keepsAReport) {
+  const auto decoded = decodePeerReport(encodePeerReport(sample()));
+  ASSERT_TRUE(decoded.ok());
+  EXPECT_EQ(decoded->Gateway, sample().Gateway);
+  EXPECT_EQ(decoded->Loads, sample().Loads);
+  EXPECT_EQ(decoded->Evidence, sample().Evidence);
+}
+
+TEST(PeerReportCodecTest, anyCutOrFlippedDatagramIsRefusedOrReads) {
+  const std::string bytes = encodePeerReport(sample());
+  for (std::size_t n = 0; n < bytes.size(); ++n) {
+    EXPECT_FALSE(decodePeerReport(bytes.substr(0, n)).ok());
+    std::string flipped = bytes;
+    flipped[n] = static_cast<char>(flipped[n] ^ 0x55);
+    (void)decodePeerReport(flipped);
+  }
+}
+
+} // namespace
--- /dev/null
+++ b/tests/unit/rollout/TrialControlTest.cpp
@@ -0,0 +1,159 @@
+#include "cowslipridge/rollout/TrialControl.hpp"
+
+#include <gtest/gtest.h>
+
+#include <limits>
+
+using namespace cowslipridge;
+using namespace cowslipridge::rollout;
+using core::Millis;
+using Choice = TrialControl::Choice;
+
+namespace {
+
+const core::ServiceId Service("s");
+const core::VersionId Target("v2");
+constexpr Millis Duration{24'000};
+
+class TrialControlTest : public testing::Test {
+protected:
+  void order() { Control.onOrder({Service, Target, Duration}, Millis(0)); }
+  /// The store takes a decision; all gateways hear of it.
+  void take(const TrialDecision &decision, Millis now) {
+    Control.onStatus(decision.Status);
+    Control.onProgress(decision.Progress, now);
+  }
+  /// Takes all decisions until `until`; the last verdict.
+  RolloutVerdict drive(Millis until) {
+    for (; Now < until; Now = Now + Millis(100)) {
+      if (const auto it = Control.next(Service, Observed, Now))
+        take(*it, Now);
+    }
+    return Last();
+  }
+  RolloutVerdict Last() {
+    return Control.underWay().empty()
+               ? (Control.isBanned(Service, Target) ? RolloutVerdict::Reverted
+                                                    : RolloutVerdict::Completed)
+               : RolloutVerdict::InProgress;
+  }
+  /// Part of all sessions that go to the target.
+  double share() {
+    int hits = 0;
+    constexpr int Sessions = 1'000;
+    for (int n = 0; n < Sessions; ++n) {
+      const auto hash = std::numeric_limits<std::uint64_t>::max() / Sessions *
+                        static_cast<std::uint64_t>(n);
+      hits += Control.choose(Service, hash).Versions == Choice::Target ? 1 : 0;
+    }
+    return hits / static_cast<double>(Sessions);
+  }
+  void fail(std::uint64_t judged, std::uint64_t failed,
+            const std::string &route = "r") {
+    AnswerCounts counts;
+    counts.Judged = judged;
+    counts.Failed = failed;
+    Observed.Evidence[{Service, Target, route}] = counts;
+  }
+
+  TrialControl Control;
+  TrialControl::Observation Observed{{}, 0, true, 0};
+  Millis Now;
+};
+
+TEST_F(TrialControlTest, withoutAnOrderAnyVersionServes) {
+  EXPECT_EQ(Control.choose(Service, 0).Versions, Choice::Any);
+}
+
+TEST_F(TrialControlTest, beforeItsRecordNothingGoesToTheTarget) {
+  order();
+  EXPECT_EQ(share(), 0);
+}
+
+TEST_F(TrialControlTest, aGoodVersionIsDoneWellBeforeItsDeadline) {
+  order();
+  EXPECT_EQ(drive(Duration / 2), RolloutVerdict::InProgress);
+  EXPECT_GT(share(), 0);
+  EXPECT_LT(share(), 0.15) << "exposure is bounded through the first half";
+  EXPECT_EQ(drive(Duration * 9 / 10), RolloutVerdict::Completed);
+  EXPECT_EQ(share(), 1);
+}
+
+TEST_F(TrialControlTest, oldRunnersAreNotStoppedUnderTheirRequests) {
+  order();
+  Observed.StableInFlight = 1;
+  EXPECT_EQ(drive(Duration * 9 / 10), RolloutVerdict::InProgress);
+  EXPECT_EQ(drive(Duration), RolloutVerdict::Completed);
+}
+
+TEST_F(TrialControlTest, aBadVersionIsRevertedAndNeverServesAgain) {
+  order();
+  drive(Millis(2'000));
+  fail(6, 3);
+  EXPECT_EQ(drive(Millis(2'200)), RolloutVerdict::Reverted);
+  EXPECT_EQ(share(), 0);
+  EXPECT_TRUE(Control.isBanned(Service, Target));
+}
+
+TEST_F(TrialControlTest, aVersionThatIsBadOnOneRouteAloneIsReverted) {
+  order();
+  drive(Millis(2'000));
+  fail(100, 0, "good");
+  fail(4, 4, "bad");
+  EXPECT_EQ(drive(Millis(2'200)), RolloutVerdict::Reverted);
+}
+
+TEST_F(TrialControlTest, aVersionWithoutRunnersIsRevertedInTheEnd) {
+  order();
+  Observed.TargetServes = false;
+  EXPECT_EQ(drive(Duration + Millis(1'000)), RolloutVerdict::Reverted);
+}
+
+TEST_F(TrialControlTest, aGatewayThatStartsAnewGoesOnWhereTheOthersAre) {
+  order();
+  drive(Duration * 65 / 100);
+  const double before = share();
+  TrialControl anew;
+  const RolloutStatus status{Service, Target, RolloutVerdict::InProgress};
+  anew.onProgress({Service, Target, 2, Duration * 60 / 100}, Millis(50'000));
+  anew.onStatus(status);
+  anew.onOrder({Service, Target, Duration}, Millis(50'000));
+  Control = anew;
+  EXPECT_EQ(share(), before);
+  Now = Millis(50'000);
+  EXPECT_EQ(drive(Now + Duration * 35 / 100), RolloutVerdict::Completed);
+}
+
+TEST_F(TrialControlTest, aRevertedVersionIsNotTriedAfterARestart) {
+  Control.onStatus({Service, Target, RolloutVerdict::Reverted});
+  order();
+  EXPECT_EQ(share(), 0);
+  EXPECT_TRUE(Control.underWay().empty());
+}
+
+TEST_F(TrialControlTest, othersActWhenTheFirstDoesNot) {
+  order();
+  Observed.Rank = 2;
+  EXPECT_FALSE(Control.next(Service, Observed, Millis(100)));
+  EXPECT_TRUE(Control.next(Service, Observed, Millis(3'000)));
+}
+
+TEST_F(TrialControlTest, evidenceIsActedOnWhateverTheRank) {
+  order();
+  drive(Millis(2'000));
+  Observed.Rank = 3;
+  fail(6, 3);
+  EXPECT_EQ(drive(Millis(2'200)), RolloutVerdict::Reverted);
+}
+
+TEST_F(TrialControlTest, sharesOnlyGrowSoThatNoSessionGoesBack) {
+  order();
+  double before = 0;
+  for (int n = 0; n < 230; ++n) {
+    drive(Now + Millis(100));
+    ASSERT_GE(share(), before);
+    before = share();
+  }
+}
+
+} // namespace
--- /dev/null
+++ b/tests/unit/rollout/TrialEvidenceTest.cpp
@@ -0,0 +1,47 @@
+#include "cowslipridge/rollout/TrialEvidence.hpp"
+
+#include <gtest/gtest.h>
+
+#include <cmath>
+
+using namespace cowslipridge::rollout;
+
+namespace {
+
+AnswerCounts judged(std::uint64_t judged, std::uint64_t failed,
+                    std::uint64_t broken = 0) {
+  AnswerCounts counts;
+  counts.Judged = judged;
+  counts.Failed = failed;
+  counts.Broken = broken;
+  return counts;
+}
+
+AnswerCounts timed(std::uint64_t n, double factor) {
+  AnswerCounts counts;
+  counts.Timed = n;
+  counts.LogSlowness = static_cast<double>(n) * std::log(factor);
+  return counts;
+}
+
+TEST(TrialEvidenceTest, halfOfTheAnswersFailing) {
+  EXPECT_TRUE(isWorse(judged(6, 3), judged(100, 0)));
+}
+
+TEST(TrialEvidenceTest, failuresThatTheStableVersionHasAsWell) {
+  EXPECT_FALSE(isWorse(judged(40, 6), judged(200, 28)));
+  EXPECT_FALSE(isWorse(judged(4, 2), judged(0, 0))) << "too few";
+}
+
+TEST(TrialEvidenceTest, aCrashOfAQuarterOfItsRunnersIsNotItsFault) {
+  EXPECT_FALSE(isWorse(judged(30, 0, 8), judged(200, 0, 0)));
+  EXPECT_TRUE(isWorse(judged(20, 0, 12), judged(200, 0, 4)));
+}
+
+TEST(TrialEvidenceTest, slownessThatLoadDoesNotExplain) {
+  EXPECT_TRUE(isWorse(timed(8, 8), timed(100, 1)));
+  EXPECT_FALSE(isWorse(timed(8, 3), timed(100, 2))) << "both are loaded";
+  EXPECT_FALSE(isWorse(timed(3, 8), timed(100, 1))) << "too few";
+}
+
+} // namespace
