Bound the gateway's log and never wait for its reader; feed its metrics

Cause: the log went through std::cout without a bound: a reader that stops reading stops the gateway, and a flood of refusals fills the log. Change: observe/LogBudget bounds lines and bytes a second (400 lines, 128 KiB, two seconds saved) and keeps two fifths for warnings and errors, so that a failed request keeps its line before a served one; what is left out is counted and reported (event 107). observe/LogPipe writes whole lines or none to a non-blocking descriptor. Requests by outcome, retries, times and gauges are on the metrics address.

--- a/programs/cowslipridge-gateway/main.cpp
+++ b/programs/cowslipridge-gateway/main.cpp
@@ -2,6 +2,8 @@
 #include "cowslipridge/core/Clock.hpp"
 #include "cowslipridge/gateway/Gateway.hpp"
 #include "cowslipridge/observe/EventLog.hpp"
+#include "cowslipridge/observe/LogBudget.hpp"
+#include "cowslipridge/observe/LogPipe.hpp"
 #include "cowslipridge/observe/Metrics.hpp"
 #include "cowslipridge/platform/HeaderTranslator.hpp"
 #include "cowslipridge/platform/StoreControlPlane.hpp"
@@ -9,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <gflags/gflags.h>
+#include <unistd.h>
 
 #include <csignal>
 #include <cstdlib>
@@ -89,9 +92,54 @@
   observe::EventLog &Log;
 };
 
+/// Standard output within the bounds of a budget; never waits for its reader.
+class BoundedLog {
+public:
+  BoundedLog(const core::Clock &clock, observe::EventLog &log,
+             observe::Metrics &metrics)
+      : Clock(clock), Log(log), Counts(metrics), Budget({}),
+        Pipe(STDOUT_FILENO) {
+    Log.setSink([this](observe::Severity level, const std::string &line) {
+      write(level, line);
+    });
+  }
+  BoundedLog(const BoundedLog &) = delete;
+  BoundedLog &operator=(const BoundedLog &) = delete;
+  ~BoundedLog() { Log.setSink(nullptr); }
+
+private:
+  void write(observe::Severity level, const std::string &line) {
+    if (Budget.admit(level, line.size(), Clock.monotonic())) {
+      if (!Pipe.write(line))
+        Budget.countLost();
+      else
+        reportSuppressed();
+    }
+  }
+
+  // Behind a line that could be written, so that this one can be as well.
+  void reportSuppressed() {
+    const std::uint64_t lost = Budget.takeSuppressed();
+    if (lost == 0)
+      return;
+    Counts.add(observe::CounterName::SuppressedLines, {},
+               static_cast<double>(lost));
+    Log.report(observe::EventNumber::LogSuppressed,
+               {.Request = {},
+                .Version = {},
+                .Cause = {},
+                .Detail = "lines=" + std::to_string(lost)});
+  }
+
+  const core::Clock &Clock;
+  observe::EventLog &Log;
+  observe::Metrics &Counts;
+  observe::LogBudget Budget;
+  observe::LogPipe Pipe;
+};
+
 int run(const config::GatewaySettings &settings) {
   std::signal(SIGPIPE, SIG_IGN);
-  observe::configureLogging(true);
   const core::SystemClock clock;
   boost::asio::io_context loop(1);
   observe::Metrics metrics(settings.Instance, settings.Domain);
@@ -99,6 +147,7 @@
       clock, settings.Instance,
       core::Incarnation(static_cast<std::uint64_t>(clock.wall().count())),
       KeptEvents, &metrics);
+  BoundedLog lines(clock, log, metrics);
   log.report(observe::EventNumber::ProcessStarted, {});
   const platform::HeaderTranslator translator;
   platform::StoreControlPlane control(loop, clock, settings.Store);
--- a/src/cowslipridge/gateway/Dispatcher.cpp
+++ b/src/cowslipridge/gateway/Dispatcher.cpp
@@ -469,9 +469,15 @@
   return decisions;
 }
 
+std::size_t Dispatcher::ejected(core::Millis now) const {
+  const auto &all = Servers.all();
+  return static_cast<std::size_t>(
+      std::count_if(all.begin(), all.end(), [&](const auto &it) {
+        return Ejections.isEjected(it.first, now);
+      }));
+}
+
 void Dispatcher::tick(core::Millis now) {
-  for (const core::RunnerId &it : Servers.tick(now))
-    forgetServer(it);
   std::erase_if(Pins, [&](const auto &pin) {
     return now - pin.second.UsedAt > Settings.SessionLifetime * 2;
   });
--- a/src/cowslipridge/gateway/Dispatcher.hpp
+++ b/src/cowslipridge/gateway/Dispatcher.hpp
@@ -61,6 +61,8 @@
   [[nodiscard]] std::vector<rollout::TrialDecision>
   dueDecisions(std::size_t rank, core::Millis now) const;
   void tick(core::Millis now);
+  /// Runners that get no requests for a while.
+  [[nodiscard]] std::size_t ejected(core::Millis now) const;
 
 private:
   struct Sending {
--- a/src/cowslipridge/gateway/Gateway.cpp
+++ b/src/cowslipridge/gateway/Gateway.cpp
@@ -24,6 +24,8 @@
 /// For callers that meet a gateway which can't serve them yet or any more.
 constexpr core::Millis ShortReturn{200};
 
+constexpr double MillisPerSecond = 1'000;
+
 constexpr int BadRequest = 400;
 constexpr int Unauthorized = 401;
 constexpr int NotFound = 404;
@@ -59,8 +61,8 @@
                  observe::EventLog &log, observe::Metrics &metrics)
     : Loop(loop), Clock(clock), Settings(settings), Translation(translator),
       Control(control), Log(log), Counts(metrics), Decisions(settings),
-      Runners(loop, clock, {}), Flows{loop,      clock,   translator,
-                                      Decisions, Runners, log},
+      Runners(loop, clock, {}), Flows{loop,    clock, translator, Decisions,
+                                      Runners, log,   metrics},
       Callers(loop, clock, [this](const auto &it) { onRequest(it); }),
       Readiness(loop, clock, [this](const auto &it) { onReadiness(*it); }),
       Scrapes(loop, clock, [this](const auto &it) { onScrape(*it); }),
@@ -91,7 +93,33 @@
   exchange.respond(std::move(head), {});
 }
 
+void Gateway::updateGauges() {
+  using observe::GaugeName;
+  const core::Millis now = Clock.monotonic();
+  const auto set = [&](GaugeName name, double value) {
+    Counts.set(name, {}, value);
+  };
+  set(GaugeName::InFlight, static_cast<double>(Callers.inFlight()));
+  set(GaugeName::Connections, static_cast<double>(Callers.connections()));
+  set(GaugeName::MembersUsable,
+      static_cast<double>(Decisions.servers().all().size()));
+  set(GaugeName::RunnersEjected, static_cast<double>(Decisions.ejected(now)));
+  if (Decisions.catalogue())
+    set(GaugeName::ConfigurationGeneration,
+        static_cast<double>(
+            Decisions.catalogue()->catalogue().Version.value()));
+  const core::Millis age =
+      StoreAwaySince ? now - *StoreAwaySince : core::Millis();
+  set(GaugeName::ConfigurationAgeSeconds,
+      static_cast<double>(age.count()) / MillisPerSecond);
+  for (const core::ServiceId &it : Decisions.trials().underWay())
+    Counts.set(GaugeName::TrialShare,
+               {.Service = it, .Version = {}, .Outcome = {}},
+               Decisions.trials().targetShare(it));
+}
+
 void Gateway::onScrape(http1::Exchange &exchange) {
+  updateGauges();
   http1::ResponseHead head;
   head.Fields.add("Content-Type", observe::ScrapeMediaType);
   exchange.respond(std::move(head), Counts.scrape());
@@ -144,6 +172,8 @@
               .Version = {},
               .Cause = {},
               .Detail = "status=" + std::to_string(status) + " " + reason});
+  Counts.add(observe::CounterName::Requests,
+             {.Service = {}, .Version = {}, .Outcome = "refused"});
   exchange.respond(Translation.ownAnswer(status, request, retryAfter), {});
 }
 
@@ -247,11 +277,13 @@
 
 void Gateway::on(const ControlPlaneLost &event) {
   Decisions.servers().storeLost();
+  StoreAwaySince = Clock.monotonic();
   report(EventNumber::StoreUnavailable, event.Reason);
 }
 
 void Gateway::on(const ControlPlaneReturned & /*event*/) {
   Decisions.servers().storeReturned(Clock.monotonic());
+  StoreAwaySince.reset();
   report(EventNumber::StoreAvailable, "");
 }
 
--- a/src/cowslipridge/gateway/Gateway.hpp
+++ b/src/cowslipridge/gateway/Gateway.hpp
@@ -55,6 +55,8 @@
               int status, const std::string &reason,
               std::optional<core::Millis> retryAfter = std::nullopt);
   void onReadiness(http1::Exchange &exchange);
+  /// Gauges are read off only when somebody asks.
+  void updateGauges();
   void onScrape(http1::Exchange &exchange);
   void dropServer(const core::RunnerId &runner);
   void tickLater();
@@ -82,6 +84,7 @@
   boost::asio::steady_timer Ticker;
   bool Synced = false;
   std::optional<core::Millis> LeavingSince;
+  std::optional<core::Millis> StoreAwaySince;
   core::Millis ReportedAt;
   core::Millis AdvancedAt;
 };
--- a/src/cowslipridge/gateway/RequestFlow.cpp
+++ b/src/cowslipridge/gateway/RequestFlow.cpp
@@ -12,6 +12,8 @@
 
 /// Bytes that a slow caller may have outstanding before its runner waits.
 constexpr std::size_t MaxBacklog = 64UL * 1024;
+constexpr int FirstFailureStatus = 400;
+constexpr int ServiceUnavailable = 503;
 constexpr int MostUrgent = 0;
 constexpr int LeastUrgent = 9;
 
@@ -63,6 +65,7 @@
   Exchange->onLeft([self = shared_from_this()] {
     self->Machine.onCallerLeft(self->now());
     self->report(observe::EventNumber::RequestAbandoned, "the caller left");
+    self->count("abandoned");
     self->afterEvent();
   });
   Exchange->onDrained([self = shared_from_this()] {
@@ -110,6 +113,8 @@
              " model=" + modelOf(placement) + " forecast_ms=" +
              std::to_string(placement.PredictedFirstByte.count()) +
              " left_ms=" + std::to_string(remaining.count()));
+  Service = placement.Service;
+  Version = placement.Version;
   Current = std::make_shared<Attempt>(shared_from_this());
   Call = Context.Runners.call(std::move(spec), Current);
 }
@@ -126,11 +131,15 @@
   passed.Fields = http1::endToEnd(head.Fields);
   report(observe::EventNumber::RequestEnded,
          "status=" + std::to_string(head.Status));
+  count(head.Status < FirstFailureStatus ? "served" : "failed");
   Exchange->respond(std::move(passed), body);
 }
 
 void RequestFlow::begin(const http1::ResponseHead &head) {
   BegunAt = now();
+  Context.Counts.observe(observe::HistogramName::FirstTokenSeconds,
+                         {.Service = Service, .Version = {}, .Outcome = {}},
+                         *BegunAt - Machine.facts().ArrivedAt);
   Exchange->begin(head);
 }
 
@@ -144,6 +153,7 @@
 
 void RequestFlow::end() {
   report(observe::EventNumber::RequestEnded, "status=200" + progress());
+  count("served");
   Exchange->end();
 }
 
@@ -162,12 +172,14 @@
 void RequestFlow::abort(const std::string &reason) {
   report(observe::EventNumber::RequestRefused,
          "broken off: " + reason + progress());
+  count("broken-off");
   Exchange->abort();
 }
 
 void RequestFlow::refuse(const Refusal &refusal) {
   report(observe::EventNumber::RequestRefused,
          "status=" + std::to_string(refusal.Status) + " " + refusal.Reason);
+  count(refusal.Status == ServiceUnavailable ? "refused" : "failed");
   Exchange->respond(Context.Translation.ownAnswer(refusal.Status,
                                                   Machine.facts().Caller.Id,
                                                   refusal.RetryAfter),
@@ -176,6 +188,8 @@
 
 void RequestFlow::retried(const std::string &reason) {
   report(observe::EventNumber::RequestRetried, reason);
+  Context.Counts.add(observe::CounterName::Retries,
+                     {.Service = Service, .Version = {}, .Outcome = {}});
 }
 
 void RequestFlow::escalated(int confidence) {
@@ -235,6 +249,16 @@
   });
 }
 
+void RequestFlow::count(const char *outcome) {
+  Context.Counts.add(
+      observe::CounterName::Requests,
+      {.Service = Service, .Version = Version, .Outcome = outcome});
+  Context.Counts.observe(
+      observe::HistogramName::RequestSeconds,
+      {.Service = Service, .Version = {}, .Outcome = outcome},
+      now() - Machine.facts().ArrivedAt);
+}
+
 void RequestFlow::report(observe::EventNumber number,
                          const std::string &detail) {
   const RequestFacts &facts = Machine.facts();
--- a/src/cowslipridge/gateway/RequestFlow.hpp
+++ b/src/cowslipridge/gateway/RequestFlow.hpp
@@ -7,6 +7,7 @@
 #include "cowslipridge/http1/Client.hpp"
 #include "cowslipridge/http1/Server.hpp"
 #include "cowslipridge/observe/EventLog.hpp"
+#include "cowslipridge/observe/Metrics.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -24,6 +25,7 @@
   Placer &Decisions;
   http1::Client &Runners;
   observe::EventLog &Log;
+  observe::Metrics &Counts;
 };
 
 /// Connects the course of one request with its caller and its runners. Keeps
@@ -59,6 +61,7 @@
   void armTimer();
   void afterEvent();
   void report(observe::EventNumber number, const std::string &detail);
+  void count(const char *outcome);
   /// How far the answer came, for the log.
   [[nodiscard]] std::string progress() const;
   [[nodiscard]] std::string modelOf(const Placement &placement) const;
@@ -72,6 +75,8 @@
   std::shared_ptr<http1::Call> Call;
   bool Paused = false;
   std::optional<core::Millis> BegunAt;
+  core::ServiceId Service; ///< of the last sending
+  core::VersionId Version;
 };
 
 } // namespace cowslipridge::gateway
--- a/src/cowslipridge/observe/EventCatalogue.cpp
+++ b/src/cowslipridge/observe/EventCatalogue.cpp
@@ -26,6 +26,8 @@
                    "The process was not scheduled for longer than the limit."},
     CatalogueEntry{SettingsChecked, Info, "settings-checked",
                    "The settings file was read again and is sound."},
+    CatalogueEntry{LogSuppressed, Warning, "log-suppressed",
+                   "Lines were left out to keep the log within its bounds."},
     CatalogueEntry{ConfigurationInForce, Info, "configuration-in-force",
                    "A newer configuration generation took effect here."},
     CatalogueEntry{ConfigurationStale, Warning, "configuration-stale",
--- a/src/cowslipridge/observe/EventCatalogue.hpp
+++ b/src/cowslipridge/observe/EventCatalogue.hpp
@@ -15,6 +15,7 @@
   SettingsRefused = 104,
   PauseDetected = 105,
   SettingsChecked = 106,
+  LogSuppressed = 107,
 
   ConfigurationInForce = 200,
   ConfigurationStale = 201,
--- a/src/cowslipridge/observe/EventLog.cpp
+++ b/src/cowslipridge/observe/EventLog.cpp
@@ -67,7 +67,10 @@
   }
   if (Counts != nullptr)
     Counts->add(number);
-  writeToLog(event);
+  if (Sink)
+    Sink(describe(event.Number).Level, encodeEvent(event));
+  else
+    writeToLog(event);
   return Instance.str() + "/" + std::to_string(Start.value()) + "/" +
          std::to_string(event.Sequence);
 }
--- a/src/cowslipridge/observe/EventLog.hpp
+++ b/src/cowslipridge/observe/EventLog.hpp
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <mutex>
 #include <string>
 #include <vector>
@@ -39,6 +40,9 @@
 
 class Metrics;
 
+/// Takes the lines of a log. Must not block.
+using LogSink = std::function<void(Severity level, const std::string &line)>;
+
 /// Records events in a bounded ring and writes them to the log. Thread-safe.
 class EventLog {
 public:
@@ -48,6 +52,8 @@
            core::Incarnation start, std::size_t capacity,
            Metrics *counts = nullptr);
 
+  /// Lines go to `sink`, as JSON, instead of the process's log.
+  void setSink(LogSink sink) { Sink = std::move(sink); }
   /// Records one event; returns its place, for use as a later `Cause`.
   std::string report(EventNumber number, EventFacts facts);
   void setGeneration(core::Generation generation);
@@ -64,6 +70,7 @@
   core::Generation Configuration;
   std::uint64_t NextSequence = 1;
   std::deque<Event> Ring;
+  LogSink Sink;
 };
 
 /// Directs log output to standard output, as text or as JSON lines.
--- a/src/cowslipridge/observe/Metrics.cpp
+++ b/src/cowslipridge/observe/Metrics.cpp
@@ -15,8 +15,8 @@
 
 namespace {
 
-constexpr std::size_t CounterCount = 8;
-constexpr std::size_t GaugeCount = 8;
+constexpr std::size_t CounterCount = 9;
+constexpr std::size_t GaugeCount = 10;
 constexpr std::size_t HistogramCount = 4;
 constexpr double MillisPerSecond = 1'000;
 
@@ -32,6 +32,7 @@
          "Prompt tokens found in a runner's cache."},
         {"cowslipridge_answer_tokens_total", "Answer tokens generated."},
         {"cowslipridge_store_calls_total", "Calls of the key-value service."},
+        {"cowslipridge_suppressed_lines_total", "Log lines left out."},
         {"cowslipridge_in_flight", "Requests being answered."},
         {"cowslipridge_queued", "Requests that wait for capacity."},
         {"cowslipridge_concurrency_limit",
@@ -43,6 +44,9 @@
         {"cowslipridge_journal_pending", "Records not yet in the journal."},
         {"cowslipridge_members_usable", "Members that may be given work."},
         {"cowslipridge_trial_share", "Share of requests of a trial version."},
+        {"cowslipridge_connections", "Connections of callers."},
+        {"cowslipridge_runners_ejected",
+         "Runners that get no requests for a while."},
         {"cowslipridge_request_seconds",
          "Time from a request's arrival to the end of its answer."},
         {"cowslipridge_first_token_seconds",
--- a/src/cowslipridge/observe/Metrics.hpp
+++ b/src/cowslipridge/observe/Metrics.hpp
@@ -13,14 +13,15 @@
 
 /// Counts that only grow.
 enum class CounterName {
-  Events,       ///< events reported, by event
-  Requests,     ///< requests that ended, by service, version and outcome
-  Refusals,     ///< requests refused, by service and reason
-  Retries,      ///< requests sent to another runner, by service
-  PromptTokens, ///< by service and version
-  CachedTokens, ///< prompt tokens found in a runner's cache
-  AnswerTokens, ///< by service and version
-  StoreCalls,   ///< calls of the key-value service, by outcome
+  Events,          ///< events reported, by event
+  Requests,        ///< requests that ended, by service, version and outcome
+  Refusals,        ///< requests refused, by service and reason
+  Retries,         ///< requests sent to another runner, by service
+  PromptTokens,    ///< by service and version
+  CachedTokens,    ///< prompt tokens found in a runner's cache
+  AnswerTokens,    ///< by service and version
+  StoreCalls,      ///< calls of the key-value service, by outcome
+  SuppressedLines, ///< log lines left out
 };
 
 /// Values that rise and fall.
@@ -33,6 +34,8 @@
   JournalPending,          ///< records not yet in the journal
   MembersUsable,           ///< members that may be given work
   TrialShare,              ///< share of a trial version, by version
+  Connections,             ///< connections of callers
+  RunnersEjected,          ///< runners that get no requests for a while
 };
 
 /// Lengths of time, as distributions.
--- a/src/cowslipridge/rollout/TrialControl.cpp
+++ b/src/cowslipridge/rollout/TrialControl.cpp
@@ -1,5 +1,6 @@
 #include "cowslipridge/rollout/TrialControl.hpp"
 
+#include <algorithm>
 #include <array>
 #include <limits>
 
@@ -119,13 +120,22 @@
     return {Choice::Target, target};
   if (trial->Verdict == RolloutVerdict::Reverted || !trial->Recorded)
     return {Choice::Stable, target};
-  const double share = Steps.at(trial->Step.value_or(0)).Share;
+  const double share = targetShare(service);
   const double point =
       static_cast<double>(sessionHash) /
       static_cast<double>(std::numeric_limits<std::uint64_t>::max());
   return {point < share ? Choice::Target : Choice::Stable, target};
 }
 
+double TrialControl::targetShare(const core::ServiceId &service) const {
+  const Trial *trial = find(service);
+  if (trial == nullptr || !trial->Recorded)
+    return 0;
+  return Steps
+      .at(std::min<std::size_t>(trial->Step.value_or(0), Steps.size() - 1))
+      .Share;
+}
+
 bool TrialControl::isBanned(const core::ServiceId &service,
                             const core::VersionId &version) const {
   return Reverted.contains({service, version});
--- a/src/cowslipridge/rollout/TrialControl.hpp
+++ b/src/cowslipridge/rollout/TrialControl.hpp
@@ -69,6 +69,8 @@
                                     const Observation &observation,
                                     core::Millis now) const;
   [[nodiscard]] std::vector<core::ServiceId> underWay() const;
+  /// The share of sessions that a roll-out under way gives its target.
+  [[nodiscard]] double targetShare(const core::ServiceId &service) const;
 
 private:
   struct Trial {
--- a/src/cowslipridge/route/ModelLadder.cpp
+++ b/src/cowslipridge/route/ModelLadder.cpp
@@ -7,8 +7,10 @@
 namespace {
 
 /// Answers with less confidence are doubted on quiet runners.
-constexpr double DoubtBelow = 50;
-/// Part of the time that has to be left free for the doubt to count in full.
+constexpr double DoubtBelow = 62;
+/// Parts of the time that are left free: with less than the first no answer is
+/// doubted, with more than the second the doubt counts in full.
+constexpr double TightSlack = 0.3;
 constexpr double EaseAtSlack = 0.75;
 /// How much the doubt counts for a prompt that is all kept, or all to be read
 /// with no time to spare.
@@ -28,7 +30,8 @@
 bool asksLargest(const LadderFacts &facts) {
   const double free = std::min(slack(facts.Target, facts.Largest.FirstToken),
                                slack(facts.Deadline, facts.Largest.Whole));
-  const double ease = std::clamp(free / EaseAtSlack, 0.0, 1.0);
+  const double ease =
+      std::clamp((free - TightSlack) / (EaseAtSlack - TightSlack), 0.0, 1.0);
   // A prompt that is kept costs little; one to be read keeps others waiting,
   // the more so the less time is free.
   const double unread = WorthUnread + (1 - WorthUnread) * ease;
