Prove the gateway against stand-ins of the platform

Change: src/standins/platform has the metadata store (conditions, leases, watches, history that can be dropped, lost and refused calls) and a streaming runner (slots, kept prompt parts, breaks, second answers) on the project's own HTTP engine; thirteen tests run the gateway as a process before them.

--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -6,6 +6,7 @@
 preset=${1:-release}
 scripts/install-packages.sh
 scripts/check-format.sh
+scripts/check-platform-names.sh
 cmake --preset "$preset"
 cmake --build --preset "$preset"
 [ "$preset" != release ] || scripts/lint.sh "build/$preset"
--- /dev/null
+++ b/tests/integration/platform/GatewayTest.cpp
@@ -0,0 +1,367 @@
+#include "support/LoopFixture.hpp"
+
+#include "integration/support/Process.hpp"
+
+#include "cowslipridge/http1/Client.hpp"
+#include "standins/platform/MetadataServer.hpp"
+#include "standins/platform/StreamingRunner.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <filesystem>
+
+using namespace cowslipridge;
+using namespace cowslipridge::standins::platform;
+using integration::Process;
+using integration::TempDir;
+using nlohmann::json;
+using support::RecordedCall;
+
+namespace {
+
+constexpr const char *Host = "shop.example";
+
+json routeTo(const std::string &prefix, const std::string &kind,
+             const std::string &service, int attempts) {
+  return {{"name", prefix},
+          {"host", Host},
+          {"pathPrefix", prefix},
+          {"routeKind", kind},
+          {"timeoutMs", 4000},
+          {"targetLatencyMs", 2000},
+          {"priority", 1},
+          {"service", service},
+          {"maxAttempts", attempts},
+          {"public", false},
+          {"streamResumption", true},
+          {"targetGapMs", 1000}};
+}
+
+/// One gateway as a process of its own, before stand-ins of the platform.
+class GatewayTest : public support::LoopFixture {
+protected:
+  GatewayTest() : Store(Loop, Clock), Calls(Loop, Clock, {}) {
+    StoreAt = freePort();
+    Store.listen(StoreAt);
+    Front = freePort();
+    Ready = freePort();
+    Configuration = {{"version", 1},
+                     {"routes",
+                      {routeTo("/stream/", "streaming", "llm", 3),
+                       routeTo("/post/", "non_idempotent", "desk", 1),
+                       routeTo("/get/", "idempotent", "desk", 2)}},
+                     {"services", {{{"name", "llm"}}, {{"name", "desk"}}}},
+                     {"tenants", {{{"name", "one"}, {"apiKeys", {"key-1"}}}}}};
+    Configuration["routes"][0]["sizes"] = {"small", "large"};
+  }
+
+  http1::Endpoint freePort() {
+    Tcp::acceptor probe(Loop, anyPort());
+    return probe.local_endpoint();
+  }
+
+  StreamingRunner &addRunner(const std::string &id,
+                             const std::string &service) {
+    RunnerTraits traits;
+    traits.Id = id;
+    traits.Service = service;
+    Runners.push_back(std::make_unique<StreamingRunner>(Loop, Clock, traits));
+    Runners.back()->listen(freePort());
+    Store.store().put("servers/" + id, Runners.back()->entry("available"));
+    return *Runners.back();
+  }
+
+  void configure() { Store.store().put("op/config", Configuration.dump()); }
+
+  static std::string text(const http1::Endpoint &at) {
+    return at.address().to_string() + ":" + std::to_string(at.port());
+  }
+
+  void startGateway(const std::string &name = "gateway-1") {
+    const std::string settings = Files.write(
+        name + ".ini", "[process]\ninstance = " + name +
+                           "\nfailure_domain = zone-1\ngrace_period = 5s\n"
+                           "[listen]\ncallers = " +
+                           text(Front) + "\nreadiness = " + text(Ready) +
+                           "\npeers = " + text(freePort()) +
+                           "\n[store]\naddress = " + text(StoreAt) +
+                           "\n[promises]\nretry_ratio = 1\n");
+    Gateway.emplace(COWSLIPRIDGE_GATEWAY_PATH,
+                    std::vector<std::string>{"--settings", settings},
+                    Files.path(name + ".log"));
+  }
+
+  void startAndAwaitReady() {
+    startGateway();
+    awaitReady();
+  }
+
+  void awaitReady() {
+    int status = 0;
+    while (status != 200)
+      status = get(Ready, "/v1/readiness")->Status;
+  }
+
+  std::shared_ptr<RecordedCall> get(const http1::Endpoint &server,
+                                    const std::string &path) {
+    return finish(
+        begin(server, "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n"));
+  }
+
+  std::shared_ptr<RecordedCall> begin(const http1::Endpoint &server,
+                                      std::string bytes) {
+    auto events = std::make_shared<RecordedCall>();
+    http1::CallSpec spec;
+    spec.Server = server;
+    spec.Bytes = std::move(bytes);
+    spec.Timeout = core::Millis(15'000);
+    Handle = Calls.call(std::move(spec), events);
+    return events;
+  }
+
+  std::shared_ptr<RecordedCall>
+  finish(const std::shared_ptr<RecordedCall> &events) {
+    runUntil([&] { return events->over(); });
+    return events;
+  }
+
+  std::string request(const std::string &method, const std::string &path,
+                      const std::string &fields = "") {
+    return method + " " + path + " HTTP/1.1\r\nHost: " + Host +
+           "\r\nAttempt-Id: id-" + std::to_string(++Ids) +
+           "\r\nAuthorization: Token " + Key +
+           "\r\nDeadline-Remaining: 3500\r\n" + fields + "\r\n";
+  }
+  std::string streamRequest() {
+    return request("GET", "/stream/x",
+                   "Model-Name: *\r\nToken-Usage: 100,50\r\n"
+                   "Prompt-Prefix: a1:80,b2:20\r\n");
+  }
+
+  std::string lastId() const { return "id-" + std::to_string(Ids); }
+  int runsOfLast() const {
+    int runs = 0;
+    for (const auto &it : Runners) {
+      const auto found = it->runs().find(lastId());
+      runs += found == it->runs().end() ? 0 : found->second;
+    }
+    return runs;
+  }
+
+  static std::string wholeStream(int events) {
+    std::string text;
+    for (int n = 1; n <= events; ++n)
+      text += "id: " + std::to_string(n) + "\ndata: event " +
+              std::to_string(n) + "\n\n";
+    return text;
+  }
+
+  TempDir Files;
+  MetadataServer Store;
+  http1::Client Calls;
+  http1::Endpoint StoreAt;
+  http1::Endpoint Front;
+  http1::Endpoint Ready;
+  json Configuration;
+  std::vector<std::unique_ptr<StreamingRunner>> Runners;
+  std::optional<Process> Gateway;
+  std::shared_ptr<http1::Call> Handle;
+  std::string Key = "key-1";
+  int Ids = 0;
+};
+
+TEST_F(GatewayTest, servesStreamsAndPlainRequests) {
+  addRunner("llm-1", "llm");
+  StreamingRunner &desk = addRunner("desk-1", "desk");
+  configure();
+  startAndAwaitReady();
+  const auto stream = finish(begin(Front, streamRequest()));
+  EXPECT_EQ(stream->Status, 200);
+  EXPECT_EQ(stream->Body, wholeStream(5));
+  const auto post = finish(begin(Front, request("POST", "/post/a")));
+  EXPECT_EQ(post->Body, "answer to " + lastId());
+  EXPECT_EQ(desk.lastHead().Fields.find("Tenant-Name"), "one");
+  EXPECT_EQ(desk.lastHead().Fields.find("Expected-Instance"), "desk-1");
+  EXPECT_FALSE(desk.lastHead().Fields.find("Authorization"));
+}
+
+TEST_F(GatewayTest, withoutAConfigurationItIsNotReadyAndRefuses) {
+  startGateway();
+  while (get(Ready, "/v1/readiness")->Status != 503) {
+  }
+  EXPECT_EQ(finish(begin(Front, request("GET", "/get/a")))->Status, 503);
+  addRunner("desk-1", "desk");
+  configure();
+  awaitReady();
+  EXPECT_EQ(finish(begin(Front, request("GET", "/get/a")))->Status, 200);
+}
+
+TEST_F(GatewayTest, keysAndRoutesAreThoseOfTheNewestConfiguration) {
+  addRunner("desk-1", "desk");
+  configure();
+  startAndAwaitReady();
+  EXPECT_EQ(finish(begin(Front, request("GET", "/none/a")))->Status, 404);
+  Key = "key-2";
+  EXPECT_EQ(finish(begin(Front, request("GET", "/get/a")))->Status, 401);
+  Configuration["version"] = 5;
+  Configuration["tenants"][0]["apiKeys"] = {"key-2"};
+  configure();
+  int status = 0;
+  while (status != 200)
+    status = finish(begin(Front, request("GET", "/get/a")))->Status;
+  Key = "key-1";
+  EXPECT_EQ(finish(begin(Front, request("GET", "/get/a")))->Status, 401);
+}
+
+TEST_F(GatewayTest, aBrokenStreamGoesOnAtAnotherRunner) {
+  for (const char *id : {"llm-1", "llm-2", "llm-3"})
+    addRunner(id, "llm").traits().BreaksAfter = 2;
+  configure();
+  startAndAwaitReady();
+  const auto stream = finish(begin(Front, streamRequest()));
+  EXPECT_EQ(stream->Body, wholeStream(5));
+  EXPECT_TRUE(stream->Ended);
+  EXPECT_EQ(runsOfLast(), 3);
+}
+
+TEST_F(GatewayTest, aDoubtfulAnswerComesFromTheLargerModel) {
+  for (const char *id : {"llm-1", "llm-2"})
+    addRunner(id, "llm").traits().Confidence = 1;
+  configure();
+  startAndAwaitReady();
+  EXPECT_EQ(finish(begin(Front, streamRequest()))->Body, wholeStream(5));
+  EXPECT_EQ(runsOfLast(), 2);
+}
+
+TEST_F(GatewayTest, anUnsafeRequestThatMayHaveRunIsNotRepeated) {
+  addRunner("desk-1", "desk").traits().FailsAll = true;
+  addRunner("desk-2", "desk").traits().FailsAll = true;
+  configure();
+  startAndAwaitReady();
+  const auto post = finish(begin(Front, request("POST", "/post/a")));
+  EXPECT_EQ(post->Status, 500);
+  EXPECT_EQ(runsOfLast(), 1);
+  const auto read = finish(begin(Front, request("GET", "/get/a")));
+  EXPECT_EQ(read->Status, 500);
+  EXPECT_EQ(runsOfLast(), 2);
+}
+
+TEST_F(GatewayTest, aSecondCopyOfAnAnswerReachesNobody) {
+  addRunner("desk-1", "desk").traits().AnswersTwice = true;
+  configure();
+  startAndAwaitReady();
+  for (int n = 0; n < 20; ++n) {
+    const auto post = finish(begin(Front, request("POST", "/post/a")));
+    // An answer that was cut is allowed to fail, never to be another's.
+    if (post->Status == 200) {
+      EXPECT_TRUE(post->Body.starts_with("answer to " + lastId()));
+    }
+  }
+}
+
+TEST_F(GatewayTest, theRunEndsWhenTheCallerLeaves) {
+  StreamingRunner &runner = addRunner("llm-1", "llm");
+  runner.traits().Events = 1'000;
+  configure();
+  startAndAwaitReady();
+  const auto stream = begin(Front, streamRequest());
+  runUntil([&] { return !stream->Body.empty(); });
+  Handle->cancel();
+  runUntil([&] { return runner.active() == 0; });
+}
+
+TEST_F(GatewayTest, aDrainingRunnerGetsNoMoreRequests) {
+  StreamingRunner &leaving = addRunner("desk-1", "desk");
+  addRunner("desk-2", "desk");
+  configure();
+  startAndAwaitReady();
+  Store.store().put("servers/desk-1", leaving.entry("draining"));
+  bool avoided = false;
+  for (int n = 0; n < 500 && !avoided; ++n) {
+    const std::size_t before = leaving.runs().size();
+    for (int k = 0; k < 8; ++k)
+      finish(begin(Front, request("GET", "/get/a")));
+    avoided = leaving.runs().size() == before;
+  }
+  EXPECT_TRUE(avoided);
+}
+
+TEST_F(GatewayTest, servesOnWhileTheStoreIsAwayAndItsEntriesLapse) {
+  addRunner("desk-1", "desk");
+  configure();
+  startAndAwaitReady();
+  Store.setFaults(
+      {.Busy = true, .Silent = false, .LoseWrites = false, .Delay = {}});
+  runUntil([&] {
+    return Gateway->log().find("store-unavailable") != std::string::npos;
+  });
+  Store.store().remove("servers/desk-1");
+  Store.setFaults({});
+  runUntil([&] {
+    return Gateway->log().find("store-available") != std::string::npos;
+  });
+  EXPECT_EQ(finish(begin(Front, request("GET", "/get/a")))->Status, 200);
+  Store.store().put("servers/desk-1", Runners[0]->entry("available"));
+  EXPECT_EQ(finish(begin(Front, request("GET", "/get/a")))->Status, 200);
+}
+
+TEST_F(GatewayTest, missedHistoryIsMadeGoodByAListing) {
+  addRunner("desk-1", "desk");
+  configure();
+  startAndAwaitReady();
+  Store.setFaults(
+      {.Busy = true, .Silent = false, .LoseWrites = false, .Delay = {}});
+  runUntil([&] {
+    return Gateway->log().find("store-unavailable") != std::string::npos;
+  });
+  Configuration["version"] = 9;
+  Configuration["tenants"][0]["apiKeys"] = {"key-9"};
+  configure();
+  Store.store().dropHistory();
+  Store.setFaults({});
+  Key = "key-9";
+  int status = 0;
+  while (status != 200)
+    status = finish(begin(Front, request("GET", "/get/a")))->Status;
+}
+
+TEST_F(GatewayTest, aRolloutIsCompletedAlthoughAnswersOfTheStoreAreLost) {
+  addRunner("llm-1", "llm");
+  configure();
+  startAndAwaitReady();
+  StreamingRunner &target = addRunner("llm-2", "llm");
+  target.traits().Version = "v2";
+  Store.store().put("servers/llm-2", target.entry("available"));
+  Store.setFaults(
+      {.Busy = false, .Silent = false, .LoseWrites = true, .Delay = {}});
+  Store.store().put(
+      "op/rollout/llm",
+      json{{"service", "llm"}, {"target", "v2"}, {"durationS", 5}}.dump());
+  const auto verdict = [&] {
+    const auto item = Store.store().get("status/rollout/llm");
+    return item ? json::parse(item->Value).at("state").get<std::string>() : "";
+  };
+  runUntil([&] { return verdict() == "in_progress"; });
+  Store.setFaults({});
+  runUntil([&] { return verdict() == "completed"; });
+  finish(begin(Front, streamRequest()));
+  EXPECT_EQ(target.runs().count(lastId()), 1U);
+}
+
+TEST_F(GatewayTest, aTermSignalFinishesStreamsAndEndsTheProcess) {
+  StreamingRunner &runner = addRunner("llm-1", "llm");
+  runner.traits().Events = 60;
+  configure();
+  startAndAwaitReady();
+  const auto stream = begin(Front, streamRequest());
+  runUntil([&] { return !stream->Body.empty(); });
+  Gateway->terminate();
+  while (get(Ready, "/v1/readiness")->Status != 503) {
+  }
+  finish(stream);
+  EXPECT_EQ(stream->Body, wholeStream(60));
+  runUntil([&] { return !Gateway->running(); });
+  EXPECT_EQ(Gateway->waitForExit(std::chrono::milliseconds(1)), 0);
+}
+
+} // namespace
--- a/tests/unit/http1/ServerTest.cpp
+++ b/tests/unit/http1/ServerTest.cpp
@@ -1,4 +1,4 @@
-#include "LoopFixture.hpp"
+#include "support/LoopFixture.hpp"
 
 #include "cowslipridge/http1/Server.hpp"
 
