Read logs with cowslipctl; eject runners that keep rejecting; true return times

Cause: on-call engineers have log files, cowslipctl read only live daemons. Change: timeline and explain take log files or standard input and name lines that can't be read; three rejections in a row eject a runner for a while; a 421 uses up no attempt, since the runner that was meant never got the request; while the store is away a gateway without a configuration names 1.5 s.

--- a/programs/cowslipctl/ExplainCommand.cpp
+++ b/programs/cowslipctl/ExplainCommand.cpp
@@ -18,17 +18,21 @@
 
 } // namespace
 
-ExitCode explain(const Arguments &request) {
-  if (request.size() != 1)
-    return failUsage("explain needs one request id");
+ExitCode explain(const Arguments &requestAndLogs) {
+  if (requestAndLogs.empty())
+    return failUsage("explain needs a request id");
+  const std::string &request = requestAndLogs.front();
+  if (requestAndLogs.size() > 1)
+    return showLogs({requestAndLogs.begin() + 1, requestAndLogs.end()},
+                    request);
   const auto key = readKeyFile(FLAGS_admin_key_file);
   if (!key)
     return ExitCode::Usage;
   const auto instances = fetchInstances();
   if (!instances)
     return ExitCode::Unreachable;
-  const auto answers = askInstances(
-      *instances, "/admin/explain?request=" + request.front(), *key);
+  const auto answers =
+      askInstances(*instances, "/admin/explain?request=" + request, *key);
   bool found = false;
   bool complete = true;
   for (const InstanceAnswer &it : answers) {
@@ -43,7 +47,7 @@
     std::cerr << "cowslipctl: not every instance answered\n";
   if (found)
     return ExitCode::Success;
-  std::cerr << "cowslipctl: no instance remembers " << request.front() << "\n";
+  std::cerr << "cowslipctl: no instance remembers " << request << "\n";
   return complete ? ExitCode::Findings : ExitCode::Unreachable;
 }
 
--- a/programs/cowslipctl/main.cpp
+++ b/programs/cowslipctl/main.cpp
@@ -33,8 +33,9 @@
      {"store", "instances", "admin_key_file"},
      status},
     {"timeline",
-     "--instances URL --admin_key_file FILE [--html] [--request ID]",
-     "Prints the events of all instances in one order, causes first.",
+     "[--html] [--request ID] (--instances URL --admin_key_file FILE | LOG...)",
+     "Prints the events of all instances, or of logs (-: standard input), in "
+     "one order, causes first.",
      {"instances", "admin_key_file", "html", "request"},
      timeline},
     {"bill",
@@ -43,8 +44,8 @@
      {"store", "service", "unsettled"},
      bill},
     {"explain",
-     "--instances URL --admin_key_file FILE REQUEST",
-     "Prints why a request went where it went.",
+     "REQUEST (--instances URL --admin_key_file FILE | LOG...)",
+     "Prints why a request went where it went; from logs, all its events.",
      {"instances", "admin_key_file"},
      explain},
 };
--- a/src/cowslipridge/gateway/Dispatcher.cpp
+++ b/src/cowslipridge/gateway/Dispatcher.cpp
@@ -381,6 +381,8 @@
     ++counts.Broken;
     break;
   case SendOutcome::Rejected:
+    Ejections.onFailure(sending.Runner, now);
+    break;
   case SendOutcome::Dropped:
     break;
   }
--- a/src/cowslipridge/gateway/Gateway.cpp
+++ b/src/cowslipridge/gateway/Gateway.cpp
@@ -23,6 +23,8 @@
 constexpr core::Millis StopMargin{500};
 /// For callers that meet a gateway which can't serve them yet or any more.
 constexpr core::Millis ShortReturn{200};
+/// The same while the store is away: outages last for seconds.
+constexpr core::Millis OutageReturn{1'500};
 
 constexpr double MillisPerSecond = 1'000;
 
@@ -133,7 +135,7 @@
   }
   if (!Synced || !Decisions.catalogue()) {
     refuse(*exchange, caller->Id, Unavailable, "no configuration yet",
-           ShortReturn);
+           StoreAwaySince ? OutageReturn : ShortReturn);
     return;
   }
   RequestFacts facts;
--- a/src/cowslipridge/gateway/Placement.hpp
+++ b/src/cowslipridge/gateway/Placement.hpp
@@ -50,7 +50,7 @@
 /// How one sending ended.
 enum class SendOutcome {
   Served,       ///< whole and good
-  Unreachable,  ///< no connection: not run
+  Unreachable,  ///< no connection, or another runner there: not run
   Rejected,     ///< the runner promised that it did not run
   FailedAnswer, ///< the runner answered that it failed
   Broken,       ///< broke off, or bytes that are no answer
--- a/src/cowslipridge/gateway/RequestMachine.cpp
+++ b/src/cowslipridge/gateway/RequestMachine.cpp
@@ -20,6 +20,8 @@
 /// Before the caller's own time is over, for the answer to reach it.
 constexpr core::Millis AnswerMargin{10};
 
+constexpr int MisdirectedRequest = 421;
+
 bool isFailure(int status) { return status >= 500; }
 bool isSuccess(int status) { return status >= 200 && status < 300; }
 
@@ -237,7 +239,15 @@
 
 void RequestMachine::onRejected(core::Millis now) {
   const int status = Head.Status;
-  ended(SendOutcome::Rejected, now);
+  // The address belongs to another runner now: the one that was meant never got
+  // it.
+  if (status == MisdirectedRequest) {
+    --Sent;
+    ++Unreachable;
+  }
+  ended(status == MisdirectedRequest ? SendOutcome::Unreachable
+                                     : SendOutcome::Rejected,
+        now);
   // This one says that the request itself is at fault.
   if (status == 400) {
     finish();
--- a/src/cowslipridge/observe/EventCodec.cpp
+++ b/src/cowslipridge/observe/EventCodec.cpp
@@ -53,6 +53,14 @@
 
 std::string encodeEvent(const Event &event) { return dump(toJson(event)); }
 
+core::Result<Event> decodeEvent(std::string_view line) {
+  try {
+    return eventFrom(json::parse(line));
+  } catch (const std::exception &) {
+    return core::Errc::Malformed;
+  }
+}
+
 std::string encodeEvents(const std::vector<Event> &events) {
   json list = json::array();
   for (const Event &it : events)
--- a/tests/unit/gateway/RequestMachineTest.cpp
+++ b/tests/unit/gateway/RequestMachineTest.cpp
@@ -223,6 +223,17 @@
   EXPECT_EQ(Actions.Sends, 1);
 }
 
+TEST_F(RequestMachineTest, anAddressOfAnotherRunnerUsesUpNoAttempt) {
+  begin(RouteKind::NonIdempotent, 1);
+  rejected(421);
+  EXPECT_EQ(Actions.Sends, 2);
+  EXPECT_EQ(Placer.Outcomes.at(1), SendOutcome::Unreachable);
+  for (int n = 0; n < 10; ++n)
+    rejected(421);
+  EXPECT_EQ(Actions.Sends, 3) << "but there is an end to it";
+  EXPECT_EQ(Actions.Status, 503);
+}
+
 TEST_F(RequestMachineTest, attemptsAreBounded) {
   begin(RouteKind::Idempotent, 2);
   rejected(503);
