Drop the weight of kept prompts from the model ladder

Change: the doubt fades with the time that is left free, nothing else; its test of kept prompts goes with the weight.

--- a/src/cowslipridge/gateway/Dispatcher.cpp
+++ b/src/cowslipridge/gateway/Dispatcher.cpp
@@ -309,9 +309,11 @@
     return std::nullopt;
   const double events = expectedEvents(facts, service);
   const double pace = Forecast.eventMillis(candidate->Server->Id, now);
-  return route::TierForecast{candidate->FirstToken,
-                             candidate->FirstToken +
-                                 core::Millis(std::llround(events * pace))};
+  route::TierForecast ahead;
+  ahead.FirstToken = candidate->FirstToken;
+  ahead.Whole =
+      candidate->FirstToken + core::Millis(std::llround(events * pace));
+  return ahead;
 }
 
 ModelTier Dispatcher::betterTier(const RequestFacts &facts, std::size_t tier,
--- a/src/cowslipridge/route/ModelLadder.cpp
+++ b/src/cowslipridge/route/ModelLadder.cpp
@@ -12,11 +12,6 @@
 /// doubted, with more than the second the doubt counts in full.
 constexpr double TightSlack = 0.3;
 constexpr double EaseAtSlack = 0.75;
-/// How much the doubt counts for a prompt that is all kept, or all to be read
-/// with no time to spare.
-constexpr double WorthKept = 1.3;
-constexpr double WorthUnread = 0.5;
-
 // Part of `available` that `needed` leaves free; negative when it does not fit.
 double slack(core::Millis available, core::Millis needed) {
   if (available.count() <= 0)
@@ -32,12 +27,7 @@
                                slack(facts.Deadline, facts.Largest.Whole));
   const double ease =
       std::clamp((free - TightSlack) / (EaseAtSlack - TightSlack), 0.0, 1.0);
-  // A prompt that is kept costs little; one to be read keeps others waiting,
-  // the more so the less time is free.
-  const double unread = WorthUnread + (1 - WorthUnread) * ease;
-  const double worthwhile =
-      WorthKept + (unread - WorthKept) * facts.Largest.Unread;
-  return facts.Confidence < DoubtBelow * ease * worthwhile;
+  return facts.Confidence < DoubtBelow * ease;
 }
 
 } // namespace cowslipridge::route
--- a/src/cowslipridge/route/ModelLadder.hpp
+++ b/src/cowslipridge/route/ModelLadder.hpp
@@ -8,8 +8,6 @@
 struct TierForecast {
   core::Millis FirstToken;
   core::Millis Whole; ///< until the end of the answer
-  /// Part of the prompt that it would have to read, 0..1.
-  double Unread = 1;
 };
 
 /// What decides whether a larger model is asked after a smaller one answered.
