Let the smallest model's pool borrow runners in a burst

Change: when a pool's first token takes over a quarter of the target, the request goes to any runner that is twice as fast.

--- a/src/cowslipridge/gateway/Dispatcher.cpp
+++ b/src/cowslipridge/gateway/Dispatcher.cpp
@@ -23,6 +23,10 @@
 constexpr std::int64_t PlainPatienceParts = 3;
 /// Refused callers come back after this time at the earliest.
 constexpr core::Millis ShortReturn{150};
+/// A pool overflows when its first token takes more than this part of the
+/// target (the inverse), to a runner that is faster by a factor.
+constexpr std::int64_t OverflowParts = 4;
+constexpr std::int64_t OverflowGain = 2;
 /// A further plain request in hand makes a runner's answer so much later.
 constexpr double MillisPerPlainRequest = 30;
 /// How much a runner's pace counts against its first token, in events.
@@ -215,13 +219,28 @@
   return chosen;
 }
 
+std::optional<Dispatcher::Candidate> Dispatcher::bestOfPool(
+    const std::vector<const membership::BackendServer *> &servers,
+    const std::string &model, ModelTier tier, const RequestFacts &facts,
+    core::Millis now) const {
+  const auto own = best(poolOf(servers, tier), model, facts, now);
+  if (!tier ||
+      (own && own->FirstToken * OverflowParts <= facts.Route->TargetLatency))
+    return own;
+  // A pool that can't keep up with a burst borrows from the others.
+  const auto any = best(servers, model, facts, now);
+  const bool borrows =
+      any && (!own || any->FirstToken * OverflowGain < own->FirstToken);
+  return borrows ? any : own;
+}
+
 PlacementResult Dispatcher::place(const RequestFacts &facts, ModelTier tier,
                                   const std::vector<core::RunnerId> &excluded,
                                   bool repeat, core::Millis now) {
   const core::ServiceId service = chooseService(facts);
-  const auto servers = poolOf(eligible(facts, service, excluded, now), tier);
   const std::string model = modelOf(facts, tier);
-  const auto candidate = best(servers, model, facts, now);
+  const auto candidate = bestOfPool(eligible(facts, service, excluded, now),
+                                    model, tier, facts, now);
   if (!candidate)
     return NoPlacement{"no runner", ShortReturn};
   const core::Millis left = facts.Deadline - now;
--- a/src/cowslipridge/gateway/Dispatcher.hpp
+++ b/src/cowslipridge/gateway/Dispatcher.hpp
@@ -105,6 +105,11 @@
   best(const std::vector<const membership::BackendServer *> &servers,
        const std::string &model, const RequestFacts &facts,
        core::Millis now) const;
+  /// The best of the tier's pool, or of all when the pool can't keep up.
+  std::optional<Candidate>
+  bestOfPool(const std::vector<const membership::BackendServer *> &servers,
+             const std::string &model, ModelTier tier,
+             const RequestFacts &facts, core::Millis now) const;
   Placement commit(const Candidate &candidate, const core::ServiceId &service,
                    const std::string &model, ModelTier tier,
                    const RequestFacts &facts, core::Millis now);
--- a/tests/unit/http1/ClientTest.cpp
+++ b/tests/unit/http1/ClientTest.cpp
@@ -57,7 +57,7 @@
   }
 
   std::shared_ptr<RecordedCall> call(const std::string &id = "a") {
-    const auto events = std::make_shared<RecordedCall>();
+    auto events = std::make_shared<RecordedCall>();
     CallSpec spec;
     spec.Server = Address;
     spec.Bytes = "GET / HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\n\r\n";
@@ -70,7 +70,7 @@
   }
 
   std::shared_ptr<RecordedCall> callAndWait(const std::string &id = "a") {
-    const auto events = call(id);
+    auto events = call(id);
     runUntil([&] { return events->over(); });
     return events;
   }
--- a/tests/unit/rollout/TrialControlTest.cpp
+++ b/tests/unit/rollout/TrialControlTest.cpp
@@ -29,9 +29,9 @@
       if (const auto it = Control.next(Service, Observed, Now))
         take(*it, Now);
     }
-    return Last();
+    return last();
   }
-  RolloutVerdict Last() {
+  RolloutVerdict last() {
     return Control.underWay().empty()
                ? (Control.isBanned(Service, Target) ? RolloutVerdict::Reverted
                                                     : RolloutVerdict::Completed)
--- a/tests/unit/route/ModelPoolsTest.cpp
+++ b/tests/unit/route/ModelPoolsTest.cpp
@@ -24,7 +24,7 @@
 TEST(ModelPoolsTest, followsTheWork) {
   ModelPools pools;
   const std::size_t before = pools.smallestPool(12);
-  for (int n = 0; n < 300; ++n) {
+  for (std::int64_t n = 0; n < 300; ++n) {
     pools.sent(true, 100, Millis(n * 10));
     pools.sent(false, 100, Millis(n * 10));
   }
--- a/tests/unit/route/PromptCacheTest.cpp
+++ b/tests/unit/route/PromptCacheTest.cpp
@@ -35,6 +35,7 @@
 
 TEST(PromptCacheTest, partsAreSpreadEvenlyAndStayWhenARunnerLeaves) {
   std::vector<core::RunnerId> runners;
+  runners.reserve(10);
   for (int n = 0; n < 10; ++n)
     runners.emplace_back("runner-" + std::to_string(n));
   const auto favourite = [&](std::uint64_t block, std::size_t count) {
@@ -57,7 +58,7 @@
   }
   EXPECT_EQ(moved, 0);
   for (const auto &[runner, n] : counts)
-    EXPECT_NEAR(n, Blocks / 10, Blocks / 25) << runner;
+    EXPECT_NEAR(n, Blocks * 0.1, Blocks * 0.04) << runner;
 }
 
 } // namespace
