Lead from a failed request to its cause; keep the exposure of the settings

Cause: on-call engineers had no page; the exposure that operators set was read and not used, so a deployment with a tighter one would have been given 8 in 100; the drain time was read and not used either (a leaving runner gets nothing at once). Change: docs/OPERATIONS.md takes three recorded failures from id to cause, a test replays each; the first step of a roll-out uses three fifths of the exposure at most; drain_time goes.

--- a/src/cowslipridge/config/GatewaySettings.cpp
+++ b/src/cowslipridge/config/GatewaySettings.cpp
@@ -76,8 +76,6 @@
       "exposure_allowance", settings.Exposure.Fixed, 0, MaxAllowance);
   settings.SessionLifetime = promises.duration(
       "session_lifetime", settings.SessionLifetime, core::Millis(0), MaxWindow);
-  settings.DrainTime = promises.duration("drain_time", settings.DrainTime,
-                                         core::Millis(0), MaxWindow);
   promises.finish();
   return settings;
 }
--- a/src/cowslipridge/config/GatewaySettings.hpp
+++ b/src/cowslipridge/config/GatewaySettings.hpp
@@ -52,7 +52,6 @@
   RetryAllowance Retries;
   ExposureAllowance Exposure;
   core::Millis SessionLifetime{5'000}; ///< `session_lifetime`
-  core::Millis DrainTime{2'000};       ///< `drain_time` of a backend server
 };
 
 /// Reads a gateway's settings. Returns nothing, and all findings together, when
--- a/src/cowslipridge/gateway/Dispatcher.cpp
+++ b/src/cowslipridge/gateway/Dispatcher.cpp
@@ -69,7 +69,8 @@
 } // namespace
 
 Dispatcher::Dispatcher(const config::GatewaySettings &settings)
-    : Settings(settings), Cache(MaxCacheBlocks) {}
+    : Settings(settings), Trials(settings.Exposure.Fraction),
+      Cache(MaxCacheBlocks) {}
 
 void Dispatcher::setCatalogue(catalogue::CataloguePtr catalogue) {
   Catalogue = std::move(catalogue);
--- a/src/cowslipridge/rollout/TrialControl.cpp
+++ b/src/cowslipridge/rollout/TrialControl.cpp
@@ -20,6 +20,8 @@
 // while evidence of one step is in before the next.
 constexpr std::array<TrialStep, 4> Steps = {
     {{0, 0.08}, {0.52, 0.25}, {0.60, 0.5}, {0.67, 1}}};
+/// Part of the exposure that the first step uses: sessions differ in size.
+constexpr double FirstExposurePart = 0.6;
 /// Old runners are stopped at completion, whatever still runs there.
 constexpr double LatestCompletion = 0.93;
 /// Gateways later in rank act only when the ones before them did not.
@@ -131,9 +133,11 @@
   const Trial *trial = find(service);
   if (trial == nullptr || !trial->Recorded)
     return 0;
-  return Steps
-      .at(std::min<std::size_t>(trial->Step.value_or(0), Steps.size() - 1))
-      .Share;
+  const std::size_t step =
+      std::min<std::size_t>(trial->Step.value_or(0), Steps.size() - 1);
+  const double share = Steps.at(step).Share;
+  return step == 0 ? std::min(share, FirstExposurePart * ExposureFraction)
+                   : share;
 }
 
 bool TrialControl::isBanned(const core::ServiceId &service,
--- a/src/cowslipridge/rollout/TrialControl.hpp
+++ b/src/cowslipridge/rollout/TrialControl.hpp
@@ -29,6 +29,11 @@
 /// gateway may write the next record; the store lets one of them win.
 class TrialControl {
 public:
+  /// `exposureFraction`: the part of a service's requests that a version may
+  /// get before it has proved itself.
+  explicit TrialControl(double exposureFraction)
+      : ExposureFraction(exposureFraction) {}
+
   void onOrder(const RolloutOrder &order, core::Millis now);
   void onWithdrawn(const core::ServiceId &service);
   void onStatus(const RolloutStatus &status);
@@ -83,6 +88,7 @@
 
   [[nodiscard]] const Trial *find(const core::ServiceId &service) const;
 
+  double ExposureFraction;
   std::map<core::ServiceId, Trial> Trials;
   /// What the store said of a service, also before its order was heard.
   std::map<core::ServiceId, RolloutStatus> Statuses;
--- a/tests/unit/config/GatewaySettingsTest.cpp
+++ b/tests/unit/config/GatewaySettingsTest.cpp
@@ -18,7 +18,7 @@
                              "retry_window = 10s\nretry_allowance = 54\n"
                              "exposure_fraction = 0.15\n"
                              "exposure_allowance = 30\n"
-                             "session_lifetime = 5s\ndrain_time = 2000ms\n";
+                             "session_lifetime = 5s\n";
 
 TEST(GatewaySettingsTest, readsAllThatThePlatformFillsIn) {
   core::Findings findings;
--- a/tests/unit/http1/ResponseParserTest.cpp
+++ b/tests/unit/http1/ResponseParserTest.cpp
@@ -55,13 +55,14 @@
 }
 
 TEST(ResponseParserTest, refusesBytesThatAreNoAnswer) {
+  const std::string twoLengths = std::string("HTTP/1.1 200 OK\r\n") +
+                                 "Content-Length: 2\r\n" +
+                                 "Content-Length: 3\r\n\r\nab";
   const std::string twoFramings = std::string("HTTP/1.1 200 OK\r\n") +
                                   "Content-Length: 2\r\n" +
                                   "Transfer-Encoding: chunked\r\n\r\n";
   for (const std::string &text : std::vector<std::string>{
-           "garbage\r\n\r\n", "HTTP/1.1 2000 OK\r\n\r\n",
-           "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: "
-           "3\r\n\r\nab",
+           "garbage\r\n\r\n", "HTTP/1.1 2000 OK\r\n\r\n", twoLengths,
            twoFramings, "HTTP/1.1 101 Switching Protocols\r\n\r\n",
            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n"}) {
     std::string input = text;
--- /dev/null
+++ b/tests/unit/observe/OperationsPageTest.cpp
@@ -0,0 +1,74 @@
+#include "cowslipridge/observe/CauseInference.hpp"
+#include "cowslipridge/observe/LogReader.hpp"
+#include "cowslipridge/observe/TimelineMerge.hpp"
+
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <sstream>
+
+using namespace cowslipridge;
+using namespace cowslipridge::observe;
+
+namespace {
+
+/// One failed request of docs/OPERATIONS.md and what its log has to show.
+struct Example {
+  std::string File;
+  std::string Request;
+  std::vector<EventNumber> Steps;
+  std::string Cause; ///< in the last line
+};
+
+const std::vector<Example> Examples = {
+    {"refused-under-load",
+     "152e7c789644d6d5",
+     {EventNumber::RequestRouted, EventNumber::RequestRetried,
+      EventNumber::RequestRefused},
+     "status=503 no-room, no runner answers in time"},
+    {"failed-and-not-repeated",
+     "bc1caf867e17f028",
+     {EventNumber::RequestRouted, EventNumber::RequestRefused},
+     "status=502 broken-early"},
+    {"broken-off-in-a-stream",
+     "77a09a718fac47af",
+     {EventNumber::RequestRouted, EventNumber::RequestEscalated,
+      EventNumber::RequestRouted, EventNumber::RequestRefused},
+     "broken off: deadline"}};
+
+std::vector<Event> recorded(const std::string &name) {
+  std::ifstream in(std::string(COWSLIPRIDGE_RECORDED_LOGS) + "/" + name +
+                   ".log");
+  EXPECT_TRUE(in.is_open()) << name;
+  core::Findings findings;
+  auto events = readLog(in, name, findings);
+  EXPECT_TRUE(findings.empty());
+  return mergeTimeline(inferCauses(std::move(events)));
+}
+
+TEST(OperationsPageTest, eachRecordedLogLeadsFromTheIdToTheCause) {
+  for (const Example &example : Examples) {
+    std::vector<EventNumber> steps;
+    std::string last;
+    for (const Event &it : recorded(example.File)) {
+      if (it.Request.str() != example.Request)
+        continue;
+      steps.push_back(it.Number);
+      last = it.Detail;
+    }
+    EXPECT_EQ(steps, example.Steps) << example.File;
+    EXPECT_NE(last.find(example.Cause), std::string::npos) << last;
+  }
+}
+
+TEST(OperationsPageTest, thePageNamesEachRequestAndItsCause) {
+  std::ifstream in(std::string(COWSLIPRIDGE_DOCS) + "/OPERATIONS.md");
+  std::stringstream page;
+  page << in.rdbuf();
+  for (const Example &example : Examples) {
+    EXPECT_NE(page.str().find(example.Request), std::string::npos);
+    EXPECT_NE(page.str().find(example.File + ".log"), std::string::npos);
+  }
+}
+
+} // namespace
--- a/tests/unit/rollout/TrialControlTest.cpp
+++ b/tests/unit/rollout/TrialControlTest.cpp
@@ -14,6 +14,7 @@
 const core::ServiceId Service("s");
 const core::VersionId Target("v2");
 constexpr Millis Duration{24'000};
+constexpr double Exposure = 0.15;
 
 class TrialControlTest : public testing::Test {
 protected:
@@ -56,7 +57,7 @@
     Observed.Evidence[{Service, Target, route}] = counts;
   }
 
-  TrialControl Control;
+  TrialControl Control{Exposure};
   TrialControl::Observation Observed{{}, 0, true, 0};
   Millis Now;
 };
@@ -79,6 +80,14 @@
   EXPECT_EQ(share(), 1);
 }
 
+TEST_F(TrialControlTest, aTighterExposureIsKept) {
+  Control = TrialControl(0.02);
+  order();
+  drive(Duration / 2);
+  EXPECT_GT(share(), 0);
+  EXPECT_LT(share(), 0.02);
+}
+
 TEST_F(TrialControlTest, oldRunnersAreNotStoppedUnderTheirRequests) {
   order();
   Observed.StableInFlight = 1;
@@ -113,7 +122,7 @@
   order();
   drive(Duration * 65 / 100);
   const double before = share();
-  TrialControl anew;
+  TrialControl anew(Exposure);
   const RolloutStatus status{Service, Target, RolloutVerdict::InProgress};
   anew.onProgress({Service, Target, 2, Duration * 60 / 100}, Millis(50'000));
   anew.onStatus(status);
