Split the dispatcher: who may serve a request is a class of its own

Change: RunnerSelection chooses the runner (version, soundness, pool, forecast); RequestTraits derives what a request is from its facts; the dispatcher keeps the budget, what is under way, evidence and roll-outs. Conclusion: a refactoring.

--- a/src/cowslipridge/gateway/Dispatcher.hpp
+++ b/src/cowslipridge/gateway/Dispatcher.hpp
@@ -2,12 +2,11 @@
 
 #include "cowslipridge/config/GatewaySettings.hpp"
 #include "cowslipridge/gateway/Placement.hpp"
+#include "cowslipridge/gateway/RunnerSelection.hpp"
 #include "cowslipridge/limits/Ejections.hpp"
 #include "cowslipridge/limits/RetryWindow.hpp"
 #include "cowslipridge/membership/ServerRegistry.hpp"
 #include "cowslipridge/rollout/TrialControl.hpp"
-#include "cowslipridge/route/ModelLadder.hpp"
-#include "cowslipridge/route/ModelPools.hpp"
 #include "cowslipridge/route/PrefillForecast.hpp"
 #include "cowslipridge/route/PromptCache.hpp"
 
@@ -43,7 +42,6 @@
   void onEnded(std::uint64_t ticket, SendOutcome outcome,
                core::Millis now) override;
 
-  /// A service and version for a request that is not sent yet.
   void setCatalogue(catalogue::CataloguePtr catalogue);
   [[nodiscard]] const catalogue::CataloguePtr &catalogue() const {
     return Catalogue;
@@ -75,49 +73,8 @@
     core::Millis Predicted;
     bool Answered = false;
   };
-  struct Pin {
-    core::VersionId Version;
-    core::Millis UsedAt;
-  };
-  struct Candidate {
-    const membership::BackendServer *Server = nullptr;
-    std::uint64_t UncachedTokens = 0;
-    core::Millis FirstToken;
-    double Score = 0; ///< milliseconds; lower is better
-  };
-
-  const core::ServiceId &chooseService(const RequestFacts &facts) const;
-  std::vector<const membership::BackendServer *>
-  eligible(const RequestFacts &facts, const core::ServiceId &service,
-           const std::vector<core::RunnerId> &excluded, core::Millis now);
-  void keepVersion(const RequestFacts &facts, const core::ServiceId &service,
-                   std::vector<const membership::BackendServer *> &servers,
-                   core::Millis now);
-  Candidate rate(const membership::BackendServer &server,
-                 const std::vector<route::CacheBlock> &prompt,
-                 const std::string &model, const RequestFacts &facts,
-                 bool isFavourite, core::Millis now) const;
-  /// Those of `servers` that serve the tier.
-  std::vector<const membership::BackendServer *>
-  poolOf(std::vector<const membership::BackendServer *> servers,
-         ModelTier tier) const;
-  std::optional<Candidate>
-  best(const std::vector<const membership::BackendServer *> &servers,
-       const std::string &model, const RequestFacts &facts,
-       core::Millis now) const;
-  /// The best of the tier's pool, or of all when the pool can't keep up.
-  std::optional<Candidate>
-  bestOfPool(const std::vector<const membership::BackendServer *> &servers,
-             const std::string &model, ModelTier tier,
-             const RequestFacts &facts, core::Millis now) const;
-  Placement commit(const Candidate &candidate, const core::ServiceId &service,
-                   const std::string &model, ModelTier tier,
+  Placement commit(const RunnerSelection::Candidate &candidate, ModelTier tier,
                    const RequestFacts &facts, core::Millis now);
-  std::optional<route::TierForecast>
-  forecast(const RequestFacts &facts, std::size_t tier, core::Millis now);
-  /// Events of the answer, as far as it can be told in advance.
-  static double expectedEvents(const RequestFacts &facts,
-                               const core::ServiceId &service);
   limits::RetryWindow &budget(const core::ServiceId &service);
   [[nodiscard]] rollout::EvidenceTable pooledEvidence() const;
 
@@ -128,10 +85,9 @@
   limits::Ejections Ejections;
   route::PrefillForecast Forecast;
   route::PromptCache Cache;
-  route::ModelPools Pools;
+  RunnerSelection Selection;
   std::map<core::ServiceId, limits::RetryWindow> Budgets;
   std::unordered_map<std::uint64_t, Sending> Sendings;
-  std::unordered_map<std::string, Pin> Pins; ///< of sessions
   rollout::EvidenceTable OwnEvidence;
   std::map<core::InstanceId, rollout::EvidenceTable> PeerEvidence;
   std::size_t Gateways = 1;
