--- a/src/cowslipridge/config/DeclarationParser.cpp
+++ b/src/cowslipridge/config/DeclarationParser.cpp
@@ -94,7 +94,7 @@
 
   void readService(SectionReader &reader) {
     const ServiceDeclaration initial;
-    Declared.Name = core::ServiceId(readName(reader, "name", "drafting"));
+    Declared.Name = core::ServiceId(reader.requireName("name", "drafting"));
     Declared.Kind = reader.choice("kind", initial.Kind, Kinds);
     Declared.Deadline = reader.duration("deadline", initial.Deadline,
                                         core::Millis(1), MaxDuration);
@@ -210,15 +210,6 @@
     return static_cast<unsigned>(reader.count(key, fallback, least, most));
   }
 
-  static std::string readName(SectionReader &reader, std::string_view key,
-                              const std::string &example) {
-    std::string name = reader.requireText(key, example);
-    if (!name.empty() && !internal::isName(name))
-      reader.fail(key, "'" + name + "' is not a name",
-                  std::string(internal::NameRule));
-    return name;
-  }
-
   void checkTitleName(const IniSection &section, const std::string &name,
                       const std::string &example) {
     if (name.empty())
--- a/src/cowslipridge/config/GatewaySettings.cpp
+++ b/src/cowslipridge/config/GatewaySettings.cpp
@@ -1,7 +1,6 @@
 #include "cowslipridge/config/GatewaySettings.hpp"
 
 #include "cowslipridge/config/internal/DocumentReader.hpp"
-#include "cowslipridge/config/internal/Names.hpp"
 #include "cowslipridge/config/internal/Units.hpp"
 
 #include <arpa/inet.h>
@@ -22,15 +21,6 @@
 constexpr core::Millis MaxWindow{600'000};
 constexpr std::string_view AddressExample = "10.0.0.5:8080";
 
-std::string readName(SectionReader &reader, std::string_view key,
-                     const std::string &example) {
-  std::string name = reader.requireText(key, example);
-  if (!name.empty() && !internal::isName(name))
-    reader.fail(key, "'" + name + "' is not a name",
-                std::string(internal::NameRule));
-  return name;
-}
-
 SocketAddress readAddress(SectionReader &reader, std::string_view key) {
   const std::string text = reader.requireText(key, std::string(AddressExample));
   const auto address = parseSocketAddress(text);
@@ -44,9 +34,9 @@
   GatewaySettings settings;
   SectionReader process = document.open("process");
   settings.Instance =
-      core::InstanceId(readName(process, "instance", "gateway-kochi-a-1"));
+      core::InstanceId(process.requireName("instance", "gateway-kochi-a-1"));
   settings.Domain =
-      core::FailureDomainId(readName(process, "failure_domain", "kochi-a"));
+      core::FailureDomainId(process.requireName("failure_domain", "kochi-a"));
   settings.GracePeriod = process.duration("grace_period", settings.GracePeriod,
                                           core::Millis(1'000), MaxGracePeriod);
   process.finish();
--- a/src/cowslipridge/config/Settings.cpp
+++ b/src/cowslipridge/config/Settings.cpp
@@ -61,9 +61,9 @@
                   "role = entry or role = sidecar");
     Settings.Role = reader.choice("role", Settings.Role, Roles);
     Settings.Instance =
-        core::InstanceId(readName(reader, "instance", "entry-kochi-a-1"));
+        core::InstanceId(reader.requireName("instance", "entry-kochi-a-1"));
     Settings.Domain =
-        core::FailureDomainId(readName(reader, "failure_domain", "kochi-a"));
+        core::FailureDomainId(reader.requireName("failure_domain", "kochi-a"));
     Settings.Threads = reader.count("threads", Settings.Threads, 1, MaxThreads);
     Settings.JsonLog = reader.choice("log", Settings.JsonLog, LogFormats);
     reader.finish();
@@ -117,7 +117,7 @@
     SectionReader reader = Reader.open("runner");
     RunnerSettings runner;
     runner.Address = readUrl(reader, "address", true);
-    runner.Service = core::ServiceId(readName(reader, "service", "drafting"));
+    runner.Service = core::ServiceId(reader.requireName("service", "drafting"));
     if (!reader.has("versions"))
       reader.fail("versions", "the key is missing", "versions = small@1");
     for (std::string &it : reader.list("versions")) {
@@ -130,15 +130,6 @@
     reader.finish();
   }
 
-  static std::string readName(SectionReader &reader, std::string_view key,
-                              const std::string &example) {
-    std::string name = reader.requireText(key, example);
-    if (!name.empty() && !internal::isName(name))
-      reader.fail(key, "'" + name + "' is not a name",
-                  std::string(internal::NameRule));
-    return name;
-  }
-
   static std::uint16_t readPort(SectionReader &reader, std::string_view key,
                                 const std::string &example, bool required) {
     if (required && !reader.has(key))
--- a/src/cowslipridge/config/internal/SectionReader.cpp
+++ b/src/cowslipridge/config/internal/SectionReader.cpp
@@ -1,5 +1,6 @@
 #include "cowslipridge/config/internal/SectionReader.hpp"
 
+#include "cowslipridge/config/internal/Names.hpp"
 #include "cowslipridge/config/internal/Units.hpp"
 
 #include <algorithm>
@@ -76,6 +77,14 @@
   return {};
 }
 
+std::string SectionReader::requireName(std::string_view key,
+                                       const std::string &example) {
+  std::string name = requireText(key, example);
+  if (!name.empty() && !isName(name))
+    fail(key, "'" + name + "' is not a name", std::string(NameRule));
+  return name;
+}
+
 std::string SectionReader::text(std::string_view key,
                                 const std::string &fallback) {
   const IniEntry *it = take(key);
--- a/src/cowslipridge/config/internal/SectionReader.hpp
+++ b/src/cowslipridge/config/internal/SectionReader.hpp
@@ -32,6 +32,8 @@
   [[nodiscard]] bool has(std::string_view key);
   /// The text under a key that must be there; `example` is what to write.
   std::string requireText(std::string_view key, const std::string &example);
+  /// The same; what is not a name is a finding.
+  std::string requireName(std::string_view key, const std::string &example);
   std::string text(std::string_view key, const std::string &fallback);
   std::uint64_t count(std::string_view key, std::uint64_t fallback,
                       std::uint64_t least, std::uint64_t most);
--- a/src/cowslipridge/entry/RequestFlow.hpp
+++ b/src/cowslipridge/entry/RequestFlow.hpp
@@ -28,6 +28,9 @@
   void onSuspect(const core::InstanceId &sidecar);
 
 private:
+  /// Time to come back when nothing says more.
+  static constexpr core::Millis DefaultRetryAfter{1'000};
+
   enum class Part { Single, Draft, Better };
   static std::string_view partName(Part part);
 
--- /dev/null
+++ b/src/cowslipridge/entry/RequestFlowRecovery.cpp
@@ -0,0 +1,132 @@
+// What a request does after an attempt that did not serve it.
+
+#include "cowslipridge/entry/RequestFlow.hpp"
+
+#include "cowslipridge/core/Visit.hpp"
+#include "cowslipridge/entry/Selection.hpp"
+
+namespace cowslipridge::entry {
+
+using core::Errc;
+using core::Outcome;
+
+namespace {
+
+/// Hops to the owner of a key that one request may take.
+constexpr unsigned MaxRedirects = 3;
+/// Attempts of one request, whatever the retry budget allows.
+constexpr unsigned MaxAttempts = 6;
+
+Errc toErrc(std::error_code ec) {
+  return ec.category() == core::errorCategory() ? static_cast<Errc>(ec.value())
+                                                : Errc::Internal;
+}
+
+bool isBusy(Errc reason) {
+  const int status = core::httpStatus(reason);
+  return status == 429 || status == 503;
+}
+
+} // namespace
+
+void RequestFlow::recover(const rpc::RunResult &result) {
+  explain("failed at " + Sidecar.str() + ": " +
+          std::string(core::slug(toErrc(result.Error))) + " (" +
+          std::string(core::toString(result.Result)) + ") " + result.Detail);
+  if (Running == Part::Draft && remaining() > core::Millis(0)) {
+    begin(Part::Better, Cascade.Better);
+    return;
+  }
+  AttemptFacts facts;
+  facts.Idempotent = Request.Idempotent;
+  facts.AnswerStarted = Answer.started();
+  facts.PlansLeft = !SessionIsPinned && attemptsMade() < MaxAttempts;
+  facts.OnTrial = isOnTrial();
+  facts.OwnerWaits = OwnerWaits;
+  facts.Remaining = remaining();
+  std::visit(
+      core::Overloaded{
+          [&](const WaitForOwner &it) { waitForOwner(it.Pause); },
+          [&](const RedirectToOwner &it) { redirect(it.Owner, result); },
+          [&](const RetryElsewhere &it) { retryElsewhere(result, it.IsFree); },
+          [&](const PlanAgain &) { planAgain(); },
+          [&](const GiveUp &) { fail(result); }},
+      decideRetry(result, facts));
+}
+
+void RequestFlow::waitForOwner(core::Millis pause) {
+  ++OwnerWaits;
+  Tried.clear();
+  Context.Loop.postAfter(pause, [weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self && !self->Done)
+      self->attempt();
+  });
+}
+
+void RequestFlow::redirect(const core::InstanceId &owner,
+                           const rpc::RunResult &result) {
+  const bool known = Context.Peers->client(owner) != nullptr;
+  if (!known || ++Redirects > MaxRedirects) {
+    fail(result);
+    return;
+  }
+  Context.Owners.learn(claimKey(Request), Request.service().Shards, owner);
+  send(owner);
+}
+
+void RequestFlow::retryElsewhere(const rpc::RunResult &result, bool isFree) {
+  if (attemptsMade() >= MaxAttempts ||
+      (!isFree && !Context.Retries.tryTake())) {
+    fail(result);
+    return;
+  }
+  Facts.Remaining = remaining();
+  const auto sidecar = selectSidecar(Context, Request, Facts, Version, Tried);
+  if (!sidecar) {
+    fail(result);
+    return;
+  }
+  Context.Events.report(observe::EventNumber::RequestRetried,
+                        {Request.Request, Version, {}, sidecar->str()});
+  send(*sidecar);
+}
+
+void RequestFlow::planAgain() {
+  Avoided.insert({Request.Service, Version, {}});
+  plan();
+}
+
+void RequestFlow::onSuspect(const core::InstanceId &sidecar) {
+  const bool canMove =
+      Call && Sidecar == sidecar && Request.Idempotent && !Answer.started();
+  if (!canMove)
+    return;
+  Call->cancel();
+  Call.reset();
+  rpc::RunResult result;
+  result.Result = Outcome::Unknown;
+  result.Error = Errc::OutcomeUnknown;
+  result.Detail = "the sidecar does not answer";
+  recover(result);
+}
+
+void RequestFlow::fail(const rpc::RunResult &result) {
+  const Errc reason = toErrc(result.Error);
+  if (result.Result == Outcome::Unknown && result.BillLine.empty())
+    holdUnsettledBill();
+  const bool needsTime = isBusy(reason) && result.RetryAfter == core::Millis(0);
+  fail({reason, result.Result,
+        needsTime ? DefaultRetryAfter : result.RetryAfter, result.Detail});
+}
+
+void RequestFlow::fail(const Failure &failure) {
+  const std::string reason(core::slug(failure.Reason));
+  explain("refused: " + reason);
+  Context.Events.report(observe::EventNumber::RequestRefused,
+                        {Request.Request, Version, {}, reason});
+  Answer.fail(failure, labels());
+  done();
+}
+
+} // namespace cowslipridge::entry
--- a/src/cowslipridge/gateway/Dispatcher.cpp
+++ b/src/cowslipridge/gateway/Dispatcher.cpp
@@ -43,7 +43,7 @@
 
 PlacementResult Dispatcher::place(const RequestFacts &facts, ModelTier tier,
                                   const std::vector<core::RunnerId> &excluded,
-                                  bool repeat, core::Millis now) {
+                                  SendKind kind, core::Millis now) {
   const auto candidate = Selection.choose(facts, tier, excluded, now);
   if (!candidate)
     return NoPlacement{"no runner", ShortReturn};
@@ -52,9 +52,9 @@
     return NoPlacement{"no runner answers in time",
                        std::max(ShortReturn, candidate->FirstToken - left)};
   limits::RetryWindow &retries = budget(serviceOf(facts));
-  if (!repeat)
+  if (kind == SendKind::First)
     retries.onFirst(now);
-  else if (!retries.tryTake(now))
+  if (kind == SendKind::Repeat && !retries.tryTake(now))
     return NoPlacement{"the budget for repeats is spent", ShortReturn};
   return commit(*candidate, tier, facts, now);
 }
--- a/src/cowslipridge/gateway/Dispatcher.hpp
+++ b/src/cowslipridge/gateway/Dispatcher.hpp
@@ -32,7 +32,7 @@
   // Placer.
   PlacementResult place(const RequestFacts &facts, ModelTier tier,
                         const std::vector<core::RunnerId> &excluded,
-                        bool repeat, core::Millis now) override;
+                        SendKind kind, core::Millis now) override;
   ModelTier firstTier(const RequestFacts &facts, core::Millis now) override;
   ModelTier betterTier(const RequestFacts &facts, std::size_t tier,
                        int confidence, core::Millis now) override;
--- a/src/cowslipridge/gateway/Placement.hpp
+++ b/src/cowslipridge/gateway/Placement.hpp
@@ -47,6 +47,13 @@
 
 using PlacementResult = std::variant<Placement, NoPlacement>;
 
+/// What a sending is to the budget for repeats.
+enum class SendKind {
+  First,   ///< the request's first
+  Another, ///< those before reached no runner
+  Repeat,  ///< a runner may have got the request; the budget must bear it
+};
+
 /// How one sending ended.
 enum class SendOutcome {
   Served,       ///< whole and good
@@ -62,11 +69,10 @@
 class Placer {
 public:
   virtual ~Placer() = default;
-  /// A runner for the request, none of `excluded`. `repeat`: the request was
-  /// sent before, and the budget for repeats must bear it.
+  /// A runner for the request, none of `excluded`.
   virtual PlacementResult place(const RequestFacts &facts, ModelTier tier,
                                 const std::vector<core::RunnerId> &excluded,
-                                bool repeat, core::Millis now) = 0;
+                                SendKind kind, core::Millis now) = 0;
   /// The tier that answers first.
   virtual ModelTier firstTier(const RequestFacts &facts, core::Millis now) = 0;
   /// The tier to ask instead, after `tier` answered with this confidence; the
--- a/src/cowslipridge/gateway/RequestMachine.cpp
+++ b/src/cowslipridge/gateway/RequestMachine.cpp
@@ -51,8 +51,12 @@
     giveUp(reason + ", no time left", core::Millis());
     return;
   }
+  const bool isFirst = Sent == 0 && Unreachable == 0;
+  const SendKind kind = isFirst    ? SendKind::First
+                        : Sent > 0 ? SendKind::Repeat
+                                   : SendKind::Another;
   const PlacementResult result =
-      Decisions.place(Facts, Tier, Excluded, Sent > 0, now);
+      Decisions.place(Facts, Tier, Excluded, kind, now);
   std::visit(
       core::Overloaded{[&](const Placement &it) { onPlacement(it, now); },
                        [&](const NoPlacement &it) {
@@ -153,7 +157,8 @@
       Decisions.betterTier(Facts, *Tier, *verdict.Confidence, now);
   if (!better || *better == *Tier)
     return false;
-  const PlacementResult result = Decisions.place(Facts, better, {}, true, now);
+  const PlacementResult result =
+      Decisions.place(Facts, better, {}, SendKind::Repeat, now);
   const auto *placement = std::get_if<Placement>(&result);
   if (placement == nullptr)
     return false;
@@ -328,29 +333,32 @@
 void RequestMachine::onTimer(core::Millis now) {
   if (State == Phase::Done || now < nextTimer())
     return;
-  if (now >= Facts.Deadline - AnswerMargin) {
-    MayHaveRun = MayHaveRun || (Current.has_value() && !Rejected);
-    Actions.cancelSend();
-    ended(AnswerBegun ? SendOutcome::Dropped : SendOutcome::Silent, now);
-    finish();
-    if (AnswerBegun)
-      Actions.abort("deadline");
-    else
-      Actions.refuse({MayHaveRun ? 504 : 503, "deadline", std::nullopt});
-    return;
-  }
+  if (now >= Facts.Deadline - AnswerMargin)
+    onDeadline(now);
+  else
+    leaveSilent(now);
+}
+
+void RequestMachine::onDeadline(core::Millis now) {
+  MayHaveRun = MayHaveRun || (Current.has_value() && !Rejected);
+  Actions.cancelSend();
+  ended(AnswerBegun ? SendOutcome::Dropped : SendOutcome::Silent, now);
+  finish();
+  if (AnswerBegun)
+    Actions.abort("deadline");
+  else
+    Actions.refuse({MayHaveRun ? 504 : 503, "deadline", std::nullopt});
+}
+
+// Silence is a reason to go on elsewhere, never to give up early.
+void RequestMachine::leaveSilent(core::Millis now) {
   SilentAt.reset();
-  // Silence is a reason to go on elsewhere, never to give up early.
   if (Sent >= Facts.Route->MaxAttempts)
     return;
-  const PlacementResult result = Decisions.place(
-      Facts, Tier,
-      [&] {
-        auto excluded = Excluded;
-        excluded.push_back(Current->Runner);
-        return excluded;
-      }(),
-      true, now);
+  auto excluded = Excluded;
+  excluded.push_back(Current->Runner);
+  const PlacementResult result =
+      Decisions.place(Facts, Tier, excluded, SendKind::Repeat, now);
   const auto *placement = std::get_if<Placement>(&result);
   if (placement == nullptr)
     return;
--- a/src/cowslipridge/gateway/RequestMachine.hpp
+++ b/src/cowslipridge/gateway/RequestMachine.hpp
@@ -86,6 +86,8 @@
   void endStream(core::Millis now);
   void endGathered(core::Millis now);
   void onRejected(core::Millis now);
+  void onDeadline(core::Millis now);
+  void leaveSilent(core::Millis now);
   void broke(SendOutcome outcome, const std::string &reason, core::Millis now);
   void ended(SendOutcome outcome, core::Millis now);
   void finish();
--- a/tests/support/ScriptedPlacer.hpp
+++ b/tests/support/ScriptedPlacer.hpp
@@ -14,8 +14,10 @@
   gateway::PlacementResult place(const gateway::RequestFacts & /*facts*/,
                                  gateway::ModelTier tier,
                                  const std::vector<core::RunnerId> &excluded,
-                                 bool repeat, core::Millis /*now*/) override {
-    if (Places == 0 || (repeat && !AllowRepeats))
+                                 gateway::SendKind kind,
+                                 core::Millis /*now*/) override {
+    Kinds.push_back(kind);
+    if (Places == 0 || (kind == gateway::SendKind::Repeat && !AllowRepeats))
       return gateway::NoPlacement{"no place", core::Millis(300)};
     --Places;
     ExcludedLast = excluded;
@@ -45,6 +47,7 @@
 
   int Places = 100;
   bool AllowRepeats = true;
+  std::vector<gateway::SendKind> Kinds;
   gateway::ModelTier FirstTier;
   std::uint64_t Tickets = 0;
   std::vector<core::RunnerId> ExcludedLast;
--- a/tests/unit/gateway/DispatcherTest.cpp
+++ b/tests/unit/gateway/DispatcherTest.cpp
@@ -72,7 +72,7 @@
   }
   std::optional<Placement>
   place(Dispatcher &decisions, const RequestFacts &facts, ModelTier tier = 0) {
-    const auto result = decisions.place(facts, tier, {}, false, Now);
+    const auto result = decisions.place(facts, tier, {}, SendKind::First, Now);
     const auto *it = std::get_if<Placement>(&result);
     return it == nullptr ? std::nullopt : std::optional(*it);
   }
@@ -161,7 +161,7 @@
   bool refused = false;
   for (std::uint64_t n = 0; n < 20'000 && !refused; ++n) {
     const auto facts = request(n, 40'000);
-    const auto result = Decisions.place(facts, 1, {}, false, Now);
+    const auto result = Decisions.place(facts, 1, {}, SendKind::First, Now);
     if (const auto *it = std::get_if<NoPlacement>(&result)) {
       refused = true;
       EXPECT_GT(it->RetryAfter, Millis(0));
--- a/tests/unit/gateway/RequestMachineTest.cpp
+++ b/tests/unit/gateway/RequestMachineTest.cpp
@@ -234,6 +234,14 @@
   EXPECT_EQ(Actions.Status, 503);
 }
 
+TEST_F(RequestMachineTest, aRequestCountsOnceForTheBudget) {
+  begin(RouteKind::Idempotent);
+  Machine->onFailure(CallFailure::NotConnected, Millis(5));
+  rejected(503);
+  EXPECT_EQ(Placer.Kinds, (std::vector{SendKind::First, SendKind::Another,
+                                       SendKind::Repeat}));
+}
+
 TEST_F(RequestMachineTest, attemptsAreBounded) {
   begin(RouteKind::Idempotent, 2);
   rejected(503);
