Take fractions as bounds; tell peers which sessions stay on their version

Whether a target serves no longer depends on runners that one request has tried. Ruled out: keeping all sessions that a gateway does not know on the old version for a session's lifetime: half of the first half would see no trial. Tests red first: boundsMayBeFractionsOrLeftOut, sessionsThatPeersKnowStayOnTheirVersion.

--- a/src/cowslipridge/config/GatewaySettings.cpp
+++ b/src/cowslipridge/config/GatewaySettings.cpp
@@ -16,7 +16,7 @@
 constexpr std::array<std::string_view, 4> SectionNames = {"process", "listen",
                                                           "store", "promises"};
 constexpr std::uint64_t MaxPort = 65'535;
-constexpr std::uint64_t MaxAllowance = 1'000'000;
+constexpr double MaxAllowance = 1e6;
 constexpr core::Millis MaxGracePeriod{600'000};
 constexpr core::Millis MaxWindow{600'000};
 constexpr std::string_view AddressExample = "10.0.0.5:8080";
@@ -56,13 +56,13 @@
   SectionReader promises = document.open("promises");
   settings.Retries.PerRequest =
       promises.decimal("retry_ratio", settings.Retries.PerRequest, 0, 100);
-  settings.Retries.Fixed = promises.count(
+  settings.Retries.Fixed = promises.decimal(
       "retry_allowance", settings.Retries.Fixed, 0, MaxAllowance);
   settings.Retries.Window = promises.duration(
       "retry_window", settings.Retries.Window, core::Millis(100), MaxWindow);
   settings.Exposure.Fraction =
       promises.decimal("exposure_fraction", settings.Exposure.Fraction, 0, 1);
-  settings.Exposure.Fixed = promises.count(
+  settings.Exposure.Fixed = promises.decimal(
       "exposure_allowance", settings.Exposure.Fixed, 0, MaxAllowance);
   settings.SessionLifetime = promises.duration(
       "session_lifetime", settings.SessionLifetime, core::Millis(0), MaxWindow);
--- a/src/cowslipridge/config/GatewaySettings.hpp
+++ b/src/cowslipridge/config/GatewaySettings.hpp
@@ -25,14 +25,14 @@
 /// What the whole fleet of gateways may spend on retries of one service.
 struct RetryAllowance {
   double PerRequest = 0.1;     ///< `retry_ratio`
-  std::uint64_t Fixed = 10;    ///< `retry_allowance`, added in each window
+  double Fixed = 10;           ///< `retry_allowance`, added in each window
   core::Millis Window{10'000}; ///< `retry_window`
 };
 
 /// What a version under trial may receive before its roll-out ends.
 struct ExposureAllowance {
-  double Fraction = 0.15;   ///< `exposure_fraction` of the service's load
-  std::uint64_t Fixed = 30; ///< `exposure_allowance`, requests
+  double Fraction = 0.15; ///< `exposure_fraction` of the service's load
+  double Fixed = 30;      ///< `exposure_allowance`, requests
 };
 
 /// Settings of one gateway, from its INI file.
--- a/src/cowslipridge/config/internal/SectionReader.cpp
+++ b/src/cowslipridge/config/internal/SectionReader.cpp
@@ -130,7 +130,7 @@
   const auto length = parseDuration(it->Value);
   if (!length) {
     fail(key, "'" + it->Value + "' is not a duration",
-         "a whole number with ms, s, min or h, such as 30s");
+         "a number with ms, s, min or h, such as 30s");
     return fallback;
   }
   if (*length >= least && *length <= most)
--- a/src/cowslipridge/config/internal/Units.cpp
+++ b/src/cowslipridge/config/internal/Units.cpp
@@ -22,6 +22,10 @@
     Unit{"h", 3'600'000},
 };
 
+/// Longest duration written as a fraction, in milliseconds: doubles are exact
+/// to well beyond.
+constexpr double MaxFraction = 1e12;
+
 constexpr std::array SizeUnits = {
     Unit{"B", 1},
     Unit{"KiB", 1'024},
@@ -49,12 +53,29 @@
   return *count * unit->Factor;
 }
 
+// `8.5s`, as long as it makes whole milliseconds.
+std::optional<core::Millis> parseFraction(std::string_view text) {
+  const std::size_t split = text.find_first_not_of("0123456789.");
+  if (split == std::string_view::npos)
+    return std::nullopt;
+  const auto number = parseDecimal(text.substr(0, split));
+  const auto *unit = std::find_if(
+      DurationUnits.begin(), DurationUnits.end(),
+      [&](const Unit &x) { return x.Suffix == text.substr(split); });
+  if (!number || *number < 0 || unit == DurationUnits.end())
+    return std::nullopt;
+  const double millis = *number * static_cast<double>(unit->Factor);
+  if (millis > MaxFraction || std::abs(millis - std::round(millis)) > 1e-6)
+    return std::nullopt;
+  return core::Millis(std::llround(millis));
+}
+
 } // namespace
 
 std::optional<core::Millis> parseDuration(std::string_view text) {
   const auto count = parseWithUnit(text, DurationUnits);
   if (!count)
-    return std::nullopt;
+    return parseFraction(text);
   return core::Millis(static_cast<std::int64_t>(*count));
 }
 
--- a/src/cowslipridge/config/internal/Units.hpp
+++ b/src/cowslipridge/config/internal/Units.hpp
@@ -9,7 +9,8 @@
 
 namespace cowslipridge::config::internal {
 
-/// `250ms`, `30s`, `10min`, `2h`; nothing when it is no such text.
+/// `250ms`, `8.5s`, `10min`, `2h`; nothing when it is no such text, or no whole
+/// number of milliseconds.
 std::optional<core::Millis> parseDuration(std::string_view text);
 /// `512B`, `64KiB`, `8MiB`, `1GiB`; nothing when it is no such text.
 std::optional<std::uint64_t> parseSize(std::string_view text);
--- a/src/cowslipridge/gateway/Dispatcher.cpp
+++ b/src/cowslipridge/gateway/Dispatcher.cpp
@@ -184,8 +184,7 @@
   if (known != Budgets.end())
     return known->second;
   limits::RetryWindow window({Settings.Retries.PerRequest,
-                              static_cast<double>(Settings.Retries.Fixed),
-                              Settings.Retries.Window});
+                              Settings.Retries.Fixed, Settings.Retries.Window});
   window.setMembers(Gateways);
   return Budgets.emplace(service, std::move(window)).first->second;
 }
@@ -202,7 +201,8 @@
     window.setMembers(Gateways);
 }
 
-void Dispatcher::onPeerReport(const PeerReport &report) {
+void Dispatcher::onPeerReport(const PeerReport &report, core::Millis now) {
+  Selection.keepSessions(report.StayingSessions, now);
   Forecast.setRemote(report.Gateway, report.Loads);
   PeerEvidence.insert_or_assign(report.Gateway, report.Evidence);
 }
@@ -212,10 +212,11 @@
   Forecast.forgetRemote(peer);
 }
 
-PeerReport Dispatcher::report() const {
+PeerReport Dispatcher::report(core::Millis now) const {
   PeerReport report;
   report.Gateway = Settings.Instance;
   report.Loads = Forecast.ownLoads();
+  report.StayingSessions = Selection.stayingSessions(now);
   for (const core::ServiceId &service : Trials.underWay()) {
     for (const auto &[key, counts] : OwnEvidence) {
       if (key.Service == service)
@@ -244,7 +245,8 @@
   observation.Evidence = pooledEvidence();
   observation.Rank = rank;
   for (const core::ServiceId &service : services) {
-    const core::VersionId target = Trials.choose(service, 0).Target;
+    const core::VersionId target =
+        Trials.targetUnderWay(service).value_or(core::VersionId());
     observation.StableInFlight = 0;
     observation.TargetServes = false;
     for (const auto &[id, server] : Servers.all()) {
--- a/src/cowslipridge/gateway/Dispatcher.hpp
+++ b/src/cowslipridge/gateway/Dispatcher.hpp
@@ -22,6 +22,8 @@
   core::InstanceId Gateway;
   std::map<core::RunnerId, route::ServerLoad> Loads;
   rollout::EvidenceTable Evidence;
+  /// Sessions that a roll-out does not move, by the hashes of their ids.
+  std::vector<std::uint64_t> StayingSessions;
 };
 
 /// Decides where requests go, from what this gateway and its peers know.
@@ -51,9 +53,9 @@
   /// A runner is gone for good.
   void forgetServer(const core::RunnerId &runner);
   void setPeers(std::size_t others);
-  void onPeerReport(const PeerReport &report);
+  void onPeerReport(const PeerReport &report, core::Millis now);
   void forgetPeer(const core::InstanceId &peer);
-  [[nodiscard]] PeerReport report() const;
+  [[nodiscard]] PeerReport report(core::Millis now) const;
   /// Records of roll-outs that are due; `rank` is this gateway's among those
   /// alive.
   [[nodiscard]] std::vector<rollout::TrialDecision>
--- a/src/cowslipridge/gateway/Gateway.cpp
+++ b/src/cowslipridge/gateway/Gateway.cpp
@@ -250,7 +250,7 @@
 }
 
 void Gateway::on(const RolloutStatusChanged &event) {
-  Decisions.trials().onStatus(event.Status);
+  Decisions.trials().onStatus(event.Status, Clock.monotonic());
   const bool ended =
       event.Status.Verdict != rollout::RolloutVerdict::InProgress;
   report(ended ? EventNumber::RolloutEnded : EventNumber::RolloutAdvanced,
--- a/src/cowslipridge/gateway/PeerExchange.cpp
+++ b/src/cowslipridge/gateway/PeerExchange.cpp
@@ -43,7 +43,8 @@
 void PeerExchange::sendReports() {
   if (Peers.empty())
     return;
-  const std::string bytes = encodePeerReport(Decisions.report());
+  const std::string bytes =
+      encodePeerReport(Decisions.report(Clock.monotonic()));
   for (const auto &[name, peer] : Peers) {
     // A datagram that can't be sent now is as good as lost.
     boost::system::error_code ignored;
@@ -63,7 +64,7 @@
           const auto report = decodePeerReport({Buffer.data(), n});
           if (report && Peers.contains(report->Gateway)) {
             HeardAt[report->Gateway] = Clock.monotonic();
-            Decisions.onPeerReport(*report);
+            Decisions.onPeerReport(*report, Clock.monotonic());
           }
         }
         receive();
--- a/src/cowslipridge/gateway/PeerReportCodec.cpp
+++ b/src/cowslipridge/gateway/PeerReportCodec.cpp
@@ -11,7 +11,7 @@
 using nlohmann::json;
 
 /// Raised when the layout below changes; other formats are ignored.
-constexpr int Format = 1;
+constexpr int Format = 2;
 
 json encodeLoads(const PeerReport &report) {
   json loads = json::array();
@@ -47,6 +47,7 @@
             it.at(3).get<std::uint64_t>(), it.at(4).get<std::uint64_t>(),
             it.at(5).get<std::uint64_t>(), it.at(6).get<std::uint64_t>(),
             it.at(7).get<std::uint64_t>(), it.at(8).get<double>()});
+  report.StayingSessions = message.at(4).get<std::vector<std::uint64_t>>();
   return report;
 }
 
@@ -54,7 +55,7 @@
 
 std::string encodePeerReport(const PeerReport &report) {
   const json message = {Format, report.Gateway.str(), encodeLoads(report),
-                        encodeEvidence(report)};
+                        encodeEvidence(report), report.StayingSessions};
   std::string bytes;
   json::to_msgpack(message, bytes);
   return bytes;
--- a/src/cowslipridge/gateway/RequestFlow.cpp
+++ b/src/cowslipridge/gateway/RequestFlow.cpp
@@ -112,7 +112,10 @@
              " version=" + placement.Version.str() +
              " model=" + modelOf(placement) + " forecast_ms=" +
              std::to_string(placement.PredictedFirstByte.count()) +
-             " left_ms=" + std::to_string(remaining.count()));
+             " left_ms=" + std::to_string(remaining.count()) +
+             (facts.Caller.Session.empty()
+                  ? ""
+                  : " session=" + facts.Caller.Session.str()));
   Service = placement.Service;
   Version = placement.Version;
   Current = std::make_shared<Attempt>(shared_from_this());
--- a/src/cowslipridge/gateway/RunnerSelection.cpp
+++ b/src/cowslipridge/gateway/RunnerSelection.cpp
@@ -20,6 +20,9 @@
 /// How much a runner's pace counts against its first token, in events.
 constexpr double EventsThatCount = 5;
 
+/// Sessions named in one report, so that it fits a datagram.
+constexpr std::size_t MaxStaying = 60;
+
 } // namespace
 
 RunnerSelection::RunnerSelection(const config::GatewaySettings &settings,
@@ -45,11 +48,37 @@
         Forecast.readingMillis(modelOf(facts, tier), candidate.UncachedTokens),
         now);
   if (!facts.Caller.Session.empty())
-    Pins.insert_or_assign(facts.Caller.Session.str(),
-                          Pin{candidate.Server->Version, now});
+    Pins.insert_or_assign(
+        facts.Caller.Session.str(),
+        Pin{serviceOf(facts), candidate.Server->Version, now});
+}
+
+std::vector<std::uint64_t>
+RunnerSelection::stayingSessions(core::Millis now) const {
+  std::vector<std::uint64_t> hashes;
+  for (const auto &[session, pin] : Pins) {
+    const auto target = Trials.targetUnderWay(pin.Service);
+    const std::uint64_t hash = hashOf(session);
+    const bool stays = target && pin.Version != *target &&
+                       now - pin.UsedAt <= SessionLifetime &&
+                       Trials.keepsSessions(pin.Service, now) &&
+                       Trials.isTargeted(pin.Service, hash);
+    if (stays && hashes.size() < MaxStaying)
+      hashes.push_back(hash);
+  }
+  return hashes;
+}
+
+void RunnerSelection::keepSessions(const std::vector<std::uint64_t> &hashes,
+                                   core::Millis now) {
+  for (const std::uint64_t it : hashes)
+    Staying.insert_or_assign(it, now);
 }
 
 void RunnerSelection::tick(core::Millis now) {
+  std::erase_if(Staying, [&](const auto &it) {
+    return now - it.second > SessionLifetime;
+  });
   std::erase_if(Pins, [&](const auto &pin) {
     return now - pin.second.UsedAt > SessionLifetime * 2;
   });
@@ -81,7 +110,7 @@
                                   const core::ServiceId &service,
                                   ServerList &servers, core::Millis now) const {
   using Choice = rollout::TrialControl::Choice;
-  auto verdict = Trials.choose(service, sessionHashOf(facts));
+  auto verdict = Trials.choose(service, sessionHashOf(facts), now);
   if (verdict.Versions == Choice::Any)
     return;
   const auto isTarget = [&](const auto *it) {
@@ -93,9 +122,18 @@
   if (pinned && Trials.keepsSessions(service, now))
     verdict.Versions =
         pin->second.Version == verdict.Target ? Choice::Target : Choice::Stable;
+  const bool staysElsewhere = !pinned &&
+                              Staying.contains(sessionHashOf(facts)) &&
+                              Trials.keepsSessions(service, now);
+  if (staysElsewhere)
+    verdict.Versions = Choice::Stable;
   // Until runners of the target are there, all sessions begin on the other.
+  const auto &all = Servers.all();
   const bool targetServes =
-      std::any_of(servers.begin(), servers.end(), isTarget);
+      std::any_of(all.begin(), all.end(), [&](const auto &it) {
+        return it.second.Service == service && !it.second.Draining &&
+               isTarget(&it.second);
+      });
   if (verdict.Versions == Choice::Target && !targetServes && !pinned)
     verdict.Versions = Choice::Stable;
   std::erase_if(servers, [&](const auto *it) {
--- a/src/cowslipridge/gateway/RunnerSelection.hpp
+++ b/src/cowslipridge/gateway/RunnerSelection.hpp
@@ -50,11 +50,19 @@
   /// The request goes to the candidate.
   void taken(const RequestFacts &facts, ModelTier tier,
              const Candidate &candidate, core::Millis now);
+  /// Sessions under way that a roll-out would move, though they stay where they
+  /// are through its first half; by the hashes of their ids, for other
+  /// gateways.
+  [[nodiscard]] std::vector<std::uint64_t>
+  stayingSessions(core::Millis now) const;
+  /// What another gateway says of them.
+  void keepSessions(const std::vector<std::uint64_t> &hashes, core::Millis now);
   void tick(core::Millis now);
 
 private:
   using ServerList = std::vector<const membership::BackendServer *>;
   struct Pin {
+    core::ServiceId Service;
     core::VersionId Version;
     core::Millis UsedAt;
   };
@@ -89,6 +97,8 @@
   const route::PromptCache &Cache;
   route::ModelPools Pools;
   std::unordered_map<std::string, Pin> Pins; ///< of sessions
+  /// Sessions that stay on the stable version elsewhere, and when it was heard.
+  std::unordered_map<std::uint64_t, core::Millis> Staying;
 };
 
 } // namespace cowslipridge::gateway
--- a/src/cowslipridge/rollout/TrialControl.cpp
+++ b/src/cowslipridge/rollout/TrialControl.cpp
@@ -24,6 +24,9 @@
 constexpr double FirstExposurePart = 0.6;
 /// Old runners are stopped at completion, whatever still runs there.
 constexpr double LatestCompletion = 0.93;
+/// From a roll-out's record until sessions go to the target: gateways tell each
+/// other which sessions are under way.
+constexpr core::Millis SettleTime{700};
 /// Gateways later in rank act only when the ones before them did not.
 constexpr core::Millis RankDelay{600};
 
@@ -87,13 +90,15 @@
   Trials.erase(service);
 }
 
-void TrialControl::onStatus(const RolloutStatus &status) {
+void TrialControl::onStatus(const RolloutStatus &status, core::Millis now) {
   Statuses.insert_or_assign(status.Service, status);
   if (status.Verdict == RolloutVerdict::Reverted)
     Reverted.emplace(status.Service, status.Target);
   const auto it = Trials.find(status.Service);
   if (it == Trials.end() || it->second.Order.Target != status.Target)
     return;
+  if (!it->second.Recorded)
+    it->second.BeginsAt = now + SettleTime;
   it->second.Verdict = status.Verdict;
   it->second.Recorded = true;
 }
@@ -113,20 +118,35 @@
 }
 
 TrialControl::Verdict TrialControl::choose(const core::ServiceId &service,
-                                           std::uint64_t sessionHash) const {
+                                           std::uint64_t sessionHash,
+                                           core::Millis now) const {
   const Trial *trial = find(service);
   if (trial == nullptr)
     return {};
   const core::VersionId &target = trial->Order.Target;
   if (trial->Verdict == RolloutVerdict::Completed)
     return {Choice::Target, target};
-  if (trial->Verdict == RolloutVerdict::Reverted || !trial->Recorded)
+  const bool begun = trial->Recorded && now >= trial->BeginsAt;
+  if (trial->Verdict == RolloutVerdict::Reverted || !begun)
     return {Choice::Stable, target};
-  const double share = targetShare(service);
+  return {isTargeted(service, sessionHash) ? Choice::Target : Choice::Stable,
+          target};
+}
+
+bool TrialControl::isTargeted(const core::ServiceId &service,
+                              std::uint64_t sessionHash) const {
   const double point =
       static_cast<double>(sessionHash) /
       static_cast<double>(std::numeric_limits<std::uint64_t>::max());
-  return {point < share ? Choice::Target : Choice::Stable, target};
+  return point < targetShare(service);
+}
+
+std::optional<core::VersionId>
+TrialControl::targetUnderWay(const core::ServiceId &service) const {
+  const Trial *trial = find(service);
+  if (trial == nullptr || trial->Verdict != RolloutVerdict::InProgress)
+    return std::nullopt;
+  return trial->Order.Target;
 }
 
 double TrialControl::targetShare(const core::ServiceId &service) const {
--- a/src/cowslipridge/rollout/TrialControl.hpp
+++ b/src/cowslipridge/rollout/TrialControl.hpp
@@ -36,7 +36,7 @@
 
   void onOrder(const RolloutOrder &order, core::Millis now);
   void onWithdrawn(const core::ServiceId &service);
-  void onStatus(const RolloutStatus &status);
+  void onStatus(const RolloutStatus &status, core::Millis now);
   void onProgress(const RolloutProgress &progress, core::Millis now);
 
   /// Versions of a service that a request may go to.
@@ -51,7 +51,15 @@
   };
   /// `sessionHash` decides which side a new session is on.
   [[nodiscard]] Verdict choose(const core::ServiceId &service,
-                               std::uint64_t sessionHash) const;
+                               std::uint64_t sessionHash,
+                               core::Millis now) const;
+  /// Whether a session with this hash goes to the target sooner or later in the
+  /// present step.
+  [[nodiscard]] bool isTargeted(const core::ServiceId &service,
+                                std::uint64_t sessionHash) const;
+  /// The target of a roll-out that is under way.
+  [[nodiscard]] std::optional<core::VersionId>
+  targetUnderWay(const core::ServiceId &service) const;
   /// Versions that must not run any more, or not yet.
   [[nodiscard]] bool isBanned(const core::ServiceId &service,
                               const core::VersionId &version) const;
@@ -84,6 +92,7 @@
     std::optional<unsigned> Step;
     RolloutVerdict Verdict = RolloutVerdict::InProgress;
     bool Recorded = false; ///< the store holds a record of it
+    core::Millis BeginsAt; ///< sessions go to the target from then on
   };
 
   [[nodiscard]] const Trial *find(const core::ServiceId &service) const;
--- a/tests/unit/config/GatewaySettingsTest.cpp
+++ b/tests/unit/config/GatewaySettingsTest.cpp
@@ -29,7 +29,7 @@
   EXPECT_EQ(settings->Metrics, (SocketAddress{"10.1.0.40", 9464}));
   EXPECT_EQ(settings->Retries.PerRequest, 0.9);
   EXPECT_EQ(settings->Retries.Window, core::Millis(10'000));
-  EXPECT_EQ(settings->Exposure.Fixed, 30U);
+  EXPECT_EQ(settings->Exposure.Fixed, 30);
   EXPECT_EQ(settings->SessionLifetime, core::Millis(5'000));
 }
 
@@ -50,6 +50,28 @@
     EXPECT_NE(all.find(key), std::string::npos) << key << "\n" << all;
 }
 
+TEST(GatewaySettingsTest, boundsMayBeFractionsOrLeftOut) {
+  const std::string addresses = "[listen]\ncallers = 10.1.0.40:8227\n"
+                                "readiness = 10.1.0.40:8220\n"
+                                "peers = 10.1.0.40:7340\n"
+                                "[store]\naddress = 10.200.1.7:8223\n";
+  core::Findings findings;
+  const auto settings = parseGatewaySettings(
+      "[process]\ninstance = a\nfailure_domain = b\ngrace_period = 8.25s\n" +
+          addresses +
+          "[promises]\nsession_lifetime = 8.5s\nretry_allowance = 54.5\n"
+          "exposure_allowance = 30.0\n",
+      "g.ini", findings);
+  ASSERT_TRUE(settings) << core::toString(findings.items().front());
+  EXPECT_EQ(settings->SessionLifetime, core::Millis(8'500));
+  EXPECT_EQ(settings->GracePeriod, core::Millis(8'250));
+  EXPECT_EQ(settings->Retries.Fixed, 54.5);
+  EXPECT_TRUE(
+      parseGatewaySettings("[process]\ninstance = a\nfailure_domain = b\n\n" +
+                               addresses + "[promises]\n\n\n",
+                           "g.ini", findings));
+}
+
 TEST(GatewaySettingsTest, metricsMayBeLeftOut) {
   std::string text = Good;
   text.erase(text.find("metrics"), text.find("[store]") - text.find("metrics"));
--- a/tests/unit/gateway/DispatcherTest.cpp
+++ b/tests/unit/gateway/DispatcherTest.cpp
@@ -149,7 +149,7 @@
   PeerReport report;
   report.Gateway = core::InstanceId("gateway-2");
   report.Loads = {{before->Runner, {5'000, 20, 0}}};
-  Decisions.onPeerReport(report);
+  Decisions.onPeerReport(report, Now);
   EXPECT_NE(place(Decisions, request(3, 8'000))->Runner, before->Runner);
   Decisions.forgetPeer(report.Gateway);
   EXPECT_EQ(place(Decisions, request(3, 8'000))->Runner, before->Runner);
@@ -202,7 +202,8 @@
   Decisions.trials().onOrder({Service, core::VersionId("v2"), Millis(24'000)},
                              Now);
   Decisions.trials().onStatus(
-      {Service, core::VersionId("v2"), rollout::RolloutVerdict::InProgress});
+      {Service, core::VersionId("v2"), rollout::RolloutVerdict::InProgress},
+      Now);
   std::size_t onTarget = 0;
   for (int second = 1; second <= 10; ++second) {
     Now = Now + Millis(1'000);
@@ -221,6 +222,32 @@
   EXPECT_LT(onTarget, 300U) << "of 2,000 new sessions, 15 in 100";
 }
 
+// Pattern: a session moves between gateways while a roll-out begins.
+TEST_F(DispatcherTest, sessionsThatPeersKnowStayOnTheirVersion) {
+  Dispatcher other(settings());
+  other.setCatalogue(Declared);
+  for (Dispatcher *it : {&Decisions, &other}) {
+    for (int n = 0; n < 12; ++n) {
+      add(*it, "runner-" + std::to_string(n));
+      add(*it, "target-" + std::to_string(n), "v2");
+    }
+    it->trials().onOrder({Service, core::VersionId("v2"), Millis(24'000)}, Now);
+  }
+  std::vector<std::string> sessions;
+  for (int n = 0; n < 200; ++n) {
+    sessions.push_back("session-" + std::to_string(n));
+    serve(other, *place(other, request(1, 100, sessions.back())));
+  }
+  for (Dispatcher *it : {&Decisions, &other})
+    it->trials().onStatus(
+        {Service, core::VersionId("v2"), rollout::RolloutVerdict::InProgress},
+        Now);
+  Now = Now + Millis(1'000);
+  Decisions.onPeerReport(other.report(Now), Now);
+  for (const std::string &it : sessions)
+    EXPECT_EQ(place(Decisions, request(1, 100, it))->Version.str(), "v1");
+}
+
 TEST_F(DispatcherTest, drainingRunnersGetNothing) {
   for (int n = 1; n < 12; ++n) {
     membership::BackendServer server = *Decisions.servers().find(
--- a/tests/unit/gateway/PeerReportCodecTest.cpp
+++ b/tests/unit/gateway/PeerReportCodecTest.cpp
@@ -14,6 +14,7 @@
   rollout::AnswerCounts counts{9, 8, 2, 1, 7, 0.25};
   report.Evidence = {
       {{core::ServiceId("s"), core::VersionId("v2"), "route"}, counts}};
+  report.StayingSessions = {1, 1ULL << 63};
   return report;
 }
 
@@ -23,6 +24,7 @@
   EXPECT_EQ(decoded->Gateway, sample().Gateway);
   EXPECT_EQ(decoded->Loads, sample().Loads);
   EXPECT_EQ(decoded->Evidence, sample().Evidence);
+  EXPECT_EQ(decoded->StayingSessions, sample().StayingSessions);
 }
 
 TEST(PeerReportCodecTest, anyCutOrFlippedDatagramIsRefusedOrReads) {
--- a/tests/unit/rollout/TrialControlTest.cpp
+++ b/tests/unit/rollout/TrialControlTest.cpp
@@ -21,7 +21,7 @@
   void order() { Control.onOrder({Service, Target, Duration}, Millis(0)); }
   /// The store takes a decision; all gateways hear of it.
   void take(const TrialDecision &decision, Millis now) {
-    Control.onStatus(decision.Status);
+    Control.onStatus(decision.Status, now);
     Control.onProgress(decision.Progress, now);
   }
   /// Takes all decisions until `until`; the last verdict.
@@ -45,7 +45,8 @@
     for (int n = 0; n < Sessions; ++n) {
       const auto hash = std::numeric_limits<std::uint64_t>::max() / Sessions *
                         static_cast<std::uint64_t>(n);
-      hits += Control.choose(Service, hash).Versions == Choice::Target ? 1 : 0;
+      hits +=
+          Control.choose(Service, hash, Now).Versions == Choice::Target ? 1 : 0;
     }
     return hits / static_cast<double>(Sessions);
   }
@@ -63,7 +64,7 @@
 };
 
 TEST_F(TrialControlTest, withoutAnOrderAnyVersionServes) {
-  EXPECT_EQ(Control.choose(Service, 0).Versions, Choice::Any);
+  EXPECT_EQ(Control.choose(Service, 0, Now).Versions, Choice::Any);
 }
 
 TEST_F(TrialControlTest, beforeItsRecordNothingGoesToTheTarget) {
@@ -125,7 +126,7 @@
   TrialControl anew(Exposure);
   const RolloutStatus status{Service, Target, RolloutVerdict::InProgress};
   anew.onProgress({Service, Target, 2, Duration * 60 / 100}, Millis(50'000));
-  anew.onStatus(status);
+  anew.onStatus(status, Millis(49'000));
   anew.onOrder({Service, Target, Duration}, Millis(50'000));
   Control = anew;
   EXPECT_EQ(share(), before);
@@ -134,7 +135,7 @@
 }
 
 TEST_F(TrialControlTest, aRevertedVersionIsNotTriedAfterARestart) {
-  Control.onStatus({Service, Target, RolloutVerdict::Reverted});
+  Control.onStatus({Service, Target, RolloutVerdict::Reverted}, Millis(0));
   order();
   EXPECT_EQ(share(), 0);
   EXPECT_TRUE(Control.underWay().empty());
