--- a/programs/cowslipridge-gateway/main.cpp
+++ b/programs/cowslipridge-gateway/main.cpp
@@ -150,7 +150,7 @@
   BoundedLog lines(clock, log, metrics);
   log.report(observe::EventNumber::ProcessStarted, {});
   const platform::HeaderTranslator translator;
-  platform::StoreControlPlane control(loop, clock, settings.Store);
+  platform::StoreControlPlane control(loop, clock, settings.Store, metrics);
   gateway::Gateway gateway(loop, clock, settings, translator, control, log,
                            metrics);
   gateway.start();
--- a/src/cowslipridge/gateway/Gateway.cpp
+++ b/src/cowslipridge/gateway/Gateway.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/address.hpp>
 
 #include <chrono>
+#include <utility>
 
 namespace cowslipridge::gateway {
 
@@ -308,6 +309,8 @@
     Peers.sendReports();
   }
   driveRollouts(now);
+  if (isReady() && !std::exchange(ReadyReported, true))
+    Log.report(EventNumber::ProcessReady, {});
   if (LeavingSince)
     drainStep(now);
   tickLater();
--- a/src/cowslipridge/gateway/Gateway.hpp
+++ b/src/cowslipridge/gateway/Gateway.hpp
@@ -83,6 +83,7 @@
   PeerExchange Peers;
   boost::asio::steady_timer Ticker;
   bool Synced = false;
+  bool ReadyReported = false;
   std::optional<core::Millis> LeavingSince;
   std::optional<core::Millis> StoreAwaySince;
   core::Millis ReportedAt;
--- a/src/cowslipridge/platform/StoreControlPlane.cpp
+++ b/src/cowslipridge/platform/StoreControlPlane.cpp
@@ -92,8 +92,10 @@
 
 StoreControlPlane::StoreControlPlane(boost::asio::io_context &loop,
                                      const core::Clock &clock,
-                                     const config::SocketAddress &store)
-    : Store(loop, clock, store), WatchTimer(loop), LeaseTimer(loop) {}
+                                     const config::SocketAddress &store,
+                                     observe::Metrics &counts)
+    : Store(loop, clock, store), Counts(counts), WatchTimer(loop),
+      LeaseTimer(loop) {}
 
 void StoreControlPlane::start(gateway::Peer self, Listener listener,
                               std::function<void()> onSynced) {
@@ -354,6 +356,10 @@
   const bool answered = reply.Status == Ok || reply.Status == NotFound ||
                         reply.Status == HistoryGone ||
                         reply.Status == ConditionFailed;
+  Counts.add(observe::CounterName::StoreCalls,
+             {.Service = {},
+              .Version = {},
+              .Outcome = answered ? "answered" : "failed"});
   if (!answered && !Away) {
     Away = true;
     const std::string reason = reply.Status != 0
--- a/src/cowslipridge/platform/StoreControlPlane.hpp
+++ b/src/cowslipridge/platform/StoreControlPlane.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cowslipridge/gateway/ControlPlane.hpp"
+#include "cowslipridge/observe/Metrics.hpp"
 #include "cowslipridge/platform/StoreClient.hpp"
 
 #include <boost/asio/steady_timer.hpp>
@@ -17,7 +18,8 @@
 class StoreControlPlane final : public gateway::ControlPlane {
 public:
   StoreControlPlane(boost::asio::io_context &loop, const core::Clock &clock,
-                    const config::SocketAddress &store);
+                    const config::SocketAddress &store,
+                    observe::Metrics &counts);
 
   void start(gateway::Peer self, Listener listener,
              std::function<void()> onSynced) override;
@@ -52,6 +54,7 @@
   void report(const gateway::ControlEvent &event) { Listen(event); }
 
   StoreClient Store;
+  observe::Metrics &Counts;
   boost::asio::steady_timer WatchTimer;
   boost::asio::steady_timer LeaseTimer;
   gateway::Peer Self;
--- a/tests/integration/platform/GatewayTest.cpp
+++ b/tests/integration/platform/GatewayTest.cpp
@@ -45,6 +45,7 @@
     Store.listen(StoreAt);
     Front = freePort();
     Ready = freePort();
+    Metrics = freePort();
     Configuration = {{"version", 1},
                      {"routes",
                       {routeTo("/stream/", "streaming", "llm", 3),
@@ -83,6 +84,7 @@
                            "\nfailure_domain = zone-1\ngrace_period = 5s\n"
                            "[listen]\ncallers = " +
                            text(Front) + "\nreadiness = " + text(Ready) +
+                           "\nmetrics = " + text(Metrics) +
                            "\npeers = " + text(freePort()) +
                            "\n[store]\naddress = " + text(StoreAt) +
                            "\n[promises]\nretry_ratio = 1\n");
@@ -162,6 +164,7 @@
   http1::Endpoint StoreAt;
   http1::Endpoint Front;
   http1::Endpoint Ready;
+  http1::Endpoint Metrics;
   json Configuration;
   std::vector<std::unique_ptr<StreamingRunner>> Runners;
   std::optional<Process> Gateway;
@@ -190,10 +193,14 @@
   while (get(Ready, "/v1/readiness")->Status != 503) {
   }
   EXPECT_EQ(finish(begin(Front, request("GET", "/get/a")))->Status, 503);
+  EXPECT_EQ(Gateway->log().find("process-ready"), std::string::npos);
   addRunner("desk-1", "desk");
   configure();
   awaitReady();
   EXPECT_EQ(finish(begin(Front, request("GET", "/get/a")))->Status, 200);
+  runUntil([&] {
+    return Gateway->log().find("process-ready") != std::string::npos;
+  });
 }
 
 TEST_F(GatewayTest, keysAndRoutesAreThoseOfTheNewestConfiguration) {
@@ -213,6 +220,22 @@
   EXPECT_EQ(finish(begin(Front, request("GET", "/get/a")))->Status, 401);
 }
 
+TEST_F(GatewayTest, metricsCountRequestsByOutcome) {
+  addRunner("desk-1", "desk");
+  configure();
+  startAndAwaitReady();
+  finish(begin(Front, request("GET", "/get/a")));
+  finish(begin(Front, request("GET", "/none/a")));
+  const std::string text = get(Metrics, "/metrics")->Body;
+  for (const char *part :
+       {"cowslipridge_requests_total{", "outcome=\"served\"",
+        "outcome=\"refused\"", "cowslipridge_store_calls_total{",
+        "cowslipridge_request_seconds_bucket{",
+        "cowslipridge_configuration_generation{",
+        "cowslipridge_members_usable{"})
+    EXPECT_NE(text.find(part), std::string::npos) << part;
+}
+
 TEST_F(GatewayTest, aBrokenStreamGoesOnAtAnotherRunner) {
   for (const char *id : {"llm-1", "llm-2", "llm-3"})
     addRunner(id, "llm").traits().BreaksAfter = 2;
