--- a/programs/cowslipridge-gateway/main.cpp
+++ b/programs/cowslipridge-gateway/main.cpp
@@ -31,7 +31,7 @@
 
 constexpr int ExitSettings = 2;
 constexpr int ExitFailure = 1;
-/// Events that /admin pages could show; the log has all of them.
+/// The log has all events; nothing reads them from the process itself.
 constexpr std::size_t KeptEvents = 64;
 
 std::string settingsFile() {
--- a/src/cowslipridge/gateway/RequestMachine.cpp
+++ b/src/cowslipridge/gateway/RequestMachine.cpp
@@ -17,6 +17,8 @@
 constexpr core::Millis LeastUsefulTime{20};
 /// Larger answers of plain services are passed on as they come.
 constexpr std::size_t MaxGatheredBytes = 256UL * 1024;
+/// When a runner that was full may have room again.
+constexpr core::Millis ShortReturn{150};
 /// Before the caller's own time is over, for the answer to reach it.
 constexpr core::Millis AnswerMargin{10};
 
@@ -48,7 +50,7 @@
 
 void RequestMachine::sendNext(const std::string &reason, core::Millis now) {
   if (remaining(now) < LeastUsefulTime) {
-    giveUp(reason + ", no time left", core::Millis());
+    giveUp(reason + ", no time left", ShortReturn);
     return;
   }
   const bool isFirst = Sent == 0 && Unreachable == 0;
@@ -80,7 +82,7 @@
 void RequestMachine::retryOrGiveUp(const std::string &reason,
                                    core::Millis now) {
   if (!mayResend()) {
-    giveUp(reason, core::Millis());
+    giveUp(reason, ShortReturn);
     return;
   }
   Actions.retried(reason);
--- a/src/cowslipridge/gateway/RunnerSelection.cpp
+++ b/src/cowslipridge/gateway/RunnerSelection.cpp
@@ -201,7 +201,8 @@
   for (const auto *server : servers) {
     Candidate candidate =
         rate(*server, prompt, model, facts, server == favourite, now);
-    // Its own failure domain saves a little time, the favourite settles ties.
+    // Within its own failure domain the way is shorter; the favourite settles
+    // ties.
     candidate.Score += server->Domain == Domain ? 0 : 1;
     candidate.Score -= server == favourite ? 1 : 0;
     if (!chosen || candidate.Score < chosen->Score)
--- a/tests/unit/gateway/RequestMachineTest.cpp
+++ b/tests/unit/gateway/RequestMachineTest.cpp
@@ -84,7 +84,8 @@
   begin(RouteKind::NonIdempotent, 1);
   rejected(503);
   EXPECT_EQ(Actions.Status, 503);
-  EXPECT_TRUE(Actions.RetryAfter);
+  ASSERT_TRUE(Actions.RetryAfter);
+  EXPECT_GT(*Actions.RetryAfter, Millis(0)) << "the runner is full now";
 }
 
 TEST_F(RequestMachineTest, a503WithoutProofIsPassedOnAsItCame) {
