--- a/src/cowslipridge/gateway/Dispatcher.cpp
+++ b/src/cowslipridge/gateway/Dispatcher.cpp
@@ -59,42 +59,54 @@
   return commit(*candidate, tier, facts, now);
 }
 
-Placement Dispatcher::commit(const RunnerSelection::Candidate &candidate,
-                             ModelTier tier, const RequestFacts &facts,
-                             core::Millis now) {
-  const core::ServiceId &service = serviceOf(facts);
-  const std::string model = modelOf(facts, tier);
+Placement Dispatcher::describe(const RunnerSelection::Candidate &candidate,
+                               ModelTier tier, const RequestFacts &facts,
+                               core::Millis now) {
   const membership::BackendServer &server = *candidate.Server;
   const bool isStream = catalogue::isStream(facts.Route->Kind);
   Placement placement;
   placement.Ticket = NextTicket++;
-  placement.Service = service;
+  placement.Service = serviceOf(facts);
   placement.Runner = server.Id;
   placement.Version = server.Version;
   placement.Host = server.Host;
   placement.Port = server.Port;
   placement.Tier = tier;
   placement.PredictedFirstByte = candidate.FirstToken;
-  const core::Millis left = facts.Deadline - now;
   placement.Patience =
       isStream
           ? std::max(LeastStreamPatience, candidate.FirstToken * PatienceFactor)
-          : left / PlainPatienceParts;
-  const catalogue::Service *declared = facts.Catalogue->service(service);
+          : (facts.Deadline - now) / PlainPatienceParts;
+  const catalogue::Service *declared =
+      facts.Catalogue->service(placement.Service);
   const std::size_t limit =
       declared != nullptr && declared->ConnectionLimit != 0
           ? declared->ConnectionLimit
           : std::numeric_limits<std::size_t>::max();
   placement.MaxConnections = std::max(LeastConnections, limit / Gateways);
+  return placement;
+}
 
-  Forecast.sent(placement.Ticket, server.Id, model, candidate.UncachedTokens,
-                now);
-  Cache.read(blocksOf(facts.Caller, model), server.Id);
+Placement Dispatcher::commit(const RunnerSelection::Candidate &candidate,
+                             ModelTier tier, const RequestFacts &facts,
+                             core::Millis now) {
+  Placement placement = describe(candidate, tier, facts, now);
+  const std::string model = modelOf(facts, tier);
+  Forecast.sent(placement.Ticket, placement.Runner, model,
+                candidate.UncachedTokens, now);
+  Cache.read(blocksOf(facts.Caller, model), placement.Runner);
   Selection.taken(facts, tier, candidate, now);
-  ++OwnEvidence[{service, server.Version, facts.Route->Name}].Sent;
-  Sendings.emplace(placement.Ticket, Sending{service, server.Version, server.Id,
-                                             facts.Route->Name, isStream, now,
-                                             candidate.FirstToken, false});
+  ++OwnEvidence[{placement.Service, placement.Version, facts.Route->Name}].Sent;
+
+  Sending sending;
+  sending.Service = placement.Service;
+  sending.Version = placement.Version;
+  sending.Runner = placement.Runner;
+  sending.Route = facts.Route->Name;
+  sending.IsStream = catalogue::isStream(facts.Route->Kind);
+  sending.SentAt = now;
+  sending.Predicted = candidate.FirstToken;
+  Sendings.emplace(placement.Ticket, std::move(sending));
   return placement;
 }
 
--- a/src/cowslipridge/gateway/Dispatcher.hpp
+++ b/src/cowslipridge/gateway/Dispatcher.hpp
@@ -44,7 +44,9 @@
   void onEnded(std::uint64_t ticket, SendOutcome outcome,
                core::Millis now) override;
 
+  /// Takes a newer configuration; requests keep the one they began with.
   void setCatalogue(catalogue::CataloguePtr catalogue);
+  /// Null until one is known.
   [[nodiscard]] const catalogue::CataloguePtr &catalogue() const {
     return Catalogue;
   }
@@ -52,19 +54,24 @@
   rollout::TrialControl &trials() { return Trials; }
   /// A runner is gone for good.
   void forgetServer(const core::RunnerId &runner);
+  /// How many gateways share budgets and connection limits with this one.
   void setPeers(std::size_t others);
   void onPeerReport(const PeerReport &report, core::Millis now);
+  /// A peer is gone or silent: its load no longer counts, its evidence does.
   void forgetPeer(const core::InstanceId &peer);
+  /// What peers are to know.
   [[nodiscard]] PeerReport report(core::Millis now) const;
   /// Records of roll-outs that are due; `rank` is this gateway's among those
   /// alive.
   [[nodiscard]] std::vector<rollout::TrialDecision>
   dueDecisions(std::size_t rank, core::Millis now) const;
+  /// Forgets what is too old; call several times a second.
   void tick(core::Millis now);
   /// Runners that get no requests for a while.
   [[nodiscard]] std::size_t ejected(core::Millis now) const;
 
 private:
+  /// A request that a runner has.
   struct Sending {
     core::ServiceId Service;
     core::VersionId Version;
@@ -75,9 +82,16 @@
     core::Millis Predicted;
     bool Answered = false;
   };
+
+  /// Where the candidate is and what the request may use of it.
+  Placement describe(const RunnerSelection::Candidate &candidate,
+                     ModelTier tier, const RequestFacts &facts,
+                     core::Millis now);
+  /// Notes that the request goes to the candidate.
   Placement commit(const RunnerSelection::Candidate &candidate, ModelTier tier,
                    const RequestFacts &facts, core::Millis now);
   limits::RetryWindow &budget(const core::ServiceId &service);
+  /// Of this gateway and all that its peers have told.
   [[nodiscard]] rollout::EvidenceTable pooledEvidence() const;
 
   const config::GatewaySettings Settings;
