Name the store's entries that can't be read

Cause: an unreadable entry of a runner, order, record or peer was passed over without a line, so that a runner that never serves had no trace in the logs. Change: event 313 with the key; the others hold. A test with entries before and after the start, red first.

--- a/src/cowslipridge/gateway/ControlPlane.hpp
+++ b/src/cowslipridge/gateway/ControlPlane.hpp
@@ -31,6 +31,10 @@
 struct CatalogueRefused {
   std::string Problem;
 };
+/// An entry of another writer can't be read and is passed over.
+struct EntryRefused {
+  std::string Key;
+};
 struct ServerChanged {
   membership::BackendServer Server;
 };
@@ -66,10 +70,11 @@
 struct ControlPlaneReturned {};
 
 using ControlEvent =
-    std::variant<CatalogueChanged, CatalogueRefused, ServerChanged,
-                 ServerRemoved, ServersListed, RolloutOrdered, RolloutWithdrawn,
-                 RolloutStatusChanged, RolloutProgressChanged, PeerChanged,
-                 PeerRemoved, ControlPlaneLost, ControlPlaneReturned>;
+    std::variant<CatalogueChanged, CatalogueRefused, EntryRefused,
+                 ServerChanged, ServerRemoved, ServersListed, RolloutOrdered,
+                 RolloutWithdrawn, RolloutStatusChanged, RolloutProgressChanged,
+                 PeerChanged, PeerRemoved, ControlPlaneLost,
+                 ControlPlaneReturned>;
 
 /// Port to the store that operators and runners write to.
 class ControlPlane {
--- a/src/cowslipridge/gateway/Gateway.cpp
+++ b/src/cowslipridge/gateway/Gateway.cpp
@@ -208,6 +208,10 @@
   report(EventNumber::ConfigurationRefused, event.Problem);
 }
 
+void Gateway::on(const EntryRefused &event) {
+  report(EventNumber::EntryRefused, "key=" + event.Key);
+}
+
 void Gateway::on(const ServerChanged &event) {
   const membership::BackendServer *known =
       Decisions.servers().find(event.Server.Id);
--- a/src/cowslipridge/gateway/Gateway.hpp
+++ b/src/cowslipridge/gateway/Gateway.hpp
@@ -38,6 +38,7 @@
   void onControl(const ControlEvent &event);
   void on(const CatalogueChanged &event);
   void on(const CatalogueRefused &event);
+  void on(const EntryRefused &event);
   void on(const ServerChanged &event);
   void on(const ServerRemoved &event);
   void on(const ServersListed &event);
--- a/src/cowslipridge/observe/EventCatalogue.cpp
+++ b/src/cowslipridge/observe/EventCatalogue.cpp
@@ -52,6 +52,8 @@
                    "A runner leaves soon; it gets no new requests."},
     CatalogueEntry{RunnerGone, Info, "runner-gone",
                    "A runner's entry ended; it gets no requests."},
+    CatalogueEntry{EntryRefused, Warning, "entry-refused",
+                   "An entry of the store can't be read; it is passed over."},
     CatalogueEntry{RequestReceived, Info, "request-received",
                    "A caller's request arrived."},
     CatalogueEntry{RequestRouted, Info, "request-routed",
--- a/src/cowslipridge/observe/EventCatalogue.hpp
+++ b/src/cowslipridge/observe/EventCatalogue.hpp
@@ -30,6 +30,7 @@
   RunnerRegistered = 310,
   RunnerDraining = 311,
   RunnerGone = 312,
+  EntryRefused = 313,
 
   RequestReceived = 400,
   RequestRouted = 401,
--- a/src/cowslipridge/platform/StoreControlPlane.cpp
+++ b/src/cowslipridge/platform/StoreControlPlane.cpp
@@ -148,6 +148,8 @@
     }
     if (const auto parsed = parseBackendServer(*server, it.Value))
       servers.Servers.push_back(*parsed);
+    else
+      report(gateway::EntryRefused{it.Key});
   }
   report(servers);
   Listing.clear();
@@ -221,16 +223,21 @@
 void StoreControlPlane::applyServer(const std::string &id,
                                     const StoreItem &item) {
   const auto server = parseBackendServer(id, item.Value);
-  if (!item.Deleted && server)
+  if (!item.Deleted && server) {
     report(gateway::ServerChanged{*server});
-  else
-    // An entry that can't be read names no runner to use.
-    report(gateway::ServerRemoved{core::RunnerId(id)});
+    return;
+  }
+  // An entry that can't be read names no runner to use.
+  if (!item.Deleted)
+    report(gateway::EntryRefused{item.Key});
+  report(gateway::ServerRemoved{core::RunnerId(id)});
 }
 
 void StoreControlPlane::applyOrder(const std::string &service,
                                    const StoreItem &item) {
   const auto order = parseRolloutOrder(item.Value);
+  if (!item.Deleted && !order)
+    report(gateway::EntryRefused{item.Key});
   if (item.Deleted || !order) {
     KnownKeys.erase(item.Key);
     report(gateway::RolloutWithdrawn{core::ServiceId(service)});
@@ -249,6 +256,8 @@
   Revisions[item.Key] = item.Revision;
   if (const auto status = parseRolloutStatus(service, item.Value))
     report(gateway::RolloutStatusChanged{*status});
+  else
+    report(gateway::EntryRefused{item.Key});
 }
 
 void StoreControlPlane::applyProgress(const std::string &service,
@@ -260,11 +269,15 @@
   Revisions[item.Key] = item.Revision;
   if (const auto progress = parseProgress(service, item.Value))
     report(gateway::RolloutProgressChanged{*progress});
+  else
+    report(gateway::EntryRefused{item.Key});
 }
 
 void StoreControlPlane::applyPeer(const std::string &name,
                                   const StoreItem &item) {
   const auto peer = parsePeer(name, item.Value);
+  if (!item.Deleted && !peer)
+    report(gateway::EntryRefused{item.Key});
   if (item.Deleted || !peer) {
     KnownKeys.erase(item.Key);
     report(gateway::PeerRemoved{core::InstanceId(name)});
--- a/tests/integration/platform/GatewayTest.cpp
+++ b/tests/integration/platform/GatewayTest.cpp
@@ -220,6 +220,17 @@
   EXPECT_EQ(finish(begin(Front, request("GET", "/get/a")))->Status, 401);
 }
 
+TEST_F(GatewayTest, entriesThatCannotBeReadAreNamedAndTheOthersHold) {
+  addRunner("desk-1", "desk");
+  Store.store().put("servers/before", "not json");
+  configure();
+  startAndAwaitReady();
+  Store.store().put("servers/after", "{\"service\": 7}");
+  for (const char *key : {"key=servers/before", "key=servers/after"})
+    runUntil([&] { return Gateway->log().find(key) != std::string::npos; });
+  EXPECT_EQ(finish(begin(Front, request("GET", "/get/a")))->Status, 200);
+}
+
 TEST_F(GatewayTest, metricsCountRequestsByOutcome) {
   addRunner("desk-1", "desk");
   configure();
