Name a step's least length; keep no time that nobody reads

Cause: read once more as a newcomer: two doc comments stood on each other in RequestMachine, a bare 0.04 decided when a roll-out may complete, and the registry kept the time of each lapse without using it. Behaviour as before. Conclusion: no change of behaviour.

--- a/src/cowslipridge/gateway/RequestMachine.hpp
+++ b/src/cowslipridge/gateway/RequestMachine.hpp
@@ -65,9 +65,9 @@
   [[nodiscard]] core::Millis nextTimer() const;
   [[nodiscard]] bool done() const { return State == Phase::Done; }
   [[nodiscard]] const RequestFacts &facts() const { return Facts; }
-  /// Events of a stream that the caller was given.
   /// What the model that answers thinks of its answer.
   [[nodiscard]] std::optional<int> confidence() const { return Confidence; }
+  /// Events of a stream that the caller was given.
   [[nodiscard]] std::size_t eventsPassed() const { return EventsPassed; }
 
 private:
--- a/src/cowslipridge/membership/ServerRegistry.cpp
+++ b/src/cowslipridge/membership/ServerRegistry.cpp
@@ -1,7 +1,5 @@
 #include "cowslipridge/membership/ServerRegistry.hpp"
 
-#include <set>
-
 namespace cowslipridge::membership {
 
 void ServerRegistry::put(const BackendServer &server) {
@@ -19,7 +17,7 @@
     return false;
   // One that said it leaves has left.
   if (isUncertain(now) && !it->second.Draining) {
-    Lapsed.emplace(id, now);
+    Lapsed.insert(id);
     return false;
   }
   Servers.erase(it);
@@ -53,7 +51,7 @@
   std::vector<core::RunnerId> gone;
   if (isUncertain(now))
     return gone;
-  for (const auto &[id, since] : Lapsed) {
+  for (const core::RunnerId &id : Lapsed) {
     if (Servers.erase(id) != 0)
       gone.push_back(id);
   }
--- a/src/cowslipridge/membership/ServerRegistry.hpp
+++ b/src/cowslipridge/membership/ServerRegistry.hpp
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace cowslipridge::membership {
@@ -41,7 +42,7 @@
 
   std::map<core::RunnerId, BackendServer> Servers;
   /// Removed while that said little.
-  std::map<core::RunnerId, core::Millis> Lapsed;
+  std::set<core::RunnerId> Lapsed;
   bool StoreAway = false;
   std::optional<core::Millis> ReturnedAt;
 };
--- a/src/cowslipridge/rollout/TrialControl.cpp
+++ b/src/cowslipridge/rollout/TrialControl.cpp
@@ -22,6 +22,9 @@
     {{0, 0.08}, {0.52, 0.25}, {0.60, 0.5}, {0.67, 1}}};
 /// Part of the exposure that the first step uses: sessions differ in size.
 constexpr double FirstExposurePart = 0.6;
+/// Part of the time that all sessions are on the target at least, for the last
+/// of the others to be seen.
+constexpr double LastStepPart = 0.04;
 /// Old runners are stopped at completion, whatever still runs there.
 constexpr double LatestCompletion = 0.93;
 /// From a roll-out's record until sessions go to the target: gateways tell each
@@ -208,8 +211,8 @@
   const bool last = step + 1 >= Steps.size();
   if (!last && part >= Steps.at(step + 1).From && observation.TargetServes)
     return decide(RolloutVerdict::InProgress, step + 1, "step is due");
-  const bool emptied =
-      part >= Steps.back().From + 0.04 && observation.StableInFlight == 0;
+  const bool emptied = part >= Steps.back().From + LastStepPart &&
+                       observation.StableInFlight == 0;
   if (last && observation.TargetServes && (emptied || part >= LatestCompletion))
     return decide(RolloutVerdict::Completed, step,
                   emptied ? "no request is left on the stable version"
