--- a/src/cowslipridge/catalogue/CatalogueIndex.cpp
+++ b/src/cowslipridge/catalogue/CatalogueIndex.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <cctype>
+#include <iterator>
+#include <set>
 
 namespace cowslipridge::catalogue {
 
@@ -15,6 +17,15 @@
   return name;
 }
 
+std::set<std::string> keysOf(const Catalogue &catalogue) {
+  std::set<std::string> keys;
+  if (!catalogue.Organisations)
+    return keys;
+  for (const Organisation &it : *catalogue.Organisations)
+    keys.insert(it.ApiKeys.begin(), it.ApiKeys.end());
+  return keys;
+}
+
 } // namespace
 
 CatalogueIndex::CatalogueIndex(Catalogue catalogue)
@@ -58,4 +69,14 @@
   return it == ByKey.end() ? nullptr : it->second;
 }
 
+KeyChanges compareKeys(const Catalogue &older, const Catalogue &newer) {
+  const std::set<std::string> before = keysOf(older);
+  const std::set<std::string> after = keysOf(newer);
+  std::vector<std::string> both;
+  std::set_intersection(before.begin(), before.end(), after.begin(),
+                        after.end(), std::back_inserter(both));
+  return {after.size(), after.size() - both.size(),
+          before.size() - both.size()};
+}
+
 } // namespace cowslipridge::catalogue
--- a/src/cowslipridge/catalogue/CatalogueIndex.hpp
+++ b/src/cowslipridge/catalogue/CatalogueIndex.hpp
@@ -2,6 +2,7 @@
 
 #include "cowslipridge/catalogue/Catalogue.hpp"
 
+#include <cstddef>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -35,6 +36,15 @@
   std::unordered_map<std::string, const Organisation *> ByKey;
 };
 
+/// How the keys of callers differ between two catalogues.
+struct KeyChanges {
+  std::size_t Held = 0; ///< in the newer one
+  std::size_t Added = 0;
+  std::size_t Removed = 0;
+  friend auto operator<=>(const KeyChanges &, const KeyChanges &) = default;
+};
+KeyChanges compareKeys(const Catalogue &older, const Catalogue &newer);
+
 using CataloguePtr = std::shared_ptr<const CatalogueIndex>;
 
 } // namespace cowslipridge::catalogue
--- a/src/cowslipridge/gateway/Dispatcher.cpp
+++ b/src/cowslipridge/gateway/Dispatcher.cpp
@@ -54,9 +54,12 @@
   limits::RetryWindow &retries = budget(serviceOf(facts));
   if (kind == SendKind::First)
     retries.onFirst(now);
-  if (kind == SendKind::Repeat && !retries.tryTake(now))
+  const bool isRepeat = kind == SendKind::Repeat || kind == SendKind::Escalate;
+  if (isRepeat && !retries.tryTake(now))
     return NoPlacement{"the budget for repeats is spent", ShortReturn};
-  return commit(*candidate, tier, facts, now);
+  Placement placement = commit(*candidate, tier, facts, now);
+  placement.Kind = kind;
+  return placement;
 }
 
 Placement Dispatcher::describe(const RunnerSelection::Candidate &candidate,
@@ -73,6 +76,8 @@
   placement.Port = server.Port;
   placement.Tier = tier;
   placement.PredictedFirstByte = candidate.FirstToken;
+  placement.UncachedTokens = candidate.UncachedTokens;
+  placement.PeersAge = Forecast.remoteAge(now);
   placement.Patience =
       isStream
           ? std::max(LeastStreamPatience, candidate.FirstToken * PatienceFactor)
@@ -117,19 +122,22 @@
   return 0;
 }
 
-ModelTier Dispatcher::betterTier(const RequestFacts &facts, std::size_t tier,
-                                 int confidence, core::Millis now) {
+TierChoice Dispatcher::betterTier(const RequestFacts &facts, std::size_t tier,
+                                  int confidence, core::Millis now) {
   const std::size_t largest = facts.Route->Models.size() - 1;
-  const auto ahead =
-      tier < largest ? Selection.forecast(facts, largest, now) : std::nullopt;
-  if (!ahead)
-    return tier;
+  TierChoice choice{tier, tier < largest && route::isDoubted(confidence), {}};
+  if (tier < largest)
+    choice.Larger = Selection.forecast(facts, largest, now);
+  if (!choice.Larger)
+    return choice;
   route::LadderFacts ladder;
   ladder.Confidence = confidence;
   ladder.Target = facts.Route->TargetLatency - (now - facts.ArrivedAt);
   ladder.Deadline = facts.Deadline - now;
-  ladder.Largest = *ahead;
-  return route::asksLargest(ladder) ? largest : tier;
+  ladder.Largest = *choice.Larger;
+  if (route::asksLargest(ladder))
+    choice.Tier = largest;
+  return choice;
 }
 
 void Dispatcher::onFirstByte(std::uint64_t ticket, core::Millis now) {
@@ -166,31 +174,37 @@
       OwnEvidence[{sending.Service, sending.Version, sending.Route}];
   switch (outcome) {
   case SendOutcome::Served:
-    Ejections.onSuccess(sending.Runner);
+    noteEjection(Ejections.onSuccess(sending.Runner), outcome);
     ++counts.Judged;
     break;
   case SendOutcome::Unreachable:
-    Ejections.onUnreachable(sending.Runner, now);
+    noteEjection(Ejections.onUnreachable(sending.Runner, now), outcome);
     break;
   case SendOutcome::FailedAnswer:
-    Ejections.onFailure(sending.Runner, now);
+    noteEjection(Ejections.onFailure(sending.Runner, now), outcome);
     ++counts.Judged;
     ++counts.Failed;
     break;
   case SendOutcome::Broken:
   case SendOutcome::Silent:
-    Ejections.onFailure(sending.Runner, now);
+    noteEjection(Ejections.onFailure(sending.Runner, now), outcome);
     ++counts.Judged;
     ++counts.Broken;
     break;
   case SendOutcome::Rejected:
-    Ejections.onFailure(sending.Runner, now);
+    noteEjection(Ejections.onFailure(sending.Runner, now), outcome);
     break;
   case SendOutcome::Dropped:
     break;
   }
 }
 
+void Dispatcher::noteEjection(
+    const std::optional<limits::EjectionChange> &change, SendOutcome outcome) {
+  if (change && HearsEjections)
+    HearsEjections(*change, outcome);
+}
+
 limits::RetryWindow &Dispatcher::budget(const core::ServiceId &service) {
   const auto known = Budgets.find(service);
   if (known != Budgets.end())
@@ -215,7 +229,7 @@
 
 void Dispatcher::onPeerReport(const PeerReport &report, core::Millis now) {
   Selection.keepSessions(report.StayingSessions, now);
-  Forecast.setRemote(report.Gateway, report.Loads);
+  Forecast.setRemote(report.Gateway, report.Loads, now);
   PeerEvidence.insert_or_assign(report.Gateway, report.Evidence);
 }
 
@@ -284,6 +298,22 @@
       }));
 }
 
+std::map<core::ServiceId, unsigned> Dispatcher::waiting() const {
+  std::map<core::ServiceId, unsigned> counts;
+  for (const auto &[service, window] : Budgets)
+    counts.emplace(service, 0);
+  for (const auto &[ticket, sending] : Sendings)
+    counts[sending.Service] += sending.Answered ? 0 : 1;
+  return counts;
+}
+
+std::map<core::ServiceId, double> Dispatcher::retriesLeft(core::Millis now) {
+  std::map<core::ServiceId, double> left;
+  for (auto &[service, window] : Budgets)
+    left.emplace(service, window.left(now));
+  return left;
+}
+
 void Dispatcher::tick(core::Millis now) { Selection.tick(now); }
 
 } // namespace cowslipridge::gateway
--- a/src/cowslipridge/gateway/Dispatcher.hpp
+++ b/src/cowslipridge/gateway/Dispatcher.hpp
@@ -10,6 +10,7 @@
 #include "cowslipridge/route/PrefillForecast.hpp"
 #include "cowslipridge/route/PromptCache.hpp"
 
+#include <functional>
 #include <map>
 #include <string>
 #include <unordered_map>
@@ -26,6 +27,10 @@
   std::vector<std::uint64_t> StayingSessions;
 };
 
+/// Hears of an ejection and of the sending that settled it.
+using EjectionListener =
+    std::function<void(const limits::EjectionChange &, SendOutcome)>;
+
 /// Decides where requests go, from what this gateway and its peers know.
 class Dispatcher final : public Placer {
 public:
@@ -36,8 +41,8 @@
                         const std::vector<core::RunnerId> &excluded,
                         SendKind kind, core::Millis now) override;
   ModelTier firstTier(const RequestFacts &facts, core::Millis now) override;
-  ModelTier betterTier(const RequestFacts &facts, std::size_t tier,
-                       int confidence, core::Millis now) override;
+  TierChoice betterTier(const RequestFacts &facts, std::size_t tier,
+                        int confidence, core::Millis now) override;
   void onFirstByte(std::uint64_t ticket, core::Millis now) override;
   void onEvents(std::uint64_t ticket, unsigned events,
                 core::Millis now) override;
@@ -52,6 +57,7 @@
   }
   membership::ServerRegistry &servers() { return Servers; }
   rollout::TrialControl &trials() { return Trials; }
+  [[nodiscard]] const rollout::TrialControl &trials() const { return Trials; }
   /// A runner is gone for good.
   void forgetServer(const core::RunnerId &runner);
   /// How many gateways share budgets and connection limits with this one.
@@ -69,6 +75,16 @@
   void tick(core::Millis now);
   /// Runners that get no requests for a while.
   [[nodiscard]] std::size_t ejected(core::Millis now) const;
+  /// Hears of each runner that is ejected or serves again.
+  void onEjections(EjectionListener listener) {
+    HearsEjections = std::move(listener);
+  }
+  /// Requests of this gateway that wait for their first token, by service.
+  [[nodiscard]] std::map<core::ServiceId, unsigned> waiting() const;
+  /// Repeats that this gateway may send now, by service.
+  [[nodiscard]] std::map<core::ServiceId, double> retriesLeft(core::Millis now);
+  /// Of this gateway and all that its peers have told.
+  [[nodiscard]] rollout::EvidenceTable pooledEvidence() const;
 
 private:
   /// A request that a runner has.
@@ -91,11 +107,12 @@
   Placement commit(const RunnerSelection::Candidate &candidate, ModelTier tier,
                    const RequestFacts &facts, core::Millis now);
   limits::RetryWindow &budget(const core::ServiceId &service);
-  /// Of this gateway and all that its peers have told.
-  [[nodiscard]] rollout::EvidenceTable pooledEvidence() const;
+  void noteEjection(const std::optional<limits::EjectionChange> &change,
+                    SendOutcome outcome);
 
   const config::GatewaySettings Settings;
   catalogue::CataloguePtr Catalogue;
+  EjectionListener HearsEjections;
   membership::ServerRegistry Servers;
   rollout::TrialControl Trials;
   limits::Ejections Ejections;
--- /dev/null
+++ b/src/cowslipridge/gateway/EventDetails.cpp
@@ -0,0 +1,82 @@
+#include "cowslipridge/gateway/EventDetails.hpp"
+
+#include "cowslipridge/catalogue/CatalogueIndex.hpp"
+
+namespace cowslipridge::gateway {
+
+namespace {
+
+std::string_view toText(rollout::RolloutVerdict verdict) {
+  switch (verdict) {
+  case rollout::RolloutVerdict::Completed:
+    return "completed";
+  case rollout::RolloutVerdict::Reverted:
+    return "reverted";
+  case rollout::RolloutVerdict::InProgress:
+    break;
+  }
+  return "in progress";
+}
+
+std::string targetOf(const core::ServiceId &service,
+                     const core::VersionId &target) {
+  return "service=" + service.str() + " target=" + target.str();
+}
+
+} // namespace
+
+std::string describe(const membership::BackendServer &server) {
+  return "runner=" + server.Id.str() + " service=" + server.Service.str() +
+         " address=" + server.Host + ":" + std::to_string(server.Port) +
+         " version=" + server.Version.str();
+}
+
+std::string describe(const catalogue::Catalogue &declared,
+                     const catalogue::Catalogue *before) {
+  const std::size_t organisations =
+      declared.Organisations ? declared.Organisations->size() : 0;
+  const catalogue::KeyChanges keys = catalogue::compareKeys(
+      before != nullptr ? *before : catalogue::Catalogue(), declared);
+  return "routes=" + std::to_string(declared.Routes.size()) +
+         " services=" + std::to_string(declared.Services.size()) +
+         " organisations=" + std::to_string(organisations) +
+         " keys=" + std::to_string(keys.Held) +
+         " keys_added=" + std::to_string(keys.Added) +
+         " keys_removed=" + std::to_string(keys.Removed);
+}
+
+std::string describe(const limits::EjectionChange &change,
+                     SendOutcome outcome) {
+  std::string text = "runner=" + change.Runner.str() +
+                     " outcome=" + std::string(toString(outcome)) +
+                     " ejections=" + std::to_string(change.InRow);
+  if (change.isEjected())
+    text += " for_ms=" + std::to_string(change.Length.count());
+  return text;
+}
+
+std::string describe(const DoubtedAnswer &answer) {
+  std::string text = "confidence=" + std::to_string(answer.Confidence);
+  if (!answer.Larger)
+    return text + " larger=none";
+  return text + " larger_first_ms=" +
+         std::to_string(answer.Larger->FirstToken.count()) +
+         " larger_whole_ms=" + std::to_string(answer.Larger->Whole.count());
+}
+
+std::string describe(const rollout::RolloutOrder &order) {
+  return targetOf(order.Service, order.Target) +
+         " duration_ms=" + std::to_string(order.Duration.count());
+}
+
+std::string describe(const rollout::RolloutStatus &status) {
+  return targetOf(status.Service, status.Target) +
+         " state=" + std::string(toText(status.Verdict));
+}
+
+std::string describe(const rollout::RolloutProgress &progress) {
+  return targetOf(progress.Service, progress.Target) +
+         " step=" + std::to_string(progress.Step);
+}
+
+} // namespace cowslipridge::gateway
--- /dev/null
+++ b/src/cowslipridge/gateway/EventDetails.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "cowslipridge/catalogue/Catalogue.hpp"
+#include "cowslipridge/gateway/Placement.hpp"
+#include "cowslipridge/gateway/RequestMachine.hpp"
+#include "cowslipridge/limits/Ejections.hpp"
+#include "cowslipridge/membership/BackendServer.hpp"
+#include "cowslipridge/rollout/RolloutOrder.hpp"
+
+#include <string>
+
+/// What a gateway's log lines say of typed values: `name=value` pairs.
+namespace cowslipridge::gateway {
+
+std::string describe(const membership::BackendServer &server);
+/// A configuration that takes effect; `before` is null for the first one. Keys
+/// are secrets: only their number is given.
+std::string describe(const catalogue::Catalogue &declared,
+                     const catalogue::Catalogue *before);
+std::string describe(const limits::EjectionChange &change, SendOutcome outcome);
+std::string describe(const DoubtedAnswer &answer);
+std::string describe(const rollout::RolloutOrder &order);
+std::string describe(const rollout::RolloutStatus &status);
+std::string describe(const rollout::RolloutProgress &progress);
+
+} // namespace cowslipridge::gateway
--- a/src/cowslipridge/gateway/Gateway.cpp
+++ b/src/cowslipridge/gateway/Gateway.cpp
@@ -1,6 +1,7 @@
 #include "cowslipridge/gateway/Gateway.hpp"
 
 #include "cowslipridge/core/Visit.hpp"
+#include "cowslipridge/gateway/EventDetails.hpp"
 
 #include <boost/asio/ip/address.hpp>
 
@@ -27,8 +28,6 @@
 /// The same while the store is away: outages last for seconds.
 constexpr core::Millis OutageReturn{1'500};
 
-constexpr double MillisPerSecond = 1'000;
-
 constexpr int BadRequest = 400;
 constexpr int Unauthorized = 401;
 constexpr int NotFound = 404;
@@ -38,24 +37,6 @@
   return {boost::asio::ip::make_address(address.Host), address.Port};
 }
 
-std::string describe(const membership::BackendServer &server) {
-  return "runner=" + server.Id.str() + " service=" + server.Service.str() +
-         " address=" + server.Host + ":" + std::to_string(server.Port) +
-         " version=" + server.Version.str();
-}
-
-std::string_view toText(rollout::RolloutVerdict verdict) {
-  switch (verdict) {
-  case rollout::RolloutVerdict::Completed:
-    return "completed";
-  case rollout::RolloutVerdict::Reverted:
-    return "reverted";
-  case rollout::RolloutVerdict::InProgress:
-    break;
-  }
-  return "in progress";
-}
-
 } // namespace
 
 Gateway::Gateway(boost::asio::io_context &loop, const core::Clock &clock,
@@ -69,7 +50,14 @@
       Callers(loop, clock, [this](const auto &it) { onRequest(it); }),
       Readiness(loop, clock, [this](const auto &it) { onReadiness(*it); }),
       Scrapes(loop, clock, [this](const auto &it) { onScrape(*it); }),
-      Peers(loop, clock, Decisions), Ticker(loop) {}
+      Peers(loop, clock, Decisions), Gauges(metrics), Ticker(loop) {
+  Decisions.onEjections(
+      [this](const limits::EjectionChange &change, SendOutcome outcome) {
+        report(change.isEjected() ? EventNumber::RunnerEjected
+                                  : EventNumber::RunnerReadmitted,
+               describe(change, outcome));
+      });
+}
 
 void Gateway::start() {
   Readiness.listen(toEndpoint(Settings.Readiness));
@@ -96,33 +84,9 @@
   exchange.respond(std::move(head), {});
 }
 
-void Gateway::updateGauges() {
-  using observe::GaugeName;
-  const core::Millis now = Clock.monotonic();
-  const auto set = [&](GaugeName name, double value) {
-    Counts.set(name, {}, value);
-  };
-  set(GaugeName::InFlight, static_cast<double>(Callers.inFlight()));
-  set(GaugeName::Connections, static_cast<double>(Callers.connections()));
-  set(GaugeName::MembersUsable,
-      static_cast<double>(Decisions.servers().all().size()));
-  set(GaugeName::RunnersEjected, static_cast<double>(Decisions.ejected(now)));
-  if (Decisions.catalogue())
-    set(GaugeName::ConfigurationGeneration,
-        static_cast<double>(
-            Decisions.catalogue()->catalogue().Version.value()));
-  const core::Millis age =
-      StoreAwaySince ? now - *StoreAwaySince : core::Millis();
-  set(GaugeName::ConfigurationAgeSeconds,
-      static_cast<double>(age.count()) / MillisPerSecond);
-  for (const core::ServiceId &it : Decisions.trials().underWay())
-    Counts.set(GaugeName::TrialShare,
-               {.Service = it, .Version = {}, .Outcome = {}},
-               Decisions.trials().targetShare(it));
-}
-
 void Gateway::onScrape(http1::Exchange &exchange) {
-  updateGauges();
+  Gauges.update({Decisions, Callers.inFlight(), Callers.connections(),
+                 Peers.heard(), StoreAwaySince, Clock.monotonic()});
   http1::ResponseHead head;
   head.Fields.add("Content-Type", observe::ScrapeMediaType);
   exchange.respond(std::move(head), Counts.scrape());
@@ -193,6 +157,7 @@
                std::to_string(declared.Version.value()));
     return;
   }
+  const catalogue::CataloguePtr before = Decisions.catalogue();
   Decisions.setCatalogue(event.Catalogue);
   Log.setGeneration(declared.Version);
   const catalogue::CallerLimits &limits = declared.Limits;
@@ -200,8 +165,7 @@
                      limits.HeaderTimeout,
                      limits.IdleTimeout});
   report(EventNumber::ConfigurationInForce,
-         "routes=" + std::to_string(declared.Routes.size()) +
-             " services=" + std::to_string(declared.Services.size()));
+         describe(declared, before ? &before->catalogue() : nullptr));
 }
 
 void Gateway::on(const CatalogueRefused &event) {
@@ -213,15 +177,18 @@
 }
 
 void Gateway::on(const ServerChanged &event) {
-  const membership::BackendServer *known =
-      Decisions.servers().find(event.Server.Id);
-  // It starts anew under its id, and knows nothing of before.
-  if (known != nullptr && known->StartedAt != event.Server.StartedAt)
-    Decisions.forgetServer(event.Server.Id);
+  noteServer(event.Server);
   Decisions.servers().put(event.Server);
-  report(event.Server.Draining ? EventNumber::RunnerDraining
-                               : EventNumber::RunnerRegistered,
-         describe(event.Server));
+}
+
+void Gateway::noteServer(const membership::BackendServer &server) {
+  const membership::BackendServer *known = Decisions.servers().find(server.Id);
+  // It starts anew under its id, and knows nothing of before.
+  if (known != nullptr && known->StartedAt != server.StartedAt)
+    Decisions.forgetServer(server.Id);
+  report(server.Draining ? EventNumber::RunnerDraining
+                         : EventNumber::RunnerRegistered,
+         describe(server));
 }
 
 void Gateway::on(const ServerRemoved &event) {
@@ -231,7 +198,7 @@
 
 void Gateway::on(const ServersListed &event) {
   for (const membership::BackendServer &it : event.Servers)
-    on(ServerChanged{it});
+    noteServer(it);
   for (const core::RunnerId &it :
        Decisions.servers().replaceAll(event.Servers, Clock.monotonic()))
     dropServer(it);
@@ -244,10 +211,7 @@
 
 void Gateway::on(const RolloutOrdered &event) {
   Decisions.trials().onOrder(event.Order, Clock.monotonic());
-  report(EventNumber::RolloutAdvanced,
-         "ordered service=" + event.Order.Service.str() +
-             " target=" + event.Order.Target.str() +
-             " duration_ms=" + std::to_string(event.Order.Duration.count()));
+  report(EventNumber::RolloutAdvanced, "ordered " + describe(event.Order));
 }
 
 void Gateway::on(const RolloutWithdrawn &event) {
@@ -259,17 +223,12 @@
   const bool ended =
       event.Status.Verdict != rollout::RolloutVerdict::InProgress;
   report(ended ? EventNumber::RolloutEnded : EventNumber::RolloutAdvanced,
-         "service=" + event.Status.Service.str() +
-             " target=" + event.Status.Target.str() +
-             " state=" + std::string(toText(event.Status.Verdict)));
+         describe(event.Status));
 }
 
 void Gateway::on(const RolloutProgressChanged &event) {
   Decisions.trials().onProgress(event.Progress, Clock.monotonic());
-  report(EventNumber::RolloutAdvanced,
-         "service=" + event.Progress.Service.str() +
-             " target=" + event.Progress.Target.str() +
-             " step=" + std::to_string(event.Progress.Step));
+  report(EventNumber::RolloutAdvanced, describe(event.Progress));
 }
 
 void Gateway::on(const PeerChanged &event) {
@@ -326,9 +285,7 @@
   for (const rollout::TrialDecision &it : Decisions.dueDecisions(rank(), now)) {
     AdvancedAt = now;
     report(EventNumber::RolloutAdvanced,
-           "proposed service=" + it.Status.Service.str() +
-               " target=" + it.Status.Target.str() +
-               " state=" + std::string(toText(it.Status.Verdict)) + " step=" +
+           "proposed " + describe(it.Status) + " step=" +
                std::to_string(it.Progress.Step) + " reason=" + it.Reason);
     Control.advance(it.Status, it.Progress);
   }
--- a/src/cowslipridge/gateway/Gateway.hpp
+++ b/src/cowslipridge/gateway/Gateway.hpp
@@ -4,6 +4,7 @@
 #include "cowslipridge/core/Clock.hpp"
 #include "cowslipridge/gateway/ControlPlane.hpp"
 #include "cowslipridge/gateway/Dispatcher.hpp"
+#include "cowslipridge/gateway/GatewayGauges.hpp"
 #include "cowslipridge/gateway/PeerExchange.hpp"
 #include "cowslipridge/gateway/RequestFlow.hpp"
 #include "cowslipridge/gateway/Translator.hpp"
@@ -56,9 +57,10 @@
               int status, const std::string &reason,
               std::optional<core::Millis> retryAfter = std::nullopt);
   void onReadiness(http1::Exchange &exchange);
-  /// Gauges are read off only when somebody asks.
-  void updateGauges();
   void onScrape(http1::Exchange &exchange);
+  /// Reports what a runner's entry says now; one that started anew is
+  /// forgotten.
+  void noteServer(const membership::BackendServer &server);
   void dropServer(const core::RunnerId &runner);
   void tickLater();
   void tick();
@@ -82,6 +84,7 @@
   http1::Server Readiness;
   http1::Server Scrapes;
   PeerExchange Peers;
+  GatewayGauges Gauges;
   boost::asio::steady_timer Ticker;
   bool Synced = false;
   bool ReadyReported = false;
--- a/src/cowslipridge/gateway/PeerExchange.hpp
+++ b/src/cowslipridge/gateway/PeerExchange.hpp
@@ -26,6 +26,8 @@
   void put(const Peer &peer);
   void remove(const core::InstanceId &name);
   void sendReports();
+  /// Peers whose reports are fresh.
+  [[nodiscard]] std::size_t heard() const { return HeardAt.size(); }
   /// Forgets what peers said that have fallen silent.
   void expire(core::Millis now);
   [[nodiscard]] const std::map<core::InstanceId, Peer> &peers() const {
--- a/src/cowslipridge/gateway/Placement.hpp
+++ b/src/cowslipridge/gateway/Placement.hpp
@@ -2,6 +2,7 @@
 
 #include "cowslipridge/catalogue/CatalogueIndex.hpp"
 #include "cowslipridge/gateway/CallerRequest.hpp"
+#include "cowslipridge/route/ModelLadder.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -24,6 +25,17 @@
 /// Index into the route's models, or none when the caller named the model.
 using ModelTier = std::optional<std::size_t>;
 
+/// What a sending is to the budget for repeats.
+enum class SendKind {
+  First,    ///< the request's first
+  Another,  ///< those before reached no runner
+  Repeat,   ///< a runner may have got the request; the budget must bear it
+  Escalate, ///< a larger model after a doubted answer; the budget must bear it
+};
+
+/// A short name for logs and metrics.
+std::string_view toString(SendKind kind);
+
 /// One runner that a request is to be sent to.
 struct Placement {
   std::uint64_t Ticket = 0; ///< names this sending in later reports
@@ -37,6 +49,10 @@
   /// Without any sign of the answer for so long, the runner counts as silent.
   core::Millis Patience;
   core::Millis PredictedFirstByte;
+  // What decided, for the log.
+  SendKind Kind = SendKind::First;
+  std::uint64_t UncachedTokens = 0; ///< of the prompt, as forecast
+  core::Millis PeersAge; ///< of the oldest report on peers' load in use
 };
 
 /// There is no place now.
@@ -47,13 +63,6 @@
 
 using PlacementResult = std::variant<Placement, NoPlacement>;
 
-/// What a sending is to the budget for repeats.
-enum class SendKind {
-  First,   ///< the request's first
-  Another, ///< those before reached no runner
-  Repeat,  ///< a runner may have got the request; the budget must bear it
-};
-
 /// How one sending ended.
 enum class SendOutcome {
   Served,       ///< whole and good
@@ -65,6 +74,17 @@
   Dropped,      ///< ended by us for reasons that say nothing of the runner
 };
 
+/// A short name for logs and metrics.
+std::string_view toString(SendOutcome outcome);
+
+/// Which tier answers after one has, and why.
+struct TierChoice {
+  std::size_t Tier = 0;
+  bool Doubted = false; ///< the answer is kept only for want of time
+  /// What the larger model could do; nothing when no runner serves it.
+  std::optional<route::TierForecast> Larger;
+};
+
 /// Port to the decisions that concern more than one request.
 class Placer {
 public:
@@ -77,8 +97,8 @@
   virtual ModelTier firstTier(const RequestFacts &facts, core::Millis now) = 0;
   /// The tier to ask instead, after `tier` answered with this confidence; the
   /// same when its answer is to be kept.
-  virtual ModelTier betterTier(const RequestFacts &facts, std::size_t tier,
-                               int confidence, core::Millis now) = 0;
+  virtual TierChoice betterTier(const RequestFacts &facts, std::size_t tier,
+                                int confidence, core::Millis now) = 0;
   /// The first sign of an answer.
   virtual void onFirstByte(std::uint64_t ticket, core::Millis now) = 0;
   /// Whole events of a stream came.
--- a/src/cowslipridge/gateway/RequestFlow.cpp
+++ b/src/cowslipridge/gateway/RequestFlow.cpp
@@ -1,5 +1,7 @@
 #include "cowslipridge/gateway/RequestFlow.hpp"
 
+#include "cowslipridge/gateway/EventDetails.hpp"
+
 #include <boost/asio/ip/address.hpp>
 
 #include <algorithm>
@@ -107,21 +109,33 @@
   // The request's own deadline ends it before.
   spec.Timeout = remaining + core::Millis(1'000);
   spec.MaxConnections = placement.MaxConnections;
-  report(observe::EventNumber::RequestRouted,
-         "runner=" + placement.Runner.str() +
-             " version=" + placement.Version.str() +
-             " model=" + modelOf(placement) + " forecast_ms=" +
-             std::to_string(placement.PredictedFirstByte.count()) +
-             " left_ms=" + std::to_string(remaining.count()) +
-             (facts.Caller.Session.empty()
-                  ? ""
-                  : " session=" + facts.Caller.Session.str()));
   Service = placement.Service;
   Version = placement.Version;
+  reportRouted(placement, remaining);
   Current = std::make_shared<Attempt>(shared_from_this());
   Call = Context.Runners.call(std::move(spec), Current);
 }
 
+void RequestFlow::reportRouted(const Placement &placement,
+                               core::Millis remaining) {
+  const CallerRequest &caller = Machine.facts().Caller;
+  std::string detail =
+      "kind=" + std::string(toString(placement.Kind)) +
+      " runner=" + placement.Runner.str() +
+      " version=" + placement.Version.str() + " model=" + modelOf(placement) +
+      " forecast_ms=" + std::to_string(placement.PredictedFirstByte.count()) +
+      " uncached_tokens=" + std::to_string(placement.UncachedTokens) +
+      " peers_age_ms=" + std::to_string(placement.PeersAge.count()) +
+      " left_ms=" + std::to_string(remaining.count());
+  if (!caller.Session.empty())
+    detail += " session=" + caller.Session.str();
+  report(observe::EventNumber::RequestRouted, detail);
+  Context.Counts.add(observe::CounterName::Attempts,
+                     {.Service = Service,
+                      .Version = Version,
+                      .Outcome = std::string(toString(placement.Kind))});
+}
+
 void RequestFlow::cancelSend() {
   if (const auto attempt = std::exchange(Current, nullptr))
     attempt->drop();
@@ -189,15 +203,20 @@
                     {});
 }
 
-void RequestFlow::retried(const std::string &reason) {
+void RequestFlow::retried(SendOutcome outcome, const std::string &reason) {
   report(observe::EventNumber::RequestRetried, reason);
   Context.Counts.add(observe::CounterName::Retries,
-                     {.Service = Service, .Version = {}, .Outcome = {}});
+                     {.Service = Service,
+                      .Version = {},
+                      .Outcome = std::string(toString(outcome))});
+}
+
+void RequestFlow::escalated(const DoubtedAnswer &answer) {
+  report(observe::EventNumber::RequestEscalated, describe(answer));
 }
 
-void RequestFlow::escalated(int confidence) {
-  report(observe::EventNumber::RequestEscalated,
-         "confidence=" + std::to_string(confidence));
+void RequestFlow::kept(const DoubtedAnswer &answer, const std::string &reason) {
+  report(observe::EventNumber::RequestKept, describe(answer) + " " + reason);
 }
 
 void RequestFlow::onHead(const http1::ResponseHead &head) {
--- a/src/cowslipridge/gateway/RequestFlow.hpp
+++ b/src/cowslipridge/gateway/RequestFlow.hpp
@@ -47,8 +47,9 @@
   void end() override;
   void abort(const std::string &reason) override;
   void refuse(const Refusal &refusal) override;
-  void retried(const std::string &reason) override;
-  void escalated(int confidence) override;
+  void retried(SendOutcome outcome, const std::string &reason) override;
+  void escalated(const DoubtedAnswer &answer) override;
+  void kept(const DoubtedAnswer &answer, const std::string &reason) override;
 
 private:
   class Attempt;
@@ -58,6 +59,8 @@
   void onData(std::string_view bytes);
   void onEnd();
   void onFailure(http1::CallFailure failure);
+  /// Where a sending goes and what decided it, for the log and the metrics.
+  void reportRouted(const Placement &placement, core::Millis remaining);
   void armTimer();
   void afterEvent();
   void report(observe::EventNumber number, const std::string &detail);
--- a/src/cowslipridge/gateway/RequestMachine.cpp
+++ b/src/cowslipridge/gateway/RequestMachine.cpp
@@ -85,7 +85,7 @@
     giveUp(reason, ShortReturn);
     return;
   }
-  Actions.retried(reason);
+  Actions.retried(LastOutcome, reason);
   sendNext(reason, now);
 }
 
@@ -155,21 +155,26 @@
 bool RequestMachine::escalate(const RunnerVerdict &verdict, core::Millis now) {
   if (!Tier || !verdict.Confidence || Sent >= Facts.Route->MaxAttempts)
     return false;
-  const ModelTier better =
+  const TierChoice choice =
       Decisions.betterTier(Facts, *Tier, *verdict.Confidence, now);
-  if (!better || *better == *Tier)
+  const DoubtedAnswer doubted{*verdict.Confidence, choice.Larger};
+  if (choice.Tier == *Tier) {
+    if (choice.Doubted)
+      Actions.kept(doubted, "no time for the larger model");
     return false;
+  }
   const PlacementResult result =
-      Decisions.place(Facts, better, {}, SendKind::Repeat, now);
-  const auto *placement = std::get_if<Placement>(&result);
-  if (placement == nullptr)
+      Decisions.place(Facts, choice.Tier, {}, SendKind::Escalate, now);
+  if (const auto *none = std::get_if<NoPlacement>(&result)) {
+    Actions.kept(doubted, none->Reason);
     return false;
+  }
   Actions.cancelSend();
   ended(SendOutcome::Dropped, now);
   Excluded.clear();
-  Tier = better;
-  Actions.escalated(*verdict.Confidence);
-  onPlacement(*placement, now);
+  Tier = choice.Tier;
+  Actions.escalated(doubted);
+  onPlacement(std::get<Placement>(result), now);
   return true;
 }
 
@@ -367,7 +372,7 @@
   MayHaveRun = true;
   Actions.cancelSend();
   ended(SendOutcome::Silent, now);
-  Actions.retried("the runner is silent");
+  Actions.retried(LastOutcome, "the runner is silent");
   onPlacement(*placement, now);
 }
 
@@ -375,6 +380,7 @@
   if (!Current)
     return;
   Decisions.onEnded(Current->Ticket, outcome, now);
+  LastOutcome = outcome;
   if (outcome != SendOutcome::Served)
     Excluded.push_back(Current->Runner);
   Current.reset();
--- a/src/cowslipridge/gateway/RequestMachine.hpp
+++ b/src/cowslipridge/gateway/RequestMachine.hpp
@@ -19,6 +19,12 @@
   std::optional<core::Millis> RetryAfter;
 };
 
+/// A smaller model's answer that was doubted.
+struct DoubtedAnswer {
+  int Confidence = 0;
+  std::optional<route::TierForecast> Larger; ///< none: no runner serves it
+};
+
 /// What a request machine makes happen.
 class RequestActions {
 public:
@@ -39,8 +45,11 @@
   virtual void abort(const std::string &reason) = 0;
   /// Answers with a failure of the gateway's own.
   virtual void refuse(const Refusal &refusal) = 0;
-  virtual void retried(const std::string &reason) = 0;
-  virtual void escalated(int confidence) = 0;
+  /// The request is tried again after a sending that ended so.
+  virtual void retried(SendOutcome outcome, const std::string &reason) = 0;
+  virtual void escalated(const DoubtedAnswer &answer) = 0;
+  /// A doubted answer is passed on all the same.
+  virtual void kept(const DoubtedAnswer &answer, const std::string &reason) = 0;
 };
 
 /// The course of one request from its arrival to its answer, without I/O.
@@ -100,6 +109,7 @@
   Phase State = Phase::Waiting;
   ModelTier Tier;
   std::optional<Placement> Current;
+  SendOutcome LastOutcome = SendOutcome::Dropped; ///< of the sending before
   std::vector<core::RunnerId> Excluded;
   unsigned Sent = 0;        ///< runners that may have got the request
   unsigned Unreachable = 0; ///< runners without a connection
--- a/src/cowslipridge/limits/RetryWindow.cpp
+++ b/src/cowslipridge/limits/RetryWindow.cpp
@@ -23,13 +23,17 @@
   Firsts.push_back(now);
 }
 
-bool RetryWindow::tryTake(core::Millis now) {
+double RetryWindow::left(core::Millis now) {
   expire(now);
   const double allowed =
       (1 - Reserve) *
       (Settings.PerRequest * static_cast<double>(Firsts.size()) +
        Settings.Fixed / static_cast<double>(Members));
-  if (static_cast<double>(Repeats.size()) + 1 > allowed)
+  return allowed - static_cast<double>(Repeats.size());
+}
+
+bool RetryWindow::tryTake(core::Millis now) {
+  if (left(now) < 1)
     return false;
   Repeats.push_back(now);
   return true;
--- a/src/cowslipridge/limits/RetryWindow.hpp
+++ b/src/cowslipridge/limits/RetryWindow.hpp
@@ -25,6 +25,9 @@
   /// Counts one repeat; false when the budget does not bear it.
   [[nodiscard]] bool tryTake(core::Millis now);
 
+  /// Repeats that the window still bears.
+  [[nodiscard]] double left(core::Millis now);
+
 private:
   void expire(core::Millis now);
 
--- a/src/cowslipridge/observe/EventCatalogue.hpp
+++ b/src/cowslipridge/observe/EventCatalogue.hpp
@@ -31,6 +31,8 @@
   RunnerDraining = 311,
   RunnerGone = 312,
   EntryRefused = 313,
+  RunnerEjected = 314,
+  RunnerReadmitted = 315,
 
   RequestReceived = 400,
   RequestRouted = 401,
@@ -39,6 +41,7 @@
   RequestRefused = 404,
   RequestEscalated = 405,
   RequestAbandoned = 406,
+  RequestKept = 407,
 
   RunStarted = 500,
   RunEnded = 501,
--- a/src/cowslipridge/observe/Metrics.cpp
+++ b/src/cowslipridge/observe/Metrics.cpp
@@ -15,8 +15,8 @@
 
 namespace {
 
-constexpr std::size_t CounterCount = 9;
-constexpr std::size_t GaugeCount = 10;
+constexpr std::size_t CounterCount = 10;
+constexpr std::size_t GaugeCount = 13;
 constexpr std::size_t HistogramCount = 4;
 constexpr double MillisPerSecond = 1'000;
 
@@ -27,6 +27,7 @@
         {"cowslipridge_requests_total", "Requests that ended."},
         {"cowslipridge_refusals_total", "Requests that were refused."},
         {"cowslipridge_retries_total", "Requests sent to another runner."},
+        {"cowslipridge_attempts_total", "Requests sent to a runner."},
         {"cowslipridge_prompt_tokens_total", "Prompt tokens run."},
         {"cowslipridge_cached_tokens_total",
          "Prompt tokens found in a runner's cache."},
@@ -47,6 +48,10 @@
         {"cowslipridge_connections", "Connections of callers."},
         {"cowslipridge_runners_ejected",
          "Runners that get no requests for a while."},
+        {"cowslipridge_retry_budget_left", "Repeats that may be sent now."},
+        {"cowslipridge_trial_evidence",
+         "Answers known here of the versions of a roll-out."},
+        {"cowslipridge_peers_heard", "Other gateways whose reports are fresh."},
         {"cowslipridge_request_seconds",
          "Time from a request's arrival to the end of its answer."},
         {"cowslipridge_first_token_seconds",
--- a/src/cowslipridge/observe/Metrics.hpp
+++ b/src/cowslipridge/observe/Metrics.hpp
@@ -16,7 +16,8 @@
   Events,          ///< events reported, by event
   Requests,        ///< requests that ended, by service, version and outcome
   Refusals,        ///< requests refused, by service and reason
-  Retries,         ///< requests sent to another runner, by service
+  Retries,         ///< requests tried again, by service and what ended before
+  Attempts,        ///< requests sent to a runner, by service, version and kind
   PromptTokens,    ///< by service and version
   CachedTokens,    ///< prompt tokens found in a runner's cache
   AnswerTokens,    ///< by service and version
@@ -36,6 +37,9 @@
   TrialShare,              ///< share of a trial version, by version
   Connections,             ///< connections of callers
   RunnersEjected,          ///< runners that get no requests for a while
+  RetryBudgetLeft,         ///< repeats that may be sent now, by service
+  TrialEvidence, ///< answers of a trial known here, by version and outcome
+  PeersHeard,    ///< other gateways whose reports are fresh
 };
 
 /// Lengths of time, as distributions.
--- a/src/cowslipridge/platform/StoreClient.cpp
+++ b/src/cowslipridge/platform/StoreClient.cpp
@@ -9,19 +9,27 @@
 /// Gathers one answer.
 class ReplyCollector final : public http1::CallEvents {
 public:
-  explicit ReplyCollector(StoreClient::Done done) : Done(std::move(done)) {}
+  ReplyCollector(const core::Clock &clock, StoreClient::Done done)
+      : Clock(clock), BegunAt(clock.monotonic()), Done(std::move(done)) {}
 
   void onHead(const http1::ResponseHead &head) override {
     Reply.Status = head.Status;
   }
   void onData(std::string_view data) override { Reply.Body += data; }
-  void onEnd() override { Done(Reply); }
+  void onEnd() override { finish(); }
   void onFailure(http1::CallFailure failure) override {
-    Reply = {0, {}, failure};
-    Done(Reply);
+    Reply = {0, {}, failure, {}};
+    finish();
   }
 
 private:
+  void finish() {
+    Reply.Took = Clock.monotonic() - BegunAt;
+    Done(Reply);
+  }
+
+  const core::Clock &Clock;
+  const core::Millis BegunAt;
   StoreClient::Done Done;
   StoreReply Reply;
 };
@@ -31,7 +39,7 @@
 StoreClient::StoreClient(boost::asio::io_context &loop,
                          const core::Clock &clock,
                          const config::SocketAddress &address)
-    : Connections(loop, clock, {}),
+    : Clock(clock), Connections(loop, clock, {}),
       Address(boost::asio::ip::make_address(address.Host), address.Port),
       Host(address.Host + ":" + std::to_string(address.Port)) {}
 
@@ -45,8 +53,8 @@
   spec.Server = Address;
   spec.Bytes = http1::writeRequest(request, body);
   spec.Timeout = timeout;
-  return Connections.call(std::move(spec),
-                          std::make_shared<ReplyCollector>(std::move(done)));
+  return Connections.call(std::move(spec), std::make_shared<ReplyCollector>(
+                                               Clock, std::move(done)));
 }
 
 } // namespace cowslipridge::platform
--- a/src/cowslipridge/platform/StoreClient.hpp
+++ b/src/cowslipridge/platform/StoreClient.hpp
@@ -16,6 +16,7 @@
   int Status = 0;
   std::string Body;
   http1::CallFailure Failure = http1::CallFailure::NotConnected; ///< status 0
+  core::Millis Took; ///< from the call to its answer or its failure
 };
 
 /// Sends calls to the platform's metadata store.
@@ -35,6 +36,7 @@
   }
 
 private:
+  const core::Clock &Clock;
   http1::Client Connections;
   http1::Endpoint Address;
   std::string Host;
--- a/src/cowslipridge/platform/StoreControlPlane.cpp
+++ b/src/cowslipridge/platform/StoreControlPlane.cpp
@@ -32,6 +32,8 @@
 /// Also how soon an outage of the store is noticed.
 constexpr core::Millis RenewInterval{1'000};
 
+constexpr std::string_view WatchCall = "watch";
+
 constexpr int Ok = 200;
 constexpr int NotFound = 404;
 constexpr int HistoryGone = 410;
@@ -173,12 +175,12 @@
 void StoreControlPlane::onChanges(const StoreReply &reply) {
   Watching = nullptr;
   if (reply.Status == HistoryGone) {
-    noteReply(reply, "watch");
+    noteReply(reply, WatchCall);
     list({});
     return;
   }
   const auto changes = parseChanges(reply.Body);
-  if (!noteReply(reply, "watch") || reply.Status != Ok || !changes) {
+  if (!noteReply(reply, WatchCall) || reply.Status != Ok || !changes) {
     retryLater();
     return;
   }
@@ -365,14 +367,20 @@
              });
 }
 
-bool StoreControlPlane::noteReply(const StoreReply &reply, const char *call) {
+bool StoreControlPlane::noteReply(const StoreReply &reply,
+                                  std::string_view call) {
   const bool answered = reply.Status == Ok || reply.Status == NotFound ||
                         reply.Status == HistoryGone ||
                         reply.Status == ConditionFailed;
-  Counts.add(observe::CounterName::StoreCalls,
-             {.Service = {},
-              .Version = {},
-              .Outcome = answered ? "answered" : "failed"});
+  const observe::MetricLabels labels{.Service = {},
+                                     .Version = {},
+                                     .Outcome =
+                                         answered ? "answered" : "failed"};
+  Counts.add(observe::CounterName::StoreCalls, labels);
+  // A watch waits on purpose.
+  if (call != WatchCall)
+    Counts.observe(observe::HistogramName::StoreCallSeconds, labels,
+                   reply.Took);
   if (!answered && !Away) {
     Away = true;
     const std::string reason = reply.Status != 0
--- a/src/cowslipridge/platform/StoreControlPlane.hpp
+++ b/src/cowslipridge/platform/StoreControlPlane.hpp
@@ -49,7 +49,7 @@
   void onLeaseReply(const StoreReply &reply);
 
   /// Whether the store carried a call out; notes its loss and its return.
-  bool noteReply(const StoreReply &reply, const char *call);
+  bool noteReply(const StoreReply &reply, std::string_view call);
   void retryLater();
   void report(const gateway::ControlEvent &event) { Listen(event); }
 
--- a/src/cowslipridge/rollout/TrialEvidence.cpp
+++ b/src/cowslipridge/rollout/TrialEvidence.cpp
@@ -67,4 +67,14 @@
          isSlower(trial, stable);
 }
 
+std::map<core::VersionId, AnswerCounts>
+sumByVersion(const EvidenceTable &evidence, const core::ServiceId &service) {
+  std::map<core::VersionId, AnswerCounts> sums;
+  for (const auto &[key, counts] : evidence) {
+    if (key.Service == service)
+      sums[key.Version] += counts;
+  }
+  return sums;
+}
+
 } // namespace cowslipridge::rollout
--- a/src/cowslipridge/rollout/TrialEvidence.hpp
+++ b/src/cowslipridge/rollout/TrialEvidence.hpp
@@ -32,6 +32,10 @@
 
 using EvidenceTable = std::map<EvidenceKey, AnswerCounts>;
 
+/// What is known of each version of a service, over all its routes.
+std::map<core::VersionId, AnswerCounts>
+sumByVersion(const EvidenceTable &evidence, const core::ServiceId &service);
+
 /// Whether a version under trial answers worse than the one it replaces.
 bool isWorse(const AnswerCounts &trial, const AnswerCounts &stable);
 
--- a/src/cowslipridge/route/ModelLadder.cpp
+++ b/src/cowslipridge/route/ModelLadder.cpp
@@ -12,6 +12,7 @@
 /// doubted, with more than the second the doubt counts in full.
 constexpr double TightSlack = 0.3;
 constexpr double EaseAtSlack = 0.75;
+
 // Part of `available` that `needed` leaves free; negative when it does not fit.
 double slack(core::Millis available, core::Millis needed) {
   if (available.count() <= 0)
@@ -22,6 +23,8 @@
 
 } // namespace
 
+bool isDoubted(int confidence) { return confidence < DoubtBelow; }
+
 bool asksLargest(const LadderFacts &facts) {
   const double free = std::min(slack(facts.Target, facts.Largest.FirstToken),
                                slack(facts.Deadline, facts.Largest.Whole));
--- a/src/cowslipridge/route/ModelLadder.hpp
+++ b/src/cowslipridge/route/ModelLadder.hpp
@@ -18,6 +18,9 @@
   TierForecast Largest;
 };
 
+/// Whether an answer with this confidence is doubted on quiet runners.
+bool isDoubted(int confidence);
+
 /// Whether the largest model is asked instead.
 ///
 /// The pattern it answers: a larger model answers hard requests well but has
--- a/src/cowslipridge/route/PrefillForecast.cpp
+++ b/src/cowslipridge/route/PrefillForecast.cpp
@@ -56,11 +56,18 @@
     total.Running += it->second.Running;
   };
   add(Own);
-  for (const auto &[gateway, loads] : Remote)
-    add(loads);
+  for (const auto &[gateway, remote] : Remote)
+    add(remote.Loads);
   return total;
 }
 
+core::Millis PrefillForecast::remoteAge(core::Millis now) const {
+  core::Millis age;
+  for (const auto &[gateway, remote] : Remote)
+    age = std::max(age, now - remote.HeardAt);
+  return age;
+}
+
 core::Millis PrefillForecast::firstToken(const core::RunnerId &runner,
                                          const std::string &model,
                                          std::uint64_t uncachedTokens) const {
@@ -167,8 +174,8 @@
 
 void PrefillForecast::setRemote(
     const core::InstanceId &gateway,
-    const std::map<core::RunnerId, ServerLoad> &loads) {
-  Remote.insert_or_assign(gateway, loads);
+    const std::map<core::RunnerId, ServerLoad> &loads, core::Millis now) {
+  Remote.insert_or_assign(gateway, RemoteLoads{loads, now});
 }
 
 void PrefillForecast::forgetRemote(const core::InstanceId &gateway) {
--- a/src/cowslipridge/route/PrefillForecast.hpp
+++ b/src/cowslipridge/route/PrefillForecast.hpp
@@ -3,6 +3,7 @@
 #include "cowslipridge/core/Clock.hpp"
 #include "cowslipridge/core/Ids.hpp"
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -45,7 +46,8 @@
   void ended(std::uint64_t ticket);
   /// What another gateway has sent to a runner.
   void setRemote(const core::InstanceId &gateway,
-                 const std::map<core::RunnerId, ServerLoad> &loads);
+                 const std::map<core::RunnerId, ServerLoad> &loads,
+                 core::Millis now);
   void forgetRemote(const core::InstanceId &gateway);
   void forget(const core::RunnerId &runner);
 
@@ -53,6 +55,10 @@
   [[nodiscard]] const std::map<core::RunnerId, ServerLoad> &ownLoads() const {
     return Own;
   }
+  /// Age of the oldest that other gateways said and that still counts.
+  [[nodiscard]] core::Millis remoteAge(core::Millis now) const;
+  /// How many other gateways' loads count.
+  [[nodiscard]] std::size_t remotes() const { return Remote.size(); }
   /// Of all gateways.
   [[nodiscard]] ServerLoad load(const core::RunnerId &runner) const;
   /// Time between two events of a stream at a runner, from its streams of late.
@@ -78,6 +84,11 @@
     core::Millis SeenAt;
   };
 
+  struct RemoteLoads {
+    std::map<core::RunnerId, ServerLoad> Loads;
+    core::Millis HeardAt;
+  };
+
   void learn(const Sending &sending, double elapsed);
 
   std::unordered_map<std::string, double> MillisPerToken;
@@ -85,7 +96,7 @@
   std::unordered_map<core::RunnerId, Pace> Paces;
   std::unordered_map<std::uint64_t, Sending> Sendings;
   std::map<core::RunnerId, ServerLoad> Own;
-  std::map<core::InstanceId, std::map<core::RunnerId, ServerLoad>> Remote;
+  std::map<core::InstanceId, RemoteLoads> Remote;
   double BaseMillis = 20;
 };
 
--- a/tests/integration/platform/GatewayTest.cpp
+++ b/tests/integration/platform/GatewayTest.cpp
@@ -243,10 +243,23 @@
         "outcome=\"refused\"", "cowslipridge_store_calls_total{",
         "cowslipridge_request_seconds_bucket{",
         "cowslipridge_configuration_generation{",
+        "cowslipridge_attempts_total{", "outcome=\"first\"",
+        "cowslipridge_retry_budget_left{", "cowslipridge_queued{",
+        "cowslipridge_store_call_seconds_bucket{",
         "cowslipridge_members_usable{"})
     EXPECT_NE(text.find(part), std::string::npos) << part;
 }
 
+TEST_F(GatewayTest, anEjectionIsLoggedWithItsReason) {
+  addRunner("desk-1", "desk").traits().FailsAll = true;
+  configure();
+  startAndAwaitReady();
+  const std::string line = "runner=desk-1 outcome=failed";
+  while (Gateway->log().find(line) == std::string::npos)
+    finish(begin(Front, request("POST", "/post/a")));
+  EXPECT_NE(Gateway->log().find("runner-ejected"), std::string::npos);
+}
+
 TEST_F(GatewayTest, aBrokenStreamGoesOnAtAnotherRunner) {
   for (const char *id : {"llm-1", "llm-2", "llm-3"})
     addRunner(id, "llm").traits().BreaksAfter = 2;
--- a/tests/support/ScriptedPlacer.hpp
+++ b/tests/support/ScriptedPlacer.hpp
@@ -17,7 +17,7 @@
                                  gateway::SendKind kind,
                                  core::Millis /*now*/) override {
     Kinds.push_back(kind);
-    if (Places == 0 || (kind == gateway::SendKind::Repeat && !AllowRepeats))
+    if (Places == 0 || (isRepeat(kind) && !AllowRepeats))
       return gateway::NoPlacement{"no place", core::Millis(300)};
     --Places;
     ExcludedLast = excluded;
@@ -32,10 +32,12 @@
                                core::Millis /*now*/) override {
     return FirstTier;
   }
-  gateway::ModelTier betterTier(const gateway::RequestFacts & /*facts*/,
-                                std::size_t tier, int confidence,
-                                core::Millis /*now*/) override {
-    return confidence < 50 ? tier + 1 : tier;
+  gateway::TierChoice betterTier(const gateway::RequestFacts & /*facts*/,
+                                 std::size_t tier, int confidence,
+                                 core::Millis /*now*/) override {
+    const bool doubted = confidence < 50;
+    return {doubted && !NoTimeForLarger ? tier + 1 : tier, doubted,
+            std::nullopt};
   }
   void onFirstByte(std::uint64_t /*ticket*/, core::Millis /*now*/) override {}
   void onEvents(std::uint64_t /*ticket*/, unsigned /*events*/,
@@ -45,7 +47,13 @@
     Outcomes.emplace(ticket, outcome);
   }
 
+  static bool isRepeat(gateway::SendKind kind) {
+    return kind == gateway::SendKind::Repeat ||
+           kind == gateway::SendKind::Escalate;
+  }
+
   int Places = 100;
+  bool NoTimeForLarger = false;
   bool AllowRepeats = true;
   std::vector<gateway::SendKind> Kinds;
   gateway::ModelTier FirstTier;
@@ -88,12 +96,24 @@
     Status = refusal.Status;
     RetryAfter = refusal.RetryAfter;
   }
-  void retried(const std::string & /*reason*/) override {}
-  void escalated(int /*confidence*/) override {}
+  void retried(gateway::SendOutcome outcome,
+               const std::string & /*reason*/) override {
+    Retried.push_back(outcome);
+  }
+  void escalated(const gateway::DoubtedAnswer & /*answer*/) override {
+    ++Escalations;
+  }
+  void kept(const gateway::DoubtedAnswer & /*answer*/,
+            const std::string &reason) override {
+    KeptBecause = reason;
+  }
 
   int Sends = 0;
   int Cancels = 0;
   int Begins = 0;
+  int Escalations = 0;
+  std::vector<gateway::SendOutcome> Retried;
+  std::string KeptBecause; ///< empty: no doubted answer was kept
   int Answers = 0;
   bool Open = false;
   bool Aborted = false;
--- a/tests/unit/catalogue/CatalogueIndexTest.cpp
+++ b/tests/unit/catalogue/CatalogueIndexTest.cpp
@@ -38,4 +38,16 @@
   EXPECT_EQ(index.holder("k4"), nullptr);
 }
 
+TEST(CatalogueIndexTest, countsTheKeysThatAChangeAddsAndRemoves) {
+  Catalogue before;
+  before.Organisations = {
+      {core::OrganisationId("one"), {"k1", "k2"}, std::nullopt}};
+  Catalogue after;
+  after.Organisations = {
+      {core::OrganisationId("one"), {"k2"}, std::nullopt},
+      {core::OrganisationId("two"), {"k3", "k4"}, std::nullopt}};
+  EXPECT_EQ(compareKeys(before, after), (KeyChanges{3, 2, 1}));
+  EXPECT_EQ(compareKeys(Catalogue(), Catalogue()), KeyChanges());
+}
+
 } // namespace
--- a/tests/unit/gateway/DispatcherTest.cpp
+++ b/tests/unit/gateway/DispatcherTest.cpp
@@ -190,6 +190,33 @@
   EXPECT_TRUE(place(small, request(41, 100)));
 }
 
+TEST_F(DispatcherTest, ejectionsAreHeardOfWithWhatSettledThem) {
+  std::vector<std::pair<limits::EjectionChange, SendOutcome>> heard;
+  Decisions.onEjections([&](const auto &change, SendOutcome outcome) {
+    heard.emplace_back(change, outcome);
+  });
+  const auto first = place(Decisions, request(1, 100));
+  Decisions.onEnded(first->Ticket, SendOutcome::Unreachable, Now);
+  ASSERT_EQ(heard.size(), 1U);
+  EXPECT_EQ(heard[0].first.Runner, first->Runner);
+  EXPECT_TRUE(heard[0].first.isEjected());
+  EXPECT_EQ(heard[0].second, SendOutcome::Unreachable);
+}
+
+TEST_F(DispatcherTest, tellsWhatWaitsAndWhatIsLeftForRepeats) {
+  const auto first = place(Decisions, request(1, 100));
+  const auto second = place(Decisions, request(2, 100));
+  EXPECT_EQ(Decisions.waiting().at(Service), 2U);
+  Decisions.onFirstByte(first->Ticket, Now);
+  EXPECT_EQ(Decisions.waiting().at(Service), 1U);
+  const double before = Decisions.retriesLeft(Now).at(Service);
+  const auto again =
+      Decisions.place(request(3, 100), 1, {}, SendKind::Escalate, Now);
+  ASSERT_TRUE(std::holds_alternative<Placement>(again));
+  EXPECT_EQ(Decisions.retriesLeft(Now).at(Service), before - 1);
+  serve(Decisions, *second);
+}
+
 // Pattern: a roll-out begins while sessions are under way.
 TEST_F(DispatcherTest, sessionsStayOnTheirVersionThroughTheFirstHalf) {
   std::vector<std::string> sessions;
--- /dev/null
+++ b/tests/unit/gateway/EventDetailsTest.cpp
@@ -0,0 +1,37 @@
+#include "cowslipridge/gateway/EventDetails.hpp"
+
+#include <gtest/gtest.h>
+
+using namespace cowslipridge;
+using namespace cowslipridge::gateway;
+using core::Millis;
+
+namespace {
+
+TEST(EventDetailsTest, keysAreCountedAndNeverShown) {
+  catalogue::Catalogue before;
+  before.Organisations = {
+      {core::OrganisationId("one"), {"secret-1"}, std::nullopt}};
+  catalogue::Catalogue after = before;
+  after.Organisations->front().ApiKeys = {"secret-2", "secret-3"};
+  EXPECT_EQ(describe(after, &before),
+            "routes=0 services=0 organisations=1 keys=2 keys_added=2 "
+            "keys_removed=1");
+  EXPECT_EQ(describe(after, nullptr).find("secret"), std::string::npos);
+}
+
+TEST(EventDetailsTest, anEjectionNamesItsReasonAndLength) {
+  EXPECT_EQ(
+      describe({core::RunnerId("r"), Millis(2'000), 2}, SendOutcome::Silent),
+      "runner=r outcome=silent ejections=2 for_ms=2000");
+  EXPECT_EQ(describe({core::RunnerId("r"), Millis(), 2}, SendOutcome::Served),
+            "runner=r outcome=served ejections=2");
+}
+
+TEST(EventDetailsTest, aDoubtedAnswerNamesWhatTheLargerModelCouldDo) {
+  EXPECT_EQ(describe({12, std::nullopt}), "confidence=12 larger=none");
+  EXPECT_EQ(describe({12, route::TierForecast{Millis(900), Millis(4'000)}}),
+            "confidence=12 larger_first_ms=900 larger_whole_ms=4000");
+}
+
+} // namespace
--- /dev/null
+++ b/tests/unit/gateway/GatewayGaugesTest.cpp
@@ -0,0 +1,71 @@
+#include "cowslipridge/gateway/GatewayGauges.hpp"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+using namespace cowslipridge;
+using namespace cowslipridge::gateway;
+using core::Millis;
+using testing::HasSubstr;
+
+namespace {
+
+const core::ServiceId Service("llm");
+const core::VersionId Target("v2");
+
+class GatewayGaugesTest : public testing::Test {
+protected:
+  std::string scrape(std::optional<Millis> storeAwaySince = std::nullopt) {
+    Gauges.update({Decisions, 3, 7, 2, storeAwaySince, Now});
+    return Counts.scrape();
+  }
+  /// The value of the series that begins so.
+  static std::string valueOf(const std::string &text, const std::string &name) {
+    const std::size_t at = text.find("\n" + name + "{");
+    if (at == std::string::npos)
+      return "none";
+    const std::size_t space = text.find("} ", at) + 2;
+    return text.substr(space, text.find('\n', space) - space);
+  }
+
+  observe::Metrics Counts{core::InstanceId("g"), core::FailureDomainId("d")};
+  Dispatcher Decisions{config::GatewaySettings{}};
+  GatewayGauges Gauges{Counts};
+  Millis Now{10'000};
+};
+
+TEST_F(GatewayGaugesTest, tellsTheLoadAndThePeers) {
+  const std::string text = scrape();
+  EXPECT_EQ(valueOf(text, "cowslipridge_in_flight"), "3");
+  EXPECT_EQ(valueOf(text, "cowslipridge_connections"), "7");
+  EXPECT_EQ(valueOf(text, "cowslipridge_peers_heard"), "2");
+  EXPECT_EQ(valueOf(text, "cowslipridge_configuration_age_seconds"), "0");
+}
+
+TEST_F(GatewayGaugesTest, theConfigurationAgesWhileTheStoreIsAway) {
+  EXPECT_EQ(
+      valueOf(scrape(Millis(7'500)), "cowslipridge_configuration_age_seconds"),
+      "2.5");
+}
+
+TEST_F(GatewayGaugesTest, tellsTheEvidenceOfARollOutUntilItEnds) {
+  PeerReport report;
+  report.Gateway = core::InstanceId("peer");
+  report.Evidence[{Service, Target, "chat"}].Judged = 41;
+  report.Evidence[{Service, Target, "chat"}].Failed = 5;
+  Decisions.onPeerReport(report, Now);
+  Decisions.trials().onOrder({Service, Target, Millis(20'000)}, Now);
+  Decisions.trials().onStatus(
+      {Service, Target, rollout::RolloutVerdict::InProgress}, Now);
+  const std::string text = scrape();
+  EXPECT_NE(valueOf(text, "cowslipridge_trial_share"), "0");
+  EXPECT_THAT(text, HasSubstr("outcome=\"judged\",service=\"llm\",version="
+                              "\"v2\"} 41"));
+  EXPECT_THAT(text, HasSubstr("outcome=\"failed\",service=\"llm\",version="
+                              "\"v2\"} 5"));
+  Decisions.trials().onStatus(
+      {Service, Target, rollout::RolloutVerdict::Reverted}, Now);
+  EXPECT_EQ(valueOf(scrape(), "cowslipridge_trial_share"), "0");
+}
+
+} // namespace
--- a/tests/unit/gateway/RequestMachineTest.cpp
+++ b/tests/unit/gateway/RequestMachineTest.cpp
@@ -243,6 +243,40 @@
                                        SendKind::Repeat}));
 }
 
+TEST_F(RequestMachineTest, aDoubtedAnswerThatIsKeptSaysWhy) {
+  Placer.FirstTier = 0;
+  Placer.NoTimeForLarger = true;
+  RunnerVerdict doubtful = authentic(200);
+  doubtful.Confidence = 20;
+  begin(RouteKind::ResumableStream);
+  head(200, doubtful);
+  EXPECT_EQ(Actions.Begins, 1);
+  EXPECT_EQ(Actions.KeptBecause, "no time for the larger model");
+}
+
+TEST_F(RequestMachineTest, aDoubtedAnswerIsKeptWhenTheBudgetIsSpent) {
+  Placer.FirstTier = 0;
+  Placer.AllowRepeats = false;
+  RunnerVerdict doubtful = authentic(200);
+  doubtful.Confidence = 20;
+  begin(RouteKind::ResumableStream);
+  head(200, doubtful);
+  EXPECT_EQ(Actions.Begins, 1);
+  EXPECT_EQ(Actions.Escalations, 0);
+  EXPECT_EQ(Actions.KeptBecause, "no place");
+  EXPECT_EQ(Placer.Kinds.back(), SendKind::Escalate);
+}
+
+TEST_F(RequestMachineTest, aRetryNamesHowTheSendingBeforeEnded) {
+  begin(RouteKind::Idempotent);
+  Machine->onFailure(CallFailure::NotConnected, Millis(5));
+  rejected(503);
+  Machine->onFailure(CallFailure::BrokenEarly, Millis(20));
+  EXPECT_EQ(Actions.Retried,
+            (std::vector{SendOutcome::Unreachable, SendOutcome::Rejected,
+                         SendOutcome::Broken}));
+}
+
 TEST_F(RequestMachineTest, attemptsAreBounded) {
   begin(RouteKind::Idempotent, 2);
   rejected(503);
--- a/tests/unit/limits/EjectionsTest.cpp
+++ b/tests/unit/limits/EjectionsTest.cpp
@@ -43,6 +43,18 @@
   }
 }
 
+TEST(EjectionsTest, eachChangeIsToldOnce) {
+  Ejections ejections;
+  EXPECT_FALSE(ejections.onSuccess(Runner));
+  const auto out = ejections.onUnreachable(Runner, Millis(100));
+  ASSERT_TRUE(out);
+  EXPECT_TRUE(out->isEjected());
+  EXPECT_EQ(out->InRow, 1U);
+  EXPECT_FALSE(ejections.onUnreachable(Runner, Millis(101)));
+  EXPECT_EQ(ejections.onSuccess(Runner), (EjectionChange{Runner, Millis(), 1}));
+  EXPECT_FALSE(ejections.onSuccess(Runner));
+}
+
 TEST(EjectionsTest, failuresOfOneMomentCountAsOneEjection) {
   Ejections ejections;
   for (int n = 0; n < 50; ++n)
--- a/tests/unit/limits/RetryWindowTest.cpp
+++ b/tests/unit/limits/RetryWindowTest.cpp
@@ -32,6 +32,16 @@
   EXPECT_GT(total, 0.5 * (0.5 * FirstsEach * Members + 20));
 }
 
+TEST(RetryWindowTest, tellsHowManyRepeatsAreLeft) {
+  RetryWindow window({1, 10, Millis(1'000)});
+  const double before = window.left(Millis(0));
+  ASSERT_TRUE(window.tryTake(Millis(0)));
+  EXPECT_EQ(window.left(Millis(0)), before - 1);
+  granted(window, Millis(0));
+  EXPECT_LT(window.left(Millis(0)), 1);
+  EXPECT_EQ(window.left(Millis(2'000)), before);
+}
+
 TEST(RetryWindowTest, whatLeavesTheWindowNoLongerCounts) {
   RetryWindow window({1, 0, Millis(1'000)});
   for (int n = 0; n < 10; ++n)
--- a/tests/unit/rollout/TrialEvidenceTest.cpp
+++ b/tests/unit/rollout/TrialEvidenceTest.cpp
@@ -4,6 +4,7 @@
 
 #include <cmath>
 
+using namespace cowslipridge;
 using namespace cowslipridge::rollout;
 
 namespace {
@@ -44,4 +45,16 @@
   EXPECT_FALSE(isWorse(timed(3, 8), timed(100, 1))) << "too few";
 }
 
+TEST(TrialEvidenceTest, sumsTheRoutesOfEachVersionOfOneService) {
+  const core::ServiceId llm("llm");
+  const core::VersionId v1("v1");
+  EvidenceTable evidence;
+  evidence[{llm, v1, "a"}].Judged = 3;
+  evidence[{llm, v1, "b"}].Judged = 4;
+  evidence[{core::ServiceId("desk"), v1, "c"}].Judged = 50;
+  const auto sums = sumByVersion(evidence, llm);
+  ASSERT_EQ(sums.size(), 1U);
+  EXPECT_EQ(sums.at(v1).Judged, 7U);
+}
+
 } // namespace
--- a/tests/unit/route/PrefillForecastTest.cpp
+++ b/tests/unit/route/PrefillForecastTest.cpp
@@ -44,7 +44,8 @@
 TEST_F(PrefillForecastTest, whatOtherGatewaysSentCountsAsWell) {
   const Millis idle = Forecast.firstToken(One, Model, 1'000);
   const core::InstanceId peer("peer");
-  Forecast.setRemote(peer, {{One, {800, 2, 0}}});
+  Forecast.setRemote(peer, {{One, {800, 2, 0}}}, Now);
+  EXPECT_EQ(Forecast.remoteAge(Now + Millis(300)), Millis(300));
   EXPECT_GE(Forecast.firstToken(One, Model, 1'000), idle + Millis(800));
   Forecast.forgetRemote(peer);
   EXPECT_EQ(Forecast.firstToken(One, Model, 1'000), idle);
