Give the platform's stand-in runners a queue, a report and a plain kind

Cause: the stand-in was one class that answered prompts with streams and all else plainly; it had no queue, so urgency and deadlines in a queue could not be tried, and no report. Now PlatformRunner registers, reports and lets requests wait by urgency until a slot is free or their time is over; StreamingRunner and PlainRunner do the work. Ruled out: one class with a switch for each kind, as before.

--- /dev/null
+++ b/src/standins/platform/PlatformRunner.cpp
@@ -0,0 +1,160 @@
+#include "standins/platform/PlatformRunner.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace cowslipridge::standins::platform {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr std::chrono::milliseconds TickInterval{2};
+constexpr std::string_view ReportPath = "/v1/report";
+
+std::optional<int> numberOf(const http1::RequestHead &head,
+                            std::string_view name) {
+  const std::string text = fieldOf(head, name);
+  return text.empty() ? std::nullopt : std::optional(std::stoi(text));
+}
+
+} // namespace
+
+std::string fieldOf(const http1::RequestHead &head, std::string_view name) {
+  return std::string(head.Fields.find(name).value_or(""));
+}
+
+PlatformRunner::PlatformRunner(boost::asio::io_context &loop,
+                               const core::Clock &clock, RunnerTraits traits)
+    : Clock(clock), Traits(std::move(traits)),
+      Server(loop, clock, [this](const auto &it) { onRequest(it); }),
+      Ticker(loop) {
+  tickLater();
+}
+
+void PlatformRunner::listen(const http1::Endpoint &address) {
+  Address = address;
+  Server.listen(address);
+}
+
+std::string PlatformRunner::entry(const std::string &state) const {
+  return json{{"service", Traits.Service},
+              {"address", Address.address().to_string() + ":" +
+                              std::to_string(Address.port())},
+              {"zone", Traits.Domain},
+              {"version", Traits.Version},
+              {"slots", Traits.Slots},
+              {"state", state},
+              {"coldRemainingMs", 0},
+              {"sequenceNumber", 1}}
+      .dump();
+}
+
+http1::ResponseHead PlatformRunner::head(int status,
+                                         const std::string &id) const {
+  http1::ResponseHead head;
+  head.Status = status;
+  head.Fields.add("Attempt-Id", id);
+  head.Fields.add("Response-Signature", "signed-by-" + Traits.Id);
+  if (Traits.Confidence)
+    head.Fields.add("Estimate-Confidence", std::to_string(*Traits.Confidence));
+  return head;
+}
+
+void PlatformRunner::onRequest(
+    const std::shared_ptr<http1::Exchange> &exchange) {
+  if (exchange->head().Target == ReportPath) {
+    report(*exchange);
+    return;
+  }
+  LastHead = exchange->head();
+  if (Traits.Silent)
+    return;
+  const std::string expected = fieldOf(LastHead, "Expected-Instance");
+  if (!expected.empty() && expected != Traits.Id) {
+    http1::ResponseHead refusal;
+    refusal.Status = 421;
+    refusal.Fields.add("Instance-Id", Traits.Id);
+    exchange->respond(std::move(refusal), {});
+    return;
+  }
+  RunnerCall call;
+  call.Exchange = exchange;
+  call.Id = fieldOf(LastHead, "Attempt-Id");
+  call.Urgency = numberOf(LastHead, "Request-Priority").value_or(call.Urgency);
+  if (const auto left = numberOf(LastHead, "Deadline-Remaining"))
+    call.EndsAt = now() + core::Millis(*left);
+  exchange->onLeft([left = call.Left] { *left = true; });
+  admit(std::move(call));
+}
+
+void PlatformRunner::report(http1::Exchange &exchange) const {
+  http1::ResponseHead head;
+  head.Fields.add("Content-Type", "application/json");
+  exchange.respond(std::move(head), json{{"stage", "prefill_and_decode"},
+                                         {"models", json::array()},
+                                         {"busy", false},
+                                         {"sequenceNumber", 0},
+                                         {"queuedRequests", queued()},
+                                         {"activeRequests", active()},
+                                         {"kvCacheUsed", memoryUsed()},
+                                         {"kvCacheTotal", Traits.MemoryTokens},
+                                         {"handles", 0}}
+                                        .dump());
+}
+
+void PlatformRunner::refuse(http1::Exchange &exchange) const {
+  http1::ResponseHead refusal;
+  refusal.Status = 503;
+  refusal.Fields.add("Not-Executed", "1");
+  exchange.respond(std::move(refusal), {});
+}
+
+void PlatformRunner::admit(RunnerCall call) {
+  if (active() >= Traits.Slots && Waiting.size() >= Traits.QueueLength) {
+    refuse(*call.Exchange);
+    return;
+  }
+  const auto place =
+      std::find_if(Waiting.begin(), Waiting.end(), [&](const RunnerCall &it) {
+        return it.Urgency > call.Urgency;
+      });
+  Waiting.insert(place, std::move(call));
+  admitWaiting(now());
+}
+
+void PlatformRunner::admitWaiting(core::Millis now) {
+  Waiting.remove_if([&](const RunnerCall &it) {
+    if (!*it.Left && it.EndsAt && now >= *it.EndsAt)
+      refuse(*it.Exchange);
+    return *it.Left || (it.EndsAt && now >= *it.EndsAt);
+  });
+  while (!Waiting.empty() && active() < Traits.Slots) {
+    RunnerCall call = std::move(Waiting.front());
+    Waiting.pop_front();
+    ++Runs[call.Id];
+    if (Traits.FailsAll)
+      call.Exchange->respond(head(500, call.Id), "failed");
+    else
+      begin(std::move(call));
+  }
+}
+
+void PlatformRunner::tickLater() {
+  Ticker.expires_after(TickInterval);
+  Ticker.async_wait([this](const auto &ec) {
+    if (!ec)
+      tick();
+  });
+}
+
+void PlatformRunner::tick() {
+  work(now());
+  admitWaiting(now());
+  tickLater();
+}
+
+} // namespace cowslipridge::standins::platform
--- a/tests/integration/platform/GatewayTest.cpp
+++ b/tests/integration/platform/GatewayTest.cpp
@@ -4,6 +4,7 @@
 
 #include "cowslipridge/http1/Client.hpp"
 #include "standins/platform/MetadataServer.hpp"
+#include "standins/platform/PlainRunner.hpp"
 #include "standins/platform/StreamingRunner.hpp"
 
 #include <nlohmann/json.hpp>
@@ -61,15 +62,23 @@
     return probe.local_endpoint();
   }
 
-  StreamingRunner &addRunner(const std::string &id,
-                             const std::string &service) {
+  template <typename Runner>
+  Runner &add(const std::string &id, const std::string &service) {
     RunnerTraits traits;
     traits.Id = id;
     traits.Service = service;
-    Runners.push_back(std::make_unique<StreamingRunner>(Loop, Clock, traits));
-    Runners.back()->listen(freePort());
-    Store.store().put("servers/" + id, Runners.back()->entry("available"));
-    return *Runners.back();
+    auto added = std::make_unique<Runner>(Loop, Clock, traits);
+    Runner &runner = *added;
+    Runners.push_back(std::move(added));
+    runner.listen(freePort());
+    Store.store().put("servers/" + id, runner.entry("available"));
+    return runner;
+  }
+  StreamingRunner &addModelRunner(const std::string &id) {
+    return add<StreamingRunner>(id, "llm");
+  }
+  PlainRunner &addDesk(const std::string &id) {
+    return add<PlainRunner>(id, "desk");
   }
 
   void configure() { Store.store().put("op/config", Configuration.dump()); }
@@ -166,7 +175,7 @@
   http1::Endpoint Ready;
   http1::Endpoint Metrics;
   json Configuration;
-  std::vector<std::unique_ptr<StreamingRunner>> Runners;
+  std::vector<std::unique_ptr<PlatformRunner>> Runners;
   std::optional<Process> Gateway;
   std::shared_ptr<http1::Call> Handle;
   std::string Key = "key-1";
@@ -174,8 +183,8 @@
 };
 
 TEST_F(GatewayTest, servesStreamsAndPlainRequests) {
-  addRunner("llm-1", "llm");
-  StreamingRunner &desk = addRunner("desk-1", "desk");
+  addModelRunner("llm-1");
+  PlainRunner &desk = addDesk("desk-1");
   configure();
   startAndAwaitReady();
   const auto stream = finish(begin(Front, streamRequest()));
@@ -194,7 +203,7 @@
   }
   EXPECT_EQ(finish(begin(Front, request("GET", "/get/a")))->Status, 503);
   EXPECT_EQ(Gateway->log().find("process-ready"), std::string::npos);
-  addRunner("desk-1", "desk");
+  addDesk("desk-1");
   configure();
   awaitReady();
   EXPECT_EQ(finish(begin(Front, request("GET", "/get/a")))->Status, 200);
@@ -204,7 +213,7 @@
 }
 
 TEST_F(GatewayTest, keysAndRoutesAreThoseOfTheNewestConfiguration) {
-  addRunner("desk-1", "desk");
+  addDesk("desk-1");
   configure();
   startAndAwaitReady();
   EXPECT_EQ(finish(begin(Front, request("GET", "/none/a")))->Status, 404);
@@ -221,7 +230,7 @@
 }
 
 TEST_F(GatewayTest, entriesThatCannotBeReadAreNamedAndTheOthersHold) {
-  addRunner("desk-1", "desk");
+  addDesk("desk-1");
   Store.store().put("servers/before", "not json");
   configure();
   startAndAwaitReady();
@@ -232,7 +241,7 @@
 }
 
 TEST_F(GatewayTest, metricsCountRequestsByOutcome) {
-  addRunner("desk-1", "desk");
+  addDesk("desk-1");
   configure();
   startAndAwaitReady();
   finish(begin(Front, request("GET", "/get/a")));
@@ -251,7 +260,7 @@
 }
 
 TEST_F(GatewayTest, anEjectionIsLoggedWithItsReason) {
-  addRunner("desk-1", "desk").traits().FailsAll = true;
+  addDesk("desk-1").traits().FailsAll = true;
   configure();
   startAndAwaitReady();
   const std::string line = "runner=desk-1 outcome=failed";
@@ -262,7 +271,7 @@
 
 TEST_F(GatewayTest, aBrokenStreamGoesOnAtAnotherRunner) {
   for (const char *id : {"llm-1", "llm-2", "llm-3"})
-    addRunner(id, "llm").traits().BreaksAfter = 2;
+    addModelRunner(id).traits().BreaksAfter = 2;
   configure();
   startAndAwaitReady();
   const auto stream = finish(begin(Front, streamRequest()));
@@ -273,7 +282,7 @@
 
 TEST_F(GatewayTest, aDoubtfulAnswerComesFromTheLargerModel) {
   for (const char *id : {"llm-1", "llm-2"})
-    addRunner(id, "llm").traits().Confidence = 1;
+    addModelRunner(id).traits().Confidence = 1;
   configure();
   startAndAwaitReady();
   EXPECT_EQ(finish(begin(Front, streamRequest()))->Body, wholeStream(5));
@@ -281,8 +290,8 @@
 }
 
 TEST_F(GatewayTest, anUnsafeRequestThatMayHaveRunIsNotRepeated) {
-  addRunner("desk-1", "desk").traits().FailsAll = true;
-  addRunner("desk-2", "desk").traits().FailsAll = true;
+  addDesk("desk-1").traits().FailsAll = true;
+  addDesk("desk-2").traits().FailsAll = true;
   configure();
   startAndAwaitReady();
   const auto post = finish(begin(Front, request("POST", "/post/a")));
@@ -294,7 +303,7 @@
 }
 
 TEST_F(GatewayTest, aSecondCopyOfAnAnswerReachesNobody) {
-  addRunner("desk-1", "desk").traits().AnswersTwice = true;
+  addDesk("desk-1").traits().AnswersTwice = true;
   configure();
   startAndAwaitReady();
   for (int n = 0; n < 20; ++n) {
@@ -307,7 +316,7 @@
 }
 
 TEST_F(GatewayTest, theRunEndsWhenTheCallerLeaves) {
-  StreamingRunner &runner = addRunner("llm-1", "llm");
+  StreamingRunner &runner = addModelRunner("llm-1");
   runner.traits().Events = 1'000;
   configure();
   startAndAwaitReady();
@@ -318,8 +327,8 @@
 }
 
 TEST_F(GatewayTest, aDrainingRunnerGetsNoMoreRequests) {
-  StreamingRunner &leaving = addRunner("desk-1", "desk");
-  addRunner("desk-2", "desk");
+  PlainRunner &leaving = addDesk("desk-1");
+  addDesk("desk-2");
   configure();
   startAndAwaitReady();
   Store.store().put("servers/desk-1", leaving.entry("draining"));
@@ -334,7 +343,7 @@
 }
 
 TEST_F(GatewayTest, servesOnWhileTheStoreIsAwayAndItsEntriesLapse) {
-  addRunner("desk-1", "desk");
+  addDesk("desk-1");
   configure();
   startAndAwaitReady();
   Store.setFaults(
@@ -353,7 +362,7 @@
 }
 
 TEST_F(GatewayTest, missedHistoryIsMadeGoodByAListing) {
-  addRunner("desk-1", "desk");
+  addDesk("desk-1");
   configure();
   startAndAwaitReady();
   Store.setFaults(
@@ -373,10 +382,10 @@
 }
 
 TEST_F(GatewayTest, aRolloutIsCompletedAlthoughAnswersOfTheStoreAreLost) {
-  addRunner("llm-1", "llm");
+  addModelRunner("llm-1");
   configure();
   startAndAwaitReady();
-  StreamingRunner &target = addRunner("llm-2", "llm");
+  StreamingRunner &target = addModelRunner("llm-2");
   target.traits().Version = "v2";
   Store.store().put("servers/llm-2", target.entry("available"));
   Store.setFaults(
@@ -396,7 +405,7 @@
 }
 
 TEST_F(GatewayTest, aTermSignalFinishesStreamsAndEndsTheProcess) {
-  StreamingRunner &runner = addRunner("llm-1", "llm");
+  StreamingRunner &runner = addModelRunner("llm-1");
   runner.traits().Events = 60;
   configure();
   startAndAwaitReady();
