Take store listings up at the page that was refused; keep peers that are heard

A 429 also counted as a lost store, which delays the removal of runners by 2.2 s. And when all registrations lapse in an outage of the store, each gateway took itself for the only one and the whole budget for repeats for its own.

Now StoreFollower keeps its pages and pauses for longer while the store is busy, at random; StoreContact calls the store lost after four refusals in a row, not one; a peer that is heard from outlives its registration.

Ruled out: stale reads for the listing.

--- a/programs/cowslipridge-gateway/main.cpp
+++ b/programs/cowslipridge-gateway/main.cpp
@@ -16,6 +16,7 @@
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
+#include <functional>
 #include <iostream>
 #include <optional>
 #include <sstream>
@@ -150,7 +151,9 @@
   BoundedLog lines(clock, log, metrics);
   log.report(observe::EventNumber::ProcessStarted, {});
   const platform::HeaderTranslator translator;
-  platform::StoreControlPlane control(loop, clock, settings.Store, metrics);
+  platform::StoreControlPlane control(
+      loop, clock, settings.Store,
+      std::hash<core::InstanceId>()(settings.Instance), metrics);
   gateway::Gateway gateway(loop, clock, settings, translator, control, log,
                            metrics);
   gateway.start();
--- a/src/cowslipridge/gateway/PeerExchange.cpp
+++ b/src/cowslipridge/gateway/PeerExchange.cpp
@@ -30,11 +30,20 @@
 }
 
 void PeerExchange::put(const Peer &peer) {
+  Lapsed.erase(peer.Name);
   Peers.insert_or_assign(peer.Name, peer);
   Decisions.setPeers(Peers.size());
 }
 
 void PeerExchange::remove(const core::InstanceId &name) {
+  if (HeardAt.contains(name))
+    Lapsed.insert(name);
+  else
+    drop(name);
+}
+
+void PeerExchange::drop(const core::InstanceId &name) {
+  Lapsed.erase(name);
   Peers.erase(name);
   Decisions.forgetPeer(name);
   Decisions.setPeers(Peers.size());
@@ -77,8 +86,11 @@
       ++it;
       continue;
     }
-    Decisions.forgetPeer(it->first);
+    const core::InstanceId name = it->first;
     it = HeardAt.erase(it);
+    Decisions.forgetPeer(name);
+    if (Lapsed.contains(name))
+      drop(name);
   }
 }
 
--- a/src/cowslipridge/gateway/PeerExchange.hpp
+++ b/src/cowslipridge/gateway/PeerExchange.hpp
@@ -10,6 +10,7 @@
 
 #include <array>
 #include <map>
+#include <set>
 #include <string>
 
 namespace cowslipridge::gateway {
@@ -24,6 +25,8 @@
   /// Throws boost::system::system_error when the address can't be bound.
   void listen(const config::SocketAddress &address);
   void put(const Peer &peer);
+  /// Its registration ended. One that is still heard from stays: registrations
+  /// of all gateways may lapse together while the store is away.
   void remove(const core::InstanceId &name);
   void sendReports();
   /// Peers whose reports are fresh.
@@ -36,6 +39,7 @@
 
 private:
   void receive();
+  void drop(const core::InstanceId &name);
 
   const core::Clock &Clock;
   Dispatcher &Decisions;
@@ -44,6 +48,7 @@
   std::array<char, 65'536> Buffer{};
   std::map<core::InstanceId, Peer> Peers;
   std::map<core::InstanceId, core::Millis> HeardAt;
+  std::set<core::InstanceId> Lapsed; ///< without a registration, but heard from
 };
 
 } // namespace cowslipridge::gateway
--- /dev/null
+++ b/src/cowslipridge/platform/StoreContact.cpp
@@ -0,0 +1,92 @@
+#include "cowslipridge/platform/StoreContact.hpp"
+
+namespace cowslipridge::platform {
+
+namespace {
+
+constexpr int Ok = 200;
+constexpr int NotFound = 404;
+constexpr int HistoryGone = 410;
+constexpr int ConditionFailed = 412;
+constexpr int TooManyCalls = 429;
+/// A store that is over its rate still serves; one that says so time and again
+/// has turned this gateway away.
+constexpr unsigned BusyRepliesToLose = 4;
+
+std::string_view toString(StoreCallName name) {
+  switch (name) {
+  case StoreCallName::List:
+    return "list";
+  case StoreCallName::Watch:
+    return "watch";
+  case StoreCallName::Grant:
+    return "grant";
+  case StoreCallName::Register:
+    return "register";
+  case StoreCallName::Renew:
+    return "renew";
+  case StoreCallName::Advance:
+    break;
+  }
+  return "advance";
+}
+
+std::string describe(StoreCallName name, const StoreReply &reply) {
+  const std::string what = reply.Status != 0
+                               ? "status " + std::to_string(reply.Status)
+                               : std::string(http1::toString(reply.Failure));
+  return std::string(toString(name)) + ": " + what;
+}
+
+} // namespace
+
+bool isAnswered(const StoreReply &reply) {
+  return reply.Status == Ok || reply.Status == NotFound ||
+         reply.Status == HistoryGone || reply.Status == ConditionFailed;
+}
+
+bool isBusy(const StoreReply &reply) { return reply.Status == TooManyCalls; }
+
+StoreContact::StoreContact(boost::asio::io_context &loop,
+                           const core::Clock &clock,
+                           const config::SocketAddress &address,
+                           observe::Metrics &counts)
+    : Store(loop, clock, address), Counts(counts) {}
+
+std::shared_ptr<http1::Call> StoreContact::send(StoreCallName name,
+                                                const StoreCall &call,
+                                                core::Millis timeout,
+                                                StoreClient::Done done) {
+  return Store.send(
+      call, timeout,
+      [this, name, done = std::move(done)](const StoreReply &reply) {
+        note(name, reply);
+        done(reply);
+      });
+}
+
+void StoreContact::note(StoreCallName name, const StoreReply &reply) {
+  const bool answered = isAnswered(reply);
+  const observe::MetricLabels labels{.Service = {},
+                                     .Version = {},
+                                     .Outcome =
+                                         answered ? "answered" : "failed"};
+  Counts.add(observe::CounterName::StoreCalls, labels);
+  // A watch waits on purpose.
+  if (name != StoreCallName::Watch)
+    Counts.observe(observe::HistogramName::StoreCallSeconds, labels,
+                   reply.Took);
+  BusyInRow = isBusy(reply) ? BusyInRow + 1 : 0;
+  const bool lost =
+      !answered && (!isBusy(reply) || BusyInRow >= BusyRepliesToLose);
+  if (lost && !Away) {
+    Away = true;
+    Hears.Lost(describe(name, reply));
+  }
+  if (answered && Away) {
+    Away = false;
+    Hears.Returned();
+  }
+}
+
+} // namespace cowslipridge::platform
--- /dev/null
+++ b/src/cowslipridge/platform/StoreContact.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "cowslipridge/observe/Metrics.hpp"
+#include "cowslipridge/platform/StoreClient.hpp"
+
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace cowslipridge::platform {
+
+/// What a call is, in logs and reasons.
+enum class StoreCallName { List, Watch, Grant, Register, Renew, Advance };
+
+/// Whether the store carried a call out, or found that it can't be.
+bool isAnswered(const StoreReply &reply);
+/// Whether the store refused a call because there are too many.
+bool isBusy(const StoreReply &reply);
+
+/// Sends all calls of this gateway to the store, counts them, and notes when
+/// the store is lost and when it is back.
+class StoreContact {
+public:
+  struct Listeners {
+    std::function<void(const std::string &reason)> Lost;
+    std::function<void()> Returned;
+  };
+
+  StoreContact(boost::asio::io_context &loop, const core::Clock &clock,
+               const config::SocketAddress &address, observe::Metrics &counts);
+
+  void setListeners(Listeners listeners) { Hears = std::move(listeners); }
+  std::shared_ptr<http1::Call> send(StoreCallName name, const StoreCall &call,
+                                    core::Millis timeout,
+                                    StoreClient::Done done);
+
+private:
+  void note(StoreCallName name, const StoreReply &reply);
+
+  StoreClient Store;
+  observe::Metrics &Counts;
+  Listeners Hears;
+  bool Away = false;
+  unsigned BusyInRow = 0;
+};
+
+} // namespace cowslipridge::platform
--- a/src/cowslipridge/platform/StoreControlPlane.cpp
+++ b/src/cowslipridge/platform/StoreControlPlane.cpp
@@ -19,25 +19,8 @@
 // Our own.
 constexpr std::string_view ProgressPrefix = "cowslipridge/progress/";
 constexpr std::string_view PeerPrefix = "cowslipridge/peers/";
-/// One watch serves all of the above.
-constexpr std::string_view WatchedPrefix;
 
-constexpr core::Millis CallTimeout{800};
-constexpr core::Millis ListTimeout{2'000};
-constexpr core::Millis WatchWait{15'000};
-/// Beyond the wait, for the answer to come.
-constexpr core::Millis WatchSlack{2'000};
-constexpr core::Millis RetryPause{250};
-constexpr core::Millis LeaseLifetime{4'000};
-/// Also how soon an outage of the store is noticed.
-constexpr core::Millis RenewInterval{1'000};
-
-constexpr std::string_view WatchCall = "watch";
-
-constexpr int Ok = 200;
-constexpr int NotFound = 404;
-constexpr int HistoryGone = 410;
-constexpr int ConditionFailed = 412;
+constexpr core::Millis AdvanceTimeout{800};
 
 std::string keyOf(std::string_view prefix, const std::string &name) {
   return std::string(prefix) + name;
@@ -51,10 +34,6 @@
   return key.substr(prefix.size());
 }
 
-std::chrono::milliseconds toChrono(core::Millis length) {
-  return std::chrono::milliseconds(length.count());
-}
-
 std::string writeProgress(const rollout::RolloutProgress &progress) {
   return internal::Json{{"target", progress.Target.str()},
                         {"step", progress.Step},
@@ -94,55 +73,36 @@
 
 StoreControlPlane::StoreControlPlane(boost::asio::io_context &loop,
                                      const core::Clock &clock,
-                                     const config::SocketAddress &store,
+                                     const config::SocketAddress &address,
+                                     std::uint64_t seed,
                                      observe::Metrics &counts)
-    : Store(loop, clock, store), Counts(counts), WatchTimer(loop),
-      LeaseTimer(loop) {}
+    : Store(loop, clock, address, counts), Items(loop, Store, seed),
+      Registration(loop, Store) {}
 
 void StoreControlPlane::start(gateway::Peer self, Listener listener,
                               std::function<void()> onSynced) {
   Self = std::move(self);
   Listen = std::move(listener);
   Synced = std::move(onSynced);
-  list({});
-  grant();
-}
-
-void StoreControlPlane::list(const std::string &after) {
-  if (after.empty()) {
-    Listing.clear();
-    At = 0;
-  }
-  Store.send(listCall(std::string(WatchedPrefix), after), {}, ListTimeout,
-             [this](const StoreReply &reply) { onPage(reply); });
-}
-
-void StoreControlPlane::onPage(const StoreReply &reply) {
-  const auto page = parseListing(reply.Body);
-  if (!noteReply(reply, "list") || reply.Status != Ok || !page) {
-    At = 0;
-    retryLater();
-    return;
-  }
-  // Pages are no snapshot: what changed since the first one is seen again.
-  if (At == 0)
-    At = page->At;
-  Listing.insert(Listing.end(), page->Items.begin(), page->Items.end());
-  if (page->HasMore && !page->Items.empty()) {
-    list(page->Items.back().Key);
-    return;
-  }
-  applyListing();
-  if (const auto synced = std::exchange(Synced, nullptr))
-    synced();
-  watch();
-}
-
-void StoreControlPlane::applyListing() {
-  reportRemoved();
+  Store.setListeners({[this](const std::string &reason) {
+                        report(gateway::ControlPlaneLost{reason});
+                      },
+                      [this] {
+                        report(gateway::ControlPlaneReturned{});
+                        Items.renewWatch();
+                      }});
+  Items.start(
+      {[this](const auto &items, StoreRevision at) { applyListing(items, at); },
+       [this](const StoreItem &it) { apply(it); }});
+  Registration.start(keyOf(PeerPrefix, Self.Name.str()), writePeer(Self));
+}
+
+void StoreControlPlane::applyListing(const std::vector<StoreItem> &items,
+                                     StoreRevision at) {
+  reportRemoved(items, at);
   Revisions.clear();
   gateway::ServersListed servers;
-  for (const StoreItem &it : Listing) {
+  for (const StoreItem &it : items) {
     const auto server = nameBehind(ServerPrefix, it.Key);
     if (!server) {
       apply(it);
@@ -154,40 +114,18 @@
       report(gateway::EntryRefused{it.Key});
   }
   report(servers);
-  Listing.clear();
+  if (const auto synced = std::exchange(Synced, nullptr))
+    synced();
 }
 
 // Orders and peers that were removed while changes were missed.
-void StoreControlPlane::reportRemoved() {
+void StoreControlPlane::reportRemoved(const std::vector<StoreItem> &items,
+                                      StoreRevision at) {
   std::set<std::string> gone = KnownKeys;
-  for (const StoreItem &it : Listing)
+  for (const StoreItem &it : items)
     gone.erase(it.Key);
   for (const std::string &it : gone)
-    apply({it, {}, At, true});
-}
-
-void StoreControlPlane::watch() {
-  Watching = Store.send(watchCall(std::string(WatchedPrefix), At, WatchWait),
-                        {}, WatchWait + WatchSlack,
-                        [this](const StoreReply &reply) { onChanges(reply); });
-}
-
-void StoreControlPlane::onChanges(const StoreReply &reply) {
-  Watching = nullptr;
-  if (reply.Status == HistoryGone) {
-    noteReply(reply, WatchCall);
-    list({});
-    return;
-  }
-  const auto changes = parseChanges(reply.Body);
-  if (!noteReply(reply, WatchCall) || reply.Status != Ok || !changes) {
-    retryLater();
-    return;
-  }
-  for (const StoreItem &it : changes->Items)
-    apply(it);
-  At = std::max(At, changes->At);
-  watch();
+    apply({it, {}, at, true});
 }
 
 void StoreControlPlane::apply(const StoreItem &item) {
@@ -282,10 +220,14 @@
     report(gateway::EntryRefused{item.Key});
   if (item.Deleted || !peer) {
     KnownKeys.erase(item.Key);
+    PeerKeys.erase(item.Key);
+    Items.setFollowers(PeerKeys.size());
     report(gateway::PeerRemoved{core::InstanceId(name)});
     return;
   }
   KnownKeys.insert(item.Key);
+  PeerKeys.insert(item.Key);
+  Items.setFollowers(PeerKeys.size());
   if (peer->Name != Self.Name)
     report(gateway::PeerChanged{*peer});
 }
@@ -298,118 +240,16 @@
     const auto it = Revisions.find(key);
     return it == Revisions.end() ? 0 : it->second;
   };
-  Store.send(writeCall({{statusKey, writeRolloutStatus(status), 0, true,
+  Store.send(StoreCallName::Advance,
+             writeCall({{statusKey, writeRolloutStatus(status), 0, true,
                          revisionOf(statusKey)},
                         {progressKey, writeProgress(progress), 0, true,
                          revisionOf(progressKey)}}),
-             CallTimeout,
-             [this](const StoreReply &reply) { noteReply(reply, "advance"); });
-}
-
-void StoreControlPlane::leave() {
-  Leaving = true;
-  LeaseTimer.cancel();
-  if (Lease != 0)
-    Store.send(endLeaseCall(Lease), CallTimeout, [](const StoreReply &) {
-      // The lease ends by itself if this call was lost.
-    });
-}
-
-void StoreControlPlane::renewLater() {
-  if (Leaving)
-    return;
-  LeaseTimer.expires_after(toChrono(RenewInterval));
-  LeaseTimer.async_wait([this](const auto &ec) {
-    if (!ec && !Leaving)
-      renew();
-  });
-}
-
-void StoreControlPlane::renew() {
-  if (Lease == 0) {
-    grant();
-    return;
-  }
-  Store.send(renewLeaseCall(Lease), CallTimeout,
-             [this](const StoreReply &reply) { onLeaseReply(reply); });
-}
-
-void StoreControlPlane::onLeaseReply(const StoreReply &reply) {
-  noteReply(reply, "renew");
-  if (reply.Status == NotFound) {
-    Lease = 0;
-    grant();
-    return;
-  }
-  renewLater();
-}
-
-void StoreControlPlane::grant() {
-  Store.send(grantLeaseCall(LeaseLifetime), CallTimeout,
-             [this](const StoreReply &reply) {
-               const auto lease = parseLease(reply.Body);
-               if (noteReply(reply, "grant") && reply.Status == Ok && lease) {
-                 Lease = *lease;
-                 registerSelf();
-               }
-               renewLater();
+             AdvanceTimeout, [](const StoreReply &) {
+               // The watch tells which record holds.
              });
 }
 
-void StoreControlPlane::registerSelf() {
-  Store.send(writeCall({{keyOf(PeerPrefix, Self.Name.str()), writePeer(Self),
-                         Lease, false, 0}}),
-             CallTimeout, [this](const StoreReply &reply) {
-               if (noteReply(reply, "register") && reply.Status == Ok)
-                 return;
-               // Begins anew with the next renewal.
-               Lease = 0;
-             });
-}
-
-bool StoreControlPlane::noteReply(const StoreReply &reply,
-                                  std::string_view call) {
-  const bool answered = reply.Status == Ok || reply.Status == NotFound ||
-                        reply.Status == HistoryGone ||
-                        reply.Status == ConditionFailed;
-  const observe::MetricLabels labels{.Service = {},
-                                     .Version = {},
-                                     .Outcome =
-                                         answered ? "answered" : "failed"};
-  Counts.add(observe::CounterName::StoreCalls, labels);
-  // A watch waits on purpose.
-  if (call != WatchCall)
-    Counts.observe(observe::HistogramName::StoreCallSeconds, labels,
-                   reply.Took);
-  if (!answered && !Away) {
-    Away = true;
-    const std::string reason = reply.Status != 0
-                                   ? "status " + std::to_string(reply.Status)
-                                   : std::string(toString(reply.Failure));
-    report(gateway::ControlPlaneLost{std::string(call) + ": " + reason});
-  }
-  if (answered && Away) {
-    Away = false;
-    report(gateway::ControlPlaneReturned{});
-    // The connection of a watch that waits may have fallen silent.
-    if (Watching) {
-      std::exchange(Watching, nullptr)->cancel();
-      watch();
-    }
-  }
-  return answered;
-}
-
-void StoreControlPlane::retryLater() {
-  WatchTimer.expires_after(toChrono(RetryPause));
-  WatchTimer.async_wait([this](const auto &ec) {
-    if (ec)
-      return;
-    if (At == 0)
-      list({});
-    else
-      watch();
-  });
-}
+void StoreControlPlane::leave() { Registration.leave(); }
 
 } // namespace cowslipridge::platform
--- a/src/cowslipridge/platform/StoreControlPlane.hpp
+++ b/src/cowslipridge/platform/StoreControlPlane.hpp
@@ -2,10 +2,11 @@
 
 #include "cowslipridge/gateway/ControlPlane.hpp"
 #include "cowslipridge/observe/Metrics.hpp"
-#include "cowslipridge/platform/StoreClient.hpp"
-
-#include <boost/asio/steady_timer.hpp>
+#include "cowslipridge/platform/StoreContact.hpp"
+#include "cowslipridge/platform/StoreFollower.hpp"
+#include "cowslipridge/platform/StoreRegistration.hpp"
 
+#include <cstdint>
 #include <map>
 #include <set>
 #include <string>
@@ -17,8 +18,9 @@
 /// there under a lease. Must outlive the loop's run.
 class StoreControlPlane final : public gateway::ControlPlane {
 public:
+  /// `seed` differs between gateways.
   StoreControlPlane(boost::asio::io_context &loop, const core::Clock &clock,
-                    const config::SocketAddress &store,
+                    const config::SocketAddress &address, std::uint64_t seed,
                     observe::Metrics &counts);
 
   void start(gateway::Peer self, Listener listener,
@@ -28,12 +30,8 @@
   void leave() override;
 
 private:
-  void list(const std::string &after);
-  void onPage(const StoreReply &reply);
-  void applyListing();
-  void reportRemoved();
-  void watch();
-  void onChanges(const StoreReply &reply);
+  void applyListing(const std::vector<StoreItem> &items, StoreRevision at);
+  void reportRemoved(const std::vector<StoreItem> &items, StoreRevision at);
   void apply(const StoreItem &item);
   void applyConfiguration(const StoreItem &item);
   void applyServer(const std::string &id, const StoreItem &item);
@@ -42,33 +40,18 @@
   void applyProgress(const std::string &service, const StoreItem &item);
   void applyPeer(const std::string &name, const StoreItem &item);
 
-  void renewLater();
-  void renew();
-  void grant();
-  void registerSelf();
-  void onLeaseReply(const StoreReply &reply);
-
-  /// Whether the store carried a call out; notes its loss and its return.
-  bool noteReply(const StoreReply &reply, std::string_view call);
-  void retryLater();
   void report(const gateway::ControlEvent &event) { Listen(event); }
 
-  StoreClient Store;
-  observe::Metrics &Counts;
-  boost::asio::steady_timer WatchTimer;
-  boost::asio::steady_timer LeaseTimer;
+  StoreContact Store;
+  StoreFollower Items;
+  StoreRegistration Registration;
   gateway::Peer Self;
   Listener Listen;
   std::function<void()> Synced;
-  StoreRevision At = 0;
-  std::vector<StoreItem> Listing;
-  std::shared_ptr<http1::Call> Watching;
   /// Last revision heard of each key that advance() writes; none: absent.
   std::map<std::string, StoreRevision> Revisions;
   std::set<std::string> KnownKeys; ///< of orders and peers
-  LeaseId Lease = 0;
-  bool Away = false;
-  bool Leaving = false;
+  std::set<std::string> PeerKeys;  ///< this gateway's own among them
 };
 
 } // namespace cowslipridge::platform
--- /dev/null
+++ b/src/cowslipridge/platform/StoreFollower.cpp
@@ -0,0 +1,136 @@
+#include "cowslipridge/platform/StoreFollower.hpp"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <iterator>
+#include <utility>
+
+namespace cowslipridge::platform {
+
+namespace {
+
+/// Of the keys that are followed: all. One watch is cheaper than several.
+const std::string Prefix;
+
+constexpr core::Millis ListTimeout{2'000};
+constexpr core::Millis WatchWait{15'000};
+/// Beyond the wait, for the answer to come.
+constexpr core::Millis WatchSlack{2'000};
+constexpr core::Millis RetryPause{250};
+constexpr unsigned MaxPauseDoublings = 3;
+/// Between two watches, for each gateway that follows the store.
+constexpr core::Millis PausePerFollower{1};
+
+constexpr int Ok = 200;
+constexpr int HistoryGone = 410;
+
+} // namespace
+
+StoreFollower::StoreFollower(boost::asio::io_context &loop, StoreContact &store,
+                             std::uint64_t seed)
+    : Store(store), Timer(loop), Draw(seed) {}
+
+void StoreFollower::start(Listeners listeners) {
+  Hears = std::move(listeners);
+  beginAnew();
+}
+
+void StoreFollower::beginAnew() {
+  Doing = Step::Listing;
+  Listing.clear();
+  HasPage = false;
+  list();
+}
+
+void StoreFollower::list() {
+  const std::string after = Listing.empty() ? "" : Listing.back().Key;
+  Store.send(StoreCallName::List, {listCall(Prefix, after), {}}, ListTimeout,
+             [this](const StoreReply &reply) { onPage(reply); });
+}
+
+void StoreFollower::onPage(const StoreReply &reply) {
+  auto page = parseListing(reply.Body);
+  if (reply.Status != Ok || !page) {
+    retryAfter(reply);
+    return;
+  }
+  BusyInRow = 0;
+  // Pages are no snapshot: what changed since the first one is seen again.
+  if (!std::exchange(HasPage, true))
+    At = page->At;
+  const bool goesOn = page->HasMore && !page->Items.empty();
+  std::move(page->Items.begin(), page->Items.end(),
+            std::back_inserter(Listing));
+  if (goesOn) {
+    list();
+    return;
+  }
+  Hears.Listed(std::exchange(Listing, {}), At);
+  watch();
+}
+
+void StoreFollower::watch() {
+  Doing = Step::Watching;
+  Watch =
+      Store.send(StoreCallName::Watch, {watchCall(Prefix, At, WatchWait), {}},
+                 WatchWait + WatchSlack,
+                 [this](const StoreReply &reply) { onChanges(reply); });
+}
+
+void StoreFollower::onChanges(const StoreReply &reply) {
+  Watch = nullptr;
+  if (reply.Status == HistoryGone) {
+    beginAnew();
+    return;
+  }
+  const auto changes = parseChanges(reply.Body);
+  if (reply.Status != Ok || !changes) {
+    retryAfter(reply);
+    return;
+  }
+  BusyInRow = 0;
+  for (const StoreItem &it : changes->Items)
+    Hears.Changed(it);
+  At = std::max(At, changes->At);
+  resumeAfter(PausePerFollower * static_cast<std::int64_t>(Followers));
+}
+
+// Later, since an answer of this very watch may be what is being handled.
+void StoreFollower::renewWatch() {
+  boost::asio::post(Timer.get_executor(), [this] {
+    if (!Watch)
+      return;
+    std::exchange(Watch, nullptr)->cancel();
+    watch();
+  });
+}
+
+// Gateways that were refused together come back one by one.
+void StoreFollower::retryAfter(const StoreReply &reply) {
+  if (!isBusy(reply)) {
+    BusyInRow = 0;
+    resumeAfter(RetryPause);
+    return;
+  }
+  const auto doublings = std::min(BusyInRow++, MaxPauseDoublings);
+  const auto most =
+      static_cast<double>((RetryPause * (1 << doublings)).count());
+  resumeAfter(core::Millis(
+      static_cast<std::int64_t>(most * (0.5 + core::uniform(Draw)))));
+}
+
+void StoreFollower::resumeAfter(core::Millis pause) {
+  Timer.expires_after(std::chrono::milliseconds(pause.count()));
+  Timer.async_wait([this](const auto &ec) {
+    if (ec)
+      return;
+    if (Doing == Step::Listing)
+      list();
+    else
+      watch();
+  });
+}
+
+} // namespace cowslipridge::platform
--- /dev/null
+++ b/src/cowslipridge/platform/StoreFollower.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "cowslipridge/core/Random.hpp"
+#include "cowslipridge/platform/StoreContact.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace cowslipridge::platform {
+
+/// Follows all items of the store: one listing in pages, then one watch.
+///
+/// A page that was refused is asked for again, after a pause that grows while
+/// the store is busy, and the pages before it are kept: gateways that start
+/// together take turns rather than begin anew for ever.
+class StoreFollower {
+public:
+  struct Listeners {
+    /// All items there are, as of `at` or later.
+    std::function<void(std::vector<StoreItem> items, StoreRevision at)> Listed;
+    /// One that changed since.
+    std::function<void(const StoreItem &)> Changed;
+  };
+
+  /// `seed` differs between gateways, so that they don't retry together.
+  StoreFollower(boost::asio::io_context &loop, StoreContact &store,
+                std::uint64_t seed);
+
+  void start(Listeners listeners);
+  /// Asks anew: the connection of a watch that waits may have fallen silent.
+  void renewWatch();
+  /// How many gateways follow the store. With more of them each leaves a longer
+  /// pause between two watches, so that a change costs the store less.
+  void setFollowers(std::size_t count) { Followers = count; }
+
+private:
+  enum class Step { Listing, Watching };
+
+  void list();
+  void onPage(const StoreReply &reply);
+  void watch();
+  void onChanges(const StoreReply &reply);
+  void beginAnew();
+  void retryAfter(const StoreReply &reply);
+  void resumeAfter(core::Millis pause);
+
+  StoreContact &Store;
+  boost::asio::steady_timer Timer;
+  Listeners Hears;
+  core::Random Draw;
+  Step Doing = Step::Listing;
+  StoreRevision At = 0;
+  std::vector<StoreItem> Listing;
+  bool HasPage = false; ///< of this listing
+  std::shared_ptr<http1::Call> Watch;
+  unsigned BusyInRow = 0;
+  std::size_t Followers = 1;
+};
+
+} // namespace cowslipridge::platform
--- a/src/standins/platform/MetadataServer.cpp
+++ b/src/standins/platform/MetadataServer.cpp
@@ -16,6 +16,7 @@
 
 constexpr std::chrono::milliseconds TickInterval{5};
 constexpr std::size_t PageSize = 50;
+constexpr core::Millis Second{1'000};
 
 std::string unescape(std::string_view text) {
   std::string plain;
@@ -105,14 +106,32 @@
     answer(*exchange, 503, json::object());
     return;
   }
+  if (isOverRate()) {
+    ++Refused;
+    answer(*exchange, 429, json::object());
+    return;
+  }
   carryOut(exchange);
 }
 
+bool MetadataServer::isOverRate() {
+  if (Faults.CallsPerSecond == 0)
+    return false;
+  const core::Millis now = Clock.monotonic();
+  while (!Recent.empty() && now - Recent.front() >= Second)
+    Recent.pop_front();
+  if (Recent.size() >= Faults.CallsPerSecond)
+    return true;
+  Recent.push_back(now);
+  return false;
+}
+
 void MetadataServer::carryOut(
     const std::shared_ptr<http1::Exchange> &exchange) {
   const Target target(exchange->head().Target);
   const core::Millis now = Clock.monotonic();
   if (target.Path == "/v1/kv-range") {
+    ++Pages;
     auto items = Store.list(target.text("pathPrefix"), target.text("after"));
     const bool more = items.size() > PageSize;
     items.resize(std::min(items.size(), PageSize));
--- a/src/standins/platform/MetadataServer.hpp
+++ b/src/standins/platform/MetadataServer.hpp
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <cstddef>
+#include <deque>
 #include <memory>
 #include <string>
 #include <vector>
@@ -18,6 +19,8 @@
   bool Silent = false;     ///< takes calls and never answers
   bool LoseWrites = false; ///< carries writes out and cuts the connection
   core::Millis Delay;      ///< before each answer
+  /// Calls beyond this rate are answered 429; 0: no limit.
+  std::size_t CallsPerSecond = 0;
 };
 
 /// Serves a metadata store over HTTP.
@@ -30,6 +33,10 @@
   void setFaults(const StoreFaults &faults) { Faults = faults; }
   /// Calls taken since the start.
   [[nodiscard]] std::size_t calls() const { return Calls; }
+  /// Of these, refused because there were too many.
+  [[nodiscard]] std::size_t refused() const { return Refused; }
+  /// Pages of listings given out.
+  [[nodiscard]] std::size_t pages() const { return Pages; }
 
 private:
   struct Watch {
@@ -39,6 +46,7 @@
     core::Millis EndsAt;
   };
 
+  bool isOverRate();
   void onCall(const std::shared_ptr<http1::Exchange> &exchange);
   void carryOut(const std::shared_ptr<http1::Exchange> &exchange);
   void transact(http1::Exchange &exchange);
@@ -50,6 +58,9 @@
   MetadataStore Store;
   StoreFaults Faults;
   std::size_t Calls = 0;
+  std::size_t Refused = 0;
+  std::size_t Pages = 0;
+  std::deque<core::Millis> Recent; ///< calls within the last second
   std::vector<Watch> Watches;
   http1::Server Server;
   boost::asio::steady_timer Ticker;
--- /dev/null
+++ b/tests/integration/platform/StoreFollowerTest.cpp
@@ -0,0 +1,119 @@
+#include "support/LoopFixture.hpp"
+
+#include "cowslipridge/platform/StoreFollower.hpp"
+#include "standins/platform/MetadataServer.hpp"
+
+#include <deque>
+
+using namespace cowslipridge;
+using namespace cowslipridge::platform;
+using standins::platform::MetadataServer;
+using standins::platform::StoreFaults;
+
+namespace {
+
+/// A gateway's way to the store, and what it learnt there.
+struct Member {
+  Member(boost::asio::io_context &loop, const core::Clock &clock,
+         const config::SocketAddress &store, std::uint64_t seed)
+      : Contact(loop, clock, store, Counts), Items(loop, Contact, seed) {
+    Contact.setListeners({[this](const auto &) { ++Lost; }, [] {}});
+    Items.start({[this](const auto &items, StoreRevision) {
+                   ++Listings;
+                   Listed = items.size();
+                 },
+                 [this](const StoreItem &it) { Changed.push_back(it.Key); }});
+  }
+
+  observe::Metrics Counts{core::InstanceId("g"), core::FailureDomainId("d")};
+  StoreContact Contact;
+  StoreFollower Items;
+  std::size_t Listed = 0;
+  int Listings = 0;
+  int Lost = 0;
+  std::vector<std::string> Changed;
+};
+
+class StoreFollowerTest : public support::LoopFixture {
+protected:
+  StoreFollowerTest() : Store(Loop, Clock) {
+    Tcp::acceptor probe(Loop, anyPort());
+    const auto at = probe.local_endpoint();
+    probe.close();
+    Store.listen(at);
+    Address = {at.address().to_string(), at.port()};
+  }
+
+  void fill(int items) {
+    for (int n = 0; n < items; ++n)
+      Store.store().put("servers/r" + std::to_string(n), "{}");
+  }
+  void startMembers(std::uint64_t count) {
+    for (std::uint64_t n = 0; n < count; ++n)
+      Members.emplace_back(Loop, Clock, Address, n);
+  }
+  bool allListed() {
+    return std::all_of(Members.begin(), Members.end(),
+                       [](const Member &it) { return it.Listings > 0; });
+  }
+
+  MetadataServer Store;
+  config::SocketAddress Address;
+  std::deque<Member> Members;
+};
+
+TEST_F(StoreFollowerTest, listsAllPagesAndThenHearsOfChanges) {
+  fill(120);
+  startMembers(1);
+  runUntil([&] { return allListed(); });
+  EXPECT_EQ(Members[0].Listed, 120U);
+  Store.store().put("servers/new", "{}");
+  runUntil([&] { return !Members[0].Changed.empty(); });
+  EXPECT_EQ(Members[0].Changed, std::vector<std::string>{"servers/new"});
+}
+
+// Pattern: a whole fleet starts at the same moment, and its listings are more
+// than the store bears in a second.
+TEST_F(StoreFollowerTest, aFleetThatStartsTogetherAsksForNoPageTwice) {
+  constexpr std::size_t PagesEach = 3;
+  constexpr std::size_t Fleet = 40;
+  fill(120);
+  StoreFaults faults;
+  faults.CallsPerSecond = 60;
+  Store.setFaults(faults);
+  startMembers(Fleet);
+  runUntil([&] { return allListed(); });
+  EXPECT_EQ(Store.pages(), Fleet * PagesEach);
+  EXPECT_GT(Store.refused(), 0U);
+  for (const Member &it : Members)
+    EXPECT_EQ(it.Listed, 120U);
+}
+
+TEST_F(StoreFollowerTest, aBusyStoreIsNotALostOne) {
+  StoreFaults faults;
+  faults.CallsPerSecond = 1;
+  Store.setFaults(faults);
+  startMembers(2);
+  runUntil([&] { return Store.refused() >= 2; });
+  EXPECT_EQ(Members[0].Lost + Members[1].Lost, 0);
+  runUntil([&] { return Members[0].Lost + Members[1].Lost > 0; });
+  EXPECT_GE(Store.refused(), 4U) << "refused time and again, it is lost";
+}
+
+TEST_F(StoreFollowerTest, listsAnewWhenTheHistoryIsGone) {
+  fill(3);
+  startMembers(1);
+  runUntil([&] { return allListed(); });
+  StoreFaults faults;
+  faults.Busy = true;
+  Store.setFaults(faults);
+  Members[0].Items.renewWatch();
+  runUntil([&] { return Members[0].Lost > 0; });
+  Store.store().remove("servers/r0");
+  Store.store().dropHistory();
+  Store.setFaults({});
+  runUntil([&] { return Members[0].Listings == 2; });
+  EXPECT_EQ(Members[0].Listed, 2U);
+}
+
+} // namespace
