Let leaving gateways finish what they can, and tell callers when one serves

Departures knows from the peers' reports who leaves until when, and gives the time at which the balancer has noticed one that serves. The process ends when nothing is under way, though connections are open.

--- /dev/null
+++ b/src/cowslipridge/gateway/Departures.cpp
@@ -0,0 +1,42 @@
+#include "cowslipridge/gateway/Departures.hpp"
+
+#include <algorithm>
+
+namespace cowslipridge::gateway {
+
+namespace {
+
+/// From the end of a process until the one that replaces it serves.
+constexpr core::Millis RestartTime{600};
+/// How long a report shows that its sender serves.
+constexpr core::Millis ReportLife{1'500};
+/// Until the balancer sends callers to a gateway that began to serve.
+constexpr core::Millis BalancerNotices{1'200};
+
+} // namespace
+
+void Departures::note(const core::InstanceId &peer,
+                      std::optional<core::Millis> endsIn, core::Millis now) {
+  const bool leaves = endsIn.has_value();
+  const auto known = Peers.find(peer);
+  const bool changed = known == Peers.end() || known->second.Leaves != leaves;
+  const core::Millis since = changed ? now : known->second.Since;
+  const core::Millis until =
+      leaves ? now + *endsIn + RestartTime : now + ReportLife;
+  Peers.insert_or_assign(peer, State{leaves, since, until});
+}
+
+core::Millis Departures::returnIn(core::Millis ownEndsIn,
+                                  core::Millis now) const {
+  core::Millis earliest = now + ownEndsIn + RestartTime + BalancerNotices;
+  for (const auto &[name, peer] : Peers) {
+    if (!peer.Leaves && now <= peer.Until)
+      earliest = std::min(earliest, peer.Since + BalancerNotices);
+    // One that is late may be gone for good, and says nothing any more.
+    if (peer.Leaves && now <= peer.Until + RestartTime)
+      earliest = std::min(earliest, peer.Until + BalancerNotices);
+  }
+  return std::max(core::Millis(), earliest - now);
+}
+
+} // namespace cowslipridge::gateway
--- a/src/cowslipridge/gateway/Dispatcher.hpp
+++ b/src/cowslipridge/gateway/Dispatcher.hpp
@@ -25,6 +25,8 @@
   rollout::EvidenceTable Evidence;
   /// Sessions that a roll-out does not move, by the hashes of their ids.
   std::vector<std::uint64_t> StayingSessions;
+  /// The gateway leaves, and its process ends after this time at the latest.
+  std::optional<core::Millis> EndsIn;
 };
 
 /// Hears of an ejection and of the sending that settled it.
--- a/src/cowslipridge/gateway/Gateway.cpp
+++ b/src/cowslipridge/gateway/Gateway.cpp
@@ -19,10 +19,6 @@
 /// Between two attempts to write a roll-out's next record, for the change to
 /// come back by the watch.
 constexpr core::Millis AdvancePause{500};
-/// After SIGTERM: until the balancer sends no new connections.
-constexpr core::Millis BalancerNotices{2'500};
-/// Before SIGKILL: for open answers to be broken off in order.
-constexpr core::Millis StopMargin{500};
 /// For callers that meet a gateway which can't serve them yet or any more.
 constexpr core::Millis ShortReturn{200};
 /// The same while the store is away: outages last for seconds.
@@ -50,7 +46,8 @@
       Callers(loop, clock, [this](const auto &it) { onRequest(it); }),
       Readiness(loop, clock, [this](const auto &it) { onReadiness(*it); }),
       Scrapes(loop, clock, [this](const auto &it) { onScrape(*it); }),
-      Peers(loop, clock, Decisions), Gauges(metrics), Ticker(loop) {
+      Peers(loop, clock, Decisions), Gauges(metrics), Ticker(loop),
+      Drain(settings.GracePeriod) {
   Decisions.onEjections(
       [this](const limits::EjectionChange &change, SendOutcome outcome) {
         report(change.isEjected() ? EventNumber::RunnerEjected
@@ -73,7 +70,7 @@
 }
 
 bool Gateway::isReady() const {
-  return Synced && Decisions.catalogue() && !LeavingSince;
+  return Synced && Decisions.catalogue() && !Drain.hasBegun();
 }
 
 void Gateway::onReadiness(http1::Exchange &exchange) {
@@ -119,15 +116,16 @@
       return;
     }
   }
-  const core::Millis now = Clock.monotonic();
-  if (LeavingSince && now - *LeavingSince > BalancerNotices) {
-    refuse(*exchange, caller->Id, Unavailable, "leaving", core::Millis());
-    return;
-  }
   facts.ArrivedAt = exchange->readAt();
   facts.Deadline = facts.ArrivedAt +
                    std::min(facts.Route->Timeout,
                             caller->Remaining.value_or(facts.Route->Timeout));
+  const core::Millis now = Clock.monotonic();
+  if (!Drain.takes(facts, now)) {
+    refuse(*exchange, caller->Id, Unavailable, "leaving",
+           Peers.returnIn(Drain.endsIn(now).value_or(core::Millis())));
+    return;
+  }
   std::make_shared<RequestFlow>(Flows, exchange, std::move(facts))->start();
 }
 
@@ -269,13 +267,12 @@
   Peers.expire(now);
   if (now - ReportedAt >= ReportInterval) {
     ReportedAt = now;
-    Peers.sendReports();
+    Peers.sendReports(Drain.endsIn(now));
   }
   driveRollouts(now);
   if (isReady() && !std::exchange(ReadyReported, true))
     Log.report(EventNumber::ProcessReady, {});
-  if (LeavingSince)
-    drainStep(now);
+  drainStep(now);
   tickLater();
 }
 
@@ -299,20 +296,17 @@
 }
 
 void Gateway::leave() {
-  if (LeavingSince)
+  if (Drain.hasBegun())
     return;
-  LeavingSince = Clock.monotonic();
+  Drain.begin(Clock.monotonic());
   Callers.closeAfterAnswers();
   Log.report(EventNumber::ProcessLeaving, {});
 }
 
 void Gateway::drainStep(core::Millis now) {
-  const core::Millis since = now - *LeavingSince;
-  if (since < BalancerNotices)
-    return;
-  Callers.closeIdle();
-  const bool done = Callers.inFlight() == 0 && Callers.connections() == 0;
-  if (!done && since < Settings.GracePeriod - StopMargin)
+  if (Drain.closesIdle(now))
+    Callers.closeIdle();
+  if (!Drain.isOver(Callers.inFlight(), now))
     return;
   Control.leave();
   Callers.stop();
--- a/src/cowslipridge/gateway/Gateway.hpp
+++ b/src/cowslipridge/gateway/Gateway.hpp
@@ -4,6 +4,7 @@
 #include "cowslipridge/core/Clock.hpp"
 #include "cowslipridge/gateway/ControlPlane.hpp"
 #include "cowslipridge/gateway/Dispatcher.hpp"
+#include "cowslipridge/gateway/DrainPolicy.hpp"
 #include "cowslipridge/gateway/GatewayGauges.hpp"
 #include "cowslipridge/gateway/PeerExchange.hpp"
 #include "cowslipridge/gateway/RequestFlow.hpp"
@@ -88,7 +89,7 @@
   boost::asio::steady_timer Ticker;
   bool Synced = false;
   bool ReadyReported = false;
-  std::optional<core::Millis> LeavingSince;
+  DrainPolicy Drain;
   std::optional<core::Millis> StoreAwaySince;
   core::Millis ReportedAt;
   core::Millis AdvancedAt;
--- a/src/cowslipridge/gateway/PeerExchange.cpp
+++ b/src/cowslipridge/gateway/PeerExchange.cpp
@@ -49,11 +49,12 @@
   Decisions.setPeers(Peers.size());
 }
 
-void PeerExchange::sendReports() {
+void PeerExchange::sendReports(std::optional<core::Millis> endsIn) {
   if (Peers.empty())
     return;
-  const std::string bytes =
-      encodePeerReport(Decisions.report(Clock.monotonic()));
+  PeerReport report = Decisions.report(Clock.monotonic());
+  report.EndsIn = endsIn;
+  const std::string bytes = encodePeerReport(report);
   for (const auto &[name, peer] : Peers) {
     // A datagram that can't be sent now is as good as lost.
     boost::system::error_code ignored;
@@ -74,6 +75,7 @@
           if (report && Peers.contains(report->Gateway)) {
             HeardAt[report->Gateway] = Clock.monotonic();
             Decisions.onPeerReport(*report, Clock.monotonic());
+            Leaving.note(report->Gateway, report->EndsIn, Clock.monotonic());
           }
         }
         receive();
--- a/src/cowslipridge/gateway/PeerExchange.hpp
+++ b/src/cowslipridge/gateway/PeerExchange.hpp
@@ -3,6 +3,7 @@
 #include "cowslipridge/config/GatewaySettings.hpp"
 #include "cowslipridge/core/Clock.hpp"
 #include "cowslipridge/gateway/ControlPlane.hpp"
+#include "cowslipridge/gateway/Departures.hpp"
 #include "cowslipridge/gateway/Dispatcher.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -28,7 +29,12 @@
   /// Its registration ended. One that is still heard from stays: registrations
   /// of all gateways may lapse together while the store is away.
   void remove(const core::InstanceId &name);
-  void sendReports();
+  /// `endsIn`: this gateway leaves.
+  void sendReports(std::optional<core::Millis> endsIn);
+  /// When callers that this gateway refuses find one that serves.
+  [[nodiscard]] core::Millis returnIn(core::Millis ownEndsIn) const {
+    return Leaving.returnIn(ownEndsIn, Clock.monotonic());
+  }
   /// Peers whose reports are fresh.
   [[nodiscard]] std::size_t heard() const { return HeardAt.size(); }
   /// Forgets what peers said that have fallen silent.
@@ -48,6 +54,7 @@
   std::array<char, 65'536> Buffer{};
   std::map<core::InstanceId, Peer> Peers;
   std::map<core::InstanceId, core::Millis> HeardAt;
+  Departures Leaving;
   std::set<core::InstanceId> Lapsed; ///< without a registration, but heard from
 };
 
--- a/src/cowslipridge/gateway/PeerReportCodec.cpp
+++ b/src/cowslipridge/gateway/PeerReportCodec.cpp
@@ -11,7 +11,7 @@
 using nlohmann::json;
 
 /// Raised when the layout below changes; other formats are ignored.
-constexpr int Format = 2;
+constexpr int Format = 3;
 
 json encodeLoads(const PeerReport &report) {
   json loads = json::array();
@@ -48,14 +48,20 @@
             it.at(5).get<std::uint64_t>(), it.at(6).get<std::uint64_t>(),
             it.at(7).get<std::uint64_t>(), it.at(8).get<double>()});
   report.StayingSessions = message.at(4).get<std::vector<std::uint64_t>>();
+  if (!message.at(5).is_null())
+    report.EndsIn = core::Millis(message.at(5).get<std::int64_t>());
   return report;
 }
 
 } // namespace
 
 std::string encodePeerReport(const PeerReport &report) {
-  const json message = {Format, report.Gateway.str(), encodeLoads(report),
-                        encodeEvidence(report), report.StayingSessions};
+  const json message = {Format,
+                        report.Gateway.str(),
+                        encodeLoads(report),
+                        encodeEvidence(report),
+                        report.StayingSessions,
+                        report.EndsIn ? json(report.EndsIn->count()) : json()};
   std::string bytes;
   json::to_msgpack(message, bytes);
   return bytes;
--- a/tests/unit/gateway/PeerExchangeTest.cpp
+++ b/tests/unit/gateway/PeerExchangeTest.cpp
@@ -41,7 +41,7 @@
     Two.Peers.put(One.Self);
   }
   void twoHearsOne() {
-    One.Peers.sendReports();
+    One.Peers.sendReports(std::nullopt);
     runUntil([&] { return Two.Peers.heard() == 1; });
   }
 
@@ -75,6 +75,15 @@
   EXPECT_TRUE(Two.Peers.peers().contains(One.Self.Name));
 }
 
+TEST_F(PeerExchangeTest, tellsWhenOneThatLeavesIsBack) {
+  twoHearsOne();
+  Time.advance(Millis(1'300));
+  EXPECT_EQ(Two.Peers.returnIn(Millis(5'000)), Millis(0));
+  One.Peers.sendReports(Millis(1'000));
+  runUntil([&] { return Two.Peers.returnIn(Millis(5'000)) > Millis(1'000); });
+  EXPECT_LT(Two.Peers.returnIn(Millis(5'000)), Millis(3'000));
+}
+
 TEST_F(PeerExchangeTest, aPeerThatRegistersAnewStays) {
   twoHearsOne();
   Two.Peers.remove(One.Self.Name);
--- a/tests/unit/gateway/PeerReportCodecTest.cpp
+++ b/tests/unit/gateway/PeerReportCodecTest.cpp
@@ -15,6 +15,7 @@
   report.Evidence = {
       {{core::ServiceId("s"), core::VersionId("v2"), "route"}, counts}};
   report.StayingSessions = {1, 1ULL << 63};
+  report.EndsIn = core::Millis(4'200);
   return report;
 }
 
@@ -25,6 +26,10 @@
   EXPECT_EQ(decoded->Loads, sample().Loads);
   EXPECT_EQ(decoded->Evidence, sample().Evidence);
   EXPECT_EQ(decoded->StayingSessions, sample().StayingSessions);
+  EXPECT_EQ(decoded->EndsIn, sample().EndsIn);
+  const auto serving = decodePeerReport(encodePeerReport(PeerReport()));
+  ASSERT_TRUE(serving.ok());
+  EXPECT_FALSE(serving->EndsIn);
 }
 
 TEST(PeerReportCodecTest, anyCutOrFlippedDatagramIsRefusedOrReads) {
