--- /dev/null
+++ b/src/cowslipridge/ledger/AdoptionReader.cpp
@@ -0,0 +1,71 @@
+#include "cowslipridge/ledger/AdoptionReader.hpp"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace cowslipridge::ledger {
+
+namespace {
+
+bool concernsShards(const JournalRecord &record) {
+  return std::holds_alternative<Claim>(record) ||
+         std::holds_alternative<ClaimOutcome>(record) ||
+         std::holds_alternative<SessionPin>(record);
+}
+
+} // namespace
+
+AdoptionReader::AdoptionReader(core::ServiceId service,
+                               std::vector<unsigned> shards,
+                               std::vector<JournalId> journals)
+    : Service(std::move(service)), Shards(std::move(shards)),
+      Journals(std::move(journals)) {}
+
+std::string AdoptionReader::nextKey() const {
+  const JournalId &journal = Journals.at(At);
+  return Head ? segmentKey(Service, journal, Segment)
+              : headKey(Service, journal);
+}
+
+bool AdoptionReader::add(const std::string &value) {
+  const bool read = Head ? addSegment(value) : addHead(value);
+  if (!read || Segment < Head->Segments)
+    return read;
+  // The head holds what came after the last segment.
+  keep(Head->Records);
+  Head.reset();
+  Segment = 0;
+  ++At;
+  return true;
+}
+
+bool AdoptionReader::addHead(const std::string &value) {
+  const core::Result<JournalHead> head = decodeHead(value);
+  if (head)
+    Head = *head;
+  return head.ok();
+}
+
+bool AdoptionReader::addSegment(const std::string &value) {
+  const auto segment = decodeSegment(value);
+  if (!segment)
+    return false;
+  keep(*segment);
+  ++Segment;
+  return true;
+}
+
+void AdoptionReader::keep(const std::vector<JournalRecord> &records) {
+  std::copy_if(records.begin(), records.end(),
+               std::back_inserter(Records[Journals[At]]), concernsShards);
+}
+
+const std::vector<JournalRecord> &
+AdoptionReader::records(const JournalId &journal) const {
+  static const std::vector<JournalRecord> None;
+  const auto it = Records.find(journal);
+  return it == Records.end() ? None : it->second;
+}
+
+} // namespace cowslipridge::ledger
--- a/src/cowslipridge/ledger/ShardKeeper.cpp
+++ b/src/cowslipridge/ledger/ShardKeeper.cpp
@@ -24,12 +24,6 @@
   return core::Millis(static_cast<std::int64_t>(hash % limit));
 }
 
-bool concernsShards(const JournalRecord &record) {
-  return std::holds_alternative<Claim>(record) ||
-         std::holds_alternative<ClaimOutcome>(record) ||
-         std::holds_alternative<SessionPin>(record);
-}
-
 } // namespace
 
 ShardKeeper::ShardKeeper(KeeperSettings settings)
@@ -157,10 +151,7 @@
     return SwapKey{headKey(Settings.Service, Targets.front()), encodeHead(head),
                    TargetRevision};
   }
-  const JournalId &journal = Adopting->Journals[Adopting->At];
-  if (!Adopting->Head)
-    return ReadKey{headKey(Settings.Service, journal)};
-  return ReadKey{segmentKey(Settings.Service, journal, Adopting->Segment)};
+  return ReadKey{Adopting->nextKey()};
 }
 
 std::optional<StoreCommand> ShardKeeper::next(core::Millis now) {
@@ -362,21 +353,21 @@
                                 core::Millis claimsAfter) {
   if (Leaving || Adopting)
     return;
-  Adoption adoption;
+  std::vector<unsigned> shards;
+  std::vector<JournalId> journals;
   for (unsigned i = 0; i < States.size(); ++i) {
     if (States[i] != ShardState::Adopting)
       continue;
-    adoption.Shards.push_back(i);
+    shards.push_back(i);
     for (const JournalId &it : Table->Shards[i].Previous) {
-      if (std::find(adoption.Journals.begin(), adoption.Journals.end(), it) ==
-          adoption.Journals.end())
-        adoption.Journals.push_back(it);
+      if (std::find(journals.begin(), journals.end(), it) == journals.end())
+        journals.push_back(it);
     }
   }
-  if (adoption.Shards.empty())
+  if (shards.empty())
     return;
-  Adopting = std::move(adoption);
-  if (Adopting->Journals.empty())
+  Adopting.emplace(Settings.Service, std::move(shards), std::move(journals));
+  if (Adopting->isDone())
     finishAdoption(result, claimsAfter);
 }
 
@@ -386,49 +377,23 @@
     return;
   // An absent or damaged journal could hide a claim: the shards stay unserved
   // and the adoption starts again at the next read of the table.
-  if (!reply->has_value() || !addJournalPart((*reply)->Value)) {
+  if (!reply->has_value() || !Adopting->add((*reply)->Value)) {
     Adopting.reset();
     retryLater(now);
     return;
   }
-  if (Adopting->Segment < Adopting->Head->Segments)
-    return;
-  std::vector<JournalRecord> &records =
-      Adopting->Records[Adopting->Journals[Adopting->At]];
-  std::copy_if(Adopting->Head->Records.begin(), Adopting->Head->Records.end(),
-               std::back_inserter(records), concernsShards);
-  Adopting->Head.reset();
-  Adopting->Segment = 0;
-  if (++Adopting->At == Adopting->Journals.size())
+  if (Adopting->isDone())
     finishAdoption(result, claimsAfter);
 }
 
-bool ShardKeeper::addJournalPart(const std::string &value) {
-  if (!Adopting->Head) {
-    const core::Result<JournalHead> head = decodeHead(value);
-    if (head)
-      Adopting->Head = *head;
-    return head.ok();
-  }
-  const auto segment = decodeSegment(value);
-  if (!segment)
-    return false;
-  std::vector<JournalRecord> &records =
-      Adopting->Records[Adopting->Journals[Adopting->At]];
-  std::copy_if(segment->begin(), segment->end(), std::back_inserter(records),
-               concernsShards);
-  ++Adopting->Segment;
-  return true;
-}
-
 void ShardKeeper::finishAdoption(KeeperResult &result,
                                  core::Millis claimsAfter) {
-  for (const unsigned shard : Adopting->Shards) {
+  for (const unsigned shard : Adopting->shards()) {
     if (States[shard] != ShardState::Adopting)
       continue;
     ShardFold fold(Settings.Shards);
     for (const JournalId &journal : Table->Shards[shard].Previous) {
-      for (const JournalRecord &record : Adopting->Records[journal])
+      for (const JournalRecord &record : Adopting->records(journal))
         fold.add(record);
     }
     for (JournalRecord &record : fold.recordsOf(shard, claimsAfter))
--- a/src/cowslipridge/ledger/ShardKeeper.hpp
+++ b/src/cowslipridge/ledger/ShardKeeper.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cowslipridge/core/Clock.hpp"
+#include "cowslipridge/ledger/AdoptionReader.hpp"
 #include "cowslipridge/ledger/ClaimBook.hpp"
 #include "cowslipridge/ledger/JournalHead.hpp"
 #include "cowslipridge/ledger/ShardTable.hpp"
@@ -96,16 +97,6 @@
     Releasing, ///< the release is on its way into the journal
     Released,  ///< released in the journal; the table does not say so yet
   };
-  /// Journals to read for adoption, one key after another.
-  struct Adoption {
-    std::vector<unsigned> Shards;
-    std::vector<JournalId> Journals;
-    std::size_t At = 0;
-    std::optional<JournalHead> Head;
-    unsigned Segment = 0;
-    std::map<JournalId, std::vector<JournalRecord>> Records;
-  };
-
   ShardTable wantedTable() const;
   bool wantsSwap() const;
   void chooseStep(core::Millis now);
@@ -123,7 +114,6 @@
   void startAdoption(KeeperResult &result, core::Millis claimsAfter);
   void onAdoptionRead(const ReadReply &reply, KeeperResult &result,
                       core::Millis now, core::Millis claimsAfter);
-  bool addJournalPart(const std::string &value);
   void finishAdoption(KeeperResult &result, core::Millis claimsAfter);
   void retryLater(core::Millis now);
 
@@ -138,7 +128,7 @@
   std::deque<JournalId> Targets; ///< journals to seal
   std::optional<JournalHead> TargetHead;
   backing::Revision TargetRevision = 0;
-  std::optional<Adoption> Adopting;
+  std::optional<AdoptionReader> Adopting;
   std::optional<core::Millis> OwnerlessSince;
   bool Impatient = false;
   unsigned Mismatches = 0; ///< consecutive
