--- a/src/cowslipridge/platform/StoreContact.cpp
+++ b/src/cowslipridge/platform/StoreContact.cpp
@@ -1,5 +1,7 @@
 #include "cowslipridge/platform/StoreContact.hpp"
 
+#include <utility>
+
 namespace cowslipridge::platform {
 
 namespace {
@@ -87,6 +89,8 @@
     Away = false;
     Hears.Returned();
   }
+  if (std::exchange(Disturbed, !answered) && answered)
+    Hears.Recovered();
 }
 
 } // namespace cowslipridge::platform
--- a/src/cowslipridge/platform/StoreContact.hpp
+++ b/src/cowslipridge/platform/StoreContact.hpp
@@ -25,6 +25,9 @@
   struct Listeners {
     std::function<void(const std::string &reason)> Lost;
     std::function<void()> Returned;
+    /// A call is answered again after one or more were not: connections of
+    /// that time may have fallen silent.
+    std::function<void()> Recovered;
   };
 
   StoreContact(boost::asio::io_context &loop, const core::Clock &clock,
@@ -42,6 +45,7 @@
   observe::Metrics &Counts;
   Listeners Hears;
   bool Away = false;
+  bool Disturbed = false; ///< the last call was not answered
   unsigned BusyInRow = 0;
 };
 
--- a/src/cowslipridge/platform/StoreControlPlane.cpp
+++ b/src/cowslipridge/platform/StoreControlPlane.cpp
@@ -87,10 +87,8 @@
   Store.setListeners({[this](const std::string &reason) {
                         report(gateway::ControlPlaneLost{reason});
                       },
-                      [this] {
-                        report(gateway::ControlPlaneReturned{});
-                        Items.renewWatch();
-                      }});
+                      [this] { report(gateway::ControlPlaneReturned{}); },
+                      [this] { Items.renewWatch(); }});
   Items.start(
       {[this](const auto &items, StoreRevision at) { applyListing(items, at); },
        [this](const StoreItem &it) { apply(it); }});
--- a/tests/integration/platform/StoreFollowerTest.cpp
+++ b/tests/integration/platform/StoreFollowerTest.cpp
@@ -17,7 +17,8 @@
   Member(boost::asio::io_context &loop, const core::Clock &clock,
          const config::SocketAddress &store, std::uint64_t seed)
       : Contact(loop, clock, store, Counts), Items(loop, Contact, seed) {
-    Contact.setListeners({[this](const auto &) { ++Lost; }, [] {}});
+    Contact.setListeners({[this](const auto &) { ++Lost; }, [] {},
+                          [this] { Items.renewWatch(); }});
     Items.start({[this](const auto &items, StoreRevision) {
                    ++Listings;
                    Listed = items.size();
@@ -100,6 +101,30 @@
   EXPECT_GE(Store.refused(), 4U) << "refused time and again, it is lost";
 }
 
+// Pattern: the store turns one gateway away for a moment, and its watch, which
+// was open all the while, hears nothing any more.
+TEST_F(StoreFollowerTest, aWatchIsAskedForAnewAfterARefusedCall) {
+  startMembers(1);
+  runUntil([&] { return allListed(); });
+  const auto renew = [&] {
+    int status = 0;
+    Members[0].Contact.send(StoreCallName::Renew, renewLeaseCall(7),
+                            core::Millis(500),
+                            [&](const StoreReply &it) { status = it.Status; });
+    runUntil([&] { return status != 0; });
+  };
+  StoreFaults faults;
+  faults.CallsPerSecond = 1;
+  Store.setFaults(faults);
+  while (Store.refused() == 0)
+    renew();
+  EXPECT_EQ(Members[0].Lost, 0);
+  Store.setFaults({});
+  const std::size_t before = Store.calls();
+  renew();
+  runUntil([&] { return Store.calls() == before + 2; });
+}
+
 TEST_F(StoreFollowerTest, listsAnewWhenTheHistoryIsGone) {
   fill(3);
   startMembers(1);
