Let gateways that start in an outage of the store learn from their peers

The others go on sending them reports, and a report shows where its sender is. What the store told itself goes first. http1::fetch gathers a whole answer, for the store's client and for this.

--- a/src/cowslipridge/gateway/ControlPlane.hpp
+++ b/src/cowslipridge/gateway/ControlPlane.hpp
@@ -92,6 +92,12 @@
                        const rollout::RolloutProgress &progress) = 0;
   /// Ends the registration.
   virtual void leave() = 0;
+  /// What this gateway knows, for another that can't reach the store; nothing
+  /// before the first read.
+  [[nodiscard]] virtual std::optional<std::string> snapshot() const = 0;
+  /// Takes another gateway's snapshot in place of the first read. False when it
+  /// can't be read or the store has answered since.
+  virtual bool adopt(const std::string &snapshot) = 0;
 };
 
 } // namespace cowslipridge::gateway
--- a/src/cowslipridge/gateway/Gateway.cpp
+++ b/src/cowslipridge/gateway/Gateway.cpp
@@ -19,6 +19,8 @@
 /// Between two attempts to write a roll-out's next record, for the change to
 /// come back by the watch.
 constexpr core::Millis AdvancePause{500};
+/// From the start until peers are asked for what the store does not tell.
+constexpr core::Millis StoreGoesFirst{300};
 /// For callers that meet a gateway which can't serve them yet or any more.
 constexpr core::Millis ShortReturn{200};
 /// The same while the store is away: outages last for seconds.
@@ -46,8 +48,14 @@
       Callers(loop, clock, [this](const auto &it) { onRequest(it); }),
       Readiness(loop, clock, [this](const auto &it) { onReadiness(*it); }),
       Scrapes(loop, clock, [this](const auto &it) { onScrape(*it); }),
-      Peers(loop, clock, Decisions), Gauges(metrics), Ticker(loop),
-      Drain(settings.GracePeriod) {
+      Peers(loop, clock, Decisions),
+      Snapshots(loop, clock, control,
+                [this](const http1::Endpoint &it) {
+                  report(EventNumber::PeerSnapshotTaken,
+                         "from=" + it.address().to_string() + ":" +
+                             std::to_string(it.port()));
+                }),
+      Gauges(metrics), Ticker(loop), Drain(settings.GracePeriod) {
   Decisions.onEjections(
       [this](const limits::EjectionChange &change, SendOutcome outcome) {
         report(change.isEjected() ? EventNumber::RunnerEjected
@@ -62,6 +70,12 @@
   if (Settings.Metrics)
     Scrapes.listen(toEndpoint(*Settings.Metrics));
   Peers.listen(Settings.Peers);
+  Snapshots.listen(toEndpoint(Settings.Peers));
+  Peers.onStranger([this](const auto &sender) {
+    if (!Synced && Clock.monotonic() - StartedAt > StoreGoesFirst)
+      Snapshots.ask({sender.address(), sender.port()});
+  });
+  StartedAt = Clock.monotonic();
   Control.start(
       {Settings.Instance, Settings.Peers.Host, Settings.Peers.Port},
       [this](const ControlEvent &it) { onControl(it); },
@@ -312,6 +326,7 @@
   Callers.stop();
   Readiness.stop();
   Scrapes.stop();
+  Snapshots.stop();
   // What the calls above began is sent by the next turn of the loop.
   boost::asio::post(Loop, [this] { Loop.stop(); });
 }
--- a/src/cowslipridge/gateway/Gateway.hpp
+++ b/src/cowslipridge/gateway/Gateway.hpp
@@ -7,6 +7,7 @@
 #include "cowslipridge/gateway/DrainPolicy.hpp"
 #include "cowslipridge/gateway/GatewayGauges.hpp"
 #include "cowslipridge/gateway/PeerExchange.hpp"
+#include "cowslipridge/gateway/PeerSnapshots.hpp"
 #include "cowslipridge/gateway/RequestFlow.hpp"
 #include "cowslipridge/gateway/Translator.hpp"
 #include "cowslipridge/http1/Client.hpp"
@@ -85,8 +86,10 @@
   http1::Server Readiness;
   http1::Server Scrapes;
   PeerExchange Peers;
+  PeerSnapshots Snapshots;
   GatewayGauges Gauges;
   boost::asio::steady_timer Ticker;
+  core::Millis StartedAt;
   bool Synced = false;
   bool ReadyReported = false;
   DrainPolicy Drain;
--- a/src/cowslipridge/gateway/PeerExchange.cpp
+++ b/src/cowslipridge/gateway/PeerExchange.cpp
@@ -66,20 +66,29 @@
 }
 
 void PeerExchange::receive() {
-  Socket.async_receive_from(
-      boost::asio::buffer(Buffer), Sender, [this](const auto &ec, auto n) {
-        if (ec == boost::asio::error::operation_aborted)
-          return;
-        if (!ec) {
-          const auto report = decodePeerReport({Buffer.data(), n});
-          if (report && Peers.contains(report->Gateway)) {
-            HeardAt[report->Gateway] = Clock.monotonic();
-            Decisions.onPeerReport(*report, Clock.monotonic());
-            Leaving.note(report->Gateway, report->EndsIn, Clock.monotonic());
-          }
-        }
-        receive();
-      });
+  Socket.async_receive_from(boost::asio::buffer(Buffer), Sender,
+                            [this](const auto &ec, auto n) {
+                              if (ec == boost::asio::error::operation_aborted)
+                                return;
+                              if (!ec)
+                                onDatagram({Buffer.data(), n});
+                              receive();
+                            });
+}
+
+void PeerExchange::onDatagram(std::string_view bytes) {
+  const auto report = decodePeerReport(bytes);
+  if (!report)
+    return;
+  if (!Peers.contains(report->Gateway)) {
+    if (Stranger)
+      Stranger(Sender);
+    return;
+  }
+  const core::Millis now = Clock.monotonic();
+  HeardAt[report->Gateway] = now;
+  Decisions.onPeerReport(*report, now);
+  Leaving.note(report->Gateway, report->EndsIn, now);
 }
 
 void PeerExchange::expire(core::Millis now) {
--- a/src/cowslipridge/gateway/PeerExchange.hpp
+++ b/src/cowslipridge/gateway/PeerExchange.hpp
@@ -10,6 +10,7 @@
 #include <boost/asio/ip/udp.hpp>
 
 #include <array>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -29,6 +30,11 @@
   /// Its registration ended. One that is still heard from stays: registrations
   /// of all gateways may lapse together while the store is away.
   void remove(const core::InstanceId &name);
+  /// Hears of the addresses of gateways that report and are not known.
+  void
+  onStranger(std::function<void(const boost::asio::ip::udp::endpoint &)> f) {
+    Stranger = std::move(f);
+  }
   /// `endsIn`: this gateway leaves.
   void sendReports(std::optional<core::Millis> endsIn);
   /// When callers that this gateway refuses find one that serves.
@@ -45,6 +51,7 @@
 
 private:
   void receive();
+  void onDatagram(std::string_view bytes);
   void drop(const core::InstanceId &name);
 
   const core::Clock &Clock;
@@ -55,6 +62,7 @@
   std::map<core::InstanceId, Peer> Peers;
   std::map<core::InstanceId, core::Millis> HeardAt;
   Departures Leaving;
+  std::function<void(const boost::asio::ip::udp::endpoint &)> Stranger;
   std::set<core::InstanceId> Lapsed; ///< without a registration, but heard from
 };
 
--- a/src/cowslipridge/observe/EventCatalogue.cpp
+++ b/src/cowslipridge/observe/EventCatalogue.cpp
@@ -46,6 +46,8 @@
                    "Another gateway is registered in the store."},
     CatalogueEntry{PeerGone, Info, "peer-gone",
                    "The registration of another gateway ended."},
+    CatalogueEntry{PeerSnapshotTaken, Info, "peer-snapshot-taken",
+                   "The store is away; a peer told what it knows."},
     CatalogueEntry{RunnerRegistered, Info, "runner-registered",
                    "A runner registered, or changed its entry."},
     CatalogueEntry{RunnerDraining, Info, "runner-draining",
--- a/src/cowslipridge/observe/EventCatalogue.hpp
+++ b/src/cowslipridge/observe/EventCatalogue.hpp
@@ -27,6 +27,7 @@
   PeerLost = 302,
   PeerRegistered = 303,
   PeerGone = 304,
+  PeerSnapshotTaken = 305,
   RunnerRegistered = 310,
   RunnerDraining = 311,
   RunnerGone = 312,
--- a/src/cowslipridge/platform/StoreClient.cpp
+++ b/src/cowslipridge/platform/StoreClient.cpp
@@ -4,38 +4,6 @@
 
 namespace cowslipridge::platform {
 
-namespace {
-
-/// Gathers one answer.
-class ReplyCollector final : public http1::CallEvents {
-public:
-  ReplyCollector(const core::Clock &clock, StoreClient::Done done)
-      : Clock(clock), BegunAt(clock.monotonic()), Done(std::move(done)) {}
-
-  void onHead(const http1::ResponseHead &head) override {
-    Reply.Status = head.Status;
-  }
-  void onData(std::string_view data) override { Reply.Body += data; }
-  void onEnd() override { finish(); }
-  void onFailure(http1::CallFailure failure) override {
-    Reply = {0, {}, failure, {}};
-    finish();
-  }
-
-private:
-  void finish() {
-    Reply.Took = Clock.monotonic() - BegunAt;
-    Done(Reply);
-  }
-
-  const core::Clock &Clock;
-  const core::Millis BegunAt;
-  StoreClient::Done Done;
-  StoreReply Reply;
-};
-
-} // namespace
-
 StoreClient::StoreClient(boost::asio::io_context &loop,
                          const core::Clock &clock,
                          const config::SocketAddress &address)
@@ -53,8 +21,13 @@
   spec.Server = Address;
   spec.Bytes = http1::writeRequest(request, body);
   spec.Timeout = timeout;
-  return Connections.call(std::move(spec), std::make_shared<ReplyCollector>(
-                                               Clock, std::move(done)));
+  const core::Millis begun = Clock.monotonic();
+  return http1::fetch(Connections, std::move(spec),
+                      [this, begun, done = std::move(done)](auto result) {
+                        StoreReply reply{std::move(result), {}};
+                        reply.Took = Clock.monotonic() - begun;
+                        done(reply);
+                      });
 }
 
 } // namespace cowslipridge::platform
--- a/src/cowslipridge/platform/StoreClient.hpp
+++ b/src/cowslipridge/platform/StoreClient.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "cowslipridge/config/GatewaySettings.hpp"
-#include "cowslipridge/http1/Client.hpp"
+#include "cowslipridge/http1/Fetch.hpp"
 #include "cowslipridge/platform/StoreProtocol.hpp"
 
 #include <functional>
@@ -10,12 +10,8 @@
 
 namespace cowslipridge::platform {
 
-/// A whole answer of the store, or none. Status 0: no answer came, and the call
-/// may or may not have been carried out.
-struct StoreReply {
-  int Status = 0;
-  std::string Body;
-  http1::CallFailure Failure = http1::CallFailure::NotConnected; ///< status 0
+/// A whole answer of the store, or none.
+struct StoreReply : http1::FetchResult {
   core::Millis Took; ///< from the call to its answer or its failure
 };
 
--- a/src/cowslipridge/platform/StoreControlPlane.cpp
+++ b/src/cowslipridge/platform/StoreControlPlane.cpp
@@ -250,4 +250,14 @@
 
 void StoreControlPlane::leave() { Registration.leave(); }
 
+std::optional<std::string> StoreControlPlane::snapshot() const {
+  const auto known = Items.known();
+  return known ? std::optional(writeListing(*known)) : std::nullopt;
+}
+
+bool StoreControlPlane::adopt(const std::string &snapshot) {
+  auto known = parseListing(snapshot);
+  return known.ok() && Items.adopt(std::move(known).value());
+}
+
 } // namespace cowslipridge::platform
--- a/src/cowslipridge/platform/StoreControlPlane.hpp
+++ b/src/cowslipridge/platform/StoreControlPlane.hpp
@@ -28,6 +28,8 @@
   void advance(const rollout::RolloutStatus &status,
                const rollout::RolloutProgress &progress) override;
   void leave() override;
+  [[nodiscard]] std::optional<std::string> snapshot() const override;
+  bool adopt(const std::string &snapshot) override;
 
 private:
   void applyListing(const std::vector<StoreItem> &items, StoreRevision at);
--- a/src/cowslipridge/platform/StoreFollower.cpp
+++ b/src/cowslipridge/platform/StoreFollower.cpp
@@ -46,11 +46,13 @@
 
 void StoreFollower::list() {
   const std::string after = Listing.empty() ? "" : Listing.back().Key;
-  Store.send(StoreCallName::List, {listCall(Prefix, after), {}}, ListTimeout,
-             [this](const StoreReply &reply) { onPage(reply); });
+  Page = Store.send(StoreCallName::List, {listCall(Prefix, after), {}},
+                    ListTimeout,
+                    [this](const StoreReply &reply) { onPage(reply); });
 }
 
 void StoreFollower::onPage(const StoreReply &reply) {
+  Page = nullptr;
   auto page = parseListing(reply.Body);
   if (reply.Status != Ok || !page) {
     retryAfter(reply);
@@ -67,10 +69,48 @@
     list();
     return;
   }
-  Hears.Listed(std::exchange(Listing, {}), At);
+  finishListing(std::exchange(Listing, {}));
+}
+
+void StoreFollower::finishListing(std::vector<StoreItem> items) {
+  Listed = true;
+  Items.clear();
+  for (const StoreItem &it : items)
+    Items.emplace(it.Key, it);
+  Hears.Listed(std::move(items), At);
   watch();
 }
 
+std::optional<StoreBatch> StoreFollower::known() const {
+  if (!Listed)
+    return std::nullopt;
+  StoreBatch batch;
+  batch.At = At;
+  for (const auto &[key, item] : Items)
+    batch.Items.push_back(item);
+  return batch;
+}
+
+bool StoreFollower::adopt(StoreBatch batch) {
+  if (Listed)
+    return false;
+  if (const auto call = std::exchange(Page, nullptr))
+    call->cancel();
+  Timer.cancel();
+  At = batch.At;
+  Listing.clear();
+  finishListing(std::move(batch.Items));
+  return true;
+}
+
+void StoreFollower::note(const StoreItem &item) {
+  if (item.Deleted)
+    Items.erase(item.Key);
+  else
+    Items.insert_or_assign(item.Key, item);
+  Hears.Changed(item);
+}
+
 void StoreFollower::watch() {
   Doing = Step::Watching;
   Watch =
@@ -92,7 +132,7 @@
   }
   BusyInRow = 0;
   for (const StoreItem &it : changes->Items)
-    Hears.Changed(it);
+    note(it);
   At = std::max(At, changes->At);
   resumeAfter(PausePerFollower * static_cast<std::int64_t>(Followers));
 }
@@ -124,7 +164,8 @@
 void StoreFollower::resumeAfter(core::Millis pause) {
   Timer.expires_after(std::chrono::milliseconds(pause.count()));
   Timer.async_wait([this](const auto &ec) {
-    if (ec)
+    // A snapshot may have been adopted meanwhile.
+    if (ec || Watch || Page)
       return;
     if (Doing == Step::Listing)
       list();
--- a/src/cowslipridge/platform/StoreFollower.hpp
+++ b/src/cowslipridge/platform/StoreFollower.hpp
@@ -8,7 +8,9 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,6 +35,11 @@
                 std::uint64_t seed);
 
   void start(Listeners listeners);
+  /// All items as known now; nothing before the first listing.
+  [[nodiscard]] std::optional<StoreBatch> known() const;
+  /// Takes what another follower knows in place of the first listing; changes
+  /// since then come by the watch. False when the store has listed already.
+  bool adopt(StoreBatch batch);
   /// Asks anew: the connection of a watch that waits may have fallen silent.
   void renewWatch();
   /// How many gateways follow the store. With more of them each leaves a longer
@@ -44,8 +51,10 @@
 
   void list();
   void onPage(const StoreReply &reply);
+  void finishListing(std::vector<StoreItem> items);
   void watch();
   void onChanges(const StoreReply &reply);
+  void note(const StoreItem &item);
   void beginAnew();
   void retryAfter(const StoreReply &reply);
   void resumeAfter(core::Millis pause);
@@ -59,6 +68,9 @@
   std::vector<StoreItem> Listing;
   bool HasPage = false; ///< of this listing
   std::shared_ptr<http1::Call> Watch;
+  std::shared_ptr<http1::Call> Page; ///< that is being asked for
+  std::map<std::string, StoreItem> Items;
+  bool Listed = false;
   unsigned BusyInRow = 0;
   std::size_t Followers = 1;
 };
--- a/src/cowslipridge/platform/StoreProtocol.cpp
+++ b/src/cowslipridge/platform/StoreProtocol.cpp
@@ -103,6 +103,17 @@
   return {callOf("DELETE", "/v1/kv-lease-end/" + std::to_string(lease)), {}};
 }
 
+std::string writeListing(const StoreBatch &batch) {
+  Json entries = Json::array();
+  for (const StoreItem &it : batch.Items)
+    entries.push_back({{"key", it.Key},
+                       {"value", core::encodeBase64(it.Value)},
+                       {"revision", it.Revision}});
+  return Json{
+      {"entries", entries}, {"at", batch.At}, {"hasMore", batch.HasMore}}
+      .dump();
+}
+
 core::Result<StoreBatch> parseListing(const std::string &body) {
   return parseBatch(body, "entries");
 }
--- a/src/cowslipridge/platform/StoreProtocol.hpp
+++ b/src/cowslipridge/platform/StoreProtocol.hpp
@@ -56,6 +56,8 @@
 StoreCall renewLeaseCall(LeaseId lease);
 StoreCall endLeaseCall(LeaseId lease);
 
+/// A listing of one page, as the store would answer it.
+std::string writeListing(const StoreBatch &batch);
 /// The answer of a listing; items that can't be read are left out.
 core::Result<StoreBatch> parseListing(const std::string &body);
 /// The answer of a watch.
--- a/tests/integration/platform/GatewayTest.cpp
+++ b/tests/integration/platform/GatewayTest.cpp
@@ -87,30 +87,46 @@
     return at.address().to_string() + ":" + std::to_string(at.port());
   }
 
-  void startGateway(const std::string &name = "gateway-1") {
+  /// The addresses of one gateway, kept over its restarts.
+  struct Addresses {
+    http1::Endpoint Front;
+    http1::Endpoint Ready;
+    http1::Endpoint Metrics;
+    http1::Endpoint Peers;
+  };
+  Addresses freeAddresses() {
+    return {freePort(), freePort(), freePort(), freePort()};
+  }
+
+  void start(std::optional<Process> &process, const std::string &name,
+             const Addresses &at) {
     const std::string settings = Files.write(
         name + ".ini", "[process]\ninstance = " + name +
                            "\nfailure_domain = zone-1\ngrace_period = 5s\n"
                            "[listen]\ncallers = " +
-                           text(Front) + "\nreadiness = " + text(Ready) +
-                           "\nmetrics = " + text(Metrics) +
-                           "\npeers = " + text(freePort()) +
+                           text(at.Front) + "\nreadiness = " + text(at.Ready) +
+                           "\nmetrics = " + text(at.Metrics) +
+                           "\npeers = " + text(at.Peers) +
                            "\n[store]\naddress = " + text(StoreAt) +
                            "\n[promises]\nretry_ratio = 1\n");
-    Gateway.emplace(COWSLIPRIDGE_GATEWAY_PATH,
+    process.emplace(COWSLIPRIDGE_GATEWAY_PATH,
                     std::vector<std::string>{"--settings", settings},
                     Files.path(name + ".log"));
   }
+  void startGateway() {
+    start(Gateway, "gateway-1", {Front, Ready, Metrics, freePort()});
+  }
 
   void startAndAwaitReady() {
     startGateway();
     awaitReady();
   }
 
-  void awaitReady() {
+  void awaitReady() { awaitReady(Ready); }
+  void awaitReady(const http1::Endpoint &at) {
     int status = 0;
     while (status != 200)
-      status = get(Ready, "/v1/readiness")->Status;
+      status = get(at, "/v1/readiness")->Status;
   }
 
   std::shared_ptr<RecordedCall> get(const http1::Endpoint &server,
@@ -404,6 +420,36 @@
   EXPECT_EQ(target.runs().count(lastId()), 1U);
 }
 
+// Pattern: a gateway is killed in an outage of the store.
+TEST_F(GatewayTest, oneThatStartsWhileTheStoreIsAwayLearnsFromAPeer) {
+  addDesk("desk-1");
+  configure();
+  startAndAwaitReady();
+  const Addresses at = freeAddresses();
+  std::optional<Process> other;
+  start(other, "gateway-2", at);
+  awaitReady(at.Ready);
+  runUntil([&] {
+    return Gateway->log().find("peer=gateway-2") != std::string::npos;
+  });
+  StoreFaults faults;
+  faults.Silent = true;
+  Store.setFaults(faults);
+  other->kill();
+  start(other, "gateway-2", at);
+  awaitReady(at.Ready);
+  EXPECT_NE(other->log().find("peer-snapshot-taken"), std::string::npos);
+  EXPECT_EQ(finish(begin(at.Front, request("GET", "/get/a")))->Status, 200);
+  // Once the store is back, it tells what has changed since.
+  Configuration["routes"].erase(2);
+  Configuration["version"] = 2;
+  configure();
+  Store.setFaults({});
+  int status = 0;
+  while (status != 404)
+    status = finish(begin(at.Front, request("GET", "/get/a")))->Status;
+}
+
 TEST_F(GatewayTest, aTermSignalFinishesStreamsAndEndsTheProcess) {
   StreamingRunner &runner = addModelRunner("llm-1");
   runner.traits().Events = 60;
--- a/tests/integration/platform/StoreFollowerTest.cpp
+++ b/tests/integration/platform/StoreFollowerTest.cpp
@@ -125,6 +125,35 @@
   runUntil([&] { return Store.calls() == before + 2; });
 }
 
+// Pattern: a gateway is killed in an outage of the store and starts again.
+TEST_F(StoreFollowerTest, takesWhatAnotherKnowsWhileTheStoreIsAway) {
+  fill(3);
+  startMembers(1);
+  runUntil([&] { return allListed(); });
+  Store.store().put("servers/late", "{}");
+  runUntil([&] { return !Members[0].Changed.empty(); });
+  StoreFaults faults;
+  faults.Silent = true;
+  Store.setFaults(faults);
+  startMembers(1);
+  ASSERT_FALSE(Members[1].Items.known());
+  ASSERT_TRUE(Members[1].Items.adopt(*Members[0].Items.known()));
+  EXPECT_EQ(Members[1].Listed, 4U);
+  Store.store().put("servers/later", "{}");
+  Store.setFaults({});
+  runUntil([&] { return !Members[1].Changed.empty(); });
+  EXPECT_EQ(Members[1].Changed, std::vector<std::string>{"servers/later"});
+  EXPECT_EQ(Members[1].Listings, 1);
+}
+
+TEST_F(StoreFollowerTest, whatTheStoreToldGoesBeforeASnapshot) {
+  fill(3);
+  startMembers(1);
+  runUntil([&] { return allListed(); });
+  EXPECT_FALSE(Members[0].Items.adopt({}));
+  EXPECT_EQ(Members[0].Items.known()->Items.size(), 3U);
+}
+
 TEST_F(StoreFollowerTest, listsAnewWhenTheHistoryIsGone) {
   fill(3);
   startMembers(1);
--- a/tests/unit/platform/StoreProtocolTest.cpp
+++ b/tests/unit/platform/StoreProtocolTest.cpp
@@ -51,4 +51,16 @@
                     "remove":[]})"));
 }
 
+TEST(StoreProtocolTest, aListingThatIsWrittenReadsBack) {
+  StoreBatch batch;
+  batch.At = 77;
+  batch.Items = {{"op/config", std::string("\0\xff{}", 4), 41, false},
+                 {"servers/a", "", 76, false}};
+  const auto read = parseListing(writeListing(batch));
+  ASSERT_TRUE(read.ok());
+  EXPECT_EQ(read->At, 77);
+  EXPECT_EQ(read->Items, batch.Items);
+  EXPECT_FALSE(read->HasMore);
+}
+
 } // namespace
