Leave a pause between two watches, so that changes share an answer

A pause of 16 ms a gateway, at most 400 ms, well within the two seconds in which a change must be in force. Ruled out: a watch for each kind of key (more calls), a fixed pause (small fleets gain nothing by it).

--- a/src/cowslipridge/platform/StoreFollower.cpp
+++ b/src/cowslipridge/platform/StoreFollower.cpp
@@ -20,8 +20,11 @@
 constexpr core::Millis WatchSlack{2'000};
 constexpr core::Millis RetryPause{250};
 constexpr unsigned MaxPauseDoublings = 3;
-/// Between two watches, for each gateway that follows the store.
-constexpr core::Millis PausePerFollower{1};
+/// Between two watches, for each gateway that follows the store: what changes
+/// meanwhile comes in one answer.
+constexpr core::Millis PausePerFollower{16};
+/// A change must be in force everywhere well within two seconds.
+constexpr core::Millis MaxWatchPause{400};
 
 constexpr int Ok = 200;
 constexpr int HistoryGone = 410;
@@ -134,7 +137,8 @@
   for (const StoreItem &it : changes->Items)
     note(it);
   At = std::max(At, changes->At);
-  resumeAfter(PausePerFollower * static_cast<std::int64_t>(Followers));
+  resumeAfter(std::min(
+      MaxWatchPause, PausePerFollower * static_cast<std::int64_t>(Followers)));
 }
 
 // Later, since an answer of this very watch may be what is being handled.
--- a/tests/integration/platform/StoreFollowerTest.cpp
+++ b/tests/integration/platform/StoreFollowerTest.cpp
@@ -154,6 +154,25 @@
   EXPECT_EQ(Members[0].Items.known()->Items.size(), 3U);
 }
 
+// Pattern: runners of a large fleet change their entries all the time, and each
+// change would cost one call for every gateway.
+TEST_F(StoreFollowerTest, manyChangesCostFewWatchesInALargeFleet) {
+  startMembers(1);
+  runUntil([&] { return allListed(); });
+  Members[0].Items.setFollowers(26);
+  const std::size_t before = Store.calls();
+  const core::Millis begun = Clock.monotonic();
+  for (int n = 0; n < 30; ++n) {
+    Store.store().put("servers/r" + std::to_string(n), "{}");
+    Loop.restart();
+    Loop.run_for(std::chrono::milliseconds(15));
+  }
+  runUntil([&] { return Members[0].Changed.size() == 30; });
+  const core::Millis took = Clock.monotonic() - begun;
+  EXPECT_LE(Store.calls() - before, 2 + took.count() / 350)
+      << "about three a second, whatever changes";
+}
+
 TEST_F(StoreFollowerTest, listsAnewWhenTheHistoryIsGone) {
   fill(3);
   startMembers(1);
