Resolve a request apart from answering it

onRequest did five things in 45 lines; resolve says what is fixed about a request or why it is not taken.

--- a/src/cowslipridge/gateway/Gateway.cpp
+++ b/src/cowslipridge/gateway/Gateway.cpp
@@ -106,54 +106,58 @@
 void Gateway::onRequest(const std::shared_ptr<http1::Exchange> &exchange) {
   const auto caller = Translation.readRequest(exchange->head());
   if (!caller) {
-    refuse(*exchange, {}, BadRequest, "malformed");
-    return;
-  }
-  if (!Synced || !Decisions.catalogue()) {
-    refuse(*exchange, caller->Id, Unavailable, "no configuration yet",
-           StoreAwaySince ? OutageReturn : ShortReturn);
+    refuse(*exchange, {}, {BadRequest, "malformed", std::nullopt});
     return;
   }
+  const auto resolved = resolve(*caller, exchange->readAt());
+  std::visit(core::Overloaded{
+                 [&](const Refusal &it) { refuse(*exchange, caller->Id, it); },
+                 [&](const RequestFacts &it) {
+                   std::make_shared<RequestFlow>(Flows, exchange, it)->start();
+                 }},
+             resolved);
+}
+
+std::variant<RequestFacts, Refusal>
+Gateway::resolve(const CallerRequest &caller, core::Millis readAt) const {
+  if (!Synced || !Decisions.catalogue())
+    return Refusal{Unavailable, "no configuration yet",
+                   StoreAwaySince ? OutageReturn : ShortReturn};
   RequestFacts facts;
-  facts.Caller = *caller;
+  facts.Caller = caller;
   facts.Catalogue = Decisions.catalogue();
-  facts.Route = facts.Catalogue->route(caller->Host, caller->Path);
-  if (facts.Route == nullptr) {
-    refuse(*exchange, caller->Id, NotFound, "no route");
-    return;
-  }
+  facts.Route = facts.Catalogue->route(caller.Host, caller.Path);
+  if (facts.Route == nullptr)
+    return Refusal{NotFound, "no route", std::nullopt};
   if (!facts.Route->Public && facts.Catalogue->catalogue().Organisations) {
-    if (caller->ApiKey)
-      facts.Organisation = facts.Catalogue->holder(*caller->ApiKey);
-    if (facts.Organisation == nullptr) {
-      refuse(*exchange, caller->Id, Unauthorized, "unknown key");
-      return;
-    }
+    if (caller.ApiKey)
+      facts.Organisation = facts.Catalogue->holder(*caller.ApiKey);
+    if (facts.Organisation == nullptr)
+      return Refusal{Unauthorized, "unknown key", std::nullopt};
   }
-  facts.ArrivedAt = exchange->readAt();
-  facts.Deadline = facts.ArrivedAt +
-                   std::min(facts.Route->Timeout,
-                            caller->Remaining.value_or(facts.Route->Timeout));
+  facts.ArrivedAt = readAt;
+  facts.Deadline =
+      readAt + std::min(facts.Route->Timeout,
+                        caller.Remaining.value_or(facts.Route->Timeout));
   const core::Millis now = Clock.monotonic();
-  if (!Drain.takes(facts, now)) {
-    refuse(*exchange, caller->Id, Unavailable, "leaving",
-           Peers.returnIn(Drain.endsIn(now).value_or(core::Millis())));
-    return;
-  }
-  std::make_shared<RequestFlow>(Flows, exchange, std::move(facts))->start();
+  if (!Drain.takes(facts, now))
+    return Refusal{Unavailable, "leaving",
+                   Peers.returnIn(Drain.endsIn(now).value_or(core::Millis()))};
+  return facts;
 }
 
 void Gateway::refuse(http1::Exchange &exchange, const core::RequestId &request,
-                     int status, const std::string &reason,
-                     std::optional<core::Millis> retryAfter) {
+                     const Refusal &refusal) {
   Log.report(EventNumber::RequestRefused,
              {.Request = request,
               .Version = {},
               .Cause = {},
-              .Detail = "status=" + std::to_string(status) + " " + reason});
+              .Detail = "status=" + std::to_string(refusal.Status) + " " +
+                        refusal.Reason});
   Counts.add(observe::CounterName::Requests,
              {.Service = {}, .Version = {}, .Outcome = "refused"});
-  exchange.respond(Translation.ownAnswer(status, request, retryAfter), {});
+  exchange.respond(
+      Translation.ownAnswer(refusal.Status, request, refusal.RetryAfter), {});
 }
 
 void Gateway::onControl(const ControlEvent &event) {
--- a/src/cowslipridge/gateway/Gateway.hpp
+++ b/src/cowslipridge/gateway/Gateway.hpp
@@ -19,6 +19,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <memory>
+#include <variant>
 
 namespace cowslipridge::gateway {
 
@@ -55,9 +56,11 @@
   void on(const ControlPlaneReturned &event);
 
   void onRequest(const std::shared_ptr<http1::Exchange> &exchange);
+  /// What is fixed about a request, or why it is not taken.
+  [[nodiscard]] std::variant<RequestFacts, Refusal>
+  resolve(const CallerRequest &caller, core::Millis readAt) const;
   void refuse(http1::Exchange &exchange, const core::RequestId &request,
-              int status, const std::string &reason,
-              std::optional<core::Millis> retryAfter = std::nullopt);
+              const Refusal &refusal);
   void onReadiness(http1::Exchange &exchange);
   void onScrape(http1::Exchange &exchange);
   /// Reports what a runner's entry says now; one that started anew is
