Ask peers only when the store is away; make hung calls to it anew

Peers are asked now when the store is away, or when nothing at all was heard of it for 300 ms. Test: aListingThatHangsIsAskedForAnewOnceTheStoreAnswers.

--- a/src/cowslipridge/gateway/ControlPlane.hpp
+++ b/src/cowslipridge/gateway/ControlPlane.hpp
@@ -90,6 +90,8 @@
   /// them. Lost calls are not repeated: the next change tells what holds.
   virtual void advance(const rollout::RolloutStatus &status,
                        const rollout::RolloutProgress &progress) = 0;
+  /// Whether the store has answered any call since the start.
+  [[nodiscard]] virtual bool wasHeard() const = 0;
   /// Ends the registration.
   virtual void leave() = 0;
   /// What this gateway knows, for another that can't reach the store; nothing
--- a/src/cowslipridge/gateway/Gateway.cpp
+++ b/src/cowslipridge/gateway/Gateway.cpp
@@ -19,8 +19,8 @@
 /// Between two attempts to write a roll-out's next record, for the change to
 /// come back by the watch.
 constexpr core::Millis AdvancePause{500};
-/// From the start until peers are asked for what the store does not tell.
-constexpr core::Millis StoreGoesFirst{300};
+/// A store that is not heard for so long after the start counts as away.
+constexpr core::Millis StoreAnswersWithin{300};
 /// For callers that meet a gateway which can't serve them yet or any more.
 constexpr core::Millis ShortReturn{200};
 /// The same while the store is away: outages last for seconds.
@@ -72,7 +72,7 @@
   Peers.listen(Settings.Peers);
   Snapshots.listen(toEndpoint(Settings.Peers));
   Peers.onStranger([this](const auto &sender) {
-    if (!Synced && Clock.monotonic() - StartedAt > StoreGoesFirst)
+    if (mayAskPeers())
       Snapshots.ask({sender.address(), sender.port()});
   });
   StartedAt = Clock.monotonic();
@@ -83,6 +83,13 @@
   tickLater();
 }
 
+// A store that is only slow or busy goes first: it knows better.
+bool Gateway::mayAskPeers() const {
+  const bool silent =
+      !Control.wasHeard() && Clock.monotonic() - StartedAt > StoreAnswersWithin;
+  return !Synced && (StoreAwaySince || silent);
+}
+
 bool Gateway::isReady() const {
   return Synced && Decisions.catalogue() && !Drain.hasBegun();
 }
--- a/src/cowslipridge/gateway/Gateway.hpp
+++ b/src/cowslipridge/gateway/Gateway.hpp
@@ -72,6 +72,7 @@
   void driveRollouts(core::Millis now);
   void drainStep(core::Millis now);
   [[nodiscard]] bool isReady() const;
+  [[nodiscard]] bool mayAskPeers() const;
   [[nodiscard]] std::size_t rank() const;
   void report(observe::EventNumber number, std::string detail);
 
--- a/src/cowslipridge/platform/StoreContact.cpp
+++ b/src/cowslipridge/platform/StoreContact.cpp
@@ -53,7 +53,7 @@
                            const core::Clock &clock,
                            const config::SocketAddress &address,
                            observe::Metrics &counts)
-    : Store(loop, clock, address), Counts(counts) {}
+    : Clock(clock), Store(loop, clock, address), Counts(counts) {}
 
 std::shared_ptr<http1::Call> StoreContact::send(StoreCallName name,
                                                 const StoreCall &call,
@@ -78,6 +78,7 @@
   if (name != StoreCallName::Watch)
     Counts.observe(observe::HistogramName::StoreCallSeconds, labels,
                    reply.Took);
+  Heard = Heard || reply.Status != 0;
   BusyInRow = isBusy(reply) ? BusyInRow + 1 : 0;
   const bool lost =
       !answered && (!isBusy(reply) || BusyInRow >= BusyRepliesToLose);
@@ -89,8 +90,10 @@
     Away = false;
     Hears.Returned();
   }
-  if (std::exchange(Disturbed, !answered) && answered)
-    Hears.Recovered();
+  const auto failedAt =
+      std::exchange(FailedAt, answered ? std::nullopt : std::optional(now()));
+  if (answered && failedAt)
+    Hears.Recovered(*failedAt);
 }
 
 } // namespace cowslipridge::platform
--- a/src/cowslipridge/platform/StoreContact.hpp
+++ b/src/cowslipridge/platform/StoreContact.hpp
@@ -25,9 +25,9 @@
   struct Listeners {
     std::function<void(const std::string &reason)> Lost;
     std::function<void()> Returned;
-    /// A call is answered again after one or more were not: connections of
-    /// that time may have fallen silent.
-    std::function<void()> Recovered;
+    /// A call is answered again after one or more were not, the last of them
+    /// at `failedAt`: connections of before may have fallen silent.
+    std::function<void(core::Millis failedAt)> Recovered;
   };
 
   StoreContact(boost::asio::io_context &loop, const core::Clock &clock,
@@ -38,14 +38,20 @@
                                     core::Millis timeout,
                                     StoreClient::Done done);
 
+  [[nodiscard]] core::Millis now() const { return Clock.monotonic(); }
+  /// Whether any answer came since the start, refusals too.
+  [[nodiscard]] bool wasHeard() const { return Heard; }
+
 private:
   void note(StoreCallName name, const StoreReply &reply);
 
+  const core::Clock &Clock;
   StoreClient Store;
   observe::Metrics &Counts;
   Listeners Hears;
+  bool Heard = false;
   bool Away = false;
-  bool Disturbed = false; ///< the last call was not answered
+  std::optional<core::Millis> FailedAt; ///< the last call was not answered
   unsigned BusyInRow = 0;
 };
 
--- a/src/cowslipridge/platform/StoreControlPlane.cpp
+++ b/src/cowslipridge/platform/StoreControlPlane.cpp
@@ -88,7 +88,7 @@
                         report(gateway::ControlPlaneLost{reason});
                       },
                       [this] { report(gateway::ControlPlaneReturned{}); },
-                      [this] { Items.renewWatch(); }});
+                      [this](core::Millis it) { Items.renewCall(it); }});
   Items.start(
       {[this](const auto &items, StoreRevision at) { applyListing(items, at); },
        [this](const StoreItem &it) { apply(it); }});
--- a/src/cowslipridge/platform/StoreControlPlane.hpp
+++ b/src/cowslipridge/platform/StoreControlPlane.hpp
@@ -27,6 +27,7 @@
              std::function<void()> onSynced) override;
   void advance(const rollout::RolloutStatus &status,
                const rollout::RolloutProgress &progress) override;
+  [[nodiscard]] bool wasHeard() const override { return Store.wasHeard(); }
   void leave() override;
   [[nodiscard]] std::optional<std::string> snapshot() const override;
   bool adopt(const std::string &snapshot) override;
--- a/src/cowslipridge/platform/StoreFollower.cpp
+++ b/src/cowslipridge/platform/StoreFollower.cpp
@@ -48,6 +48,7 @@
 }
 
 void StoreFollower::list() {
+  CalledAt = Store.now();
   const std::string after = Listing.empty() ? "" : Listing.back().Key;
   Page = Store.send(StoreCallName::List, {listCall(Prefix, after), {}},
                     ListTimeout,
@@ -116,6 +117,7 @@
 
 void StoreFollower::watch() {
   Doing = Step::Watching;
+  CalledAt = Store.now();
   Watch =
       Store.send(StoreCallName::Watch, {watchCall(Prefix, At, WatchWait), {}},
                  WatchWait + WatchSlack,
@@ -141,13 +143,19 @@
       MaxWatchPause, PausePerFollower * static_cast<std::int64_t>(Followers)));
 }
 
-// Later, since an answer of this very watch may be what is being handled.
-void StoreFollower::renewWatch() {
-  boost::asio::post(Timer.get_executor(), [this] {
-    if (!Watch)
+// Later, since an answer of this very call may be what is being handled.
+void StoreFollower::renewCall(core::Millis madeBefore) {
+  boost::asio::post(Timer.get_executor(), [this, madeBefore] {
+    if (CalledAt > madeBefore)
       return;
-    std::exchange(Watch, nullptr)->cancel();
-    watch();
+    if (const auto call = std::exchange(Watch, nullptr)) {
+      call->cancel();
+      watch();
+    }
+    if (const auto call = std::exchange(Page, nullptr)) {
+      call->cancel();
+      list();
+    }
   });
 }
 
--- a/src/cowslipridge/platform/StoreFollower.hpp
+++ b/src/cowslipridge/platform/StoreFollower.hpp
@@ -40,8 +40,9 @@
   /// Takes what another follower knows in place of the first listing; changes
   /// since then come by the watch. False when the store has listed already.
   bool adopt(StoreBatch batch);
-  /// Asks anew: the connection of a watch that waits may have fallen silent.
-  void renewWatch();
+  /// Makes the call that waits anew if it was made before this time: its
+  /// connection may have fallen silent.
+  void renewCall(core::Millis madeBefore);
   /// How many gateways follow the store. With more of them each leaves a longer
   /// pause between two watches, so that a change costs the store less.
   void setFollowers(std::size_t count) { Followers = count; }
@@ -69,6 +70,7 @@
   bool HasPage = false; ///< of this listing
   std::shared_ptr<http1::Call> Watch;
   std::shared_ptr<http1::Call> Page; ///< that is being asked for
+  core::Millis CalledAt;             ///< the watch or the page
   std::map<std::string, StoreItem> Items;
   bool Listed = false;
   unsigned BusyInRow = 0;
--- a/tests/integration/platform/StoreFollowerTest.cpp
+++ b/tests/integration/platform/StoreFollowerTest.cpp
@@ -7,6 +7,7 @@
 
 using namespace cowslipridge;
 using namespace cowslipridge::platform;
+using core::Millis;
 using standins::platform::MetadataServer;
 using standins::platform::StoreFaults;
 
@@ -18,7 +19,7 @@
          const config::SocketAddress &store, std::uint64_t seed)
       : Contact(loop, clock, store, Counts), Items(loop, Contact, seed) {
     Contact.setListeners({[this](const auto &) { ++Lost; }, [] {},
-                          [this] { Items.renewWatch(); }});
+                          [this](Millis it) { Items.renewCall(it); }});
     Items.start({[this](const auto &items, StoreRevision) {
                    ++Listings;
                    Listed = items.size();
@@ -173,6 +174,30 @@
       << "about three a second, whatever changes";
 }
 
+// Pattern: the store falls silent while a gateway starts, and is back before
+// the listing's time is over.
+TEST_F(StoreFollowerTest, aListingThatHangsIsAskedForAnewOnceTheStoreAnswers) {
+  StoreFaults faults;
+  faults.Silent = true;
+  Store.setFaults(faults);
+  startMembers(1);
+  runUntil([&] { return Store.calls() == 1; });
+  EXPECT_FALSE(Members[0].Contact.wasHeard());
+  bool over = false;
+  Members[0].Contact.send(StoreCallName::Renew, renewLeaseCall(7),
+                          core::Millis(100),
+                          [&](const StoreReply &) { over = true; });
+  runUntil([&] { return over; });
+  Store.setFaults({});
+  Members[0].Contact.send(StoreCallName::Renew, renewLeaseCall(7),
+                          core::Millis(500), [](const StoreReply &) {});
+  const core::Millis back = Clock.monotonic();
+  runUntil([&] { return allListed(); });
+  EXPECT_TRUE(Members[0].Contact.wasHeard());
+  EXPECT_LT(Clock.monotonic() - back, core::Millis(1'500))
+      << "the first listing waits for 2 s";
+}
+
 TEST_F(StoreFollowerTest, listsAnewWhenTheHistoryIsGone) {
   fill(3);
   startMembers(1);
@@ -180,7 +205,7 @@
   StoreFaults faults;
   faults.Busy = true;
   Store.setFaults(faults);
-  Members[0].Items.renewWatch();
+  Members[0].Items.renewCall(Clock.monotonic());
   runUntil([&] { return Members[0].Lost > 0; });
   Store.store().remove("servers/r0");
   Store.store().dropHistory();
--- a/tests/unit/gateway/PeerSnapshotsTest.cpp
+++ b/tests/unit/gateway/PeerSnapshotsTest.cpp
@@ -14,6 +14,7 @@
              std::function<void()> /*onSynced*/) override {}
   void advance(const rollout::RolloutStatus & /*status*/,
                const rollout::RolloutProgress & /*progress*/) override {}
+  [[nodiscard]] bool wasHeard() const override { return false; }
   void leave() override {}
   [[nodiscard]] std::optional<std::string> snapshot() const override {
     ++Asked;
