One copy of the store's statuses; forget peers that are long gone

Read as a newcomer: three files of platform/ each had their own 200 and 404, the end of a lease was counted as a grant, Departures kept every name it ever heard, and one function had no caller.

--- a/src/cowslipridge/gateway/Departures.cpp
+++ b/src/cowslipridge/gateway/Departures.cpp
@@ -12,6 +12,8 @@
 constexpr core::Millis ReportLife{1'500};
 /// Until the balancer sends callers to a gateway that began to serve.
 constexpr core::Millis BalancerNotices{1'200};
+/// Peers that say nothing for so long are forgotten.
+constexpr core::Millis Memory{60'000};
 
 } // namespace
 
@@ -24,6 +26,8 @@
   const core::Millis until =
       leaves ? now + *endsIn + RestartTime : now + ReportLife;
   Peers.insert_or_assign(peer, State{leaves, since, until});
+  std::erase_if(Peers,
+                [&](const auto &it) { return it.second.Until + Memory < now; });
 }
 
 core::Millis Departures::returnIn(core::Millis ownEndsIn,
--- a/src/cowslipridge/gateway/Placement.hpp
+++ b/src/cowslipridge/gateway/Placement.hpp
@@ -80,7 +80,7 @@
 /// Which tier answers after one has, and why.
 struct TierChoice {
   std::size_t Tier = 0;
-  bool Doubted = false; ///< the answer is kept only for want of time
+  bool Doubted = false; ///< with time to spare it would not be kept
   /// What the larger model could do; nothing when no runner serves it.
   std::optional<route::TierForecast> Larger;
 };
--- a/src/cowslipridge/platform/StoreContact.cpp
+++ b/src/cowslipridge/platform/StoreContact.cpp
@@ -6,11 +6,6 @@
 
 namespace {
 
-constexpr int Ok = 200;
-constexpr int NotFound = 404;
-constexpr int HistoryGone = 410;
-constexpr int ConditionFailed = 412;
-constexpr int TooManyCalls = 429;
 /// A store that is over its rate still serves; one that says so time and again
 /// has turned this gateway away.
 constexpr unsigned BusyRepliesToLose = 4;
@@ -25,6 +20,8 @@
     return "grant";
   case StoreCallName::Register:
     return "register";
+  case StoreCallName::Release:
+    return "release";
   case StoreCallName::Renew:
     return "renew";
   case StoreCallName::Advance:
@@ -43,11 +40,14 @@
 } // namespace
 
 bool isAnswered(const StoreReply &reply) {
-  return reply.Status == Ok || reply.Status == NotFound ||
-         reply.Status == HistoryGone || reply.Status == ConditionFailed;
+  return reply.Status == status::Ok || reply.Status == status::NotFound ||
+         reply.Status == status::HistoryGone ||
+         reply.Status == status::ConditionFailed;
 }
 
-bool isBusy(const StoreReply &reply) { return reply.Status == TooManyCalls; }
+bool isBusy(const StoreReply &reply) {
+  return reply.Status == status::TooManyCalls;
+}
 
 StoreContact::StoreContact(boost::asio::io_context &loop,
                            const core::Clock &clock,
--- a/src/cowslipridge/platform/StoreContact.hpp
+++ b/src/cowslipridge/platform/StoreContact.hpp
@@ -11,7 +11,15 @@
 namespace cowslipridge::platform {
 
 /// What a call is, in logs and reasons.
-enum class StoreCallName { List, Watch, Grant, Register, Renew, Advance };
+enum class StoreCallName {
+  List,
+  Watch,
+  Grant,
+  Register,
+  Renew,
+  Release,
+  Advance
+};
 
 /// Whether the store carried a call out, or found that it can't be.
 bool isAnswered(const StoreReply &reply);
--- a/src/cowslipridge/platform/StoreControlPlane.cpp
+++ b/src/cowslipridge/platform/StoreControlPlane.cpp
@@ -4,7 +4,6 @@
 #include "cowslipridge/platform/Documents.hpp"
 #include "cowslipridge/platform/internal/JsonReader.hpp"
 
-#include <chrono>
 #include <optional>
 #include <utility>
 
--- a/src/cowslipridge/platform/StoreFollower.cpp
+++ b/src/cowslipridge/platform/StoreFollower.cpp
@@ -26,9 +26,6 @@
 /// A change must be in force everywhere well within two seconds.
 constexpr core::Millis MaxWatchPause{400};
 
-constexpr int Ok = 200;
-constexpr int HistoryGone = 410;
-
 } // namespace
 
 StoreFollower::StoreFollower(boost::asio::io_context &loop, StoreContact &store,
@@ -58,7 +55,7 @@
 void StoreFollower::onPage(const StoreReply &reply) {
   Page = nullptr;
   auto page = parseListing(reply.Body);
-  if (reply.Status != Ok || !page) {
+  if (reply.Status != status::Ok || !page) {
     retryAfter(reply);
     return;
   }
@@ -126,12 +123,12 @@
 
 void StoreFollower::onChanges(const StoreReply &reply) {
   Watch = nullptr;
-  if (reply.Status == HistoryGone) {
+  if (reply.Status == status::HistoryGone) {
     beginAnew();
     return;
   }
   const auto changes = parseChanges(reply.Body);
-  if (reply.Status != Ok || !changes) {
+  if (reply.Status != status::Ok || !changes) {
     retryAfter(reply);
     return;
   }
--- a/src/cowslipridge/platform/StoreProtocol.hpp
+++ b/src/cowslipridge/platform/StoreProtocol.hpp
@@ -16,6 +16,15 @@
 /// Keys written under a lease vanish when it ends; 0: no lease.
 using LeaseId = std::int64_t;
 
+/// Statuses of the store's answers.
+namespace status {
+inline constexpr int Ok = 200;
+inline constexpr int NotFound = 404;
+inline constexpr int HistoryGone = 410;
+inline constexpr int ConditionFailed = 412;
+inline constexpr int TooManyCalls = 429;
+} // namespace status
+
 /// One item, or the fact that it was deleted.
 struct StoreItem {
   std::string Key;
--- a/src/cowslipridge/platform/StoreRegistration.cpp
+++ b/src/cowslipridge/platform/StoreRegistration.cpp
@@ -11,9 +11,6 @@
 /// Also how soon an outage of the store is noticed.
 constexpr core::Millis RenewInterval{1'000};
 
-constexpr int Ok = 200;
-constexpr int NotFound = 404;
-
 } // namespace
 
 StoreRegistration::StoreRegistration(boost::asio::io_context &loop,
@@ -31,7 +28,7 @@
   Timer.cancel();
   if (Lease == 0)
     return;
-  Store.send(StoreCallName::Grant, endLeaseCall(Lease), CallTimeout,
+  Store.send(StoreCallName::Release, endLeaseCall(Lease), CallTimeout,
              [](const StoreReply &) {
                // The lease ends by itself if this call was lost.
              });
@@ -57,7 +54,7 @@
 }
 
 void StoreRegistration::onRenewed(const StoreReply &reply) {
-  if (reply.Status != NotFound) {
+  if (reply.Status != status::NotFound) {
     renewLater();
     return;
   }
@@ -69,7 +66,7 @@
   Store.send(StoreCallName::Grant, grantLeaseCall(LeaseLifetime), CallTimeout,
              [this](const StoreReply &reply) {
                const auto lease = parseLease(reply.Body);
-               if (reply.Status == Ok && lease) {
+               if (reply.Status == status::Ok && lease) {
                  Lease = *lease;
                  write();
                }
@@ -82,7 +79,7 @@
              writeCall({{Key, Value, Lease, false, 0}}), CallTimeout,
              [this](const StoreReply &reply) {
                // Begins anew with the next renewal.
-               if (reply.Status != Ok)
+               if (reply.Status != status::Ok)
                  Lease = 0;
              });
 }
--- a/src/cowslipridge/route/PrefillForecast.hpp
+++ b/src/cowslipridge/route/PrefillForecast.hpp
@@ -3,7 +3,6 @@
 #include "cowslipridge/core/Clock.hpp"
 #include "cowslipridge/core/Ids.hpp"
 
-#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -57,8 +56,6 @@
   }
   /// Age of the oldest that other gateways said and that still counts.
   [[nodiscard]] core::Millis remoteAge(core::Millis now) const;
-  /// How many other gateways' loads count.
-  [[nodiscard]] std::size_t remotes() const { return Remote.size(); }
   /// Of all gateways.
   [[nodiscard]] ServerLoad load(const core::RunnerId &runner) const;
   /// Time between two events of a stream at a runner, from its streams of late.
