Log peers that fall silent, and silent runners that are waited for

Tests: PeerExchangeTest.tellsOfEachChangeOfAPeersPresenceOnce, RequestMachineTest.aSilentRunnerIsKeptWithoutAnother (extended).

--- a/src/cowslipridge/gateway/Gateway.cpp
+++ b/src/cowslipridge/gateway/Gateway.cpp
@@ -71,6 +71,10 @@
     Scrapes.listen(toEndpoint(*Settings.Metrics));
   Peers.listen(Settings.Peers);
   Snapshots.listen(toEndpoint(Settings.Peers));
+  Peers.onPresence([this](const core::InstanceId &peer, bool isHeard) {
+    report(isHeard ? EventNumber::PeerHeard : EventNumber::PeerSilent,
+           "peer=" + peer.str());
+  });
   Peers.onStranger([this](const auto &sender) {
     if (mayAskPeers())
       Snapshots.ask({sender.address(), sender.port()});
--- a/src/cowslipridge/gateway/PeerExchange.cpp
+++ b/src/cowslipridge/gateway/PeerExchange.cpp
@@ -86,7 +86,9 @@
     return;
   }
   const core::Millis now = Clock.monotonic();
-  HeardAt[report->Gateway] = now;
+  const bool isNew = HeardAt.insert_or_assign(report->Gateway, now).second;
+  if (isNew && HearsPresence)
+    HearsPresence(report->Gateway, true);
   Decisions.onPeerReport(*report, now);
   Leaving.note(report->Gateway, report->EndsIn, now);
 }
@@ -100,6 +102,8 @@
     const core::InstanceId name = it->first;
     it = HeardAt.erase(it);
     Decisions.forgetPeer(name);
+    if (HearsPresence)
+      HearsPresence(name, false);
     if (Lapsed.contains(name))
       drop(name);
   }
--- a/src/cowslipridge/gateway/PeerExchange.hpp
+++ b/src/cowslipridge/gateway/PeerExchange.hpp
@@ -30,6 +30,11 @@
   /// Its registration ended. One that is still heard from stays: registrations
   /// of all gateways may lapse together while the store is away.
   void remove(const core::InstanceId &name);
+  /// Hears of peers whose reports stop or come again.
+  void onPresence(
+      std::function<void(const core::InstanceId &, bool isHeard)> listener) {
+    HearsPresence = std::move(listener);
+  }
   /// Hears of the addresses of gateways that report and are not known.
   void
   onStranger(std::function<void(const boost::asio::ip::udp::endpoint &)> f) {
@@ -63,6 +68,7 @@
   std::map<core::InstanceId, core::Millis> HeardAt;
   Departures Leaving;
   std::function<void(const boost::asio::ip::udp::endpoint &)> Stranger;
+  std::function<void(const core::InstanceId &, bool isHeard)> HearsPresence;
   std::set<core::InstanceId> Lapsed; ///< without a registration, but heard from
 };
 
--- a/src/cowslipridge/gateway/RequestFlow.cpp
+++ b/src/cowslipridge/gateway/RequestFlow.cpp
@@ -215,6 +215,10 @@
   report(observe::EventNumber::RequestEscalated, describe(answer));
 }
 
+void RequestFlow::waits(const std::string &reason) {
+  report(observe::EventNumber::RequestWaits, reason);
+}
+
 void RequestFlow::kept(const DoubtedAnswer &answer, const std::string &reason) {
   report(observe::EventNumber::RequestKept, describe(answer) + " " + reason);
 }
--- a/src/cowslipridge/gateway/RequestFlow.hpp
+++ b/src/cowslipridge/gateway/RequestFlow.hpp
@@ -49,6 +49,7 @@
   void refuse(const Refusal &refusal) override;
   void retried(SendOutcome outcome, const std::string &reason) override;
   void escalated(const DoubtedAnswer &answer) override;
+  void waits(const std::string &reason) override;
   void kept(const DoubtedAnswer &answer, const std::string &reason) override;
 
 private:
--- a/src/cowslipridge/gateway/RequestMachine.cpp
+++ b/src/cowslipridge/gateway/RequestMachine.cpp
@@ -366,14 +366,15 @@
   excluded.push_back(Current->Runner);
   const PlacementResult result =
       Decisions.place(Facts, Tier, excluded, SendKind::Repeat, now);
-  const auto *placement = std::get_if<Placement>(&result);
-  if (placement == nullptr)
+  if (const auto *none = std::get_if<NoPlacement>(&result)) {
+    Actions.waits(none->Reason);
     return;
+  }
   MayHaveRun = true;
   Actions.cancelSend();
   ended(SendOutcome::Silent, now);
   Actions.retried(LastOutcome, "the runner is silent");
-  onPlacement(*placement, now);
+  onPlacement(std::get<Placement>(result), now);
 }
 
 void RequestMachine::ended(SendOutcome outcome, core::Millis now) {
--- a/src/cowslipridge/gateway/RequestMachine.hpp
+++ b/src/cowslipridge/gateway/RequestMachine.hpp
@@ -48,6 +48,8 @@
   /// The request is tried again after a sending that ended so.
   virtual void retried(SendOutcome outcome, const std::string &reason) = 0;
   virtual void escalated(const DoubtedAnswer &answer) = 0;
+  /// A silent runner is waited for after all.
+  virtual void waits(const std::string &reason) = 0;
   /// A doubted answer is passed on all the same.
   virtual void kept(const DoubtedAnswer &answer, const std::string &reason) = 0;
 };
--- a/src/cowslipridge/observe/EventCatalogue.hpp
+++ b/src/cowslipridge/observe/EventCatalogue.hpp
@@ -28,6 +28,8 @@
   PeerRegistered = 303,
   PeerGone = 304,
   PeerSnapshotTaken = 305,
+  PeerSilent = 306,
+  PeerHeard = 307,
   RunnerRegistered = 310,
   RunnerDraining = 311,
   RunnerGone = 312,
@@ -43,6 +45,7 @@
   RequestEscalated = 405,
   RequestAbandoned = 406,
   RequestKept = 407,
+  RequestWaits = 408,
 
   RunStarted = 500,
   RunEnded = 501,
--- a/tests/support/ScriptedPlacer.hpp
+++ b/tests/support/ScriptedPlacer.hpp
@@ -103,6 +103,7 @@
   void escalated(const gateway::DoubtedAnswer & /*answer*/) override {
     ++Escalations;
   }
+  void waits(const std::string & /*reason*/) override { ++Waits; }
   void kept(const gateway::DoubtedAnswer & /*answer*/,
             const std::string &reason) override {
     KeptBecause = reason;
@@ -112,6 +113,7 @@
   int Cancels = 0;
   int Begins = 0;
   int Escalations = 0;
+  int Waits = 0;
   std::vector<gateway::SendOutcome> Retried;
   std::string KeptBecause; ///< empty: no doubted answer was kept
   int Answers = 0;
--- a/tests/unit/gateway/PeerExchangeTest.cpp
+++ b/tests/unit/gateway/PeerExchangeTest.cpp
@@ -75,6 +75,21 @@
   EXPECT_TRUE(Two.Peers.peers().contains(One.Self.Name));
 }
 
+TEST_F(PeerExchangeTest, tellsOfEachChangeOfAPeersPresenceOnce) {
+  std::vector<bool> changes;
+  Two.Peers.onPresence([&](const core::InstanceId &peer, bool isHeard) {
+    EXPECT_EQ(peer, One.Self.Name);
+    changes.push_back(isHeard);
+  });
+  twoHearsOne();
+  One.Peers.sendReports(Millis(900));
+  runUntil([&] { return Two.Peers.returnIn(Millis(5'000)) > Millis(1'000); });
+  Time.advance(Millis(5'000));
+  Two.Peers.expire(Time.monotonic());
+  Two.Peers.expire(Time.monotonic());
+  EXPECT_EQ(changes, (std::vector{true, false}));
+}
+
 TEST_F(PeerExchangeTest, tellsWhenOneThatLeavesIsBack) {
   twoHearsOne();
   Time.advance(Millis(1'300));
--- a/tests/unit/gateway/RequestMachineTest.cpp
+++ b/tests/unit/gateway/RequestMachineTest.cpp
@@ -197,6 +197,7 @@
   EXPECT_EQ(Actions.Cancels, 0);
   served("late");
   EXPECT_EQ(Actions.Status, 200);
+  EXPECT_EQ(Actions.Waits, 1);
 }
 
 TEST_F(RequestMachineTest, atTheDeadlineThereIsAnAnswer) {
