Share what the gateway wrote twice; keep no entries of servers that are gone

Found on reading the change whole. Cause: the least patience with a stream, the earliest return of a refused caller and the life of a peer's report each stood in two files; timers turned lengths into chrono's by hand in nine places (core::toChrono now); two constants of one name, BalancerNotices, meant different times; http1::Client::forget had no caller, and its maps kept an entry for every address ever called, in a process that runs for years. Ruled out: one constant for MillisPerSecond (core/Clock.hpp is included everywhere, for eleven one-line constants of two types), one read loop for both kinds of connection (eight lines with different conditions), one text for the verdict of a roll-out (the one in platform/ is a word on the wire).

--- a/src/cowslipridge/gateway/Departures.cpp
+++ b/src/cowslipridge/gateway/Departures.cpp
@@ -8,10 +8,8 @@
 
 /// From the end of a process until the one that replaces it serves.
 constexpr core::Millis RestartTime{600};
-/// How long a report shows that its sender serves.
-constexpr core::Millis ReportLife{1'500};
 /// Until the balancer sends callers to a gateway that began to serve.
-constexpr core::Millis BalancerNotices{1'200};
+constexpr core::Millis BalancerAdmits{1'200};
 /// Peers that say nothing for so long are forgotten.
 constexpr core::Millis Memory{60'000};
 
@@ -32,13 +30,13 @@
 
 core::Millis Departures::returnIn(core::Millis ownEndsIn,
                                   core::Millis now) const {
-  core::Millis earliest = now + ownEndsIn + RestartTime + BalancerNotices;
+  core::Millis earliest = now + ownEndsIn + RestartTime + BalancerAdmits;
   for (const auto &[name, peer] : Peers) {
     if (!peer.Leaves && now <= peer.Until)
-      earliest = std::min(earliest, peer.Since + BalancerNotices);
+      earliest = std::min(earliest, peer.Since + BalancerAdmits);
     // One that is late may be gone for good, and says nothing any more.
     if (peer.Leaves && now <= peer.Until + RestartTime)
-      earliest = std::min(earliest, peer.Until + BalancerNotices);
+      earliest = std::min(earliest, peer.Until + BalancerAdmits);
   }
   return std::max(core::Millis(), earliest - now);
 }
--- a/src/cowslipridge/gateway/Departures.hpp
+++ b/src/cowslipridge/gateway/Departures.hpp
@@ -14,6 +14,9 @@
 /// to come back at once uses up its retries before the first of them is back.
 class Departures {
 public:
+  /// How long a report shows that its sender is alive.
+  static constexpr core::Millis ReportLife{1'500};
+
   /// A peer reported; `endsIn`: it leaves, and its process ends after that
   /// time.
   void note(const core::InstanceId &peer, std::optional<core::Millis> endsIn,
--- a/src/cowslipridge/gateway/Dispatcher.cpp
+++ b/src/cowslipridge/gateway/Dispatcher.cpp
@@ -12,13 +12,10 @@
 
 /// Prompt blocks that are remembered; several times what runners keep.
 constexpr std::size_t MaxCacheBlocks = 20'000;
-/// Patience with a runner: times the forecast, and at least.
+/// Patience with a runner that streams: times the forecast.
 constexpr std::int64_t PatienceFactor = 4;
-constexpr core::Millis LeastStreamPatience{1'500};
 /// Part of a plain request's time after which a silent runner is given up.
 constexpr std::int64_t PlainPatienceParts = 3;
-/// Refused callers come back after this time at the earliest.
-constexpr core::Millis ShortReturn{150};
 constexpr std::size_t LeastConnections = 4;
 
 } // namespace
@@ -46,17 +43,17 @@
                                   SendKind kind, core::Millis now) {
   const auto candidate = Selection.choose(facts, tier, excluded, now);
   if (!candidate)
-    return NoPlacement{"no runner", ShortReturn};
+    return NoPlacement{"no runner", EarliestReturn};
   const core::Millis left = facts.Deadline - now;
   if (candidate->FirstToken >= left && !facts.Caller.Prompt.empty())
     return NoPlacement{"no runner answers in time",
-                       std::max(ShortReturn, candidate->FirstToken - left)};
+                       std::max(EarliestReturn, candidate->FirstToken - left)};
   limits::RetryWindow &retries = budget(serviceOf(facts));
   if (kind == SendKind::First)
     retries.onFirst(now);
   const bool isRepeat = kind == SendKind::Repeat || kind == SendKind::Escalate;
   if (isRepeat && !retries.tryTake(now))
-    return NoPlacement{"the budget for repeats is spent", ShortReturn};
+    return NoPlacement{"the budget for repeats is spent", EarliestReturn};
   Placement placement = commit(*candidate, tier, facts, now);
   placement.Kind = kind;
   return placement;
--- a/src/cowslipridge/gateway/Gateway.cpp
+++ b/src/cowslipridge/gateway/Gateway.cpp
@@ -1,11 +1,11 @@
 #include "cowslipridge/gateway/Gateway.hpp"
 
+#include "cowslipridge/core/Chrono.hpp"
 #include "cowslipridge/core/Visit.hpp"
 #include "cowslipridge/gateway/EventDetails.hpp"
 
 #include <boost/asio/ip/address.hpp>
 
-#include <chrono>
 #include <utility>
 
 namespace cowslipridge::gateway {
@@ -281,7 +281,7 @@
 }
 
 void Gateway::tickLater() {
-  Ticker.expires_after(std::chrono::milliseconds(TickInterval.count()));
+  Ticker.expires_after(core::toChrono(TickInterval));
   Ticker.async_wait([this](const auto &ec) {
     if (!ec)
       tick();
--- a/src/cowslipridge/gateway/PeerExchange.cpp
+++ b/src/cowslipridge/gateway/PeerExchange.cpp
@@ -11,9 +11,6 @@
 
 using Udp = boost::asio::ip::udp;
 
-/// What a silent peer has under way counts for so long.
-constexpr core::Millis SilenceLimit{1'500};
-
 } // namespace
 
 PeerExchange::PeerExchange(boost::asio::io_context &loop,
@@ -95,7 +92,7 @@
 
 void PeerExchange::expire(core::Millis now) {
   for (auto it = HeardAt.begin(); it != HeardAt.end();) {
-    if (now - it->second <= SilenceLimit) {
+    if (now - it->second <= Departures::ReportLife) {
       ++it;
       continue;
     }
--- a/src/cowslipridge/gateway/Placement.hpp
+++ b/src/cowslipridge/gateway/Placement.hpp
@@ -25,6 +25,12 @@
 /// Index into the route's models, or none when the caller named the model.
 using ModelTier = std::optional<std::size_t>;
 
+/// A stream is given so long for an event at least, whatever was forecast.
+inline constexpr core::Millis LeastStreamPatience{1'500};
+/// Refused callers come back after this time at the earliest: a runner that was
+/// full may have room again.
+inline constexpr core::Millis EarliestReturn{150};
+
 /// What a sending is to the budget for repeats.
 enum class SendKind {
   First,    ///< the request's first
--- a/src/cowslipridge/gateway/RequestFlow.cpp
+++ b/src/cowslipridge/gateway/RequestFlow.cpp
@@ -1,11 +1,11 @@
 #include "cowslipridge/gateway/RequestFlow.hpp"
 
+#include "cowslipridge/core/Chrono.hpp"
 #include "cowslipridge/gateway/EventDetails.hpp"
 
 #include <boost/asio/ip/address.hpp>
 
 #include <algorithm>
-#include <chrono>
 #include <utility>
 
 namespace cowslipridge::gateway {
@@ -265,7 +265,7 @@
     return;
   TimerAt = at;
   const core::Millis wait = std::max(core::Millis(), at - now());
-  Timer.expires_after(std::chrono::milliseconds(wait.count()));
+  Timer.expires_after(core::toChrono(wait));
   Timer.async_wait([self = shared_from_this()](const auto &ec) {
     if (ec)
       return;
--- a/src/cowslipridge/gateway/RequestMachine.cpp
+++ b/src/cowslipridge/gateway/RequestMachine.cpp
@@ -11,14 +11,10 @@
 /// Runners without a connection that one request tries, besides those that it
 /// is sent to.
 constexpr unsigned MaxUnreachable = 3;
-/// A stream that is longer without an event than this goes on elsewhere.
-constexpr core::Millis LeastStreamPatience{1'500};
 /// Time that a runner needs at least for its answer to be of use.
 constexpr core::Millis LeastUsefulTime{20};
 /// Larger answers of plain services are passed on as they come.
 constexpr std::size_t MaxGatheredBytes = 256UL * 1024;
-/// When a runner that was full may have room again.
-constexpr core::Millis ShortReturn{150};
 /// Before the caller's own time is over, for the answer to reach it.
 constexpr core::Millis AnswerMargin{10};
 
@@ -50,7 +46,7 @@
 
 void RequestMachine::sendNext(const std::string &reason, core::Millis now) {
   if (remaining(now) < LeastUsefulTime) {
-    giveUp(reason + ", no time left", ShortReturn);
+    giveUp(reason + ", no time left", EarliestReturn);
     return;
   }
   const bool isFirst = Sent == 0 && Unreachable == 0;
@@ -82,7 +78,7 @@
 void RequestMachine::retryOrGiveUp(const std::string &reason,
                                    core::Millis now) {
   if (!mayResend()) {
-    giveUp(reason, ShortReturn);
+    giveUp(reason, EarliestReturn);
     return;
   }
   Actions.retried(LastOutcome, reason);
--- a/src/cowslipridge/http/Client.cpp
+++ b/src/cowslipridge/http/Client.cpp
@@ -1,5 +1,6 @@
 #include "cowslipridge/http/Client.hpp"
 
+#include "cowslipridge/core/Chrono.hpp"
 #include "cowslipridge/core/Error.hpp"
 #include "cowslipridge/http/internal/ClientExchange.hpp"
 
@@ -63,7 +64,7 @@
 class Client::Impl {
 public:
   Impl(std::string base, core::Millis timeout) : Base(std::move(base)) {
-    Config.set_timeout(std::chrono::milliseconds(timeout.count()));
+    Config.set_timeout(core::toChrono(timeout));
     Config.set_max_redirects(0);
   }
 
--- a/src/cowslipridge/http1/Client.cpp
+++ b/src/cowslipridge/http1/Client.cpp
@@ -60,18 +60,13 @@
   std::shared_ptr<Call> call(CallSpec spec,
                              std::shared_ptr<CallEvents> events) {
     Connection connection = takeIdle(spec.Server);
-    if (!connection && Counts[spec.Server] >= spec.MaxConnections)
+    if (!connection && openTo(spec.Server) >= spec.MaxConnections)
       return refuse(std::move(events));
     if (!connection)
       connection = open(spec.Server);
     return connection->start(std::move(spec), std::move(events));
   }
 
-  void forget(const Endpoint &server) {
-    for (const Connection &it : std::exchange(Idle[server], {}))
-      it->shutDown();
-  }
-
   void closeAll() {
     auto all = std::exchange(Open, {});
     for (const auto &[key, it] : all)
@@ -87,13 +82,21 @@
     return refused;
   }
 
+  [[nodiscard]] std::size_t openTo(const Endpoint &server) const {
+    const auto it = Counts.find(server);
+    return it == Counts.end() ? 0 : it->second;
+  }
+
   Connection takeIdle(const Endpoint &server) {
     const core::Millis now = Clock.monotonic();
-    auto &idle = Idle[server];
-    while (!idle.empty()) {
+    // Looked up anew each time: a connection that is shut down drops itself.
+    for (auto it = Idle.find(server); it != Idle.end();
+         it = Idle.find(server)) {
       // The one used last is the least likely to be closed by the server.
-      Connection connection = idle.back();
-      idle.pop_back();
+      Connection connection = it->second.back();
+      it->second.pop_back();
+      if (it->second.empty())
+        Idle.erase(it);
       if (connection->isUsable(now))
         return connection;
       connection->shutDown();
@@ -121,17 +124,25 @@
   }
 
   void drop(const Endpoint &server, internal::ClientConnection *connection) {
-    std::erase_if(Idle[server],
-                  [&](const Connection &it) { return it.get() == connection; });
-    if (Open.erase(connection) != 0)
-      --Counts[server];
+    const auto idle = Idle.find(server);
+    if (idle != Idle.end()) {
+      std::erase_if(idle->second, [&](const Connection &it) {
+        return it.get() == connection;
+      });
+      if (idle->second.empty())
+        Idle.erase(idle);
+    }
+    const auto count = Counts.find(server);
+    if (Open.erase(connection) != 0 && --count->second == 0)
+      Counts.erase(count);
   }
 
   boost::asio::io_context &Loop;
   const core::Clock &Clock;
   const ClientLimits Limits;
-  std::map<Endpoint, std::vector<Connection>> Idle;
-  std::map<Endpoint, std::size_t> Counts;
+  // Servers come and go: neither map keeps an entry without a connection.
+  std::map<Endpoint, std::vector<Connection>> Idle; ///< lists are not empty
+  std::map<Endpoint, std::size_t> Counts;           ///< open ones
   std::unordered_map<internal::ClientConnection *,
                      std::pair<Endpoint, Connection>>
       Open;
@@ -146,7 +157,6 @@
                                    std::shared_ptr<CallEvents> events) {
   return Internals->call(std::move(spec), std::move(events));
 }
-void Client::forget(const Endpoint &server) { Internals->forget(server); }
 std::size_t Client::opened() const { return Internals->Opened; }
 
 } // namespace cowslipridge::http1
--- a/src/cowslipridge/http1/Client.hpp
+++ b/src/cowslipridge/http1/Client.hpp
@@ -82,8 +82,6 @@
   /// Events come from the loop, never from within this call. The client keeps
   /// `events` until the call is over.
   std::shared_ptr<Call> call(CallSpec spec, std::shared_ptr<CallEvents> events);
-  /// Closes the idle connections to a server.
-  void forget(const Endpoint &server);
   /// Connections opened since the start.
   [[nodiscard]] std::size_t opened() const;
 
--- a/src/cowslipridge/http1/internal/ClientConnection.cpp
+++ b/src/cowslipridge/http1/internal/ClientConnection.cpp
@@ -1,11 +1,12 @@
 #include "cowslipridge/http1/internal/ClientConnection.hpp"
 
+#include "cowslipridge/core/Chrono.hpp"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
 #include <charconv>
-#include <chrono>
 #include <utility>
 
 namespace cowslipridge::http1::internal {
@@ -273,7 +274,7 @@
 }
 
 void ClientConnection::armTimer(core::Millis limit, CallFailure failure) {
-  Timer.expires_after(std::chrono::milliseconds(limit.count()));
+  Timer.expires_after(core::toChrono(limit));
   Timer.async_wait([self = shared_from_this(), failure](const auto &ec) {
     const bool over =
         self->State == Phase::Busy || self->State == Phase::Connecting;
--- a/src/cowslipridge/http1/internal/ServerConnection.cpp
+++ b/src/cowslipridge/http1/internal/ServerConnection.cpp
@@ -1,9 +1,10 @@
 #include "cowslipridge/http1/internal/ServerConnection.hpp"
 
+#include "cowslipridge/core/Chrono.hpp"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 
-#include <chrono>
 #include <utility>
 
 namespace cowslipridge::http1::internal {
@@ -256,7 +257,7 @@
   State = Phase::Closing;
   boost::system::error_code ignored;
   Peer.shutdown(Socket::shutdown_send, ignored);
-  Timer.expires_after(std::chrono::milliseconds(LingerTime.count()));
+  Timer.expires_after(core::toChrono(LingerTime));
   Timer.async_wait([self = shared_from_this()](const auto &ec) {
     if (!ec)
       self->shutDown();
@@ -275,7 +276,7 @@
 void ServerConnection::armTimer() {
   const core::Millis limit =
       isIdle() ? Shared->Limits.IdleTimeout : Shared->Limits.HeaderTimeout;
-  Timer.expires_after(std::chrono::milliseconds(limit.count()));
+  Timer.expires_after(core::toChrono(limit));
   Timer.async_wait([self = shared_from_this()](const auto &ec) {
     if (!ec)
       self->onTimer();
@@ -294,8 +295,7 @@
     return;
   }
   // The head came in time; the body has until the idle limit.
-  Timer.expires_after(
-      std::chrono::milliseconds(Shared->Limits.IdleTimeout.count()));
+  Timer.expires_after(core::toChrono(Shared->Limits.IdleTimeout));
   Timer.async_wait([self = shared_from_this()](const auto &ec) {
     if (!ec && self->State == Phase::Reading)
       self->refuse(408);
--- a/src/cowslipridge/platform/StoreFollower.cpp
+++ b/src/cowslipridge/platform/StoreFollower.cpp
@@ -1,9 +1,10 @@
 #include "cowslipridge/platform/StoreFollower.hpp"
 
+#include "cowslipridge/core/Chrono.hpp"
+
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
-#include <chrono>
 #include <iterator>
 #include <utility>
 
@@ -171,7 +172,7 @@
 }
 
 void StoreFollower::resumeAfter(core::Millis pause) {
-  Timer.expires_after(std::chrono::milliseconds(pause.count()));
+  Timer.expires_after(core::toChrono(pause));
   Timer.async_wait([this](const auto &ec) {
     // A snapshot may have been adopted meanwhile.
     if (ec || Watch || Page)
--- a/src/cowslipridge/platform/StoreRegistration.cpp
+++ b/src/cowslipridge/platform/StoreRegistration.cpp
@@ -1,6 +1,6 @@
 #include "cowslipridge/platform/StoreRegistration.hpp"
 
-#include <chrono>
+#include "cowslipridge/core/Chrono.hpp"
 
 namespace cowslipridge::platform {
 
@@ -37,7 +37,7 @@
 void StoreRegistration::renewLater() {
   if (Leaving)
     return;
-  Timer.expires_after(std::chrono::milliseconds(RenewInterval.count()));
+  Timer.expires_after(core::toChrono(RenewInterval));
   Timer.async_wait([this](const auto &ec) {
     if (!ec && !Leaving)
       renew();
--- a/src/standins/Scheduler.cpp
+++ b/src/standins/Scheduler.cpp
@@ -1,6 +1,7 @@
 #include "standins/Scheduler.hpp"
 
-#include <chrono>
+#include "cowslipridge/core/Chrono.hpp"
+
 #include <utility>
 
 namespace cowslipridge::standins {
@@ -31,7 +32,7 @@
     }
     const core::Millis pause = Waiting.top().Due - now();
     if (pause > core::Millis(0)) {
-      Changed.wait_for(lock, std::chrono::milliseconds(pause.count()));
+      Changed.wait_for(lock, core::toChrono(pause));
       continue;
     }
     auto task = Waiting.top().Task;
