--- /dev/null
+++ b/tests/integration/platform/GatewayFixture.hpp
@@ -0,0 +1,200 @@
+#pragma once
+
+#include "support/LoopFixture.hpp"
+
+#include "integration/support/Process.hpp"
+
+#include "cowslipridge/http1/Client.hpp"
+#include "standins/platform/MetadataServer.hpp"
+#include "standins/platform/PlainRunner.hpp"
+#include "standins/platform/StreamingRunner.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <filesystem>
+
+namespace cowslipridge::integration {
+
+using namespace standins::platform;
+using nlohmann::json;
+using support::RecordedCall;
+
+inline constexpr const char *Host = "shop.example";
+
+inline json routeTo(const std::string &prefix, const std::string &kind,
+                    const std::string &service, int attempts) {
+  return {{"name", prefix},
+          {"host", Host},
+          {"pathPrefix", prefix},
+          {"routeKind", kind},
+          {"timeoutMs", 4000},
+          {"targetLatencyMs", 2000},
+          {"priority", 1},
+          {"service", service},
+          {"maxAttempts", attempts},
+          {"public", false},
+          {"streamResumption", true},
+          {"targetGapMs", 1000}};
+}
+
+/// One gateway as a process of its own, before stand-ins of the platform.
+class GatewayTest : public support::LoopFixture {
+protected:
+  GatewayTest() : Store(Loop, Clock), Calls(Loop, Clock, {}) {
+    StoreAt = freePort();
+    Store.listen(StoreAt);
+    Front = freePort();
+    Ready = freePort();
+    Metrics = freePort();
+    Configuration = {{"version", 1},
+                     {"routes",
+                      {routeTo("/stream/", "streaming", "llm", 3),
+                       routeTo("/post/", "non_idempotent", "desk", 1),
+                       routeTo("/get/", "idempotent", "desk", 2)}},
+                     {"services", {{{"name", "llm"}}, {{"name", "desk"}}}},
+                     {"tenants", {{{"name", "one"}, {"apiKeys", {"key-1"}}}}}};
+    Configuration["routes"][0]["sizes"] = {"small", "large"};
+  }
+
+  http1::Endpoint freePort() {
+    Tcp::acceptor probe(Loop, anyPort());
+    return probe.local_endpoint();
+  }
+
+  template <typename Runner>
+  Runner &add(const std::string &id, const std::string &service) {
+    RunnerTraits traits;
+    traits.Id = id;
+    traits.Service = service;
+    auto added = std::make_unique<Runner>(Loop, Clock, traits);
+    Runner &runner = *added;
+    Runners.push_back(std::move(added));
+    runner.listen(freePort());
+    Store.store().put("servers/" + id, runner.entry("available"));
+    return runner;
+  }
+  StreamingRunner &addModelRunner(const std::string &id) {
+    return add<StreamingRunner>(id, "llm");
+  }
+  PlainRunner &addDesk(const std::string &id) {
+    return add<PlainRunner>(id, "desk");
+  }
+
+  void configure() { Store.store().put("op/config", Configuration.dump()); }
+
+  static std::string text(const http1::Endpoint &at) {
+    return at.address().to_string() + ":" + std::to_string(at.port());
+  }
+
+  /// The addresses of one gateway, kept over its restarts.
+  struct Addresses {
+    http1::Endpoint Front;
+    http1::Endpoint Ready;
+    http1::Endpoint Metrics;
+    http1::Endpoint Peers;
+  };
+  Addresses freeAddresses() {
+    return {freePort(), freePort(), freePort(), freePort()};
+  }
+
+  void start(std::optional<Process> &process, const std::string &name,
+             const Addresses &at) {
+    const std::string settings = Files.write(
+        name + ".ini", "[process]\ninstance = " + name +
+                           "\nfailure_domain = zone-1\ngrace_period = 5s\n"
+                           "[listen]\ncallers = " +
+                           text(at.Front) + "\nreadiness = " + text(at.Ready) +
+                           "\nmetrics = " + text(at.Metrics) +
+                           "\npeers = " + text(at.Peers) +
+                           "\n[store]\naddress = " + text(StoreAt) +
+                           "\n[promises]\nretry_ratio = 1\n");
+    process.emplace(COWSLIPRIDGE_GATEWAY_PATH,
+                    std::vector<std::string>{"--settings", settings},
+                    Files.path(name + ".log"));
+  }
+  void startGateway() {
+    start(Gateway, "gateway-1", {Front, Ready, Metrics, freePort()});
+  }
+
+  void startAndAwaitReady() {
+    startGateway();
+    awaitReady();
+  }
+
+  void awaitReady() { awaitReady(Ready); }
+  void awaitReady(const http1::Endpoint &at) {
+    int status = 0;
+    while (status != 200)
+      status = get(at, "/v1/readiness")->Status;
+  }
+
+  std::shared_ptr<RecordedCall> get(const http1::Endpoint &server,
+                                    const std::string &path) {
+    return finish(
+        begin(server, "GET " + path + " HTTP/1.1\r\nHost: h\r\n\r\n"));
+  }
+
+  std::shared_ptr<RecordedCall> begin(const http1::Endpoint &server,
+                                      std::string bytes) {
+    auto events = std::make_shared<RecordedCall>();
+    http1::CallSpec spec;
+    spec.Server = server;
+    spec.Bytes = std::move(bytes);
+    spec.Timeout = core::Millis(15'000);
+    Handle = Calls.call(std::move(spec), events);
+    return events;
+  }
+
+  std::shared_ptr<RecordedCall>
+  finish(const std::shared_ptr<RecordedCall> &events) {
+    runUntil([&] { return events->over(); });
+    return events;
+  }
+
+  std::string request(const std::string &method, const std::string &path,
+                      const std::string &fields = "") {
+    return method + " " + path + " HTTP/1.1\r\nHost: " + Host +
+           "\r\nAttempt-Id: id-" + std::to_string(++Ids) +
+           "\r\nAuthorization: Token " + Key +
+           "\r\nDeadline-Remaining: 3500\r\n" + fields + "\r\n";
+  }
+  std::string streamRequest() {
+    return request("GET", "/stream/x",
+                   "Model-Name: *\r\nToken-Usage: 100,50\r\n"
+                   "Prompt-Prefix: a1:80,b2:20\r\n");
+  }
+
+  std::string lastId() const { return "id-" + std::to_string(Ids); }
+  int runsOfLast() const {
+    int runs = 0;
+    for (const auto &it : Runners) {
+      const auto found = it->runs().find(lastId());
+      runs += found == it->runs().end() ? 0 : found->second;
+    }
+    return runs;
+  }
+
+  static std::string wholeStream(int events) {
+    std::string text;
+    for (int n = 1; n <= events; ++n)
+      text += "id: " + std::to_string(n) + "\ndata: event " +
+              std::to_string(n) + "\n\n";
+    return text;
+  }
+
+  TempDir Files;
+  MetadataServer Store;
+  http1::Client Calls;
+  http1::Endpoint StoreAt;
+  http1::Endpoint Front;
+  http1::Endpoint Ready;
+  http1::Endpoint Metrics;
+  json Configuration;
+  std::vector<std::unique_ptr<PlatformRunner>> Runners;
+  std::optional<Process> Gateway;
+  std::shared_ptr<http1::Call> Handle;
+  std::string Key = "key-1";
+  int Ids = 0;
+};
+
+} // namespace cowslipridge::integration
