Count a request in flight until its last byte is written

Cause: ServerConnection::end() took the request out of the count of requests in flight at once, while bytes of its response could still wait in the connection.

Change: the count falls in finishResponse(), when the last byte is handed to the kernel, or when the connection closes. Whole responses and streams take the same path. Conclusion: a gateway that drains no longer cuts a response that is written late.

--- a/src/cowslipridge/http1/Server.hpp
+++ b/src/cowslipridge/http1/Server.hpp
@@ -77,7 +77,8 @@
   /// Stops accepting and closes all connections.
   void stop();
   [[nodiscard]] std::size_t connections() const;
-  /// Returns the number of requests received whose response is incomplete.
+  /// Returns the number of requests received whose response is not completely
+  /// written to the socket.
   [[nodiscard]] std::size_t inFlight() const;
 
 private:
--- a/src/cowslipridge/http1/internal/ServerConnection.cpp
+++ b/src/cowslipridge/http1/internal/ServerConnection.cpp
@@ -175,7 +175,6 @@
   ResponseEnded = true;
   if (ResponseFraming == Framing::Chunked)
     Pending += LastChunk;
-  clearInFlight();
   DisconnectHandler = nullptr;
   if (backlog() == 0)
     finishResponse();
@@ -239,6 +238,7 @@
 }
 
 void ServerConnection::finishResponse() {
+  clearInFlight();
   DrainHandler = nullptr;
   if (!KeepAlive) {
     linger();
--- a/tests/unit/http1/ServerTest.cpp
+++ b/tests/unit/http1/ServerTest.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/// Size of a body that the socket buffers of a connection can't hold.
+constexpr std::size_t MoreThanSocketBuffers = 32UL * 1024 * 1024;
+
 class ServerTest : public support::LoopFixture {
 protected:
   ServerTest()
@@ -33,7 +36,7 @@
                            Received.append(Chunk.data(), n);
                            if (ec)
                              ReadError = ec;
-                           else
+                           else if (Reading)
                              readMore();
                          });
   }
@@ -53,6 +56,7 @@
   std::vector<std::shared_ptr<Exchange>> Exchanges;
   std::array<char, 4096> Chunk{};
   std::string Received;
+  bool Reading = true; ///< after each chunk, whether to read the next one
   boost::system::error_code ReadError;
 };
 
@@ -139,6 +143,48 @@
   EXPECT_TRUE(Received.ends_with("last"));
 }
 
+// Guards against a drain that closes a connection between the end of a response
+// and the write of its last bytes.
+TEST_F(ServerTest, countsRequestInFlightUntilLastByteIsWritten) {
+  const std::string body(MoreThanSocketBuffers, 'x');
+  request();
+  Reading = false;
+  Exchanges.back()->respond(ok(), body);
+  runUntil([&] { return Received.size() > 0; });
+  EXPECT_EQ(HttpServer.inFlight(), 1U);
+  Reading = true;
+  readMore();
+  runUntil([&] { return HttpServer.inFlight() == 0; });
+  HttpServer.stop();
+  runUntil([&] { return !!ReadError; });
+  EXPECT_TRUE(Received.ends_with(body));
+}
+
+TEST_F(ServerTest, countsStreamInFlightUntilLastChunkIsWritten) {
+  request();
+  Reading = false;
+  Exchanges.back()->begin(ok(Framing::Chunked));
+  Exchanges.back()->send(std::string(MoreThanSocketBuffers, 'x'));
+  Exchanges.back()->end();
+  runUntil([&] { return Received.size() > 0; });
+  EXPECT_EQ(HttpServer.inFlight(), 1U);
+  Reading = true;
+  readMore();
+  runUntil([&] { return HttpServer.inFlight() == 0; });
+  HttpServer.stop();
+  runUntil([&] { return !!ReadError; });
+  EXPECT_TRUE(Received.ends_with("x\r\n0\r\n\r\n"));
+}
+
+TEST_F(ServerTest, unwrittenResponseIsNotInFlightOnceClientDisconnected) {
+  request();
+  Reading = false;
+  Exchanges.back()->respond(ok(), std::string(MoreThanSocketBuffers, 'x'));
+  runUntil([&] { return Received.size() > 0; });
+  Peer.close();
+  runUntil([&] { return HttpServer.inFlight() == 0; });
+}
+
 TEST_F(ServerTest, sends100ContinueWhenExpected) {
   write("POST / HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n"
         "Content-Length: 2\r\n\r\n");
