--- a/programs/cowslipridge-gateway/main.cpp
+++ b/programs/cowslipridge-gateway/main.cpp
@@ -142,21 +142,28 @@
   observe::LogPipe Pipe;
 };
 
+/// Returns a seed that differs between gateways and between their processes.
+std::uint64_t seedOf(const core::InstanceId &instance, core::Millis startedAt) {
+  return std::hash<std::string>()(instance.str() + "@" +
+                                  std::to_string(startedAt.count()));
+}
+
 int run(const config::GatewaySettings &settings) {
   std::signal(SIGPIPE, SIG_IGN);
   const core::SystemClock clock;
   boost::asio::io_context loop(1);
   observe::Metrics metrics(settings.Instance, settings.Domain);
+  const core::Millis startedAt = clock.wall();
   observe::EventLog log(
       clock, settings.Instance,
-      core::Incarnation(static_cast<std::uint64_t>(clock.wall().count())),
+      core::Incarnation(static_cast<std::uint64_t>(startedAt.count())),
       MaxEventsInMemory, &metrics);
   BoundedLog lines(clock, log, metrics);
   log.report(observe::EventNumber::ProcessStarted, {});
   const platform::HeaderTranslator translator;
-  platform::StoreControlPlane control(
-      loop, clock, settings.Store,
-      std::hash<core::InstanceId>()(settings.Instance), metrics);
+  platform::StoreControlPlane control(loop, clock, settings.Store,
+                                      seedOf(settings.Instance, startedAt),
+                                      metrics);
   gateway::Gateway gateway(loop, clock, settings, translator, control, log,
                            metrics);
   gateway.start();
--- a/scripts/check-platform-names.sh
+++ b/scripts/check-platform-names.sh
@@ -9,9 +9,9 @@
 # Words that are also good names inside count only as the text of a field.
 names+='|"(routeKind|pathPrefix|trafficSplit|streamResumption|apiKeys|sizes)"'
 names+='|"(maxAttempts|targetLatencyMs|targetGapMs|kvCacheTokens|stride)"'
-names+='|kv-range|kv-watch|kv-txn|kv-lease|kv-keep|expectedRevision'
+names+='|Store-Era|kv-range|kv-watch|kv-txn|kv-lease|kv-keep|expectedRevision'
 names+='|op/config|op/rollout|status/rollout|durationS|in_progress|v1/readiness'
-allowed='^(src/cowslipridge/platform|src/standins/platform|tests/unit/platform|tests/integration/platform)/'
+allowed='^(src/cowslipridge/platform|src/standins/platform|tests/(unit|property|integration)/platform)/'
 found=$(git ls-files -co --exclude-standard '*.cpp' '*.hpp' |
   grep -vE "$allowed" | xargs grep -nE "$names" || true)
 if [ -n "$found" ]; then
--- a/src/cowslipridge/gateway/ControlPlane.hpp
+++ b/src/cowslipridge/gateway/ControlPlane.hpp
@@ -45,6 +45,9 @@
 /// The complete list of servers, sent after individual changes were missed.
 struct ServersListed {
   std::vector<membership::BackendServer> Servers;
+  /// The store was restored from an older copy: the list may lack runners that
+  /// have not registered again yet, and hold entries that were replaced since.
+  bool AfterRestore = false;
 };
 struct RolloutCommandChanged {
   rollout::RolloutCommand Command;
@@ -58,6 +61,10 @@
 struct RolloutProgressChanged {
   rollout::RolloutProgress Progress;
 };
+/// The complete list of roll-outs, sent after individual changes were missed.
+struct RolloutsListed {
+  rollout::RolloutList Rollouts;
+};
 struct PeerChanged {
   Peer Gateway;
 };
@@ -69,13 +76,17 @@
   std::string Reason;
 };
 struct ControlPlaneAvailable {};
+/// The store came back as an older copy: it has lost the latest changes.
+/// Operators and runners write theirs again; gateways must do the same.
+struct ControlPlaneRestored {};
 
 using ControlEvent =
     std::variant<CatalogueChanged, CatalogueRefused, EntryRefused,
                  ServerChanged, ServerRemoved, ServersListed,
                  RolloutCommandChanged, RolloutWithdrawn, RolloutStatusChanged,
-                 RolloutProgressChanged, PeerChanged, PeerRemoved,
-                 ControlPlaneUnavailable, ControlPlaneAvailable>;
+                 RolloutProgressChanged, RolloutsListed, PeerChanged,
+                 PeerRemoved, ControlPlaneUnavailable, ControlPlaneAvailable,
+                 ControlPlaneRestored>;
 
 /// Interface to the store that operators and runners write to.
 class ControlPlane {
@@ -99,8 +110,9 @@
   /// Returns the state known to this gateway, for a peer that can't reach the
   /// store; nothing before the first read has completed.
   [[nodiscard]] virtual std::optional<std::string> snapshot() const = 0;
-  /// Uses a peer's snapshot in place of the first read. Returns false when the
-  /// snapshot can't be parsed or the store has answered in the meantime.
+  /// Uses a peer's snapshot in place of the first read; later, only the
+  /// configuration in it is reported. Returns false when the snapshot can't be
+  /// parsed or holds nothing of use.
   virtual bool adopt(const std::string &snapshot) = 0;
 };
 
--- a/src/cowslipridge/gateway/Dispatcher.cpp
+++ b/src/cowslipridge/gateway/Dispatcher.cpp
@@ -41,6 +41,10 @@
   }
 }
 
+core::Generation Dispatcher::generation() const {
+  return Catalogue ? Catalogue->catalogue().Version : core::Generation();
+}
+
 PlacementResult Dispatcher::place(const RequestContext &request, ModelTier tier,
                                   const std::vector<core::RunnerId> &excluded,
                                   AttemptKind kind, core::Millis now) {
@@ -240,6 +244,7 @@
   Selection.addRemotePins(report.PinnedSessions, now);
   Forecast.setRemoteLoads(report.Gateway, report.Loads, now);
   PeerEvidence.insert_or_assign(report.Gateway, report.Evidence);
+  Trials.onPeerKnowledge(report.Rollouts, now);
 }
 
 void Dispatcher::removePeerLoad(const core::InstanceId &peer) {
@@ -252,6 +257,8 @@
   report.Gateway = Settings.Instance;
   report.Loads = Forecast.ownLoads();
   report.PinnedSessions = Selection.pinnedSessions(now);
+  report.Configuration = generation();
+  report.Rollouts = Trials.knowledge(now);
   for (const core::ServiceId &service : Trials.activeRollouts()) {
     for (const auto &[key, counts] : OwnEvidence) {
       if (key.Service == service)
@@ -273,7 +280,7 @@
 std::vector<rollout::TrialDecision>
 Dispatcher::dueDecisions(std::size_t rank, core::Millis now) const {
   std::vector<rollout::TrialDecision> decisions;
-  const auto services = Trials.activeRollouts();
+  const auto services = Trials.undecidedRollouts();
   if (services.empty())
     return decisions;
   rollout::TrialControl::Observation observation;
--- a/src/cowslipridge/gateway/Dispatcher.hpp
+++ b/src/cowslipridge/gateway/Dispatcher.hpp
@@ -27,6 +27,8 @@
   std::vector<std::uint64_t> PinnedSessions;
   /// Set while the gateway drains: its process exits within this time.
   std::optional<core::Millis> ExitsWithin;
+  core::Generation Configuration; ///< in force at the gateway; 0 if none
+  std::vector<rollout::RolloutKnowledge> Rollouts;
 };
 
 /// Receives an ejection or readmission, with the outcome of the attempt that
@@ -60,6 +62,8 @@
   [[nodiscard]] const catalogue::CataloguePtr &catalogue() const {
     return Catalogue;
   }
+  /// Returns the generation of the configuration in force; 0 if there is none.
+  [[nodiscard]] core::Generation generation() const;
   membership::ServerRegistry &servers() { return Servers; }
   rollout::TrialControl &trials() { return Trials; }
   [[nodiscard]] const rollout::TrialControl &trials() const { return Trials; }
--- a/src/cowslipridge/gateway/Gateway.cpp
+++ b/src/cowslipridge/gateway/Gateway.cpp
@@ -19,6 +19,8 @@
 /// Time between two attempts to write a roll-out's next record, so that the
 /// watch can deliver the first write.
 constexpr core::Millis AdvanceInterval{500};
+/// Time after the first listing for the reports of peers to arrive.
+constexpr core::Millis PeerReportWait{500};
 /// A store that has not responded by this time after the start counts as
 /// unavailable.
 constexpr core::Millis FirstResponseTimeout{300};
@@ -83,11 +85,22 @@
     if (mayQueryPeers())
       Snapshots.fetch({sender.address(), sender.port()});
   });
+  Peers.setConfigurationListener(
+      [this](core::Generation generation, const auto &sender) {
+        const core::Millis now = Clock.monotonic();
+        const core::Generation own = RequestDispatcher.generation();
+        PeerConfiguration.onReport(generation, own, now);
+        if (Synced && generation > own && PeerConfiguration.isOverdue(own, now))
+          Snapshots.fetch({sender.address(), sender.port()});
+      });
   StartedAt = Clock.monotonic();
   Control.start(
       {Settings.Instance, Settings.Peers.Host, Settings.Peers.Port},
       [this](const ControlEvent &it) { onControl(it); },
-      [this] { Synced = true; });
+      [this] {
+        Synced = true;
+        SyncedAt = Clock.monotonic();
+      });
   scheduleTick();
 }
 
@@ -214,9 +227,11 @@
   report(EventNumber::EntryRefused, "key=" + event.Key);
 }
 
-void Gateway::on(const ServerChanged &event) {
-  onServerEntry(event.Server);
-  RequestDispatcher.servers().put(event.Server);
+void Gateway::on(const ServerChanged &event) { registerServer(event.Server); }
+
+void Gateway::registerServer(const membership::BackendServer &server) {
+  onServerEntry(server);
+  RequestDispatcher.servers().put(server);
 }
 
 void Gateway::onServerEntry(const membership::BackendServer &server) {
@@ -236,10 +251,12 @@
 }
 
 void Gateway::on(const ServersListed &event) {
-  for (const membership::BackendServer &it : event.Servers)
+  const core::Millis now = Clock.monotonic();
+  membership::ServerRegistry &servers = RequestDispatcher.servers();
+  const auto listed = servers.reconcile(event.Servers, event.AfterRestore, now);
+  for (const membership::BackendServer &it : listed)
     onServerEntry(it);
-  for (const core::RunnerId &it :
-       RequestDispatcher.servers().replaceAll(event.Servers, Clock.monotonic()))
+  for (const core::RunnerId &it : servers.replaceAll(listed, now))
     removeServer(it);
 }
 
@@ -259,9 +276,13 @@
 
 void Gateway::on(const RolloutStatusChanged &event) {
   RequestDispatcher.trials().onStatus(event.Status, Clock.monotonic());
-  const bool ended = event.Status.Phase != rollout::RolloutPhase::InProgress;
+  reportStatus(event.Status);
+}
+
+void Gateway::reportStatus(const rollout::RolloutStatus &status) {
+  const bool ended = status.Phase != rollout::RolloutPhase::InProgress;
   report(ended ? EventNumber::RolloutEnded : EventNumber::RolloutAdvanced,
-         describe(event.Status));
+         describe(status));
 }
 
 void Gateway::on(const RolloutProgressChanged &event) {
@@ -269,6 +290,14 @@
   report(EventNumber::RolloutAdvanced, describe(event.Progress));
 }
 
+void Gateway::on(const RolloutsListed &event) {
+  RequestDispatcher.trials().onListed(event.Rollouts, Clock.monotonic());
+  for (const rollout::RolloutCommand &it : event.Rollouts.Commands)
+    report(EventNumber::RolloutAdvanced, "ordered " + describe(it));
+  for (const rollout::RolloutStatus &it : event.Rollouts.Statuses)
+    reportStatus(it);
+}
+
 void Gateway::on(const PeerChanged &event) {
   Peers.put(event.Gateway);
   report(EventNumber::PeerRegistered, "peer=" + event.Gateway.Name.str());
@@ -291,6 +320,14 @@
   report(EventNumber::StoreAvailable, "");
 }
 
+void Gateway::on(const ControlPlaneRestored & /*event*/) {
+  RequestDispatcher.servers().onStoreAvailable(Clock.monotonic());
+  Metrics.add(observe::CounterName::StoreRestores, {});
+  report(EventNumber::StoreRestored,
+         "generation=" +
+             std::to_string(RequestDispatcher.generation().value()));
+}
+
 void Gateway::scheduleTick() {
   Ticker.expires_after(core::toChrono(TickInterval));
   Ticker.async_wait([this](const auto &ec) {
@@ -301,8 +338,10 @@
 
 void Gateway::tick() {
   const core::Millis now = Clock.monotonic();
-  for (const core::RunnerId &it : RequestDispatcher.servers().tick(now))
-    removeServer(it);
+  updateServers(now);
+  for (const core::ServiceId &it : RequestDispatcher.trials().tick(now))
+    report(EventNumber::RolloutAdvanced,
+           "ordered, as a restored store still shows, service=" + it.str());
   RequestDispatcher.tick(now);
   Peers.expire(now);
   if (now - ReportedAt >= ReportInterval) {
@@ -316,8 +355,18 @@
   scheduleTick();
 }
 
+void Gateway::updateServers(core::Millis now) {
+  membership::ServerRegistry &servers = RequestDispatcher.servers();
+  for (const core::RunnerId &it : servers.tick(now))
+    removeServer(it);
+  for (const membership::BackendServer &it : servers.takeConfirmed(now))
+    registerServer(it);
+}
+
 void Gateway::driveRollouts(core::Millis now) {
-  if (!Synced || now - AdvancedAt < AdvanceInterval)
+  // The reports of peers show first how far the roll-outs are.
+  if (!Synced || now - SyncedAt < PeerReportWait ||
+      now - AdvancedAt < AdvanceInterval)
     return;
   for (const rollout::TrialDecision &it :
        RequestDispatcher.dueDecisions(rank(), now)) {
--- a/src/cowslipridge/gateway/Gateway.hpp
+++ b/src/cowslipridge/gateway/Gateway.hpp
@@ -2,6 +2,7 @@
 
 #include "cowslipridge/config/GatewaySettings.hpp"
 #include "cowslipridge/core/Clock.hpp"
+#include "cowslipridge/gateway/ConfigurationLag.hpp"
 #include "cowslipridge/gateway/ControlPlane.hpp"
 #include "cowslipridge/gateway/Dispatcher.hpp"
 #include "cowslipridge/gateway/DrainPolicy.hpp"
@@ -50,10 +51,12 @@
   void on(const RolloutWithdrawn &event);
   void on(const RolloutStatusChanged &event);
   void on(const RolloutProgressChanged &event);
+  void on(const RolloutsListed &event);
   void on(const PeerChanged &event);
   void on(const PeerRemoved &event);
   void on(const ControlPlaneUnavailable &event);
   void on(const ControlPlaneAvailable &event);
+  void on(const ControlPlaneRestored &event);
 
   void onRequest(const std::shared_ptr<http1::Exchange> &exchange);
   /// Returns the context of an accepted request, or the reason for its
@@ -67,6 +70,9 @@
   /// Reports a runner's new or changed entry. When the runner has restarted,
   /// removes the state of its previous incarnation.
   void onServerEntry(const membership::BackendServer &server);
+  void registerServer(const membership::BackendServer &server);
+  /// Removes and adds runners whose deferred changes are due.
+  void updateServers(core::Millis now);
   void removeServer(const core::RunnerId &runner);
   void scheduleTick();
   void tick();
@@ -77,6 +83,7 @@
   [[nodiscard]] bool mayQueryPeers() const;
   /// Returns the position of this gateway among all gateways, ordered by name.
   [[nodiscard]] std::size_t rank() const;
+  void reportStatus(const rollout::RolloutStatus &status);
   void report(observe::EventNumber number, std::string detail);
 
   boost::asio::io_context &Loop;
@@ -94,9 +101,11 @@
   http1::Server Scrapes;
   PeerExchange Peers;
   PeerSnapshots Snapshots;
+  ConfigurationLag PeerConfiguration;
   GatewayGauges Gauges;
   boost::asio::steady_timer Ticker;
   core::Millis StartedAt;
+  core::Millis SyncedAt;
   bool Synced = false;
   bool ReadyReported = false;
   DrainPolicy Drain;
--- a/src/cowslipridge/gateway/PeerExchange.cpp
+++ b/src/cowslipridge/gateway/PeerExchange.cpp
@@ -88,6 +88,8 @@
     PresenceListener(report->Gateway, true);
   RequestDispatcher.onPeerReport(*report, now);
   RetryAfter.recordReport(report->Gateway, report->ExitsWithin, now);
+  if (ConfigurationListener)
+    ConfigurationListener(report->Configuration, Sender);
 }
 
 void PeerExchange::expire(core::Millis now) {
--- a/src/cowslipridge/gateway/PeerExchange.hpp
+++ b/src/cowslipridge/gateway/PeerExchange.hpp
@@ -43,6 +43,14 @@
       std::function<void(const boost::asio::ip::udp::endpoint &)> listener) {
     UnknownPeerListener = std::move(listener);
   }
+  /// Sets the callback for the configuration that a peer reports; it receives
+  /// the address of the peer.
+  void setConfigurationListener(
+      std::function<void(core::Generation,
+                         const boost::asio::ip::udp::endpoint &)>
+          listener) {
+    ConfigurationListener = std::move(listener);
+  }
   /// Sends a report to each peer. `exitsWithin` is set while this gateway
   /// drains: the time until its process exits.
   void sendReports(std::optional<core::Millis> exitsWithin);
@@ -78,6 +86,8 @@
       UnknownPeerListener;
   std::function<void(const core::InstanceId &, bool isReporting)>
       PresenceListener;
+  std::function<void(core::Generation, const boost::asio::ip::udp::endpoint &)>
+      ConfigurationListener;
   /// Peers whose registration ended but that still report.
   std::set<core::InstanceId> Unregistered;
 };
--- a/src/cowslipridge/gateway/PeerReportCodec.cpp
+++ b/src/cowslipridge/gateway/PeerReportCodec.cpp
@@ -10,9 +10,12 @@
 
 using nlohmann::json;
 
-/// Version of the layout below, incremented when it changes. Reports of other
-/// versions are ignored.
+/// Version of the layout below. Reports of other versions are ignored. Elements
+/// that are appended need no new version: older builds ignore them, and newer
+/// ones accept reports without them.
 constexpr int FormatVersion = 3;
+constexpr std::size_t ConfigurationIndex = 6;
+constexpr std::size_t RolloutsIndex = 7;
 
 json encodeLoads(const PeerReport &report) {
   json loads = json::array();
@@ -31,6 +34,38 @@
   return evidence;
 }
 
+json encodeRollouts(const PeerReport &report) {
+  json rollouts = json::array();
+  for (const rollout::RolloutKnowledge &it : report.Rollouts)
+    rollouts.push_back({it.Command.Service.str(), it.Command.Target.str(),
+                        it.Command.Duration.count(), static_cast<int>(it.Phase),
+                        it.Step, it.Elapsed.count()});
+  return rollouts;
+}
+
+std::optional<rollout::RolloutPhase> phaseOf(int number) {
+  using enum rollout::RolloutPhase;
+  for (const auto phase : {InProgress, Completed, Reverted}) {
+    if (static_cast<int>(phase) == number)
+      return phase;
+  }
+  return std::nullopt;
+}
+
+void decodeRollouts(const json &message, PeerReport &report) {
+  for (const json &it : message) {
+    const auto phase = phaseOf(it.at(3).get<int>());
+    if (!phase)
+      continue;
+    report.Rollouts.push_back({{core::ServiceId(it.at(0).get<std::string>()),
+                                core::VersionId(it.at(1).get<std::string>()),
+                                core::Millis(it.at(2).get<std::int64_t>())},
+                               *phase,
+                               it.at(4).get<unsigned>(),
+                               core::Millis(it.at(5).get<std::int64_t>())});
+  }
+}
+
 PeerReport decode(const json &message) {
   PeerReport report;
   report.Gateway = core::InstanceId(message.at(1).get<std::string>());
@@ -51,6 +86,11 @@
   report.PinnedSessions = message.at(4).get<std::vector<std::uint64_t>>();
   if (!message.at(5).is_null())
     report.ExitsWithin = core::Millis(message.at(5).get<std::int64_t>());
+  if (message.size() > ConfigurationIndex)
+    report.Configuration =
+        core::Generation(message.at(ConfigurationIndex).get<std::uint64_t>());
+  if (message.size() > RolloutsIndex)
+    decodeRollouts(message.at(RolloutsIndex), report);
   return report;
 }
 
@@ -63,7 +103,9 @@
                         encodeEvidence(report),
                         report.PinnedSessions,
                         report.ExitsWithin ? json(report.ExitsWithin->count())
-                                           : json()};
+                                           : json(),
+                        report.Configuration.value(),
+                        encodeRollouts(report)};
   std::string bytes;
   json::to_msgpack(message, bytes);
   return bytes;
--- a/src/cowslipridge/http1/Fetch.cpp
+++ b/src/cowslipridge/http1/Fetch.cpp
@@ -13,10 +13,13 @@
 
   void onHead(const ResponseHead &head) override {
     Result.Status = head.Status;
+    Result.Fields = head.Fields;
   }
   void onData(std::string_view data) override { Result.Body += data; }
   void onEnd() override { OnDone(std::move(Result)); }
-  void onFailure(CallFailure failure) override { OnDone({0, {}, failure}); }
+  void onFailure(CallFailure failure) override {
+    OnDone({.Status = 0, .Fields = {}, .Body = {}, .Failure = failure});
+  }
 
 private:
   std::function<void(FetchResult)> OnDone;
--- a/src/cowslipridge/http1/Fetch.hpp
+++ b/src/cowslipridge/http1/Fetch.hpp
@@ -12,6 +12,7 @@
 /// and the server may or may not have processed the request.
 struct FetchResult {
   int Status = 0;
+  HeaderFields Fields;
   std::string Body;
   CallFailure Failure = CallFailure::NotConnected; ///< valid if Status is 0
 };
--- a/src/cowslipridge/membership/BackendServer.hpp
+++ b/src/cowslipridge/membership/BackendServer.hpp
@@ -22,6 +22,9 @@
   /// Unix time of its start. A later start under the same id is a new
   /// incarnation, without the state of the earlier one.
   core::Millis StartedAt;
+  /// Number of the entry within the incarnation; a later entry has a higher
+  /// one.
+  std::uint64_t Sequence = 0;
   friend auto operator<=>(const BackendServer &,
                           const BackendServer &) = default;
 };
--- a/src/cowslipridge/membership/ServerRegistry.cpp
+++ b/src/cowslipridge/membership/ServerRegistry.cpp
@@ -4,6 +4,8 @@
 
 void ServerRegistry::put(const BackendServer &server) {
   PendingRemovals.erase(server.Id);
+  HeldEntries.erase(server.Id);
+  History.recordRegistered(server.Id);
   Servers.insert_or_assign(server.Id, server);
 }
 
@@ -12,7 +14,14 @@
          (StoreAvailableAt && now < *StoreAvailableAt + ReregistrationPeriod);
 }
 
+void ServerRegistry::erase(std::map<core::RunnerId, BackendServer>::iterator it,
+                           core::Millis now) {
+  History.recordLeft(it->second, now);
+  Servers.erase(it);
+}
+
 bool ServerRegistry::remove(const core::RunnerId &id, core::Millis now) {
+  HeldEntries.erase(id);
   const auto it = Servers.find(id);
   if (it == Servers.end())
     return false;
@@ -21,11 +30,39 @@
     PendingRemovals.insert(id);
     return false;
   }
-  Servers.erase(it);
+  erase(it, now);
   PendingRemovals.erase(id);
   return true;
 }
 
+std::vector<BackendServer>
+ServerRegistry::reconcile(const std::vector<BackendServer> &servers,
+                          bool afterRestore, core::Millis now) {
+  HeldEntries.clear();
+  if (!afterRestore)
+    return servers;
+  std::vector<BackendServer> kept;
+  for (const BackendServer &it : servers) {
+    const BackendServer *known = find(it.Id);
+    if (known == nullptr && History.hasLeft(it))
+      HeldEntries.insert_or_assign(it.Id, HeldEntry{it, now});
+    else
+      kept.push_back(known != nullptr && isOutdated(it, *known) ? *known : it);
+  }
+  return kept;
+}
+
+std::vector<BackendServer> ServerRegistry::takeConfirmed(core::Millis now) {
+  std::vector<BackendServer> confirmed;
+  std::erase_if(HeldEntries, [&](const auto &held) {
+    const bool due = now - held.second.Since >= HeldEntryPeriod;
+    if (due)
+      confirmed.push_back(held.second.Server);
+    return due;
+  });
+  return confirmed;
+}
+
 std::vector<core::RunnerId>
 ServerRegistry::replaceAll(const std::vector<BackendServer> &servers,
                            core::Millis now) {
@@ -49,12 +86,16 @@
 }
 
 std::vector<core::RunnerId> ServerRegistry::tick(core::Millis now) {
+  History.tick(now);
   std::vector<core::RunnerId> removed;
   if (isUncertain(now))
     return removed;
   for (const core::RunnerId &id : PendingRemovals) {
-    if (Servers.erase(id) != 0)
-      removed.push_back(id);
+    const auto it = Servers.find(id);
+    if (it == Servers.end())
+      continue;
+    erase(it, now);
+    removed.push_back(id);
   }
   PendingRemovals.clear();
   return removed;
--- a/src/cowslipridge/observe/EventCatalogue.cpp
+++ b/src/cowslipridge/observe/EventCatalogue.cpp
@@ -49,7 +49,7 @@
         "The registration of another gateway expired or was removed."},
     CatalogueEntry{
         PeerSnapshotTaken, Info, "peer-snapshot-taken",
-        "The store is unreachable; a snapshot of a peer was applied."},
+        "The store lacks state that a peer has; its snapshot was applied."},
     CatalogueEntry{PeerSilent, Warning, "peer-silent",
                    "A peer's reports timed out; its load no longer counts."},
     CatalogueEntry{PeerHeard, Info, "peer-heard",
@@ -107,6 +107,8 @@
                    "The key-value service is reachable again."},
     CatalogueEntry{BillWritten, Info, "bill-written",
                    "Bill lines are in the journal."},
+    CatalogueEntry{StoreRestored, Warning, "store-restored",
+                   "The key-value service was restored from an older copy."},
     CatalogueEntry{VersionCutOff, Warning, "version-cut-off",
                    "A version was cut off on evidence."},
     CatalogueEntry{RolloutAdvanced, Info, "rollout-advanced",
--- a/src/cowslipridge/observe/EventCatalogue.hpp
+++ b/src/cowslipridge/observe/EventCatalogue.hpp
@@ -58,6 +58,7 @@
   StoreUnavailable = 603,
   StoreAvailable = 604,
   BillWritten = 605,
+  StoreRestored = 606,
 
   VersionCutOff = 700,
   RolloutAdvanced = 701,
--- a/src/cowslipridge/observe/Metrics.cpp
+++ b/src/cowslipridge/observe/Metrics.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr std::size_t CounterCount = 10;
+constexpr std::size_t CounterCount = 11;
 constexpr std::size_t GaugeCount = 13;
 constexpr std::size_t HistogramCount = 4;
 constexpr double MillisPerSecond = 1'000;
@@ -33,6 +33,8 @@
          "Prompt tokens found in a runner's cache."},
         {"cowslipridge_answer_tokens_total", "Answer tokens generated."},
         {"cowslipridge_store_calls_total", "Calls of the key-value service."},
+        {"cowslipridge_store_restores_total",
+         "Restores of the key-value service from older copies."},
         {"cowslipridge_suppressed_lines_total", "Log lines left out."},
         {"cowslipridge_in_flight", "Requests being answered."},
         {"cowslipridge_queued", "Requests that wait for capacity."},
--- a/src/cowslipridge/observe/Metrics.hpp
+++ b/src/cowslipridge/observe/Metrics.hpp
@@ -22,6 +22,7 @@
   CachedTokens,    ///< prompt tokens found in a runner's cache
   AnswerTokens,    ///< answer tokens generated, by service and version
   StoreCalls,      ///< calls of the key-value service, by outcome
+  StoreRestores,   ///< restores of the key-value service from older copies
   SuppressedLines, ///< suppressed log lines
 };
 
--- a/src/cowslipridge/platform/Documents.cpp
+++ b/src/cowslipridge/platform/Documents.cpp
@@ -243,6 +243,8 @@
   server.Slots = static_cast<unsigned>(*slots);
   server.Draining = state == "draining";
   server.StartedAt = core::Millis(integerAt(json, "born").value_or(0));
+  server.Sequence = static_cast<std::uint64_t>(
+      std::max(std::int64_t{0}, integerAt(json, "sequenceNumber").value_or(0)));
   return server;
 }
 
--- a/src/cowslipridge/platform/MonitoredStoreClient.cpp
+++ b/src/cowslipridge/platform/MonitoredStoreClient.cpp
@@ -1,5 +1,6 @@
 #include "cowslipridge/platform/MonitoredStoreClient.hpp"
 
+#include <algorithm>
 #include <utility>
 
 namespace cowslipridge::platform {
@@ -62,12 +63,23 @@
                            StoreClient::Callback callback) {
   return Store.send(
       call, timeout,
-      [this, kind, callback = std::move(callback)](const StoreReply &reply) {
+      [this, kind, callback = std::move(callback)](StoreReply reply) {
         recordReply(kind, reply);
+        recordEra(reply);
         callback(reply);
       });
 }
 
+// A response without an era is taken as one of the present era.
+void MonitoredStoreClient::recordEra(StoreReply &reply) {
+  if (reply.Era == 0)
+    reply.Era = Era;
+  const StoreEra before = Era;
+  Era = std::max(Era, reply.Era);
+  if (before != 0 && Era != before)
+    Callbacks.OnRestored();
+}
+
 void MonitoredStoreClient::recordReply(StoreCallKind kind,
                                        const StoreReply &reply) {
   const bool processed = isProcessed(reply);
--- a/src/cowslipridge/platform/MonitoredStoreClient.hpp
+++ b/src/cowslipridge/platform/MonitoredStoreClient.hpp
@@ -28,7 +28,8 @@
 bool isRateLimited(const StoreReply &reply);
 
 /// Sends all calls of this gateway to the store, updates the metrics of store
-/// calls, and detects when the store becomes unavailable and available again.
+/// calls, and detects when the store becomes unavailable and available again,
+/// and when it was restored from an older copy.
 class MonitoredStoreClient {
 public:
   struct Listeners {
@@ -37,6 +38,9 @@
     /// Called when a call succeeds after one or more failed, the last of them
     /// at `lastFailureAt`. Connections opened before may be unresponsive.
     std::function<void(core::Millis lastFailureAt)> OnSuccessAfterFailure;
+    /// Called when a response shows that the store was restored from an older
+    /// copy, before the callback of that call.
+    std::function<void()> OnRestored;
   };
 
   MonitoredStoreClient(boost::asio::io_context &loop, const core::Clock &clock,
@@ -52,14 +56,18 @@
   /// Returns whether any response was received since the start, including
   /// rejections.
   [[nodiscard]] bool hasStoreResponded() const { return HasReplied; }
+  /// Returns the latest era that any response named; 0 if none did.
+  [[nodiscard]] StoreEra era() const { return Era; }
 
 private:
   void recordReply(StoreCallKind kind, const StoreReply &reply);
+  void recordEra(StoreReply &reply);
 
   const core::Clock &Clock;
   StoreClient Store;
   observe::Metrics &Metrics;
   Listeners Callbacks;
+  StoreEra Era = 0;
   bool HasReplied = false;
   bool IsUnavailable = false;
   std::optional<core::Millis> LastFailureAt; ///< unset after a success
--- a/src/cowslipridge/platform/StoreClient.cpp
+++ b/src/cowslipridge/platform/StoreClient.cpp
@@ -25,8 +25,10 @@
   return http1::fetch(
       Connections, std::move(spec),
       [this, startedAt, callback = std::move(callback)](auto result) {
-        StoreReply reply{std::move(result), {}};
+        StoreReply reply;
+        static_cast<http1::FetchResult &>(reply) = std::move(result);
         reply.Duration = Clock.monotonic() - startedAt;
+        reply.Era = parseEra(reply.Fields);
         callback(reply);
       });
 }
--- a/src/cowslipridge/platform/StoreClient.hpp
+++ b/src/cowslipridge/platform/StoreClient.hpp
@@ -13,6 +13,7 @@
 /// A complete response of the store, or the reason why there is none.
 struct StoreReply : http1::FetchResult {
   core::Millis Duration; ///< from sending the call to its response or failure
+  StoreEra Era = 0;      ///< that the response belongs to
 };
 
 /// Sends calls to the platform's metadata store.
--- a/src/cowslipridge/platform/StoreControlPlane.cpp
+++ b/src/cowslipridge/platform/StoreControlPlane.cpp
@@ -3,7 +3,9 @@
 #include "cowslipridge/core/Error.hpp"
 #include "cowslipridge/platform/Documents.hpp"
 #include "cowslipridge/platform/internal/JsonReader.hpp"
+#include "cowslipridge/platform/internal/KeyPrefix.hpp"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -11,49 +13,17 @@
 
 namespace {
 
+using internal::makeKey;
+using internal::stripPrefix;
+
 constexpr std::string_view ConfigurationKey = "op/config";
 constexpr std::string_view RolloutPrefix = "op/rollout/";
 constexpr std::string_view ServerPrefix = "servers/";
-constexpr std::string_view StatusPrefix = "status/rollout/";
-// Keys that only gateways write.
-constexpr std::string_view ProgressPrefix = "cowslipridge/progress/";
+/// Written by gateways only.
 constexpr std::string_view PeerPrefix = "cowslipridge/peers/";
 
 constexpr core::Millis AdvanceTimeout{800};
 
-std::string makeKey(std::string_view prefix, const std::string &name) {
-  return std::string(prefix) + name;
-}
-
-/// Returns the part of `key` after `prefix`; nothing if `key` does not start
-/// with it.
-std::optional<std::string> stripPrefix(std::string_view prefix,
-                                       const std::string &key) {
-  if (!key.starts_with(prefix))
-    return std::nullopt;
-  return key.substr(prefix.size());
-}
-
-std::string writeProgress(const rollout::RolloutProgress &progress) {
-  return internal::Json{{"target", progress.Target.str()},
-                        {"step", progress.Step},
-                        {"elapsed_ms", progress.Elapsed.count()}}
-      .dump();
-}
-
-core::Result<rollout::RolloutProgress> parseProgress(const std::string &service,
-                                                     const std::string &text) {
-  const internal::Json json = internal::parseJson(text);
-  const auto target = internal::stringAt(json, "target");
-  const auto step = internal::integerAt(json, "step");
-  const auto elapsed = internal::integerAt(json, "elapsed_ms");
-  if (!target || !step || !elapsed)
-    return core::Errc::Malformed;
-  return rollout::RolloutProgress{
-      core::ServiceId(service), core::VersionId(*target),
-      static_cast<unsigned>(*step), core::Millis(*elapsed)};
-}
-
 std::string writePeer(const gateway::Peer &peer) {
   return internal::Json{{"host", peer.Host}, {"port", peer.Port}}.dump();
 }
@@ -77,7 +47,7 @@
                                      std::uint64_t seed,
                                      observe::Metrics &metrics)
     : Store(loop, clock, address, metrics), Watcher(loop, Store, seed),
-      Registration(loop, Store) {}
+      Registration(loop, Store), RecordIds(seed) {}
 
 void StoreControlPlane::start(gateway::Peer self, Listener listener,
                               std::function<void()> onSynced) {
@@ -88,57 +58,102 @@
                         report(gateway::ControlPlaneUnavailable{reason});
                       },
                       [this] { report(gateway::ControlPlaneAvailable{}); },
-                      [this](core::Millis it) { Watcher.reissueCalls(it); }});
-  Watcher.start({[this](const auto &items, StoreRevision revision) {
-                   applyListing(items, revision);
-                 },
-                 [this](const StoreItem &it) { apply(it); }});
+                      [this](core::Millis it) { Watcher.reissueCalls(it); },
+                      [this] { onRestored(); }});
+  Watcher.start({[this](const StoreListing &it) { applyListing(it); },
+                 [this](const StoreItem &it) { applyChange(it); }});
   Registration.start(makeKey(PeerPrefix, Self.Name.str()), writePeer(Self));
 }
 
-void StoreControlPlane::applyListing(const std::vector<StoreItem> &items,
-                                     StoreRevision revision) {
-  reportRemoved(items, revision);
-  Revisions.clear();
+void StoreControlPlane::onRestored() {
+  ReportedEra = Store.era();
+  report(gateway::ControlPlaneRestored{});
+  Registration.registerAgain();
+  Watcher.onRestored();
+}
+
+void StoreControlPlane::applyListing(const StoreListing &listing) {
+  // A restore while this gateway had only a snapshot of a peer.
+  if (listing.AfterRestore && ReportedEra != listing.Position.Era) {
+    ReportedEra = listing.Position.Era;
+    report(gateway::ControlPlaneRestored{});
+  }
+  reportRemovedPeers(listing);
+  reportServers(listing);
+  reportRollouts(listing);
+  for (const StoreItem &it : listing.Items)
+    apply(it);
+  if (const auto synced = std::exchange(OnSynced, nullptr))
+    synced();
+}
+
+// Reports the peers that were removed while changes were missed.
+void StoreControlPlane::reportRemovedPeers(const StoreListing &listing) {
+  std::set<std::string> removed = PeerKeys;
+  for (const StoreItem &it : listing.Items)
+    removed.erase(it.Key);
+  for (const std::string &it : removed)
+    apply({it, {}, listing.Position.Revision, true});
+}
+
+void StoreControlPlane::reportServers(const StoreListing &listing) {
   gateway::ServersListed servers;
-  for (const StoreItem &it : items) {
+  servers.AfterRestore = listing.AfterRestore;
+  for (const StoreItem &it : listing.Items) {
     const auto server = stripPrefix(ServerPrefix, it.Key);
-    if (!server) {
-      apply(it);
+    if (!server)
       continue;
-    }
     if (const auto parsed = parseBackendServer(*server, it.Value))
       servers.Servers.push_back(*parsed);
     else
       report(gateway::EntryRefused{it.Key});
   }
   report(servers);
-  if (const auto synced = std::exchange(OnSynced, nullptr))
-    synced();
 }
 
-// Reports the roll-out orders and peers that were removed while changes were
-// missed.
-void StoreControlPlane::reportRemoved(const std::vector<StoreItem> &items,
-                                      StoreRevision revision) {
-  std::set<std::string> removed = RolloutAndPeerKeys;
-  for (const StoreItem &it : items)
-    removed.erase(it.Key);
-  for (const std::string &it : removed)
-    apply({it, {}, revision, true});
+void StoreControlPlane::reportRollouts(const StoreListing &listing) {
+  Records.clear();
+  for (const StoreItem &it : listing.Items)
+    Records.record(it);
+  rollout::RolloutList list;
+  list.AfterRestore = listing.AfterRestore;
+  const auto add = [&](auto &parsed, auto &to, const std::string &key) {
+    if (parsed)
+      to.push_back(*parsed);
+    else
+      report(gateway::EntryRefused{key});
+  };
+  for (const StoreItem &it : listing.Items) {
+    if (stripPrefix(RolloutPrefix, it.Key)) {
+      const auto order = parseRolloutOrder(it.Value);
+      add(order, list.Commands, it.Key);
+    } else if (const auto service = RolloutRecords::parseStatusKey(it.Key)) {
+      const auto status = parseRolloutStatus(*service, it.Value);
+      add(status, list.Statuses, it.Key);
+    } else if (const auto name = RolloutRecords::parseProgressKey(it.Key)) {
+      const auto progress = parseProgress(*name, it.Value);
+      add(progress, list.Progresses, it.Key);
+    }
+  }
+  report(gateway::RolloutsListed{std::move(list)});
 }
 
-void StoreControlPlane::apply(const StoreItem &item) {
-  if (item.Key == ConfigurationKey)
-    applyConfiguration(item);
-  else if (const auto server = stripPrefix(ServerPrefix, item.Key))
+void StoreControlPlane::applyChange(const StoreItem &item) {
+  if (const auto server = stripPrefix(ServerPrefix, item.Key))
     applyServer(*server, item);
   else if (const auto rolloutService = stripPrefix(RolloutPrefix, item.Key))
     applyOrder(*rolloutService, item);
-  else if (const auto statusService = stripPrefix(StatusPrefix, item.Key))
-    applyStatus(*statusService, item);
-  else if (const auto progressService = stripPrefix(ProgressPrefix, item.Key))
-    applyProgress(*progressService, item);
+  else
+    applyRecord(item);
+  apply(item);
+  // The lease of this gateway's entry ended although it was renewed.
+  if (item.Deleted && item.Key == makeKey(PeerPrefix, Self.Name.str()))
+    Registration.registerAgain();
+}
+
+void StoreControlPlane::apply(const StoreItem &item) {
+  if (item.Key == ConfigurationKey)
+    applyConfiguration(item);
   else if (const auto peer = stripPrefix(PeerPrefix, item.Key))
     applyPeer(*peer, item);
 }
@@ -157,6 +172,9 @@
   }
   if (!problems.empty())
     report(gateway::CatalogueRefused{problems});
+  const core::Generation version = parsed->Version;
+  if (!NewestConfiguration || NewestConfiguration->first <= version)
+    NewestConfiguration = {version, item.Value};
   report(gateway::CatalogueChanged{
       std::make_shared<const catalogue::CatalogueIndex>(
           std::move(parsed).value())});
@@ -180,39 +198,27 @@
   const auto order = parseRolloutOrder(item.Value);
   if (!item.Deleted && !order)
     report(gateway::EntryRefused{item.Key});
-  if (item.Deleted || !order) {
-    RolloutAndPeerKeys.erase(item.Key);
+  if (item.Deleted || !order)
     report(gateway::RolloutWithdrawn{core::ServiceId(service)});
-    return;
-  }
-  RolloutAndPeerKeys.insert(item.Key);
-  report(gateway::RolloutCommandChanged{*order});
-}
-
-void StoreControlPlane::applyStatus(const std::string &service,
-                                    const StoreItem &item) {
-  if (item.Deleted) {
-    Revisions.erase(item.Key);
-    return;
-  }
-  Revisions[item.Key] = item.Revision;
-  if (const auto status = parseRolloutStatus(service, item.Value))
-    report(gateway::RolloutStatusChanged{*status});
   else
-    report(gateway::EntryRefused{item.Key});
+    report(gateway::RolloutCommandChanged{*order});
 }
 
-void StoreControlPlane::applyProgress(const std::string &service,
-                                      const StoreItem &item) {
-  if (item.Deleted) {
-    Revisions.erase(item.Key);
+void StoreControlPlane::applyRecord(const StoreItem &item) {
+  Records.record(item);
+  if (item.Deleted)
     return;
+  if (const auto service = RolloutRecords::parseStatusKey(item.Key)) {
+    if (const auto status = parseRolloutStatus(*service, item.Value))
+      report(gateway::RolloutStatusChanged{*status});
+    else
+      report(gateway::EntryRefused{item.Key});
+  } else if (const auto name = RolloutRecords::parseProgressKey(item.Key)) {
+    if (const auto progress = parseProgress(*name, item.Value))
+      report(gateway::RolloutProgressChanged{*progress});
+    else
+      report(gateway::EntryRefused{item.Key});
   }
-  Revisions[item.Key] = item.Revision;
-  if (const auto progress = parseProgress(service, item.Value))
-    report(gateway::RolloutProgressChanged{*progress});
-  else
-    report(gateway::EntryRefused{item.Key});
 }
 
 void StoreControlPlane::applyPeer(const std::string &name,
@@ -221,13 +227,11 @@
   if (!item.Deleted && !peer)
     report(gateway::EntryRefused{item.Key});
   if (item.Deleted || !peer) {
-    RolloutAndPeerKeys.erase(item.Key);
     PeerKeys.erase(item.Key);
     Watcher.setWatcherCount(PeerKeys.size());
     report(gateway::PeerRemoved{core::InstanceId(name)});
     return;
   }
-  RolloutAndPeerKeys.insert(item.Key);
   PeerKeys.insert(item.Key);
   Watcher.setWatcherCount(PeerKeys.size());
   if (peer->Name != Self.Name)
@@ -236,18 +240,12 @@
 
 void StoreControlPlane::advance(const rollout::RolloutStatus &status,
                                 const rollout::RolloutProgress &progress) {
-  const std::string statusKey = makeKey(StatusPrefix, status.Service.str());
-  const std::string progressKey =
-      makeKey(ProgressPrefix, progress.Service.str());
-  const auto revisionOf = [this](const std::string &key) {
-    const auto it = Revisions.find(key);
-    return it == Revisions.end() ? 0 : it->second;
-  };
+  // The records that were read are those of an earlier era.
+  if (!Watcher.isCurrent())
+    return;
+  const std::string id = Self.Name.str() + "-" + std::to_string(RecordIds());
   Store.send(StoreCallKind::Advance,
-             transactionCall({{statusKey, writeRolloutStatus(status), 0, true,
-                               revisionOf(statusKey)},
-                              {progressKey, writeProgress(progress), 0, true,
-                               revisionOf(progressKey)}}),
+             transactionCall(Records.replace(status, progress, id)),
              AdvanceTimeout, [](const StoreReply &) {
                // The watch delivers the records that are in force.
              });
@@ -256,13 +254,29 @@
 void StoreControlPlane::deregister() { Registration.deregister(); }
 
 std::optional<std::string> StoreControlPlane::snapshot() const {
-  const auto batch = Watcher.snapshot();
-  return batch ? std::optional(writeListing(*batch)) : std::nullopt;
+  auto batch = Watcher.snapshot();
+  if (!batch)
+    return std::nullopt;
+  for (StoreItem &it : batch->Items) {
+    if (it.Key == ConfigurationKey && NewestConfiguration)
+      it.Value = NewestConfiguration->second;
+  }
+  return writeListing(*batch);
 }
 
 bool StoreControlPlane::adopt(const std::string &snapshot) {
   auto batch = parseListing(snapshot);
-  return batch.ok() && Watcher.applySnapshot(std::move(batch).value());
+  if (!batch)
+    return false;
+  const auto configuration =
+      std::find_if(batch->Items.begin(), batch->Items.end(),
+                   [](const auto &it) { return it.Key == ConfigurationKey; });
+  if (OnSynced)
+    return Watcher.applySnapshot(std::move(batch).value());
+  if (configuration == batch->Items.end())
+    return false;
+  applyConfiguration(*configuration);
+  return true;
 }
 
 } // namespace cowslipridge::platform
--- a/src/cowslipridge/platform/StoreControlPlane.hpp
+++ b/src/cowslipridge/platform/StoreControlPlane.hpp
@@ -1,16 +1,18 @@
 #pragma once
 
+#include "cowslipridge/core/Random.hpp"
 #include "cowslipridge/gateway/ControlPlane.hpp"
 #include "cowslipridge/observe/Metrics.hpp"
 #include "cowslipridge/platform/MonitoredStoreClient.hpp"
+#include "cowslipridge/platform/RolloutRecords.hpp"
 #include "cowslipridge/platform/StoreRegistration.hpp"
 #include "cowslipridge/platform/StoreWatcher.hpp"
 
 #include <cstdint>
-#include <map>
+#include <optional>
 #include <set>
 #include <string>
-#include <vector>
+#include <utility>
 
 namespace cowslipridge::platform {
 
@@ -18,7 +20,7 @@
 /// lease. Must outlive the run of the event loop.
 class StoreControlPlane final : public gateway::ControlPlane {
 public:
-  /// `seed` must differ between gateways.
+  /// `seed` must differ between all processes, also those of one gateway.
   StoreControlPlane(boost::asio::io_context &loop, const core::Clock &clock,
                     const config::SocketAddress &address, std::uint64_t seed,
                     observe::Metrics &metrics);
@@ -35,16 +37,18 @@
   bool adopt(const std::string &snapshot) override;
 
 private:
-  void applyListing(const std::vector<StoreItem> &items,
-                    StoreRevision revision);
-  void reportRemoved(const std::vector<StoreItem> &items,
-                     StoreRevision revision);
+  void onRestored();
+  void applyListing(const StoreListing &listing);
+  void reportRemovedPeers(const StoreListing &listing);
+  void reportServers(const StoreListing &listing);
+  void reportRollouts(const StoreListing &listing);
+  void applyChange(const StoreItem &item);
+  /// Applies an item of a kind of which a listing reports each item separately.
   void apply(const StoreItem &item);
   void applyConfiguration(const StoreItem &item);
   void applyServer(const std::string &id, const StoreItem &item);
   void applyOrder(const std::string &service, const StoreItem &item);
-  void applyStatus(const std::string &service, const StoreItem &item);
-  void applyProgress(const std::string &service, const StoreItem &item);
+  void applyRecord(const StoreItem &item);
   void applyPeer(const std::string &name, const StoreItem &item);
 
   void report(const gateway::ControlEvent &event) { OnEvent(event); }
@@ -55,11 +59,13 @@
   gateway::Peer Self;
   Listener OnEvent;
   std::function<void()> OnSynced;
-  /// Last received revision of each key that advance() writes; keys that don't
-  /// exist are absent.
-  std::map<std::string, StoreRevision> Revisions;
-  std::set<std::string> RolloutAndPeerKeys;
+  RolloutRecords Records;
+  core::Random RecordIds;
   std::set<std::string> PeerKeys; ///< including this gateway's own
+  StoreEra ReportedEra = 0;       ///< latest that was reported as a restore
+  /// The newest valid configuration from the store or a peer, as text. The
+  /// store holds an older one after a restore.
+  std::optional<std::pair<core::Generation, std::string>> NewestConfiguration;
 };
 
 } // namespace cowslipridge::platform
--- a/src/cowslipridge/platform/StoreProtocol.cpp
+++ b/src/cowslipridge/platform/StoreProtocol.cpp
@@ -5,6 +5,8 @@
 #include "cowslipridge/core/UriEncoding.hpp"
 #include "cowslipridge/platform/internal/JsonReader.hpp"
 
+#include <charconv>
+
 namespace cowslipridge::platform {
 
 namespace {
@@ -13,6 +15,10 @@
 using internal::Json;
 using internal::stringAt;
 
+constexpr std::string_view EraField = "Store-Era";
+/// Key of the era in the body of a listing that a gateway wrote.
+constexpr const char *EraKey = "era";
+
 http1::RequestHead makeHead(std::string method, std::string target) {
   http1::RequestHead head;
   head.Method = std::move(method);
@@ -47,7 +53,7 @@
   if (!at)
     return core::Errc::Malformed;
   StoreBatch batch;
-  batch.Revision = *at;
+  batch.Position = {integerAt(json, EraKey).value_or(0), *at};
   batch.HasMore = internal::boolAt(json, "hasMore");
   for (const Json &it : internal::arrayAt(json, key)) {
     if (auto item = parseItem(it))
@@ -75,20 +81,20 @@
                       "&waitMs=" + std::to_string(wait.count()));
 }
 
-StoreCall transactionCall(const std::vector<ConditionalWrite> &writes) {
+StoreCall transactionCall(const StoreTransaction &transaction) {
   Json conditions = Json::array();
+  for (const StoreCondition &it : transaction.Conditions)
+    conditions.push_back({{"key", it.Key}, {"revision", it.Revision}});
   Json items = Json::array();
-  for (const ConditionalWrite &it : writes) {
+  for (const StoreWrite &it : transaction.Writes) {
     Json item{{"key", it.Key}, {"value", core::encodeBase64(it.Value)}};
     if (it.Lease != 0)
       item["lease"] = it.Lease;
     items.push_back(std::move(item));
-    if (it.Conditional)
-      conditions.push_back({{"key", it.Key}, {"revision", it.Expected}});
   }
   return makeJsonCall("/v1/kv-txn", {{"expectedRevision", conditions},
                                      {"write", items},
-                                     {"remove", Json::array()}});
+                                     {"remove", transaction.Removals}});
 }
 
 StoreCall grantLeaseCall(core::Millis lifetime) {
@@ -103,14 +109,24 @@
   return {makeHead("DELETE", "/v1/kv-lease-end/" + std::to_string(lease)), {}};
 }
 
+StoreEra parseEra(const http1::HeaderFields &fields) {
+  const std::string text(fields.find(EraField).value_or(""));
+  StoreEra era = 0;
+  const auto parsed =
+      std::from_chars(text.data(), text.data() + text.size(), era);
+  return parsed.ec == std::errc() && era > 0 ? era : 0;
+}
+
 std::string writeListing(const StoreBatch &batch) {
   Json entries = Json::array();
   for (const StoreItem &it : batch.Items)
     entries.push_back({{"key", it.Key},
                        {"value", core::encodeBase64(it.Value)},
                        {"revision", it.Revision}});
-  return Json{
-      {"entries", entries}, {"at", batch.Revision}, {"hasMore", batch.HasMore}}
+  return Json{{"entries", entries},
+              {"at", batch.Position.Revision},
+              {EraKey, batch.Position.Era},
+              {"hasMore", batch.HasMore}}
       .dump();
 }
 
--- a/src/cowslipridge/platform/StoreProtocol.hpp
+++ b/src/cowslipridge/platform/StoreProtocol.hpp
@@ -14,6 +14,10 @@
 
 /// A position in the store's change history; each change gets a higher one.
 using StoreRevision = std::int64_t;
+/// Rises each time the store is restored from an older copy. Changes made since
+/// the copy are lost then, and their revisions are given out again. 0 if the
+/// store doesn't name its era.
+using StoreEra = std::int64_t;
 /// The store deletes keys written under a lease when the lease ends; 0 means no
 /// lease.
 using LeaseId = std::int64_t;
@@ -27,6 +31,15 @@
 inline constexpr int TooManyRequests = 429;
 } // namespace status
 
+/// A revision together with the era that it belongs to. Revisions of different
+/// eras are not comparable.
+struct StorePosition {
+  StoreEra Era = 0;
+  StoreRevision Revision = 0;
+  friend auto operator<=>(const StorePosition &,
+                          const StorePosition &) = default;
+};
+
 /// One item, or its deletion.
 struct StoreItem {
   std::string Key;
@@ -39,18 +52,32 @@
 /// A page of a listing, or the changes since a revision.
 struct StoreBatch {
   std::vector<StoreItem> Items;
-  StoreRevision Revision = 0; ///< of the store at the time of the response
-  bool HasMore = false;       ///< the listing continues after the last key
+  StorePosition Position; ///< of the store at the time of the response
+  bool HasMore = false;   ///< the listing continues after the last key
+};
+
+/// A key that must have this revision when a transaction is executed.
+struct StoreCondition {
+  std::string Key;
+  StoreRevision Revision = 0; ///< 0: the key must not exist
+  friend auto operator<=>(const StoreCondition &,
+                          const StoreCondition &) = default;
 };
 
-/// One write; if `Conditional`, the transaction fails unless the key has the
-/// expected revision.
-struct ConditionalWrite {
+struct StoreWrite {
   std::string Key;
   std::string Value;
   LeaseId Lease = 0;
-  bool Conditional = false;
-  StoreRevision Expected = 0; ///< 0: the key must not exist
+  friend auto operator<=>(const StoreWrite &, const StoreWrite &) = default;
+};
+
+/// Changes that the store makes together, or not at all if a condition fails.
+struct StoreTransaction {
+  std::vector<StoreCondition> Conditions;
+  std::vector<StoreWrite> Writes;
+  std::vector<std::string> Removals; ///< keys
+  friend auto operator<=>(const StoreTransaction &,
+                          const StoreTransaction &) = default;
 };
 
 http1::RequestHead listCall(const std::string &prefix,
@@ -63,14 +90,18 @@
   http1::RequestHead Head;
   std::string Body;
 };
-StoreCall transactionCall(const std::vector<ConditionalWrite> &writes);
+StoreCall transactionCall(const StoreTransaction &transaction);
 StoreCall grantLeaseCall(core::Millis lifetime);
 StoreCall renewLeaseCall(LeaseId lease);
 StoreCall revokeLeaseCall(LeaseId lease);
 
-/// Writes a listing of one page in the format of the store's responses.
+/// Returns the era that a response names; 0 if it names none.
+StoreEra parseEra(const http1::HeaderFields &fields);
+/// Writes a listing of one page in the format of the store's responses, with
+/// the era in its body.
 std::string writeListing(const StoreBatch &batch);
-/// Parses the response to a list call. Malformed items are skipped.
+/// Parses the response to a list call, or a listing by writeListing().
+/// Malformed items are skipped.
 core::Result<StoreBatch> parseListing(const std::string &body);
 /// Parses the response to a watch call. Malformed items are skipped.
 core::Result<StoreBatch> parseChanges(const std::string &body);
--- a/src/cowslipridge/platform/StoreRegistration.cpp
+++ b/src/cowslipridge/platform/StoreRegistration.cpp
@@ -23,10 +23,20 @@
   requestLease();
 }
 
+void StoreRegistration::registerAgain() {
+  if (Deregistered)
+    return;
+  ++Attempt;
+  Timer.cancel();
+  Lease = 0;
+  requestLease();
+}
+
 void StoreRegistration::deregister() {
   Deregistered = true;
   Timer.cancel();
-  if (Lease == 0)
+  // In another era, the id may belong to the lease of another gateway.
+  if (Lease == 0 || LeaseEra != Store.era())
     return;
   Store.send(StoreCallKind::Release, revokeLeaseCall(Lease), CallTimeout,
              [](const StoreReply &) {
@@ -34,6 +44,16 @@
              });
 }
 
+void StoreRegistration::send(StoreCallKind kind, const StoreCall &call,
+                             StoreClient::Callback callback) {
+  Store.send(kind, call, CallTimeout,
+             [this, attempt = Attempt,
+              callback = std::move(callback)](const StoreReply &reply) {
+               if (attempt == Attempt)
+                 callback(reply);
+             });
+}
+
 void StoreRegistration::scheduleRenewal() {
   if (Deregistered)
     return;
@@ -49,39 +69,38 @@
     requestLease();
     return;
   }
-  Store.send(StoreCallKind::Renew, renewLeaseCall(Lease), CallTimeout,
-             [this](const StoreReply &reply) { onRenewed(reply); });
+  send(StoreCallKind::Renew, renewLeaseCall(Lease),
+       [this](const StoreReply &reply) {
+         if (reply.Status == status::NotFound)
+           registerAgain();
+         else
+           scheduleRenewal();
+       });
 }
 
-void StoreRegistration::onRenewed(const StoreReply &reply) {
-  if (reply.Status != status::NotFound) {
-    scheduleRenewal();
-    return;
-  }
-  Lease = 0;
-  requestLease();
+void StoreRegistration::requestLease() {
+  send(StoreCallKind::Grant, grantLeaseCall(LeaseLifetime),
+       [this](const StoreReply &reply) { onGranted(reply); });
 }
 
-void StoreRegistration::requestLease() {
-  Store.send(StoreCallKind::Grant, grantLeaseCall(LeaseLifetime), CallTimeout,
-             [this](const StoreReply &reply) {
-               const auto lease = parseLease(reply.Body);
-               if (reply.Status == status::Ok && lease) {
-                 Lease = *lease;
-                 writeEntry();
-               }
-               scheduleRenewal();
-             });
+void StoreRegistration::onGranted(const StoreReply &reply) {
+  const auto lease = parseLease(reply.Body);
+  if (reply.Status == status::Ok && lease) {
+    Lease = *lease;
+    LeaseEra = reply.Era;
+    writeEntry();
+  }
+  scheduleRenewal();
 }
 
 void StoreRegistration::writeEntry() {
-  Store.send(StoreCallKind::Register,
-             transactionCall({{Key, Value, Lease, false, 0}}), CallTimeout,
-             [this](const StoreReply &reply) {
-               // The next renewal then requests a new lease.
-               if (reply.Status != status::Ok)
-                 Lease = 0;
-             });
+  send(StoreCallKind::Register,
+       transactionCall({{}, {{Key, Value, Lease}}, {}}),
+       [this](const StoreReply &reply) {
+         // The next renewal then requests a new lease.
+         if (reply.Status != status::Ok)
+           Lease = 0;
+       });
 }
 
 } // namespace cowslipridge::platform
--- a/src/cowslipridge/platform/StoreRegistration.hpp
+++ b/src/cowslipridge/platform/StoreRegistration.hpp
@@ -15,21 +15,29 @@
   StoreRegistration(boost::asio::io_context &loop, MonitoredStoreClient &store);
 
   void start(std::string key, std::string value);
+  /// Requests a new lease and writes the entry again, because the store has
+  /// lost them. The id of the lease may belong to another gateway since.
+  void registerAgain();
   /// Revokes the lease, with which the store deletes the entry.
   void deregister();
 
 private:
   void scheduleRenewal();
   void renew();
-  void onRenewed(const StoreReply &reply);
   void requestLease();
+  void onGranted(const StoreReply &reply);
   void writeEntry();
+  /// Sends a call whose response is ignored once registerAgain() was called.
+  void send(StoreCallKind kind, const StoreCall &call,
+            StoreClient::Callback callback);
 
   MonitoredStoreClient &Store;
   boost::asio::steady_timer Timer;
   std::string Key;
   std::string Value;
   LeaseId Lease = 0;
+  StoreEra LeaseEra = 0;
+  unsigned Attempt = 0; ///< number of calls to registerAgain()
   bool Deregistered = false;
 };
 
--- a/src/cowslipridge/platform/StoreWatcher.cpp
+++ b/src/cowslipridge/platform/StoreWatcher.cpp
@@ -43,10 +43,32 @@
 void StoreWatcher::restartListing() {
   CurrentStep = Step::Listing;
   PartialListing.clear();
-  HasFirstPage = false;
+  FirstPageAt.reset();
+  ListedEra = Store.era();
   list();
 }
 
+// Deferred, because the caller may be handling the response of the pending
+// call.
+void StoreWatcher::onRestored() {
+  boost::asio::post(Timer.get_executor(), [this] { listNewEra(); });
+}
+
+void StoreWatcher::listNewEra() {
+  if (ListedEra == Store.era())
+    return;
+  if (const auto call = std::exchange(WatchCall, nullptr))
+    call->cancel();
+  if (const auto call = std::exchange(ListCall, nullptr))
+    call->cancel();
+  Timer.cancel();
+  restartListing();
+}
+
+bool StoreWatcher::isCurrent() const {
+  return HasListed && (Store.era() == 0 || Position.Era == Store.era());
+}
+
 void StoreWatcher::list() {
   CallStartedAt = Store.now();
   const std::string after =
@@ -64,10 +86,14 @@
     return;
   }
   ConsecutiveRateLimits = 0;
+  if (FirstPageAt && FirstPageAt->Era != reply.Era) {
+    restartListing();
+    return;
+  }
   // The pages are not a consistent snapshot. Watching from the revision of the
   // first page delivers everything that changed while the others were read.
-  if (!std::exchange(HasFirstPage, true))
-    Revision = page->Revision;
+  if (!FirstPageAt)
+    FirstPageAt = StorePosition{reply.Era, page->Position.Revision};
   const bool hasMore = page->HasMore && !page->Items.empty();
   std::move(page->Items.begin(), page->Items.end(),
             std::back_inserter(PartialListing));
@@ -75,15 +101,19 @@
     list();
     return;
   }
-  finishListing(std::exchange(PartialListing, {}));
+  finishListing(std::exchange(PartialListing, {}), *FirstPageAt);
 }
 
-void StoreWatcher::finishListing(std::vector<StoreItem> items) {
+void StoreWatcher::finishListing(std::vector<StoreItem> items,
+                                 StorePosition position) {
+  StoreListing listing{std::move(items), position, false};
+  listing.AfterRestore = HasListed && Position.Era != position.Era;
   HasListed = true;
+  Position = position;
   Items.clear();
-  for (const StoreItem &it : items)
+  for (const StoreItem &it : listing.Items)
     Items.emplace(it.Key, it);
-  Callbacks.OnListed(std::move(items), Revision);
+  Callbacks.OnListed(listing);
   watch();
 }
 
@@ -91,7 +121,7 @@
   if (!HasListed)
     return std::nullopt;
   StoreBatch batch;
-  batch.Revision = Revision;
+  batch.Position = Position;
   for (const auto &[key, item] : Items)
     batch.Items.push_back(item);
   return batch;
@@ -103,9 +133,8 @@
   if (const auto call = std::exchange(ListCall, nullptr))
     call->cancel();
   Timer.cancel();
-  Revision = batch.Revision;
   PartialListing.clear();
-  finishListing(std::move(batch.Items));
+  finishListing(std::move(batch.Items), batch.Position);
   return true;
 }
 
@@ -118,16 +147,27 @@
 }
 
 void StoreWatcher::watch() {
+  if (!isCurrent()) {
+    restartListing();
+    return;
+  }
   CurrentStep = Step::Watching;
   CallStartedAt = Store.now();
-  WatchCall = Store.send(StoreCallKind::Watch,
-                         {watchCall(WatchedPrefix, Revision, WatchWait), {}},
-                         WatchWait + WatchTimeoutMargin,
-                         [this](const StoreReply &reply) { onChanges(reply); });
+  WatchCall =
+      Store.send(StoreCallKind::Watch,
+                 {watchCall(WatchedPrefix, Position.Revision, WatchWait), {}},
+                 WatchWait + WatchTimeoutMargin,
+                 [this](const StoreReply &reply) { onChanges(reply); });
 }
 
 void StoreWatcher::onChanges(const StoreReply &reply) {
   WatchCall = nullptr;
+  // A restored store may have reached the watched revision again by other
+  // changes.
+  if (isProcessed(reply) && reply.Era != Position.Era) {
+    restartListing();
+    return;
+  }
   if (reply.Status == status::HistoryCompacted) {
     restartListing();
     return;
@@ -140,7 +180,8 @@
   ConsecutiveRateLimits = 0;
   for (const StoreItem &it : changes->Items)
     applyChange(it);
-  Revision = std::max(Revision, changes->Revision);
+  Position =
+      std::max(Position, StorePosition{reply.Era, changes->Position.Revision});
   scheduleResume(
       std::min(MaxWatchDelay,
                WatchDelayPerWatcher * static_cast<std::int64_t>(WatcherCount)));
--- a/src/cowslipridge/platform/StoreWatcher.hpp
+++ b/src/cowslipridge/platform/StoreWatcher.hpp
@@ -16,8 +16,18 @@
 
 namespace cowslipridge::platform {
 
+/// All items of the store.
+struct StoreListing {
+  std::vector<StoreItem> Items;
+  StorePosition Position; ///< the items are as of this position or later
+  /// The store was restored from an older copy since the listing before: the
+  /// items may lack recent changes or be older than items received before.
+  bool AfterRestore = false;
+};
+
 /// Mirrors all items of the store: one paginated listing, then one watch that
-/// is repeated as long-polling calls.
+/// is repeated as long-polling calls. It lists again when the history that the
+/// watch needs is compacted, and once in each new era of the store.
 ///
 /// A failed page is requested again after a delay that grows exponentially
 /// while the store limits the rate. Pages already received are kept: gateways
@@ -25,9 +35,7 @@
 class StoreWatcher {
 public:
   struct Listeners {
-    /// Receives all existing items, as of `revision` or later.
-    std::function<void(std::vector<StoreItem> items, StoreRevision revision)>
-        OnListed;
+    std::function<void(const StoreListing &)> OnListed;
     /// Receives each item that changed after that listing.
     std::function<void(const StoreItem &)> OnChanged;
   };
@@ -44,6 +52,11 @@
   /// listing; the watch then delivers later changes. Returns false if a listing
   /// has already completed.
   bool applySnapshot(StoreBatch batch);
+  /// Lists again, unless a listing of the store's present era has begun.
+  void onRestored();
+  /// Returns whether the items are of the store's present era, as far as its
+  /// responses to this gateway show.
+  [[nodiscard]] bool isCurrent() const;
   /// Cancels the pending call and sends it again if it was started at or before
   /// this time: its connection may have become unresponsive.
   void reissueCalls(core::Millis startedBefore);
@@ -57,11 +70,12 @@
 
   void list();
   void onPage(const StoreReply &reply);
-  void finishListing(std::vector<StoreItem> items);
+  void finishListing(std::vector<StoreItem> items, StorePosition position);
   void watch();
   void onChanges(const StoreReply &reply);
   void applyChange(const StoreItem &item);
   void restartListing();
+  void listNewEra();
   void scheduleRetry(const StoreReply &reply);
   void scheduleResume(core::Millis delay);
 
@@ -70,9 +84,11 @@
   Listeners Callbacks;
   core::Random JitterRandom;
   Step CurrentStep = Step::Listing;
-  StoreRevision Revision = 0;
+  StorePosition Position;
   std::vector<StoreItem> PartialListing;
-  bool HasFirstPage = false; ///< of the current listing
+  /// Position of the first page of the listing in progress.
+  std::optional<StorePosition> FirstPageAt;
+  StoreEra ListedEra = 0; ///< latest era that a listing was begun in
   std::shared_ptr<http1::Call> WatchCall;
   std::shared_ptr<http1::Call> ListCall;
   core::Millis CallStartedAt; ///< the pending list or watch call
--- a/src/cowslipridge/rollout/RolloutCommand.hpp
+++ b/src/cowslipridge/rollout/RolloutCommand.hpp
@@ -4,6 +4,7 @@
 #include "cowslipridge/core/Ids.hpp"
 
 #include <compare>
+#include <vector>
 
 namespace cowslipridge::rollout {
 
@@ -37,4 +38,25 @@
                           const RolloutProgress &) = default;
 };
 
+/// How far a roll-out has come, as one gateway knows it.
+struct RolloutKnowledge {
+  RolloutCommand Command;
+  RolloutPhase Phase = RolloutPhase::InProgress;
+  unsigned Step = 0;
+  core::Millis Elapsed; ///< since the command
+  friend auto operator<=>(const RolloutKnowledge &,
+                          const RolloutKnowledge &) = default;
+};
+
+/// All roll-outs in the store.
+struct RolloutList {
+  std::vector<RolloutCommand> Commands;
+  std::vector<RolloutStatus> Statuses;
+  std::vector<RolloutProgress> Progresses;
+  /// The store was restored from an older copy: the list may lack recent
+  /// commands and records, and hold ones that were replaced since.
+  bool AfterRestore = false;
+  friend auto operator<=>(const RolloutList &, const RolloutList &) = default;
+};
+
 } // namespace cowslipridge::rollout
--- a/src/cowslipridge/rollout/TrialControl.cpp
+++ b/src/cowslipridge/rollout/TrialControl.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <limits>
+#include <utility>
 
 namespace cowslipridge::rollout {
 
@@ -75,6 +76,7 @@
 } // namespace
 
 void TrialControl::onCommand(const RolloutCommand &command, core::Millis now) {
+  HeldCommands.erase(command.Service);
   const auto known = Trials.find(command.Service);
   if (known != Trials.end() && known->second.Command == command)
     return;
@@ -96,28 +98,127 @@
 }
 
 void TrialControl::onWithdrawn(const core::ServiceId &service) {
+  HeldCommands.erase(service);
   Trials.erase(service);
 }
 
+TrialControl::Trial *TrialControl::findTo(const core::ServiceId &service,
+                                          const core::VersionId &target) {
+  const auto it = Trials.find(service);
+  return it != Trials.end() && it->second.Command.Target == target ? &it->second
+                                                                   : nullptr;
+}
+
+// A final phase stays: a record that shows an earlier one is from a copy.
+void TrialControl::recordPhase(Trial &trial, RolloutPhase phase,
+                               core::Millis now) {
+  if (!std::exchange(trial.Recorded, true))
+    trial.SwitchesAt = now + SessionExchangeTime;
+  if (trial.Phase == RolloutPhase::InProgress)
+    trial.Phase = phase;
+  if (trial.Phase == RolloutPhase::Reverted)
+    Reverted.emplace(trial.Command.Service, trial.Command.Target);
+}
+
+void TrialControl::recordStep(Trial &trial, unsigned step) {
+  trial.Step = std::max(trial.Step.value_or(0), step);
+}
+
 void TrialControl::onStatus(const RolloutStatus &status, core::Millis now) {
   Statuses.insert_or_assign(status.Service, status);
   if (status.Phase == RolloutPhase::Reverted)
     Reverted.emplace(status.Service, status.Target);
-  const auto it = Trials.find(status.Service);
-  if (it == Trials.end() || it->second.Command.Target != status.Target)
-    return;
-  if (!it->second.Recorded)
-    it->second.SwitchesAt = now + SessionExchangeTime;
-  it->second.Phase = status.Phase;
-  it->second.Recorded = true;
+  if (Trial *trial = findTo(status.Service, status.Target))
+    recordPhase(*trial, status.Phase, now);
 }
 
 void TrialControl::onProgress(const RolloutProgress &progress,
                               core::Millis now) {
   Progresses.insert_or_assign(progress.Service, std::pair(progress, now));
-  const auto it = Trials.find(progress.Service);
-  if (it != Trials.end() && it->second.Command.Target == progress.Target)
-    it->second.Step = progress.Step;
+  if (Trial *trial = findTo(progress.Service, progress.Target))
+    recordStep(*trial, progress.Step);
+}
+
+void TrialControl::onListed(const RolloutList &list, core::Millis now) {
+  Statuses.clear();
+  Progresses.clear();
+  for (const RolloutStatus &it : list.Statuses)
+    onStatus(it, now);
+  for (const RolloutProgress &it : list.Progresses)
+    onProgress(it, now);
+  if (list.AfterRestore) {
+    RestoredAt = now;
+    for (const RolloutCommand &it : list.Commands)
+      onListedCommand(it, now);
+    return;
+  }
+  std::erase_if(Trials, [&](const auto &trial) {
+    return std::none_of(
+        list.Commands.begin(), list.Commands.end(),
+        [&](const auto &it) { return it.Service == trial.first; });
+  });
+  for (const RolloutCommand &it : list.Commands)
+    onCommand(it, now);
+}
+
+void TrialControl::onListedCommand(const RolloutCommand &command,
+                                   core::Millis now) {
+  const Trial *known = find(command.Service);
+  if (known == nullptr || known->Command == command)
+    onCommand(command, now);
+  else
+    HeldCommands.insert_or_assign(
+        command.Service, HeldCommand{command, now + CommandRewritePeriod});
+}
+
+std::vector<core::ServiceId> TrialControl::tick(core::Millis now) {
+  std::vector<RolloutCommand> due;
+  for (const auto &[service, held] : HeldCommands) {
+    if (now >= held.AppliesAt)
+      due.push_back(held.Command);
+  }
+  std::vector<core::ServiceId> services;
+  for (const RolloutCommand &it : due) {
+    onCommand(it, now);
+    services.push_back(it.Service);
+  }
+  return services;
+}
+
+void TrialControl::onPeerKnowledge(const std::vector<RolloutKnowledge> &known,
+                                   core::Millis now) {
+  for (const RolloutKnowledge &it : known) {
+    Trial *trial = findTo(it.Command.Service, it.Command.Target);
+    if (trial == nullptr || trial->Command != it.Command)
+      continue;
+    recordPhase(*trial, it.Phase, now);
+    recordStep(*trial, it.Step);
+    trial->StartedAt = std::min(trial->StartedAt, now - it.Elapsed);
+  }
+}
+
+std::vector<RolloutKnowledge> TrialControl::knowledge(core::Millis now) const {
+  std::vector<RolloutKnowledge> known;
+  for (const auto &[service, trial] : Trials) {
+    if (trial.Recorded)
+      known.push_back({trial.Command, trial.Phase, trial.Step.value_or(0),
+                       now - trial.StartedAt});
+  }
+  return known;
+}
+
+bool TrialControl::isRecordLost(const Trial &trial) const {
+  if (!RestoredAt || !trial.Recorded)
+    return false;
+  const RolloutCommand &command = trial.Command;
+  const auto status = Statuses.find(command.Service);
+  const auto progress = Progresses.find(command.Service);
+  return status == Statuses.end() || progress == Progresses.end() ||
+         status->second.Target != command.Target ||
+         progress->second.first.Target != command.Target ||
+         (status->second.Phase == RolloutPhase::InProgress &&
+          trial.Phase != RolloutPhase::InProgress) ||
+         progress->second.first.Step < trial.Step.value_or(0);
 }
 
 const TrialControl::Trial *
@@ -183,6 +284,15 @@
              Steps[1].StartFraction;
 }
 
+std::vector<core::ServiceId> TrialControl::undecidedRollouts() const {
+  std::vector<core::ServiceId> services;
+  for (const auto &[service, trial] : Trials) {
+    if (trial.Phase == RolloutPhase::InProgress || isRecordLost(trial))
+      services.push_back(service);
+  }
+  return services;
+}
+
 std::vector<core::ServiceId> TrialControl::activeRollouts() const {
   std::vector<core::ServiceId> services;
   for (const auto &[service, trial] : Trials) {
@@ -196,20 +306,30 @@
                                                 const Observation &observation,
                                                 core::Millis now) const {
   const Trial *trial = find(service);
-  if (trial == nullptr || trial->Phase != RolloutPhase::InProgress)
+  if (trial == nullptr)
     return std::nullopt;
   const RolloutCommand &command = trial->Command;
   const core::Millis elapsed = now - trial->StartedAt;
   const unsigned step = trial->Step.value_or(0);
+  const core::Millis rankDelay =
+      RankDelay * static_cast<std::int64_t>(observation.Rank);
   const auto decide = [&](RolloutPhase phase, unsigned to, std::string reason) {
     return TrialDecision{{service, command.Target, phase},
                          {service, command.Target, to, elapsed},
                          std::move(reason)};
   };
+  if (isRecordLost(*trial)) {
+    if (now - *RestoredAt < rankDelay)
+      return std::nullopt;
+    return decide(trial->Phase, step, "the store has lost the record");
+  }
+  const bool mayDecide =
+      !RestoredAt || now - *RestoredAt >= RecordRewritePeriod;
+  if (trial->Phase != RolloutPhase::InProgress || !mayDecide)
+    return std::nullopt;
   if (const auto regression = findRegression(observation.Evidence, command))
     return decide(RolloutPhase::Reverted, step, *regression);
-  const core::Millis elapsedForRank =
-      elapsed - RankDelay * static_cast<std::int64_t>(observation.Rank);
+  const core::Millis elapsedForRank = elapsed - rankDelay;
   if (elapsedForRank < core::Millis())
     return std::nullopt;
   if (!trial->Recorded)
--- a/src/cowslipridge/rollout/TrialControl.hpp
+++ b/src/cowslipridge/rollout/TrialControl.hpp
@@ -29,6 +29,10 @@
 /// derives the version of a session from the session id, so that gateways agree
 /// without communicating. Any gateway may write the next record; the store
 /// accepts one of them.
+///
+/// A roll-out never goes back: when the store lists older records or commands
+/// because it was restored from a copy, the later ones stay in force here, and
+/// the gateways write the lost record again.
 class TrialControl {
 public:
   /// `exposureFraction` is the share of the requests of a service that a new
@@ -36,10 +40,27 @@
   explicit TrialControl(double exposureFraction)
       : ExposureFraction(exposureFraction) {}
 
+  /// Time for operators to write their commands again after a restore. Until
+  /// then, another command of the copy does not replace the one in force.
+  static constexpr core::Millis CommandRewritePeriod{5'000};
+  /// Time after a restore without new decisions, in which gateways write again
+  /// the records that the store has lost.
+  static constexpr core::Millis RecordRewritePeriod{1'500};
+
   void onCommand(const RolloutCommand &command, core::Millis now);
   void onWithdrawn(const core::ServiceId &service);
   void onStatus(const RolloutStatus &status, core::Millis now);
   void onProgress(const RolloutProgress &progress, core::Millis now);
+  /// Handles the complete list of the store's commands and records.
+  void onListed(const RolloutList &list, core::Millis now);
+  /// Merges what another gateway knows about the roll-outs in force here.
+  void onPeerKnowledge(const std::vector<RolloutKnowledge> &known,
+                       core::Millis now);
+  /// Returns what this gateway knows about the roll-outs with a record.
+  [[nodiscard]] std::vector<RolloutKnowledge> knowledge(core::Millis now) const;
+  /// Applies the commands of a restored copy that are due, and returns the
+  /// services concerned.
+  std::vector<core::ServiceId> tick(core::Millis now);
 
   /// Versions of a service that a request may be sent to.
   enum class Choice {
@@ -84,6 +105,9 @@
   std::optional<TrialDecision> next(const core::ServiceId &service,
                                     const Observation &observation,
                                     core::Millis now) const;
+  /// Returns the services with a roll-out in progress, or with one whose record
+  /// the store has lost.
+  [[nodiscard]] std::vector<core::ServiceId> undecidedRollouts() const;
   /// Returns the services with a roll-out in progress.
   [[nodiscard]] std::vector<core::ServiceId> activeRollouts() const;
   /// Returns the share of sessions that the roll-out assigns to its target.
@@ -95,19 +119,35 @@
     core::Millis StartedAt; ///< monotonic; estimated time of the command
     std::optional<unsigned> Step;
     RolloutPhase Phase = RolloutPhase::InProgress;
-    bool Recorded = false;   ///< the store holds a record of it
+    bool Recorded = false;   ///< the store held a record of it
     core::Millis SwitchesAt; ///< when sessions start to go to the target
   };
 
+  /// A command of a restored copy, which may be older than the one in force.
+  struct HeldCommand {
+    RolloutCommand Command;
+    core::Millis AppliesAt;
+  };
+
   [[nodiscard]] const Trial *find(const core::ServiceId &service) const;
+  /// Returns the roll-out of a service if it is to this target.
+  Trial *findTo(const core::ServiceId &service, const core::VersionId &target);
+  void recordPhase(Trial &trial, RolloutPhase phase, core::Millis now);
+  static void recordStep(Trial &trial, unsigned step);
+  void onListedCommand(const RolloutCommand &command, core::Millis now);
+  /// Returns whether the store has lost the record of a roll-out.
+  [[nodiscard]] bool isRecordLost(const Trial &trial) const;
 
   double ExposureFraction;
   std::map<core::ServiceId, Trial> Trials;
-  /// Latest stored status of each service, also if received before its command.
+  /// Stored status and progress of each service, also if received before its
+  /// command.
   std::map<core::ServiceId, RolloutStatus> Statuses;
   std::map<core::ServiceId, std::pair<RolloutProgress, core::Millis>>
       Progresses;
   std::set<std::pair<core::ServiceId, core::VersionId>> Reverted;
+  std::map<core::ServiceId, HeldCommand> HeldCommands;
+  std::optional<core::Millis> RestoredAt;
 };
 
 } // namespace cowslipridge::rollout
--- a/src/standins/platform/MetadataServer.cpp
+++ b/src/standins/platform/MetadataServer.cpp
@@ -78,13 +78,6 @@
           {"lease", item.Lease}};
 }
 
-void respondJson(http1::Exchange &exchange, int status, const json &body) {
-  http1::ResponseHead head;
-  head.Status = status;
-  head.Fields.add("Content-Type", "application/json");
-  exchange.respond(std::move(head), body.dump());
-}
-
 } // namespace
 
 MetadataServer::MetadataServer(boost::asio::io_context &loop,
@@ -98,6 +91,16 @@
   Server.listen(address);
 }
 
+void MetadataServer::respondJson(http1::Exchange &exchange, int status,
+                                 const json &body) const {
+  http1::ResponseHead head;
+  head.Status = status;
+  head.Fields.add("Content-Type", "application/json");
+  if (SendsEra)
+    head.Fields.add("Store-Era", std::to_string(Store.era()));
+  exchange.respond(std::move(head), body.dump());
+}
+
 void MetadataServer::onCall(const std::shared_ptr<http1::Exchange> &exchange) {
   ++Calls;
   if (Faults.Unresponsive)
--- a/src/standins/platform/MetadataServer.hpp
+++ b/src/standins/platform/MetadataServer.hpp
@@ -4,6 +4,7 @@
 #include "standins/platform/MetadataStore.hpp"
 
 #include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json.hpp>
 
 #include <cstddef>
 #include <deque>
@@ -31,6 +32,8 @@
   void listen(const http1::Endpoint &address);
   MetadataStore &store() { return Store; }
   void setFaults(const StoreFaults &faults) { Faults = faults; }
+  /// Sets whether responses name the era of the store.
+  void setSendsEra(bool sends) { SendsEra = sends; }
   /// Returns the number of calls received since the start.
   [[nodiscard]] std::size_t calls() const { return Calls; }
   /// Returns how many of them were rejected by the rate limit.
@@ -48,6 +51,8 @@
     core::Millis ExpiresAt;
   };
 
+  void respondJson(http1::Exchange &exchange, int status,
+                   const nlohmann::json &body) const;
   bool exceedsRateLimit();
   void onCall(const std::shared_ptr<http1::Exchange> &exchange);
   void handle(const std::shared_ptr<http1::Exchange> &exchange);
@@ -59,6 +64,7 @@
   const core::Clock &Clock;
   MetadataStore Store;
   StoreFaults Faults;
+  bool SendsEra = true;
   std::size_t Calls = 0;
   std::size_t RateLimitedCalls = 0;
   std::size_t ListedPages = 0;
--- a/src/standins/platform/MetadataStore.cpp
+++ b/src/standins/platform/MetadataStore.cpp
@@ -23,7 +23,7 @@
 
 std::optional<std::vector<StoredItem>>
 MetadataStore::changes(const std::string &prefix, std::int64_t after) const {
-  if (after < CompactedRevision)
+  if (after < CompactedRevision || after > Revision)
     return std::nullopt;
   std::vector<StoredItem> found;
   for (const StoredItem &it : History) {
@@ -68,6 +68,12 @@
 
 void MetadataStore::remove(const std::string &key) { transact({}, {}, {key}); }
 
+void MetadataStore::restore(const MetadataStore &copy) {
+  const std::int64_t era = Era + 1;
+  *this = copy;
+  Era = era;
+}
+
 void MetadataStore::record(StoredItem item) {
   History.push_back(std::move(item));
 }
--- a/src/standins/platform/MetadataStore.hpp
+++ b/src/standins/platform/MetadataStore.hpp
@@ -45,7 +45,7 @@
   [[nodiscard]] std::vector<StoredItem> list(const std::string &prefix,
                                              const std::string &after) const;
   /// Returns the changes after a revision; nothing if the history since then
-  /// was compacted.
+  /// was compacted, or if the store has not reached the revision.
   [[nodiscard]] std::optional<std::vector<StoredItem>>
   changes(const std::string &prefix, std::int64_t after) const;
   Outcome transact(const std::vector<StoreCondition> &conditions,
@@ -61,6 +61,11 @@
   void expireLeases(core::Millis now);
   void compactHistory() { History.clear(), CompactedRevision = Revision; }
   [[nodiscard]] std::int64_t revision() const { return Revision; }
+  /// Replaces the entire state by an earlier copy and starts the next era.
+  /// Revisions and leases granted since the copy are given out again.
+  void restore(const MetadataStore &copy);
+  /// Returns how often the store was restored, plus one.
+  [[nodiscard]] std::int64_t era() const { return Era; }
 
 private:
   struct Lease {
@@ -76,6 +81,7 @@
   std::int64_t Revision = 100;
   std::int64_t CompactedRevision = 100;
   std::int64_t NextLease = 1;
+  std::int64_t Era = 1;
 };
 
 } // namespace cowslipridge::standins::platform
--- a/src/standins/platform/PlatformRunner.cpp
+++ b/src/standins/platform/PlatformRunner.cpp
@@ -29,7 +29,7 @@
 
 PlatformRunner::PlatformRunner(boost::asio::io_context &loop,
                                const core::Clock &clock, RunnerTraits traits)
-    : Clock(clock), Traits(std::move(traits)),
+    : Clock(clock), StartedAt(clock.wall()), Traits(std::move(traits)),
       Server(loop, clock, [this](const auto &it) { onRequest(it); }),
       Ticker(loop) {
   scheduleTick();
@@ -40,7 +40,7 @@
   Server.listen(address);
 }
 
-std::string PlatformRunner::entry(const std::string &state) const {
+std::string PlatformRunner::entry(const std::string &state) {
   return json{{"service", Traits.Service},
               {"address", Address.address().to_string() + ":" +
                               std::to_string(Address.port())},
@@ -49,7 +49,8 @@
               {"slots", Traits.Slots},
               {"state", state},
               {"coldRemainingMs", 0},
-              {"sequenceNumber", 1}}
+              {"sequenceNumber", ++Entries},
+              {"born", StartedAt.count()}}
       .dump();
 }
 
--- a/src/standins/platform/PlatformRunner.hpp
+++ b/src/standins/platform/PlatformRunner.hpp
@@ -54,8 +54,8 @@
   PlatformRunner &operator=(const PlatformRunner &) = delete;
 
   void listen(const http1::Endpoint &address);
-  /// Returns the entry of this runner in the metadata store.
-  [[nodiscard]] std::string entry(const std::string &state) const;
+  /// Returns the next entry of this runner in the metadata store.
+  [[nodiscard]] std::string entry(const std::string &state);
   RunnerTraits &traits() { return Traits; }
   /// Returns how often each request ran here, by its id.
   [[nodiscard]] const std::map<std::string, int> &runs() const {
@@ -88,7 +88,9 @@
   void tick();
 
   const core::Clock &Clock;
+  const core::Millis StartedAt; ///< Unix time
   RunnerTraits Traits;
+  unsigned Entries = 0; ///< number of entries written
   http1::Endpoint Address;
   std::list<RunnerCall> Queue; ///< by priority, then by arrival
   std::map<std::string, int> RunCounts;
--- a/tests/integration/platform/StoreWatcherTest.cpp
+++ b/tests/integration/platform/StoreWatcherTest.cpp
@@ -19,11 +19,16 @@
               const config::SocketAddress &store, std::uint64_t seed)
       : Client(loop, clock, store, Metrics), Watcher(loop, Client, seed) {
     Client.setListeners({[this](const auto &) { ++Outages; }, [] {},
-                         [this](Millis it) { Watcher.reissueCalls(it); }});
+                         [this](Millis it) { Watcher.reissueCalls(it); },
+                         [this] {
+                           ++Restores;
+                           Watcher.onRestored();
+                         }});
     Watcher.start(
-        {[this](const auto &items, StoreRevision) {
+        {[this](const StoreListing &it) {
            ++Listings;
-           ListedItems = items.size();
+           ListedItems = it.Items.size();
+           ListingsAfterRestore += it.AfterRestore ? 1 : 0;
          },
          [this](const StoreItem &it) { ChangedKeys.push_back(it.Key); }});
   }
@@ -34,6 +39,8 @@
   std::size_t ListedItems = 0;
   int Listings = 0;
   int Outages = 0;
+  int Restores = 0;
+  int ListingsAfterRestore = 0;
   std::vector<std::string> ChangedKeys;
 };
 
@@ -221,4 +228,82 @@
   EXPECT_EQ(Gateways[0].ListedItems, 2U);
 }
 
+// Guards against a storm of listings: all gateways of a fleet notice a restore
+// at the same time, each by several responses.
+TEST_F(StoreWatcherTest, listsOnceInEachEraOfTheStore) {
+  constexpr std::size_t PagesPerListing = 3;
+  constexpr std::size_t GatewayCount = 68;
+  addItems(120);
+  startGateways(GatewayCount);
+  runUntil([&] { return allListed(); });
+  const standins::platform::MetadataStore copy = Store.store();
+  Store.store().put("servers/lost", "{}");
+  runUntil([&] {
+    return std::all_of(Gateways.begin(), Gateways.end(),
+                       [](const auto &it) { return !it.ChangedKeys.empty(); });
+  });
+  const std::size_t before = Store.listedPages();
+  Store.store().restore(copy);
+  for (TestGateway &it : Gateways)
+    it.Client.send(StoreCallKind::Renew, renewLeaseCall(7), Millis(500),
+                   [](const StoreReply &) {});
+  runUntil([&] {
+    return std::all_of(Gateways.begin(), Gateways.end(),
+                       [](const auto &it) { return it.Listings == 2; });
+  });
+  EXPECT_EQ(Store.listedPages() - before, GatewayCount * PagesPerListing);
+  for (const TestGateway &it : Gateways) {
+    EXPECT_EQ(it.Restores, 1);
+    EXPECT_EQ(it.ListingsAfterRestore, 1);
+    EXPECT_EQ(it.ListedItems, 120U);
+  }
+}
+
+TEST_F(StoreWatcherTest, listsWhenTheWatchedRevisionIsGivenOutAgain) {
+  addItems(3);
+  startGateways(1);
+  runUntil([&] { return allListed(); });
+  const standins::platform::MetadataStore copy = Store.store();
+  Store.store().put("servers/lost", "{}");
+  runUntil([&] { return !Gateways[0].ChangedKeys.empty(); });
+  Store.store().restore(copy);
+  Store.store().put("servers/other", "{}");
+  Store.store().put("servers/another", "{}");
+  runUntil([&] { return Gateways[0].Listings == 2; });
+  EXPECT_EQ(Gateways[0].ListedItems, 5U);
+  EXPECT_EQ(Gateways[0].Watcher.snapshot()->Position.Era, 2);
+}
+
+// Guards against a stale snapshot: a gateway that started in the outage took it
+// from a peer, and the store returns as an older copy.
+TEST_F(StoreWatcherTest, listsInNewEraAfterSnapshotOfAnotherGateway) {
+  addItems(3);
+  startGateways(1);
+  runUntil([&] { return allListed(); });
+  const standins::platform::MetadataStore copy = Store.store();
+  Store.store().put("servers/lost", "{}");
+  runUntil([&] { return !Gateways[0].ChangedKeys.empty(); });
+  StoreFaults faults;
+  faults.Unresponsive = true;
+  Store.setFaults(faults);
+  startGateways(1);
+  ASSERT_TRUE(
+      Gateways[1].Watcher.applySnapshot(*Gateways[0].Watcher.snapshot()));
+  Store.store().restore(copy);
+  Store.setFaults({});
+  runUntil([&] { return Gateways[1].ListingsAfterRestore == 1; });
+  EXPECT_EQ(Gateways[1].ListedItems, 3U);
+}
+
+TEST_F(StoreWatcherTest, worksWithStoreThatNamesNoEra) {
+  Store.setSendsEra(false);
+  addItems(3);
+  startGateways(1);
+  runUntil([&] { return allListed(); });
+  Store.store().put("servers/new", "{}");
+  runUntil([&] { return !Gateways[0].ChangedKeys.empty(); });
+  EXPECT_EQ(Gateways[0].Restores, 0);
+  EXPECT_EQ(Gateways[0].Listings, 1);
+}
+
 } // namespace
--- a/tests/unit/gateway/PeerReportCodecTest.cpp
+++ b/tests/unit/gateway/PeerReportCodecTest.cpp
@@ -1,6 +1,7 @@
 #include "cowslipridge/gateway/PeerReportCodec.hpp"
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 
 using namespace cowslipridge;
 using namespace cowslipridge::gateway;
@@ -16,6 +17,12 @@
       {{core::ServiceId("s"), core::VersionId("v2"), "route"}, counts}};
   report.PinnedSessions = {1, 1ULL << 63};
   report.ExitsWithin = core::Millis(4'200);
+  report.Configuration = core::Generation(41);
+  report.Rollouts = {
+      {{core::ServiceId("s"), core::VersionId("v2"), core::Millis(24'000)},
+       rollout::RolloutPhase::Reverted,
+       2,
+       core::Millis(9'000)}};
   return report;
 }
 
@@ -27,6 +34,8 @@
   EXPECT_EQ(decoded->Evidence, sampleReport().Evidence);
   EXPECT_EQ(decoded->PinnedSessions, sampleReport().PinnedSessions);
   EXPECT_EQ(decoded->ExitsWithin, sampleReport().ExitsWithin);
+  EXPECT_EQ(decoded->Configuration, sampleReport().Configuration);
+  EXPECT_EQ(decoded->Rollouts, sampleReport().Rollouts);
   const auto serving = decodePeerReport(encodePeerReport(PeerReport()));
   ASSERT_TRUE(serving.ok());
   EXPECT_FALSE(serving->ExitsWithin);
@@ -42,4 +51,20 @@
   }
 }
 
+// Guards against gateways of two builds that ignore each other's reports during
+// an upgrade.
+TEST(PeerReportCodecTest, exchangesReportsWithBuildThatHasFewerElements) {
+  using nlohmann::json;
+  json message = json::from_msgpack(encodePeerReport(sampleReport()));
+  EXPECT_EQ(message.at(0), 3);
+  message.erase(message.begin() + 6, message.end());
+  std::string bytes;
+  json::to_msgpack(message, bytes);
+  const auto decoded = decodePeerReport(bytes);
+  ASSERT_TRUE(decoded.ok());
+  EXPECT_EQ(decoded->Loads, sampleReport().Loads);
+  EXPECT_EQ(decoded->Configuration, core::Generation());
+  EXPECT_TRUE(decoded->Rollouts.empty());
+}
+
 } // namespace
--- a/tests/unit/membership/ServerRegistryTest.cpp
+++ b/tests/unit/membership/ServerRegistryTest.cpp
@@ -59,4 +59,79 @@
   EXPECT_EQ(registry.all().size(), 2U);
 }
 
+class RestoredRegistryTest : public testing::Test {
+protected:
+  static BackendServer entry(const std::string &id, std::uint64_t sequence,
+                             bool draining = false) {
+    BackendServer it = server(id, draining);
+    it.StartedAt = Millis(1'700'000'000'000);
+    it.Sequence = sequence;
+    return it;
+  }
+  /// Simulates a restore of the store from a copy with these entries. Returns
+  /// the runners that were removed at once.
+  std::vector<RunnerId> restore(const std::vector<BackendServer> &copy,
+                                Millis now) {
+    Registry.onStoreAvailable(now);
+    return Registry.replaceAll(Registry.reconcile(copy, true, now), now);
+  }
+
+  ServerRegistry Registry;
+};
+
+TEST_F(RestoredRegistryTest, keepsRunnerMissingFromTheCopyUntilItCanRegister) {
+  Registry.put(entry("late", 1));
+  EXPECT_TRUE(restore({}, Millis(100)).empty());
+  EXPECT_TRUE(Registry.tick(Millis(2'000)).empty());
+  EXPECT_NE(Registry.find(RunnerId("late")), nullptr);
+  EXPECT_EQ(Registry.tick(Millis(2'300)), std::vector{RunnerId("late")});
+}
+
+TEST_F(RestoredRegistryTest, drainingRunnerKeepsDraining) {
+  Registry.put(entry("a", 4, true));
+  restore({entry("a", 2)}, Millis(100));
+  EXPECT_TRUE(Registry.find(RunnerId("a"))->Draining);
+}
+
+TEST_F(RestoredRegistryTest, removesDrainingRunnerMissingFromTheCopy) {
+  Registry.put(entry("a", 4, true));
+  EXPECT_EQ(restore({}, Millis(100)), std::vector{RunnerId("a")});
+}
+
+TEST_F(RestoredRegistryTest, copyDoesNotBringBackRunnerThatLeft) {
+  Registry.put(entry("a", 4, true));
+  Registry.remove(RunnerId("a"), Millis(50));
+  restore({entry("a", 2)}, Millis(100));
+  EXPECT_EQ(Registry.find(RunnerId("a")), nullptr);
+  Registry.remove(RunnerId("a"), Millis(3'000));
+  EXPECT_TRUE(Registry.takeConfirmed(Millis(60'000)).empty());
+}
+
+TEST_F(RestoredRegistryTest, runnerThatIsAliveAfterAllReturns) {
+  Registry.put(entry("a", 4));
+  Registry.remove(RunnerId("a"), Millis(50));
+  restore({entry("a", 4)}, Millis(100));
+  EXPECT_TRUE(Registry.takeConfirmed(Millis(5'000)).empty());
+  const auto confirmed = Registry.takeConfirmed(Millis(6'200));
+  ASSERT_EQ(confirmed.size(), 1U);
+  EXPECT_EQ(confirmed.front().Id, RunnerId("a"));
+  EXPECT_TRUE(Registry.takeConfirmed(Millis(6'300)).empty());
+}
+
+TEST_F(RestoredRegistryTest, laterEntryReplacesHeldOne) {
+  Registry.put(entry("a", 4));
+  Registry.remove(RunnerId("a"), Millis(50));
+  restore({entry("a", 3)}, Millis(100));
+  Registry.put(entry("a", 5));
+  EXPECT_NE(Registry.find(RunnerId("a")), nullptr);
+  EXPECT_TRUE(Registry.takeConfirmed(Millis(60'000)).empty());
+}
+
+TEST_F(RestoredRegistryTest, listingWithoutRestoreIsTakenAsItIs) {
+  Registry.put(entry("a", 4, true));
+  Registry.remove(RunnerId("a"), Millis(50));
+  const std::vector<BackendServer> listed{entry("a", 2)};
+  EXPECT_EQ(Registry.reconcile(listed, false, Millis(100)), listed);
+}
+
 } // namespace
--- a/tests/unit/platform/StoreProtocolTest.cpp
+++ b/tests/unit/platform/StoreProtocolTest.cpp
@@ -24,7 +24,7 @@
   EXPECT_EQ(batch->Items,
             (std::vector<StoreItem>{{"k", "node-1", 412, false}}));
   EXPECT_TRUE(batch->HasMore);
-  EXPECT_EQ(batch->Revision, 530);
+  EXPECT_EQ(batch->Position, (StorePosition{0, 530}));
 }
 
 TEST(StoreProtocolTest, parsesChanges) {
@@ -42,23 +42,39 @@
 
 TEST(StoreProtocolTest, writesConditionalTransaction) {
   const StoreCall call = transactionCall(
-      {{"a", "node-1", 0, true, 0}, {"b", "x", 77120, false, 0}});
+      {{{"a", 0}}, {{"a", "node-1", 0}, {"b", "x", 77120}}, {"c"}});
   EXPECT_EQ(nlohmann::json::parse(call.Body),
             nlohmann::json::parse(
                 R"({"expectedRevision":[{"key":"a","revision":0}],
                     "write":[{"key":"a","value":"bm9kZS0x"},
                              {"key":"b","value":"eA==","lease":77120}],
-                    "remove":[]})"));
+                    "remove":["c"]})"));
+}
+
+TEST(StoreProtocolTest, parsesEraOfResponse) {
+  http1::HeaderFields fields;
+  EXPECT_EQ(parseEra(fields), 0);
+  fields.add("store-era", "17");
+  EXPECT_EQ(parseEra(fields), 17);
+  for (const char *text : {"", "x", "-3", "99999999999999999999"}) {
+    fields.set("Store-Era", text);
+    EXPECT_EQ(parseEra(fields), 0) << text;
+  }
+}
+
+TEST(StoreProtocolTest, positionsOfALaterEraAreLater) {
+  EXPECT_LT((StorePosition{1, 900}), (StorePosition{2, 100}));
+  EXPECT_LT((StorePosition{2, 100}), (StorePosition{2, 101}));
 }
 
 TEST(StoreProtocolTest, listingRoundTrips) {
   StoreBatch batch;
-  batch.Revision = 77;
+  batch.Position = {3, 77};
   batch.Items = {{"op/config", std::string("\0\xff{}", 4), 41, false},
                  {"servers/a", "", 76, false}};
   const auto read = parseListing(writeListing(batch));
   ASSERT_TRUE(read.ok());
-  EXPECT_EQ(read->Revision, 77);
+  EXPECT_EQ(read->Position, (StorePosition{3, 77}));
   EXPECT_EQ(read->Items, batch.Items);
   EXPECT_FALSE(read->HasMore);
 }
--- a/tests/unit/rollout/TrialControlTest.cpp
+++ b/tests/unit/rollout/TrialControlTest.cpp
@@ -167,4 +167,133 @@
   }
 }
 
+/// The store comes back as an older copy, with commands and records of then.
+class RestoredTrialTest : public TrialControlTest {
+protected:
+  static RolloutCommand commandTo(const std::string &target) {
+    return {Service, core::VersionId(target), Duration};
+  }
+  static RolloutList copyWith(std::vector<RolloutCommand> commands,
+                              std::vector<RolloutStatus> statuses = {},
+                              std::vector<RolloutProgress> progresses = {}) {
+    return {std::move(commands), std::move(statuses), std::move(progresses),
+            true};
+  }
+  RolloutStatus statusOf(RolloutPhase phase) {
+    return {Service, Target, phase};
+  }
+  RolloutProgress progressOf(unsigned step) {
+    return {Service, Target, step, Millis(0)};
+  }
+};
+
+TEST_F(RestoredTrialTest, completedRolloutStaysCompletedAndIsWrittenAgain) {
+  command();
+  drive(Duration);
+  ASSERT_EQ(share(), 1);
+  Control.onListed(copyWith({commandTo("v2")},
+                            {statusOf(RolloutPhase::InProgress)},
+                            {progressOf(1)}),
+                   Now);
+  EXPECT_EQ(share(), 1);
+  const auto next = Control.next(Service, Input, Now);
+  ASSERT_TRUE(next);
+  EXPECT_EQ(next->Status, statusOf(RolloutPhase::Completed));
+  accept(*next, Now);
+  EXPECT_FALSE(Control.next(Service, Input, Now));
+}
+
+TEST_F(RestoredTrialTest, revertedVersionStaysBanned) {
+  command();
+  drive(Millis(2'000));
+  setCounts(10, 10);
+  drive(Millis(3'000));
+  ASSERT_TRUE(Control.isBanned(Service, Target));
+  Control.onListed(copyWith({}), Now);
+  EXPECT_TRUE(Control.isBanned(Service, Target));
+  EXPECT_EQ(share(), 0);
+  const auto next = Control.next(Service, Input, Now);
+  ASSERT_TRUE(next);
+  EXPECT_EQ(next->Status.Phase, RolloutPhase::Reverted);
+}
+
+TEST_F(RestoredTrialTest, stepDoesNotGoBackAndTimeCountsOn) {
+  command();
+  drive(Duration * 62 / 100);
+  const double before = share();
+  Control.onListed(copyWith({commandTo("v2")}), Now);
+  EXPECT_EQ(share(), before);
+  EXPECT_EQ(drive(Duration), RolloutPhase::Completed);
+}
+
+TEST_F(RestoredTrialTest, decidesNothingNewUntilLostRecordsAreWritten) {
+  command();
+  drive(Duration / 4);
+  Control.onListed(copyWith({commandTo("v2")},
+                            {statusOf(RolloutPhase::InProgress)},
+                            {progressOf(0)}),
+                   Now);
+  setCounts(10, 10);
+  EXPECT_FALSE(Control.next(Service, Input, Now))
+      << "another gateway may know of a later record";
+  EXPECT_TRUE(
+      Control.next(Service, Input, Now + TrialControl::RecordRewritePeriod));
+}
+
+TEST_F(RestoredTrialTest, commandMissingFromTheCopyStaysInForce) {
+  command();
+  drive(Millis(2'000));
+  Control.onListed(copyWith({}), Now);
+  EXPECT_EQ(Control.activeTarget(Service), Target);
+  EXPECT_TRUE(Control.tick(Now + Millis(60'000)).empty());
+  EXPECT_EQ(Control.activeTarget(Service), Target);
+}
+
+TEST_F(RestoredTrialTest, commandMissingWithoutRestoreIsWithdrawn) {
+  command();
+  drive(Millis(2'000));
+  Control.onListed({}, Now);
+  EXPECT_FALSE(Control.activeTarget(Service));
+}
+
+TEST_F(RestoredTrialTest, otherCommandOfTheCopyWaitsForTheOperator) {
+  command();
+  drive(Millis(2'000));
+  Control.onListed(copyWith({commandTo("v1")}), Now);
+  EXPECT_EQ(Control.activeTarget(Service), Target);
+  Control.onCommand(commandTo("v2"), Now);
+  EXPECT_TRUE(Control.tick(Now + Millis(60'000)).empty());
+  EXPECT_EQ(Control.activeTarget(Service), Target);
+}
+
+TEST_F(RestoredTrialTest, otherCommandAppliesIfTheOperatorWritesNone) {
+  command();
+  drive(Millis(2'000));
+  Control.onListed(copyWith({commandTo("v1")}), Now);
+  EXPECT_TRUE(Control.tick(Now + Millis(1'000)).empty());
+  EXPECT_EQ(Control.tick(Now + TrialControl::CommandRewritePeriod),
+            std::vector{Service});
+  EXPECT_EQ(Control.activeTarget(Service), core::VersionId("v1"));
+}
+
+TEST_F(RestoredTrialTest, newGatewayLearnsProgressFromPeers) {
+  command();
+  drive(Duration * 62 / 100);
+  TrialControl fresh(Exposure);
+  fresh.onListed(copyWith({commandTo("v2")}), Now);
+  EXPECT_EQ(fresh.targetShare(Service), 0);
+  fresh.onPeerKnowledge(Control.knowledge(Now), Now);
+  EXPECT_EQ(fresh.targetShare(Service), Control.targetShare(Service));
+  EXPECT_FALSE(fresh.hasStickySessions(Service, Now));
+}
+
+TEST_F(RestoredTrialTest, ignoresKnowledgeAboutAnotherCommand) {
+  command();
+  drive(Duration);
+  TrialControl other(Exposure);
+  other.onCommand({Service, Target, Duration * 2}, Now);
+  other.onPeerKnowledge(Control.knowledge(Now), Now);
+  EXPECT_EQ(other.activeTarget(Service), Target);
+}
+
 } // namespace
