Escalate large prompts like small ones: unbiased forecasts, limits by waiting

The forecast for prompts of over 8,000 tokens was 1.4 to 2.5 times the actual time: delays of the batch and of answers in progress were learnt as time per token, and slowness and speed drifted apart in opposite directions (their product is all that an answer shows). And the limit on escalation compared the whole forecast with the target, so that a large prompt on an idle runner counted as load. Change: the first token is fitted by least squares over fixed delay, tokens, work ahead and answers in progress (LeastSquares, now shared with FirstTokenModel); slowness is drawn towards 1. Escalation is limited by the wait for other requests, in the time that the larger model's own work leaves. The three new tests fail on the code before. The test that walks through rising times of the larger model now raises the wait, which is what limits, and asserts in addition that nothing is escalated near the end. Conclusion: the largest drafts lost to a forecast, not to the fleet.

--- a/src/cowslipridge/gateway/EventDetails.cpp
+++ b/src/cowslipridge/gateway/EventDetails.cpp
@@ -62,6 +62,7 @@
     return text + " larger=none";
   return text + " larger_first_ms=" +
          std::to_string(answer.Larger->FirstToken.count()) +
+         " larger_wait_ms=" + std::to_string(answer.Larger->Waiting.count()) +
          " larger_whole_ms=" +
          std::to_string(answer.Larger->Completion.count());
 }
--- a/src/cowslipridge/gateway/RunnerSelection.cpp
+++ b/src/cowslipridge/gateway/RunnerSelection.cpp
@@ -244,6 +244,12 @@
   const double pace = Forecast.eventIntervalMillis(candidate->Server->Id, now);
   route::TierForecast estimate;
   estimate.FirstToken = candidate->FirstToken;
+  estimate.Waiting =
+      std::max(core::Millis(),
+               candidate->FirstToken -
+                   Forecast.idleTimeToFirstToken(candidate->Server->Id,
+                                                 modelOf(request, tier),
+                                                 candidate->UncachedTokens));
   estimate.Completion =
       candidate->FirstToken + core::Millis(std::llround(events * pace));
   return estimate;
--- a/src/cowslipridge/route/FirstTokenModel.hpp
+++ b/src/cowslipridge/route/FirstTokenModel.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
-#include <array>
-#include <cstddef>
+#include "cowslipridge/route/internal/LeastSquares.hpp"
 
 namespace cowslipridge::route {
 
@@ -27,21 +26,17 @@
   static constexpr double MinPredictionMillis = 1;
 
 private:
-  static constexpr std::size_t FeatureCount = 6;
-  using Vector = std::array<double, FeatureCount>;
+  using Fit = internal::LeastSquares<6>;
 
-  static Vector toVector(const FirstTokenFeatures &features);
+  static Fit::Vector toVector(const FirstTokenFeatures &features);
 
   /// Milliseconds: fixed, per thousand uncached tokens, per thousand pending
   /// tokens, per reported request, per request sent since the report, and per
   /// request above the concurrency limit.
-  Vector Coefficients{20, 200, 20};
-  std::array<Vector, FeatureCount> Covariance{{{100, 0, 0, 0, 0, 0},
-                                               {0, 1000, 0, 0, 0, 0},
-                                               {0, 0, 1000, 0, 0, 0},
-                                               {0, 0, 0, 100, 0, 0},
-                                               {0, 0, 0, 0, 100, 0},
-                                               {0, 0, 0, 0, 0, 1000}}};
+  Fit Model{
+      {20, 200, 20},
+      {100, 1000, 1000, 100, 100, 1000},
+      {.NoiseVariance = 2500, .ForgettingFactor = 0.999, .MaxCovariance = 1e5}};
 };
 
 } // namespace cowslipridge::route
--- a/src/cowslipridge/route/ModelCascade.cpp
+++ b/src/cowslipridge/route/ModelCascade.cpp
@@ -8,10 +8,10 @@
 
 /// Confidence below which an answer is escalated if the runners are idle.
 constexpr double LowConfidenceThreshold = 62;
-/// Slack is the share of the available time that the larger model's answer
-/// would leave unused. Below the first value nothing is escalated; above the
-/// second the full confidence threshold applies; in between, the threshold
-/// grows linearly.
+/// Slack is the share of the time beside the larger model's own that the wait
+/// for other requests would leave unused. Below the first value nothing is
+/// escalated; above the second the full confidence threshold applies; in
+/// between, the threshold grows linearly.
 constexpr double MinSlackShare = 0.3;
 constexpr double FullEscalationSlackShare = 0.75;
 
@@ -31,9 +31,11 @@
 }
 
 bool shouldEscalate(const EscalationContext &context) {
+  const TierForecast &largest = context.Largest;
+  const core::Millis ownTime = largest.FirstToken - largest.Waiting;
   const double available =
-      std::min(slackShare(context.Target, context.Largest.FirstToken),
-               slackShare(context.Deadline, context.Largest.Completion));
+      std::min(slackShare(context.Target - ownTime, largest.Waiting),
+               slackShare(context.Deadline, largest.Completion));
   const double scale = std::clamp(
       (available - MinSlackShare) / (FullEscalationSlackShare - MinSlackShare),
       0.0, 1.0);
--- a/src/cowslipridge/route/ModelCascade.hpp
+++ b/src/cowslipridge/route/ModelCascade.hpp
@@ -7,6 +7,7 @@
 /// Predicted latency of a model tier for a request that is sent now.
 struct TierForecast {
   core::Millis FirstToken;
+  core::Millis Waiting;    ///< part of FirstToken that is due to other requests
   core::Millis Completion; ///< time until the end of the answer
 };
 
@@ -26,9 +27,10 @@
 /// Returns true if the request is to be escalated to the largest model.
 ///
 /// A larger model answers hard requests better but has less capacity. While its
-/// runners are idle, every low-confidence answer is escalated. As its predicted
-/// latency approaches the target or the deadline, only the answers with the
-/// lowest confidence are escalated, and none once its answer would be late.
+/// runners are idle, every low-confidence answer is escalated if the larger
+/// model's own time fits the target. As the wait for other requests takes up
+/// the rest of the time, only the answers with the lowest confidence are
+/// escalated, and none once its answer would be late.
 /// Models of intermediate size are skipped: they answer few of the requests for
 /// which the smallest model reports low confidence.
 bool shouldEscalate(const EscalationContext &context);
--- a/src/cowslipridge/route/PrefillForecast.cpp
+++ b/src/cowslipridge/route/PrefillForecast.cpp
@@ -7,19 +7,20 @@
 
 namespace {
 
-/// Prefill time per token of the service's most expensive model, used until
-/// attempts have been observed.
-constexpr double InitialMillisPerToken = 0.05;
 constexpr double MinMillisPerToken = 0.0005;
 constexpr double MaxMillisPerToken = 2;
-/// Step size of the normalized gradient step on the prefill time per token.
-constexpr double LearningRate = 0.08;
-/// Regularization of the step size: prompts shorter than this hardly change the
-/// prefill time per token, because other delays dominate their latency.
-constexpr double RegularizationTokens = 1'000;
+constexpr double InitialFixedMillis = 20;
+/// Delay that each answer being generated adds to the first token of another
+/// attempt, before attempts have been observed.
+constexpr double InitialMillisPerRunningAnswer = 2;
+constexpr double MillisPerSecond = 1'000;
+constexpr double TokensPerThousand = 1'000;
 /// Exponent of the ratio of actual to predicted time in the moving average of a
 /// runner's slowness.
 constexpr double SlownessGain = 0.15;
+/// Exponent that draws a slowness towards 1 at each observation. Without it,
+/// slowness and model fit could drift apart in opposite directions.
+constexpr double SlownessRetention = 0.98;
 constexpr double MinSlowness = 0.5;
 constexpr double MaxSlowness = 12;
 /// Interval between two stream events on a runner without observations.
@@ -28,24 +29,43 @@
 constexpr double EventIntervalGain = 0.12;
 /// Half-life of an observed interval's weight against the initial value.
 constexpr double EventIntervalHalfLifeMillis = 3'000;
-/// Delay that each answer being generated adds to the first token of another
-/// attempt.
-constexpr double MillisPerRunningAnswer = 2;
-
 } // namespace
 
+PrefillForecast::ModelFit PrefillForecast::makeFit(double millisPerToken) {
+  const double perThousand = TokensPerThousand * millisPerToken;
+  return {
+      {InitialFixedMillis, perThousand, MillisPerSecond,
+       InitialMillisPerRunningAnswer},
+      {100, perThousand * perThousand, MillisPerSecond * 10, 1},
+      {.NoiseVariance = 2500, .ForgettingFactor = 0.998, .MaxCovariance = 1e5}};
+}
+
+PrefillForecast::ModelFit::Vector
+PrefillForecast::featuresOf(std::uint64_t uncachedTokens,
+                            const ServerLoad &ahead) {
+  return {1, static_cast<double>(uncachedTokens) / TokensPerThousand,
+          ahead.PendingMillis / MillisPerSecond,
+          static_cast<double>(ahead.Running)};
+}
+
+const PrefillForecast::ModelFit &
+PrefillForecast::fitOf(const std::string &model) const {
+  const auto it = Fits.find(model);
+  return it == Fits.end() ? UnknownModel : it->second;
+}
+
 void PrefillForecast::registerModel(const std::string &model,
                                     double relativeCost) {
-  MillisPerToken.try_emplace(model,
-                             std::clamp(InitialMillisPerToken * relativeCost,
-                                        MinMillisPerToken, MaxMillisPerToken));
+  Fits.try_emplace(model,
+                   makeFit(std::clamp(InitialMillisPerToken * relativeCost,
+                                      MinMillisPerToken, MaxMillisPerToken)));
 }
 
 double PrefillForecast::prefillMillis(const std::string &model,
                                       std::uint64_t tokens) const {
-  const auto it = MillisPerToken.find(model);
   const double rate =
-      it == MillisPerToken.end() ? InitialMillisPerToken : it->second;
+      std::clamp(fitOf(model).coefficients()[1] / TokensPerThousand,
+                 MinMillisPerToken, MaxMillisPerToken);
   return rate * static_cast<double>(tokens);
 }
 
@@ -81,11 +101,22 @@
 PrefillForecast::timeToFirstToken(const core::RunnerId &runner,
                                   const std::string &model,
                                   std::uint64_t uncachedTokens) const {
-  const ServerLoad queued = load(runner);
-  const double work = queued.PendingMillis +
-                      MillisPerRunningAnswer * queued.Running +
-                      prefillMillis(model, uncachedTokens);
-  return core::Millis(std::llround(slowness(runner) * (BaseMillis + work)));
+  return forecast(runner, model, uncachedTokens, load(runner));
+}
+
+core::Millis
+PrefillForecast::idleTimeToFirstToken(const core::RunnerId &runner,
+                                      const std::string &model,
+                                      std::uint64_t uncachedTokens) const {
+  return forecast(runner, model, uncachedTokens, ServerLoad());
+}
+
+core::Millis PrefillForecast::forecast(const core::RunnerId &runner,
+                                       const std::string &model,
+                                       std::uint64_t uncachedTokens,
+                                       const ServerLoad &ahead) const {
+  const double millis = fitOf(model).predict(featuresOf(uncachedTokens, ahead));
+  return core::Millis(std::llround(slowness(runner) * millis));
 }
 
 void PrefillForecast::onAttemptSent(std::uint64_t ticket,
@@ -100,7 +131,7 @@
   attempt.WorkMillis = prefillMillis(model, uncachedTokens);
   attempt.PredictedMillis = static_cast<double>(
       timeToFirstToken(runner, model, uncachedTokens).count());
-  attempt.PendingMillisAhead = load(runner).PendingMillis;
+  attempt.Ahead = load(runner);
   attempt.SentAt = now;
   ServerLoad &own = Own[runner];
   own.PendingMillis += attempt.WorkMillis;
@@ -125,21 +156,14 @@
 void PrefillForecast::updateEstimates(const Attempt &attempt, double elapsed) {
   const double ratio = std::clamp(elapsed / attempt.PredictedMillis, 0.1, 10.0);
   double &slowness = Slowness.try_emplace(attempt.Runner, 1).first->second;
-  slowness = std::clamp(slowness * std::pow(ratio, SlownessGain), MinSlowness,
-                        MaxSlowness);
+  slowness = std::clamp(std::pow(slowness, SlownessRetention) *
+                            std::pow(ratio, SlownessGain),
+                        MinSlowness, MaxSlowness);
   // The runner's slowness is divided out, so that only the remaining error
-  // changes the model's prefill time.
-  const double expected =
-      BaseMillis + attempt.PendingMillisAhead + attempt.WorkMillis;
-  const double error = elapsed / slowness - expected;
-  const auto tokens = static_cast<double>(attempt.Tokens);
-  const double step =
-      LearningRate * error * tokens /
-      (tokens * tokens + RegularizationTokens * RegularizationTokens);
-  double &rate =
-      MillisPerToken.try_emplace(attempt.Model, InitialMillisPerToken)
-          .first->second;
-  rate = std::clamp(rate + step, MinMillisPerToken, MaxMillisPerToken);
+  // changes the fit of the model.
+  Fits.try_emplace(attempt.Model, UnknownModel)
+      .first->second.observe(featuresOf(attempt.Tokens, attempt.Ahead),
+                             elapsed / slowness);
 }
 
 void PrefillForecast::onStreamEvents(std::uint64_t ticket, unsigned events,
--- a/src/cowslipridge/route/PrefillForecast.hpp
+++ b/src/cowslipridge/route/PrefillForecast.hpp
@@ -2,6 +2,7 @@
 
 #include "cowslipridge/core/Clock.hpp"
 #include "cowslipridge/core/Ids.hpp"
+#include "cowslipridge/route/internal/LeastSquares.hpp"
 
 #include <cstdint>
 #include <map>
@@ -36,6 +37,11 @@
   timeToFirstToken(const core::RunnerId &runner, const std::string &model,
                    std::uint64_t uncachedTokens) const;
 
+  /// Returns the same for a runner without other requests.
+  [[nodiscard]] core::Millis
+  idleTimeToFirstToken(const core::RunnerId &runner, const std::string &model,
+                       std::uint64_t uncachedTokens) const;
+
   /// Adds an attempt to the runner's pending work.
   void onAttemptSent(std::uint64_t ticket, const core::RunnerId &runner,
                      const std::string &model, std::uint64_t uncachedTokens,
@@ -71,14 +77,17 @@
   [[nodiscard]] double slowness(const core::RunnerId &runner) const;
 
 private:
+  /// Prefill time per token of the service's most expensive model, used until
+  /// attempts have been observed.
+  static constexpr double InitialMillisPerToken = 0.05;
+
   struct Attempt {
     core::RunnerId Runner;
     std::string Model;
     std::uint64_t Tokens = 0;
     double WorkMillis = 0;
     double PredictedMillis = 0;
-    /// Pending prefill at the runner when the attempt was sent.
-    double PendingMillisAhead = 0;
+    ServerLoad Ahead; ///< at the runner when the attempt was sent
     core::Millis SentAt;
     bool HasFirstToken = false;
     core::Millis LastEventAt;
@@ -93,15 +102,27 @@
     core::Millis ReportReceivedAt;
   };
 
+  /// Fit of the time to first token of one model: fixed delay, per thousand
+  /// uncached tokens, per second of work ahead, and per answer in progress.
+  using ModelFit = internal::LeastSquares<4>;
+
+  static ModelFit makeFit(double millisPerToken);
+  static ModelFit::Vector featuresOf(std::uint64_t uncachedTokens,
+                                     const ServerLoad &ahead);
+  [[nodiscard]] const ModelFit &fitOf(const std::string &model) const;
+  [[nodiscard]] core::Millis forecast(const core::RunnerId &runner,
+                                      const std::string &model,
+                                      std::uint64_t uncachedTokens,
+                                      const ServerLoad &ahead) const;
   void updateEstimates(const Attempt &attempt, double elapsed);
 
-  std::unordered_map<std::string, double> MillisPerToken;
+  std::unordered_map<std::string, ModelFit> Fits;
+  ModelFit UnknownModel = makeFit(InitialMillisPerToken);
   std::unordered_map<core::RunnerId, double> Slowness;
   std::unordered_map<core::RunnerId, EventInterval> EventIntervals;
   std::unordered_map<std::uint64_t, Attempt> Attempts;
   std::map<core::RunnerId, ServerLoad> Own;
   std::map<core::InstanceId, RemoteLoads> Remote;
-  double BaseMillis = 20;
 };
 
 } // namespace cowslipridge::route
--- a/tests/unit/gateway/EventDetailsTest.cpp
+++ b/tests/unit/gateway/EventDetailsTest.cpp
@@ -31,8 +31,10 @@
 
 TEST(EventDetailsTest, describesALowConfidenceAnswerWithTheLargerForecast) {
   EXPECT_EQ(describe({12, std::nullopt}), "confidence=12 larger=none");
-  EXPECT_EQ(describe({12, route::TierForecast{Millis(900), Millis(4'000)}}),
-            "confidence=12 larger_first_ms=900 larger_whole_ms=4000");
+  EXPECT_EQ(describe({12, route::TierForecast{Millis(900), Millis(250),
+                                              Millis(4'000)}}),
+            "confidence=12 larger_first_ms=900 larger_wait_ms=250 "
+            "larger_whole_ms=4000");
 }
 
 } // namespace
--- a/tests/unit/route/ModelCascadeTest.cpp
+++ b/tests/unit/route/ModelCascadeTest.cpp
@@ -13,7 +13,9 @@
   context.Confidence = confidence;
   context.Target = Millis(4'000);
   context.Deadline = Millis(12'000);
-  context.Largest = {Millis(300), Millis(2'000)};
+  context.Largest = {.FirstToken = Millis(300),
+                     .Waiting = Millis(0),
+                     .Completion = Millis(2'000)};
   return context;
 }
 
@@ -37,15 +39,31 @@
 TEST(ModelCascadeTest, escalatesFewerAnswersAsTheLargestModelSlowsDown) {
   EscalationContext context = makeIdleContext(0);
   int before = highestEscalated(context);
+  const Millis ownTime = context.Largest.FirstToken;
   for (const int millis : {1'000, 2'000, 3'000, 3'900}) {
     context.Largest.FirstToken = Millis(millis);
+    context.Largest.Waiting = Millis(millis) - ownTime;
     EXPECT_LE(highestEscalated(context), before) << millis;
     before = highestEscalated(context);
   }
+  EXPECT_EQ(before, -1) << "the wait takes nearly all of the time";
   context.Largest.FirstToken = Millis(4'000);
   EXPECT_EQ(highestEscalated(context), -1) << "the answer would be late";
 }
 
+// Pattern: the largest prompts take a good part of the target by themselves, on
+// runners with nothing else to do.
+TEST(ModelCascadeTest, escalatesLargePromptsLikeSmallOnesWhileRunnersAreIdle) {
+  const int small = highestEscalated(makeIdleContext(0));
+  EscalationContext context = makeIdleContext(0);
+  context.Largest.FirstToken = Millis(3'000);
+  context.Largest.Waiting = Millis(50);
+  EXPECT_EQ(highestEscalated(context), small);
+  context.Largest.FirstToken = Millis(3'500);
+  context.Largest.Waiting = Millis(500);
+  EXPECT_LT(highestEscalated(context), small);
+}
+
 TEST(ModelCascadeTest, doesNotEscalateWhenTheAnswerWouldMissTheDeadline) {
   EscalationContext context = makeIdleContext(0);
   context.Largest.Completion = Millis(12'500);
--- a/tests/unit/route/PrefillForecastTest.cpp
+++ b/tests/unit/route/PrefillForecastTest.cpp
@@ -62,6 +62,47 @@
   EXPECT_LT(forecast, actual * 1.25);
 }
 
+// Pattern: a few large prompts among many small ones, each of which waits for
+// the batch in progress. Their delay must not be taken for time to prefill.
+TEST_F(PrefillForecastTest, forecastsLargePromptsAmongManySmallOnes) {
+  constexpr double Rate = 0.045;
+  constexpr double FixedMillis = 60;
+  constexpr double MillisPerAnswer = 3;
+  constexpr unsigned Answers = 12;
+  const auto actual = [&](std::uint64_t tokens) {
+    return FixedMillis + MillisPerAnswer * Answers +
+           Rate * static_cast<double>(tokens);
+  };
+  const core::InstanceId peer("peer");
+  Forecast.setRemoteLoads(
+      peer, {{One, {0, 0, Answers}}, {Two, {0, 0, Answers}}}, Now);
+  for (int n = 0; n < 400; ++n) {
+    const std::uint64_t tokens = n % 10 == 0 ? 12'000 : 1'300;
+    const std::uint64_t ticket = ++Tickets;
+    Forecast.onAttemptSent(ticket, n % 2 == 0 ? One : Two, Model, tokens, Now);
+    Now = Now + Millis(static_cast<std::int64_t>(actual(tokens)));
+    Forecast.onFirstToken(ticket, Now);
+    Forecast.onAttemptEnded(ticket);
+  }
+  for (const std::uint64_t tokens : {1'300, 12'000, 30'000}) {
+    const auto forecast = static_cast<double>(
+        Forecast.timeToFirstToken(One, Model, tokens).count());
+    EXPECT_NEAR(forecast / actual(tokens), 1, 0.15) << tokens;
+  }
+  EXPECT_LT(Forecast.idleTimeToFirstToken(One, Model, 1'300),
+            Forecast.timeToFirstToken(One, Model, 1'300));
+}
+
+// Pattern: all runners of a fleet deviate alike from the first estimate. That
+// is the speed of the model, not the slowness of each runner.
+TEST_F(PrefillForecastTest, attributesCommonDeviationToTheModel) {
+  constexpr double Rate = 0.02;
+  for (int n = 0; n < 300; ++n)
+    runAttempt(n % 2 == 0 ? One : Two, 6'000, Rate);
+  EXPECT_NEAR(Forecast.slowness(One), 1, 0.1);
+  EXPECT_NEAR(Forecast.slowness(Two), 1, 0.1);
+}
+
 TEST_F(PrefillForecastTest, separatesRunnerSlownessFromModelSpeed) {
   constexpr double Rate = 0.02;
   for (int n = 0; n < 100; ++n) {
