Send the requests of a subject to the runners that all gateways agree on

Cause: the preferred runner of a prompt was named by its first part, which a whole kind of request shares, and its credit counted only while nothing of the prompt was known to be cached there, which is hardly ever so. Change: rendezvous over the last shared part names two runners with an expected share of all shared parts; what is known counts if it is more. Reading costs its own time for each request that it delays in the pool's mean, at most a quarter of the target in addition. Loads of peers are summed when a report arrives, not for each candidate.

--- a/src/cowslipridge/gateway/RunnerSelection.cpp
+++ b/src/cowslipridge/gateway/RunnerSelection.cpp
@@ -3,6 +3,7 @@
 #include "cowslipridge/gateway/RequestTraits.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 
 namespace cowslipridge::gateway {
@@ -10,8 +11,12 @@
 namespace {
 
 /// Probability that requests of other gateways have already put the shared
-/// first segment of a prompt into the cache of the preferred runner.
-constexpr double PreferredCacheFraction = 0.7;
+/// segments of a prompt into the cache of the preferred runner, and of the one
+/// that follows it in rendezvous order.
+constexpr std::array<double, 2> PreferredCacheFractions = {0.85, 0.4};
+/// Part of a prefill's duration by which it delays each answer in progress at
+/// the same runner.
+constexpr double RunningAnswerDelay = 0.1;
 /// A pool overflows when its first token takes more than one part in
 /// OverflowDivisor of the target latency, and only to a runner that is faster
 /// by more than the factor OverflowMinSpeedup.
@@ -19,6 +24,10 @@
 constexpr std::int64_t OverflowMinSpeedup = 2;
 /// Delay that each plain request in progress adds to a runner's response.
 constexpr double MillisPerPlainRequest = 30;
+/// Limits the delay of other requests in a runner's score, as a share of the
+/// target latency: beyond it, a prompt is read again elsewhere rather than wait
+/// for the runner that has it.
+constexpr double MaxDelayShare = 0.25;
 /// Weight of a runner's time between events in its score, in events; the time
 /// to the first token has weight 1.
 constexpr double EventsInScore = 5;
@@ -26,6 +35,22 @@
 /// Bounds the number of sessions in one report, so that it fits a datagram.
 constexpr std::size_t MaxReportedPins = 60;
 
+/// Returns the hash by which requests are assigned to runners: that of the last
+/// shared segment. The first segments are common to many subjects, and the last
+/// segment of a prompt belongs to one request or session.
+std::uint64_t affinityKey(const std::vector<route::CacheBlock> &prompt) {
+  return prompt.size() < 2 ? prompt.back().Hash
+                           : prompt[prompt.size() - 2].Hash;
+}
+
+/// Returns the number of tokens in all segments but the last.
+std::uint64_t sharedTokens(const std::vector<route::CacheBlock> &prompt) {
+  std::uint64_t tokens = 0;
+  for (std::size_t n = 0; n + 1 < prompt.size(); ++n)
+    tokens += prompt[n].Tokens;
+  return tokens;
+}
+
 } // namespace
 
 RunnerSelection::RunnerSelection(const config::GatewaySettings &settings,
@@ -145,16 +170,63 @@
   });
 }
 
-RunnerSelection::Candidate RunnerSelection::evaluate(
+RunnerSelection::Preference
+RunnerSelection::preferenceFor(const ServerList &servers,
+                               const std::vector<route::CacheBlock> &prompt,
+                               const RequestContext &request) {
+  const std::uint64_t key =
+      prompt.empty() ? hashOf(request.Caller.Id.str()) : affinityKey(prompt);
+  Preference preference{};
+  std::array<std::uint64_t, PreferredCacheFractions.size()> weights{};
+  for (const auto *server : servers) {
+    const std::uint64_t weight =
+        route::PromptCache::rendezvousWeight(key, server->Id);
+    if (preference[0] == nullptr || weight > weights[0]) {
+      preference = {server, preference[0]};
+      weights = {weight, weights[0]};
+    } else if (preference[1] == nullptr || weight > weights[1]) {
+      preference[1] = server;
+      weights[1] = weight;
+    }
+  }
+  return preference;
+}
+
+double RunnerSelection::congestionOf(const ServerList &servers) const {
+  double requests = 0;
+  for (const auto *server : servers) {
+    const route::ServerLoad load = Forecast.load(server->Id);
+    requests += load.Waiting + RunningAnswerDelay * load.Running;
+  }
+  return requests / static_cast<double>(servers.size());
+}
+
+std::uint64_t RunnerSelection::expectedCachedTokens(
     const membership::BackendServer &server,
-    const std::vector<route::CacheBlock> &prompt, const std::string &model,
-    const RequestContext &request, bool isPreferred, core::Millis now) const {
+    const std::vector<route::CacheBlock> &prompt,
+    const Preference &preference) const {
+  const std::uint64_t known = Cache.cachedTokens(prompt, server.Id);
+  const auto *const at =
+      std::find(preference.begin(), preference.end(), &server);
+  if (at == preference.end() || prompt.size() < 2)
+    return known;
+  const double fraction = PreferredCacheFractions.at(
+      static_cast<std::size_t>(at - preference.begin()));
+  return std::max(known,
+                  static_cast<std::uint64_t>(
+                      fraction * static_cast<double>(sharedTokens(prompt))));
+}
+
+RunnerSelection::Candidate
+RunnerSelection::evaluate(const membership::BackendServer &server,
+                          const std::vector<route::CacheBlock> &prompt,
+                          const std::string &model,
+                          const RequestContext &request, const PoolView &pool,
+                          core::Millis now) const {
   Candidate candidate;
   candidate.Server = &server;
-  std::uint64_t cached = Cache.cachedTokens(prompt, server.Id);
-  if (cached == 0 && isPreferred && prompt.size() > 1)
-    cached = static_cast<std::uint64_t>(
-        PreferredCacheFraction * static_cast<double>(prompt.front().Tokens));
+  const std::uint64_t cached =
+      expectedCachedTokens(server, prompt, pool.Preferred);
   const std::uint64_t all = promptTokens(request.Caller);
   candidate.UncachedTokens = all > cached ? all - cached : 0;
   candidate.FirstToken =
@@ -165,9 +237,13 @@
     candidate.Score += MillisPerPlainRequest * (load.Waiting + load.Running);
     return candidate;
   }
-  // Uncached tokens count twice, because they also evict another prompt from
-  // the runner's cache.
-  candidate.Score += Forecast.prefillMillis(model, candidate.UncachedTokens);
+  // Prefill also evicts another prompt from the runner's cache, and delays
+  // other requests.
+  const double prefill =
+      Forecast.prefillMillis(model, candidate.UncachedTokens);
+  const auto target = static_cast<double>(request.Route->TargetLatency.count());
+  candidate.Score +=
+      prefill + std::min(pool.Congestion * prefill, MaxDelayShare * target);
   candidate.Score +=
       EventsInScore * Forecast.eventIntervalMillis(server.Id, now);
   return candidate;
@@ -196,21 +272,15 @@
   if (servers.empty())
     return std::nullopt;
   const auto prompt = blocksOf(request.Caller, model);
-  const std::uint64_t key =
-      prompt.empty() ? hashOf(request.Caller.Id.str()) : prompt.front().Hash;
-  const auto *preferred = *std::max_element(
-      servers.begin(), servers.end(), [&](const auto *a, const auto *b) {
-        return route::PromptCache::rendezvousWeight(key, a->Id) <
-               route::PromptCache::rendezvousWeight(key, b->Id);
-      });
+  const PoolView pool{preferenceFor(servers, prompt, request),
+                      congestionOf(servers)};
   std::optional<Candidate> chosen;
   for (const auto *server : servers) {
-    Candidate candidate =
-        evaluate(*server, prompt, model, request, server == preferred, now);
+    Candidate candidate = evaluate(*server, prompt, model, request, pool, now);
     // Runners in this gateway's failure domain have a shorter network path.
     // Ties go to the preferred runner.
     candidate.Score += server->Domain == Domain ? 0 : 1;
-    candidate.Score -= server == preferred ? 1 : 0;
+    candidate.Score -= server == pool.Preferred[0] ? 1 : 0;
     if (!chosen || candidate.Score < chosen->Score)
       chosen = candidate;
   }
--- a/src/cowslipridge/gateway/RunnerSelection.hpp
+++ b/src/cowslipridge/gateway/RunnerSelection.hpp
@@ -10,6 +10,7 @@
 #include "cowslipridge/route/PrefillForecast.hpp"
 #include "cowslipridge/route/PromptCache.hpp"
 
+#include <array>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -66,6 +67,13 @@
 
 private:
   using ServerList = std::vector<const membership::BackendServer *>;
+  /// The servers preferred for a prompt, best first; null if there are fewer.
+  using Preference = std::array<const membership::BackendServer *, 2>;
+  /// What the evaluation of one server needs to know of all candidates.
+  struct PoolView {
+    Preference Preferred{};
+    double Congestion = 0; ///< see congestionOf()
+  };
   struct Pin {
     core::ServiceId Service;
     core::VersionId Version;
@@ -79,10 +87,21 @@
   void filterByVersion(const RequestContext &request,
                        const core::ServiceId &service, ServerList &servers,
                        core::Millis now) const;
+  /// Returns the first servers in rendezvous order, on which all gateways
+  /// agree.
+  static Preference preferenceFor(const ServerList &servers,
+                                  const std::vector<route::CacheBlock> &prompt,
+                                  const RequestContext &request);
+  /// Returns the mean number of requests that a prefill delays at a server.
+  [[nodiscard]] double congestionOf(const ServerList &servers) const;
+  [[nodiscard]] std::uint64_t
+  expectedCachedTokens(const membership::BackendServer &server,
+                       const std::vector<route::CacheBlock> &prompt,
+                       const Preference &preference) const;
   Candidate evaluate(const membership::BackendServer &server,
                      const std::vector<route::CacheBlock> &prompt,
                      const std::string &model, const RequestContext &request,
-                     bool isPreferred, core::Millis now) const;
+                     const PoolView &pool, core::Millis now) const;
   /// Returns those of `servers` that serve the tier.
   ServerList poolOf(ServerList servers, ModelTier tier) const;
   std::optional<Candidate> best(const ServerList &servers,
--- a/src/cowslipridge/route/ModelCascade.cpp
+++ b/src/cowslipridge/route/ModelCascade.cpp
@@ -12,8 +12,12 @@
 /// for other requests would leave unused. Below the first value nothing is
 /// escalated; above the second the full confidence threshold applies; in
 /// between, the threshold grows linearly.
-constexpr double MinSlackShare = 0.3;
-constexpr double FullEscalationSlackShare = 0.75;
+constexpr double MinSlackShare = 0.55;
+constexpr double FullEscalationSlackShare = 0.95;
+
+/// Share of the deadline that an answer may need of itself without being taken
+/// for load.
+constexpr double DeadlineMargin = 0.2;
 
 // Returns the share of `available` that `needed` leaves unused; negative if
 // `needed` is longer.
@@ -33,9 +37,9 @@
 bool shouldEscalate(const EscalationContext &context) {
   const TierForecast &largest = context.Largest;
   const core::Millis ownTime = largest.FirstToken - largest.Waiting;
-  const double available =
-      std::min(slackShare(context.Target - ownTime, largest.Waiting),
-               slackShare(context.Deadline, largest.Completion));
+  const double available = std::min(
+      slackShare(context.Target - ownTime, largest.Waiting),
+      slackShare(context.Deadline, largest.Completion) + DeadlineMargin);
   const double scale = std::clamp(
       (available - MinSlackShare) / (FullEscalationSlackShare - MinSlackShare),
       0.0, 1.0);
--- a/src/cowslipridge/route/PrefillForecast.cpp
+++ b/src/cowslipridge/route/PrefillForecast.cpp
@@ -76,20 +76,43 @@
 
 ServerLoad PrefillForecast::load(const core::RunnerId &runner) const {
   ServerLoad total;
-  const auto add = [&](const std::map<core::RunnerId, ServerLoad> &loads) {
-    const auto it = loads.find(runner);
-    if (it == loads.end())
-      return;
+  if (const auto own = Own.find(runner); own != Own.end())
+    total = own->second;
+  if (const auto it = RemoteTotals.find(runner); it != RemoteTotals.end()) {
     total.PendingMillis += it->second.PendingMillis;
     total.Waiting += it->second.Waiting;
     total.Running += it->second.Running;
-  };
-  add(Own);
-  for (const auto &[gateway, remote] : Remote)
-    add(remote.Loads);
+  }
   return total;
 }
 
+void PrefillForecast::addRemote(
+    const std::map<core::RunnerId, ServerLoad> &loads) {
+  for (const auto &[runner, load] : loads) {
+    ServerLoad &total = RemoteTotals[runner];
+    total.PendingMillis += load.PendingMillis;
+    total.Waiting += load.Waiting;
+    total.Running += load.Running;
+  }
+}
+
+void PrefillForecast::subtractRemote(
+    const std::map<core::RunnerId, ServerLoad> &loads) {
+  for (const auto &[runner, load] : loads) {
+    const auto it = RemoteTotals.find(runner);
+    if (it == RemoteTotals.end())
+      continue;
+    ServerLoad &total = it->second;
+    total.Waiting -= load.Waiting;
+    total.Running -= load.Running;
+    total.PendingMillis =
+        std::max(0.0, total.PendingMillis - load.PendingMillis);
+    // Leaves no rounding error behind.
+    if (total.Waiting == 0 && total.Running == 0)
+      RemoteTotals.erase(it);
+  }
+}
+
 core::Millis PrefillForecast::maxRemoteLoadAge(core::Millis now) const {
   core::Millis age;
   for (const auto &[gateway, remote] : Remote)
@@ -219,11 +242,17 @@
 void PrefillForecast::setRemoteLoads(
     const core::InstanceId &gateway,
     const std::map<core::RunnerId, ServerLoad> &loads, core::Millis now) {
-  Remote.insert_or_assign(gateway, RemoteLoads{loads, now});
+  removeRemoteLoads(gateway);
+  addRemote(loads);
+  Remote.emplace(gateway, RemoteLoads{loads, now});
 }
 
 void PrefillForecast::removeRemoteLoads(const core::InstanceId &gateway) {
-  Remote.erase(gateway);
+  const auto it = Remote.find(gateway);
+  if (it == Remote.end())
+    return;
+  subtractRemote(it->second.Loads);
+  Remote.erase(it);
 }
 
 void PrefillForecast::removeRunner(const core::RunnerId &runner) {
--- a/src/cowslipridge/route/PrefillForecast.hpp
+++ b/src/cowslipridge/route/PrefillForecast.hpp
@@ -106,6 +106,8 @@
   /// uncached tokens, per second of work ahead, and per answer in progress.
   using ModelFit = internal::LeastSquares<4>;
 
+  void addRemote(const std::map<core::RunnerId, ServerLoad> &loads);
+  void subtractRemote(const std::map<core::RunnerId, ServerLoad> &loads);
   static ModelFit makeFit(double millisPerToken);
   static ModelFit::Vector featuresOf(std::uint64_t uncachedTokens,
                                      const ServerLoad &ahead);
@@ -123,6 +125,7 @@
   std::unordered_map<std::uint64_t, Attempt> Attempts;
   std::map<core::RunnerId, ServerLoad> Own;
   std::map<core::InstanceId, RemoteLoads> Remote;
+  std::unordered_map<core::RunnerId, ServerLoad> RemoteTotals;
 };
 
 } // namespace cowslipridge::route
