Size the small model's pool by the time of its requests; plain event names

Change: the share counts the time to the first token on an idle runner, fixed delay included. Names: peer-gone, peer-silent, peer-heard, runner-gone, the outcome silent and the gauge peers_heard become peer-removed, peer-timed-out, peer-reporting, runner-removed, timed-out and peers_reporting; numbers stay. Three checks in ServerTest use empty().

--- a/programs/cowslipctl/StatusCommand.cpp
+++ b/programs/cowslipctl/StatusCommand.cpp
@@ -53,7 +53,7 @@
   for (const InstanceAnswer &it : answers) {
     std::cout << it.Instance.Name.str() << " " << it.Instance.Domain.str()
               << (it.Instance.Leaving ? " leaving " : " ")
-              << (it.Answer.ok() ? it.Answer->Body : "silent") << "\n";
+              << (it.Answer.ok() ? it.Answer->Body : "unreachable") << "\n";
   }
   return printFailedInstances(answers) ? ExitCode::Success
                                        : ExitCode::Unreachable;
--- a/programs/cowslipridged/EntryRole.cpp
+++ b/programs/cowslipridged/EntryRole.cpp
@@ -21,7 +21,7 @@
 }
 
 nlohmann::json toJson(const membership::Member &member) {
-  constexpr const char *Names[] = {"live", "suspect", "leaving", "gone"};
+  constexpr const char *Names[] = {"live", "suspect", "leaving", "removed"};
   return {{"instance", member.Record.Name.str()},
           {"incarnation", member.Record.Start.value()},
           {"service", member.Record.Service.str()},
--- a/src/cowslipridge/entry/BillDelivery.cpp
+++ b/src/cowslipridge/entry/BillDelivery.cpp
@@ -18,7 +18,7 @@
 void BillDelivery::tick() {
   const auto isLive = [this](const core::InstanceId &name) {
     const membership::Member *it = Context.Peers->directory().find(name);
-    return it != nullptr && it->State != membership::Liveness::Gone &&
+    return it != nullptr && it->State != membership::Liveness::Removed &&
            it->State != membership::Liveness::SuspectedFailed;
   };
   std::map<core::ServiceId, std::vector<HeldBill>> byService;
--- a/src/cowslipridge/gateway/Gateway.cpp
+++ b/src/cowslipridge/gateway/Gateway.cpp
@@ -76,11 +76,11 @@
     Scrapes.listen(toEndpoint(*Settings.Metrics));
   Peers.listen(Settings.Peers);
   Snapshots.listen(toEndpoint(Settings.Peers));
-  Peers.setPresenceListener(
-      [this](const core::InstanceId &peer, bool isReporting) {
-        report(isReporting ? EventNumber::PeerHeard : EventNumber::PeerSilent,
-               "peer=" + peer.str());
-      });
+  Peers.setPresenceListener([this](const core::InstanceId &peer,
+                                   bool isReporting) {
+    report(isReporting ? EventNumber::PeerReporting : EventNumber::PeerTimedOut,
+           "peer=" + peer.str());
+  });
   Peers.setUnknownPeerListener([this](const auto &sender) {
     if (mayQueryPeers())
       Snapshots.fetch({sender.address(), sender.port()});
@@ -262,7 +262,7 @@
 
 void Gateway::removeServer(const core::RunnerId &runner) {
   RequestDispatcher.removeServer(runner);
-  report(EventNumber::RunnerGone, "runner=" + runner.str());
+  report(EventNumber::RunnerRemoved, "runner=" + runner.str());
 }
 
 void Gateway::on(const RolloutCommandChanged &event) {
@@ -305,7 +305,7 @@
 
 void Gateway::on(const PeerRemoved &event) {
   Peers.remove(event.Name);
-  report(EventNumber::PeerGone, "peer=" + event.Name.str());
+  report(EventNumber::PeerRemoved, "peer=" + event.Name.str());
 }
 
 void Gateway::on(const ControlPlaneUnavailable &event) {
--- a/src/cowslipridge/gateway/Placement.cpp
+++ b/src/cowslipridge/gateway/Placement.cpp
@@ -29,7 +29,7 @@
   case AttemptOutcome::Broken:
     return "broken";
   case AttemptOutcome::TimedOut:
-    return "silent";
+    return "timed-out";
   case AttemptOutcome::Cancelled:
     break;
   }
--- a/src/cowslipridge/gateway/RunnerSelection.cpp
+++ b/src/cowslipridge/gateway/RunnerSelection.cpp
@@ -71,10 +71,14 @@
 void RunnerSelection::onSelected(const RequestContext &request, ModelTier tier,
                                  const Candidate &candidate, core::Millis now) {
   if (tier)
-    Pools.recordWork(*tier == 0,
-                     Forecast.prefillMillis(modelOf(request, tier),
-                                            candidate.UncachedTokens),
-                     now);
+    Pools.recordWork(
+        *tier == 0,
+        static_cast<double>(Forecast
+                                .idleTimeToFirstToken(candidate.Server->Id,
+                                                      modelOf(request, tier),
+                                                      candidate.UncachedTokens)
+                                .count()),
+        now);
   if (!request.Caller.Session.empty())
     Pins.insert_or_assign(
         request.Caller.Session.str(),
--- a/src/cowslipridge/membership/Directory.hpp
+++ b/src/cowslipridge/membership/Directory.hpp
@@ -15,7 +15,7 @@
 /// Performs no I/O.
 namespace cowslipridge::membership {
 
-enum class Liveness { Live, SuspectedFailed, Leaving, Gone };
+enum class Liveness { Live, SuspectedFailed, Leaving, Removed };
 
 struct Member {
   backing::InstanceRecord Record;
--- a/src/cowslipridge/observe/Metrics.hpp
+++ b/src/cowslipridge/observe/Metrics.hpp
@@ -40,7 +40,7 @@
   RunnersEjected,  ///< runners that are temporarily ejected
   RetryBudgetLeft, ///< retries allowed now, by service
   TrialEvidence,   ///< known answers of a trial, by version and outcome
-  PeersHeard,      ///< other gateways whose reports are up to date
+  PeersReporting,  ///< other gateways whose reports are up to date
 };
 
 /// Histograms of durations.
--- a/tests/integration/platform/GatewayRestoreTest.cpp
+++ b/tests/integration/platform/GatewayRestoreTest.cpp
@@ -138,7 +138,7 @@
   Store.store().put("servers/desk-1", drained.entry("draining"));
   Store.store().put("servers/desk-2", left.entry("draining"));
   Store.store().remove("servers/desk-2");
-  awaitLogged("runner-gone");
+  awaitLogged("runner-removed");
   rememberPages();
   restore(copy);
   const std::size_t before = drained.runs().size() + left.runs().size();
--- a/tests/unit/gateway/DispatcherTest.cpp
+++ b/tests/unit/gateway/DispatcherTest.cpp
@@ -145,8 +145,28 @@
     EXPECT_FALSE(large.contains(it)) << it.str();
 }
 
-// Thundering herd: all gateways see the same idle runner and send to it at
-// once.
+// Pattern: many short prompts for the small model beside a few long ones for
+// the large model. A short prompt costs a runner a batch step, not only its
+// tokens.
+TEST_F(DispatcherTest, manyShortPromptsGetTheirShareOfRunners) {
+  const auto run = [&](ModelTier tier, std::uint64_t tokens, Millis duration) {
+    const auto placement = place(RequestDispatcher, request(Ids, tokens), tier);
+    Now = Now + duration;
+    serve(RequestDispatcher, *placement);
+    return placement->Runner;
+  };
+  for (int n = 0; n < 300; ++n) {
+    run(0, 100, Millis(60));
+    if (n % 20 == 0)
+      run(1, 20'000, Millis(1'000));
+  }
+  std::set<core::RunnerId> used;
+  for (int n = 0; n < 100; ++n)
+    used.insert(run(0, 100, Millis(60)));
+  EXPECT_GE(used.size(), 4U);
+}
+
+// All gateways see the same idle runner and send to it at the same time.
 TEST_F(DispatcherTest, accountsForTheLoadOfOtherGateways) {
   const auto before = place(RequestDispatcher, request(3, 8'000));
   ASSERT_TRUE(before);
--- a/tests/unit/gateway/EventDetailsTest.cpp
+++ b/tests/unit/gateway/EventDetailsTest.cpp
@@ -23,7 +23,7 @@
 TEST(EventDetailsTest, describesAnEjectionWithOutcomeAndDuration) {
   EXPECT_EQ(describe({core::RunnerId("r"), Millis(2'000), 2},
                      AttemptOutcome::TimedOut),
-            "runner=r outcome=silent ejections=2 for_ms=2000");
+            "runner=r outcome=timed-out ejections=2 for_ms=2000");
   EXPECT_EQ(
       describe({core::RunnerId("r"), Millis(), 2}, AttemptOutcome::Served),
       "runner=r outcome=served ejections=2");
--- a/tests/unit/gateway/GatewayGaugesTest.cpp
+++ b/tests/unit/gateway/GatewayGaugesTest.cpp
@@ -39,7 +39,7 @@
   const std::string text = scrape();
   EXPECT_EQ(valueOf(text, "cowslipridge_in_flight"), "3");
   EXPECT_EQ(valueOf(text, "cowslipridge_connections"), "7");
-  EXPECT_EQ(valueOf(text, "cowslipridge_peers_heard"), "2");
+  EXPECT_EQ(valueOf(text, "cowslipridge_peers_reporting"), "2");
   EXPECT_EQ(valueOf(text, "cowslipridge_configuration_age_seconds"), "0");
 }
 
--- a/tests/unit/http1/ServerTest.cpp
+++ b/tests/unit/http1/ServerTest.cpp
@@ -150,7 +150,7 @@
   request();
   Reading = false;
   Exchanges.back()->respond(ok(), body);
-  runUntil([&] { return Received.size() > 0; });
+  runUntil([&] { return !Received.empty(); });
   EXPECT_EQ(HttpServer.inFlight(), 1U);
   Reading = true;
   readMore();
@@ -166,7 +166,7 @@
   Exchanges.back()->begin(ok(Framing::Chunked));
   Exchanges.back()->send(std::string(MoreThanSocketBuffers, 'x'));
   Exchanges.back()->end();
-  runUntil([&] { return Received.size() > 0; });
+  runUntil([&] { return !Received.empty(); });
   EXPECT_EQ(HttpServer.inFlight(), 1U);
   Reading = true;
   readMore();
@@ -180,7 +180,7 @@
   request();
   Reading = false;
   Exchanges.back()->respond(ok(), std::string(MoreThanSocketBuffers, 'x'));
-  runUntil([&] { return Received.size() > 0; });
+  runUntil([&] { return !Received.empty(); });
   Peer.close();
   runUntil([&] { return HttpServer.inFlight() == 0; });
 }
--- a/tests/unit/membership/ServerRegistryTest.cpp
+++ b/tests/unit/membership/ServerRegistryTest.cpp
@@ -26,21 +26,21 @@
 TEST(ServerRegistryTest, defersRemovalsInAnOutageUntilRunnersCanReregister) {
   ServerRegistry registry;
   registry.put(server("back"));
-  registry.put(server("gone"));
+  registry.put(server("lost"));
   registry.onStoreUnavailable();
   EXPECT_FALSE(registry.remove(RunnerId("back"), Millis(5'000)));
   registry.onStoreAvailable(Millis(6'000));
-  EXPECT_FALSE(registry.remove(RunnerId("gone"), Millis(6'100)));
+  EXPECT_FALSE(registry.remove(RunnerId("lost"), Millis(6'100)));
   registry.put(server("back"));
   EXPECT_TRUE(registry
                   .tick(Millis(6'000) + ServerRegistry::ReregistrationPeriod -
                         Millis(1))
                   .empty());
-  EXPECT_NE(registry.find(RunnerId("gone")), nullptr);
+  EXPECT_NE(registry.find(RunnerId("lost")), nullptr);
   EXPECT_EQ(registry.tick(Millis(6'000) + ServerRegistry::ReregistrationPeriod),
-            std::vector{RunnerId("gone")});
+            std::vector{RunnerId("lost")});
   EXPECT_NE(registry.find(RunnerId("back")), nullptr);
-  EXPECT_EQ(registry.find(RunnerId("gone")), nullptr);
+  EXPECT_EQ(registry.find(RunnerId("lost")), nullptr);
 }
 
 TEST(ServerRegistryTest, removesADrainingRunnerAtOnceInAnOutage) {
