--- a/tests/unit/observe/OperationsPageTest.cpp
+++ b/tests/unit/observe/OperationsPageTest.cpp
@@ -23,16 +23,16 @@
 
 const std::vector<Example> Examples = {
     {"refused-under-load",
-     "152e7c789644d6d5",
+     "d1e8177c93f8c8ee",
      {EventNumber::RequestRouted, EventNumber::RequestRetried,
       EventNumber::RequestRefused},
      "status=503 no-room, no runner answers in time"},
     {"failed-and-not-repeated",
-     "bc1caf867e17f028",
+     "69cd0e2d9a5aa42c",
      {EventNumber::RequestRouted, EventNumber::RequestRefused},
      "status=502 broken-early"},
     {"broken-off-in-a-stream",
-     "77a09a718fac47af",
+     "30a755f92cdd5064",
      {EventNumber::RequestRouted, EventNumber::RequestEscalated,
       EventNumber::RequestRouted, EventNumber::RequestRefused},
      "broken off: deadline"}};
