--- a/src/cowslipridge/membership/EntryHistory.cpp
+++ b/src/cowslipridge/membership/EntryHistory.cpp
@@ -11,7 +11,7 @@
 } // namespace
 
 bool isOutdated(const BackendServer &entry, const BackendServer &later) {
-  // Without a start time, incarnations can't be told apart.
+  // Without a start time, incarnations can't be distinguished.
   if (entry.StartedAt == core::Millis() || later.StartedAt == core::Millis())
     return false;
   if (entry.StartedAt != later.StartedAt)
