Pause between watches by the deadlines that operators accept

Ruled out: fewer renewals (a tenth of a read each, and they show an outage within a second). Change: the platform's deadlines for configurations and draining become settings, checked like the others; the pause is at most a fifth of the shorter one. Two-second deployments stay at 400 ms.

--- a/programs/cowslipridge-gateway/main.cpp
+++ b/programs/cowslipridge-gateway/main.cpp
@@ -13,6 +13,7 @@
 #include <gflags/gflags.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <fstream>
@@ -161,9 +162,10 @@
   BoundedLog lines(clock, log, metrics);
   log.report(observe::EventNumber::ProcessStarted, {});
   const platform::HeaderTranslator translator;
-  platform::StoreControlPlane control(loop, clock, settings.Store,
-                                      seedOf(settings.Instance, startedAt),
-                                      metrics);
+  platform::StoreControlPlane control(
+      loop, clock, settings.Store, seedOf(settings.Instance, startedAt),
+      std::min(settings.ConfigurationDeadline, settings.DrainDeadline),
+      metrics);
   gateway::Gateway gateway(loop, clock, settings, translator, control, log,
                            metrics);
   gateway.start();
--- a/src/cowslipridge/config/GatewaySettings.cpp
+++ b/src/cowslipridge/config/GatewaySettings.cpp
@@ -18,6 +18,7 @@
 constexpr std::uint64_t MaxPort = 65'535;
 constexpr double MaxAllowance = 1e6;
 constexpr core::Millis MaxGracePeriod{600'000};
+constexpr core::Millis MinChangeDeadline{500};
 constexpr core::Millis MaxWindow{600'000};
 constexpr std::string_view AddressExample = "10.0.0.5:8080";
 
@@ -66,6 +67,11 @@
       "exposure_allowance", settings.Exposure.Fixed, 0, MaxAllowance);
   settings.SessionLifetime = promises.duration(
       "session_lifetime", settings.SessionLifetime, core::Millis(0), MaxWindow);
+  settings.ConfigurationDeadline = promises.duration(
+      "configuration_deadline", settings.ConfigurationDeadline,
+      MinChangeDeadline, MaxWindow);
+  settings.DrainDeadline = promises.duration(
+      "drain_deadline", settings.DrainDeadline, MinChangeDeadline, MaxWindow);
   promises.finish();
   return settings;
 }
--- a/src/cowslipridge/config/GatewaySettings.hpp
+++ b/src/cowslipridge/config/GatewaySettings.hpp
@@ -53,6 +53,12 @@
   RetryAllowance Retries;
   ExposureAllowance Exposure;
   core::Millis SessionLifetime{5'000}; ///< `session_lifetime`
+  /// `configuration_deadline`: from the acceptance of a configuration until it
+  /// is in force at every gateway.
+  core::Millis ConfigurationDeadline{2'000};
+  /// `drain_deadline`: from the time at which a runner reports that it is
+  /// draining until it gets no more requests.
+  core::Millis DrainDeadline{2'000};
 };
 
 /// Parses the settings of a gateway. On any error, returns nothing and adds all
--- a/src/cowslipridge/platform/StoreControlPlane.cpp
+++ b/src/cowslipridge/platform/StoreControlPlane.cpp
@@ -45,9 +45,12 @@
                                      const core::Clock &clock,
                                      const config::SocketAddress &address,
                                      std::uint64_t seed,
+                                     core::Millis changeDeadline,
                                      observe::Metrics &metrics)
     : Store(loop, clock, address, metrics), Watcher(loop, Store, seed),
-      Registration(loop, Store), RecordIds(seed) {}
+      Registration(loop, Store), RecordIds(seed) {
+  Watcher.setChangeDeadline(changeDeadline);
+}
 
 void StoreControlPlane::start(gateway::Peer self, Listener listener,
                               std::function<void()> onSynced) {
--- a/src/cowslipridge/platform/StoreControlPlane.hpp
+++ b/src/cowslipridge/platform/StoreControlPlane.hpp
@@ -20,10 +20,11 @@
 /// lease. Must outlive the run of the event loop.
 class StoreControlPlane final : public gateway::ControlPlane {
 public:
-  /// `seed` must differ between all processes, also those of one gateway.
+  /// `seed` must differ between all processes, also those of one gateway. A
+  /// change must be in force within `changeDeadline`.
   StoreControlPlane(boost::asio::io_context &loop, const core::Clock &clock,
                     const config::SocketAddress &address, std::uint64_t seed,
-                    observe::Metrics &metrics);
+                    core::Millis changeDeadline, observe::Metrics &metrics);
 
   void start(gateway::Peer self, Listener listener,
              std::function<void()> onSynced) override;
--- a/src/cowslipridge/platform/StoreWatcher.cpp
+++ b/src/cowslipridge/platform/StoreWatcher.cpp
@@ -25,9 +25,9 @@
 /// Delay between two watches for each gateway that watches the store. Changes
 /// made during the delay arrive in one response.
 constexpr core::Millis WatchDelayPerWatcher{16};
-/// Bounds the delay between two watches: a change must be in force at every
-/// gateway well within two seconds.
-constexpr core::Millis MaxWatchDelay{400};
+/// Bounds the delay between two watches to one part in this of the deadline for
+/// a change. The rest is left for slow calls and retries.
+constexpr std::int64_t WatchDelayDivisor = 5;
 
 } // namespace
 
@@ -182,9 +182,13 @@
     applyChange(it);
   Position =
       std::max(Position, StorePosition{reply.Era, changes->Position.Revision});
-  scheduleResume(
-      std::min(MaxWatchDelay,
-               WatchDelayPerWatcher * static_cast<std::int64_t>(WatcherCount)));
+  scheduleResume(watchDelay());
+}
+
+core::Millis StoreWatcher::watchDelay() const {
+  return std::min(ChangeDeadline / WatchDelayDivisor,
+                  WatchDelayPerWatcher *
+                      static_cast<std::int64_t>(WatcherCount));
 }
 
 // Deferred, because the caller may be handling the response of this very call.
--- a/src/cowslipridge/platform/StoreWatcher.hpp
+++ b/src/cowslipridge/platform/StoreWatcher.hpp
@@ -64,6 +64,8 @@
   /// between two watches grows with it, so that a change costs the store fewer
   /// calls.
   void setWatcherCount(std::size_t count) { WatcherCount = count; }
+  /// Sets the time within which a change must be in force at every gateway.
+  void setChangeDeadline(core::Millis deadline) { ChangeDeadline = deadline; }
 
 private:
   enum class Step { Listing, Watching };
@@ -76,6 +78,7 @@
   void applyChange(const StoreItem &item);
   void restartListing();
   void listNewEra();
+  [[nodiscard]] core::Millis watchDelay() const;
   void scheduleRetry(const StoreReply &reply);
   void scheduleResume(core::Millis delay);
 
@@ -96,6 +99,7 @@
   bool HasListed = false;
   unsigned ConsecutiveRateLimits = 0;
   std::size_t WatcherCount = 1;
+  core::Millis ChangeDeadline{2'000};
 };
 
 } // namespace cowslipridge::platform
--- a/tests/integration/platform/StoreWatcherTest.cpp
+++ b/tests/integration/platform/StoreWatcherTest.cpp
@@ -188,6 +188,25 @@
       << "expected about three calls a second, whatever changes";
 }
 
+// Pattern: changes that never end, before a large fleet whose operators accept
+// more time for a change.
+TEST_F(StoreWatcherTest, watchesLessOftenWhereChangesMayTakeLonger) {
+  startGateways(1);
+  runUntil([&] { return allListed(); });
+  Gateways[0].Watcher.setWatcherCount(68);
+  Gateways[0].Watcher.setChangeDeadline(Millis(4'000));
+  const std::size_t before = Store.calls();
+  const Millis startedAt = Clock.monotonic();
+  for (int n = 0; n < 60; ++n) {
+    Store.store().put("servers/r" + std::to_string(n), "{}");
+    Loop.restart();
+    Loop.run_for(std::chrono::milliseconds(50));
+  }
+  runUntil([&] { return Gateways[0].ChangedKeys.size() == 60; });
+  const Millis duration = Clock.monotonic() - startedAt;
+  EXPECT_LE(Store.calls() - before, 2 + duration.count() / 700);
+}
+
 // Guards against a delayed start: the store becomes unresponsive while a
 // gateway starts, and responds again before the listing's timeout.
 TEST_F(StoreWatcherTest, reissuesUnresponsiveListingOnceStoreResponds) {
--- a/tests/unit/config/GatewaySettingsTest.cpp
+++ b/tests/unit/config/GatewaySettingsTest.cpp
@@ -18,7 +18,9 @@
                              "retry_window = 10s\nretry_allowance = 54\n"
                              "exposure_fraction = 0.15\n"
                              "exposure_allowance = 30\n"
-                             "session_lifetime = 5s\n";
+                             "session_lifetime = 5s\n"
+                             "configuration_deadline = 4000ms\n"
+                             "drain_deadline = 3s\n";
 
 TEST(GatewaySettingsTest, readsCompleteSettings) {
   core::Findings findings;
@@ -31,6 +33,8 @@
   EXPECT_EQ(settings->Retries.Window, core::Millis(10'000));
   EXPECT_EQ(settings->Exposure.Fixed, 30);
   EXPECT_EQ(settings->SessionLifetime, core::Millis(5'000));
+  EXPECT_EQ(settings->ConfigurationDeadline, core::Millis(4'000));
+  EXPECT_EQ(settings->DrainDeadline, core::Millis(3'000));
 }
 
 TEST(GatewaySettingsTest, reportsAllFindingsTogether) {
