Share the steps that tests of restores and of paused reading repeat

Change: replaceKey() and readPausedResponse(); the checks are as they were. Conclusion: no check changed.

--- a/tests/integration/platform/GatewayRestoreTest.cpp
+++ b/tests/integration/platform/GatewayRestoreTest.cpp
@@ -37,6 +37,14 @@
         json{{"service", "llm"}, {"target", target}, {"durationS", seconds}}
             .dump());
   }
+  /// Replaces the callers' key and waits until that is in force.
+  void replaceKey(int version, const std::string &key) {
+    Configuration["version"] = version;
+    Configuration["tenants"][0]["apiKeys"] = {key};
+    configure();
+    Key = key;
+    runUntil([&] { return statusOf("/get/a") == 200; });
+  }
   std::string rolloutState() {
     const auto item = Store.store().get("status/rollout/llm");
     return item ? json::parse(item->Value).at("state").get<std::string>() : "";
@@ -57,11 +65,7 @@
   configure();
   startAndAwaitReady();
   const MetadataStore copy = Store.store();
-  Configuration["version"] = 5;
-  Configuration["tenants"][0]["apiKeys"] = {"key-2"};
-  configure();
-  Key = "key-2";
-  runUntil([&] { return statusOf("/get/a") == 200; });
+  replaceKey(5, "key-2");
   rememberPages();
   restore(copy);
   EXPECT_EQ(statusOf("/get/a"), 200);
@@ -189,11 +193,7 @@
   configure();
   startAndAwaitReady();
   const MetadataStore copy = Store.store();
-  Configuration["version"] = 5;
-  Configuration["tenants"][0]["apiKeys"] = {"key-2"};
-  configure();
-  Key = "key-2";
-  runUntil([&] { return statusOf("/get/a") == 200; });
+  replaceKey(5, "key-2");
   rememberPages();
   restore(copy);
   const Addresses at = freeAddresses();
@@ -212,11 +212,7 @@
   Configuration["version"] = 5;
   configure();
   const MetadataStore second = Store.store();
-  Configuration["version"] = 9;
-  Configuration["tenants"][0]["apiKeys"] = {"key-9"};
-  configure();
-  Key = "key-9";
-  runUntil([&] { return statusOf("/get/a") == 200; });
+  replaceKey(9, "key-9");
   Store.store().restore(second);
   runFor(Millis(100));
   Store.store().restore(first);
@@ -226,11 +222,7 @@
   runUntil([&] { return Store.listedPages() > PagesBefore; });
   EXPECT_EQ(statusOf("/get/a"), 200);
   // The gateway follows the store afterwards.
-  Configuration["version"] = 12;
-  Configuration["tenants"][0]["apiKeys"] = {"key-12"};
-  configure();
-  Key = "key-12";
-  runUntil([&] { return statusOf("/get/a") == 200; });
+  replaceKey(12, "key-12");
 }
 
 } // namespace
--- a/tests/unit/http1/ServerTest.cpp
+++ b/tests/unit/http1/ServerTest.cpp
@@ -50,6 +50,17 @@
     runUntil([&] { return Exchanges.size() > before; });
   }
 
+  /// Reads on after a pause, and stops the server once nothing is in flight.
+  void readPausedResponse() {
+    runUntil([&] { return !Received.empty(); });
+    EXPECT_EQ(HttpServer.inFlight(), 1U);
+    Reading = true;
+    readMore();
+    runUntil([&] { return HttpServer.inFlight() == 0; });
+    HttpServer.stop();
+    runUntil([&] { return !!ReadError; });
+  }
+
   Server HttpServer;
   Socket Peer;
   Endpoint Address;
@@ -150,13 +161,7 @@
   request();
   Reading = false;
   Exchanges.back()->respond(ok(), body);
-  runUntil([&] { return !Received.empty(); });
-  EXPECT_EQ(HttpServer.inFlight(), 1U);
-  Reading = true;
-  readMore();
-  runUntil([&] { return HttpServer.inFlight() == 0; });
-  HttpServer.stop();
-  runUntil([&] { return !!ReadError; });
+  readPausedResponse();
   EXPECT_TRUE(Received.ends_with(body));
 }
 
@@ -166,13 +171,7 @@
   Exchanges.back()->begin(ok(Framing::Chunked));
   Exchanges.back()->send(std::string(MoreThanSocketBuffers, 'x'));
   Exchanges.back()->end();
-  runUntil([&] { return !Received.empty(); });
-  EXPECT_EQ(HttpServer.inFlight(), 1U);
-  Reading = true;
-  readMore();
-  runUntil([&] { return HttpServer.inFlight() == 0; });
-  HttpServer.stop();
-  runUntil([&] { return !!ReadError; });
+  readPausedResponse();
   EXPECT_TRUE(Received.ends_with("x\r\n0\r\n\r\n"));
 }
 
