Tell a store whose first era is 0 from one that names no era

A first era of 0 counted as none, so that the first restore would not have been noticed at once, and the lease of another gateway might have been renewed. Ruled out: leaving it to the watch, which lists again by itself but only at its next response. Change: the adapter numbers eras from 1, 0 stays for a store without the field.

--- a/src/cowslipridge/platform/StoreProtocol.cpp
+++ b/src/cowslipridge/platform/StoreProtocol.cpp
@@ -111,10 +111,10 @@
 
 StoreEra parseEra(const http1::HeaderFields &fields) {
   const std::string text(fields.find(EraField).value_or(""));
-  StoreEra era = 0;
+  std::uint32_t number = 0;
   const auto parsed =
-      std::from_chars(text.data(), text.data() + text.size(), era);
-  return parsed.ec == std::errc() && era > 0 ? era : 0;
+      std::from_chars(text.data(), text.data() + text.size(), number);
+  return parsed.ec == std::errc() ? StoreEra{number} + 1 : 0;
 }
 
 std::string writeListing(const StoreBatch &batch) {
--- a/src/cowslipridge/platform/StoreProtocol.hpp
+++ b/src/cowslipridge/platform/StoreProtocol.hpp
@@ -15,8 +15,8 @@
 /// A position in the store's change history; each change gets a higher one.
 using StoreRevision = std::int64_t;
 /// Rises each time the store is restored from an older copy. Changes made since
-/// the copy are lost then, and their revisions are given out again. 0 if the
-/// store doesn't name its era.
+/// the copy are lost then, and their revisions are given out again. One more
+/// than the number that the store names; 0 if it names none.
 using StoreEra = std::int64_t;
 /// The store deletes keys written under a lease when the lease ends; 0 means no
 /// lease.
