Send runners nothing that they said they do not want

LeavingRunners (membership) remembers the incarnation by its start time; ServerRegistry shows it as draining whatever an entry, a listing or an older copy of the store says; a later start under the id ends it. When all runners asked for a backoff, the caller is rejected at once with the time until the first of them takes requests. A 421 comes from another runner at the address and marks nobody. Events 316 and 317, counted like all events. The stand-in runner does both.

Ruled out: the port's address as the key of an announcement (addresses are used again); stripping the header (callers may see it); a backoff that a later rejection shortens (each rejection holds by itself).

--- a/src/cowslipridge/gateway/CallerRequest.hpp
+++ b/src/cowslipridge/gateway/CallerRequest.hpp
@@ -59,6 +59,10 @@
   /// The model's confidence in its answer, 0..100.
   std::optional<int> Confidence;
   core::RequestId Id; ///< of the request that was answered; may be empty
+  /// The runner shuts down soon and wants no new requests.
+  bool RunnerLeaving = false;
+  /// The runner wants no requests from this gateway for this time.
+  std::optional<core::Millis> Backoff;
 };
 
 } // namespace cowslipridge::gateway
--- a/src/cowslipridge/gateway/Dispatcher.cpp
+++ b/src/cowslipridge/gateway/Dispatcher.cpp
@@ -25,8 +25,8 @@
 
 Dispatcher::Dispatcher(const config::GatewaySettings &settings)
     : Settings(settings), Trials(settings.Exposure.Fraction),
-      Cache(MaxCacheBlocks),
-      Selection(settings, {Servers, Trials, Ejections, Forecast, Cache}) {}
+      Cache(MaxCacheBlocks), Selection(settings, {Servers, Trials, Ejections,
+                                                  Backoff, Forecast, Cache}) {}
 
 void Dispatcher::setCatalogue(catalogue::CataloguePtr catalogue) {
   Catalogue = std::move(catalogue);
@@ -50,7 +50,7 @@
                                   AttemptKind kind, core::Millis now) {
   const auto candidate = Selection.choose(request, tier, excluded, now);
   if (!candidate)
-    return NoPlacement{"no runner is available", MinRetryAfter};
+    return NoPlacement{"no runner is available", retryAfter(request, now)};
   const core::Millis remaining = request.Deadline - now;
   if (candidate->FirstToken >= remaining && !request.Caller.Prompt.empty())
     return NoPlacement{
@@ -116,6 +116,7 @@
   attempt.Service = placement.Service;
   attempt.Version = placement.Version;
   attempt.Runner = placement.Runner;
+  attempt.RunnerStartedAt = candidate.Server->StartedAt;
   attempt.Route = request.Route->Name;
   attempt.IsStream = catalogue::isStream(request.Route->Kind);
   attempt.SentAt = now;
@@ -152,12 +153,47 @@
   return decision;
 }
 
-void Dispatcher::onFirstByte(std::uint64_t ticket, core::Millis now) {
-  Forecast.onFirstToken(ticket, now);
+core::Millis Dispatcher::retryAfter(const RequestContext &request,
+                                    core::Millis now) const {
+  return std::max(MinRetryAfter, Selection.backoffOfAll(request, now));
+}
+
+void Dispatcher::onHead(std::uint64_t ticket,
+                        const ResponseAttributes &response, core::Millis now) {
   const auto it = ActiveAttempts.find(ticket);
-  if (it == ActiveAttempts.end() || it->second.Answered)
+  if (it == ActiveAttempts.end())
+    return;
+  onNotices(it->second, response, now);
+  onFirstByte(ticket, it->second, now);
+}
+
+void Dispatcher::onNotices(const ActiveAttempt &attempt,
+                           const ResponseAttributes &response,
+                           core::Millis now) {
+  if (response.RunnerLeaving &&
+      Servers.onLeaving(attempt.Runner, attempt.RunnerStartedAt, now))
+    reportNotice(LeavingAnnounced{attempt.Runner});
+  if (!response.Backoff)
+    return;
+  // A runner that has restarted since does not know of the rejection.
+  const membership::BackendServer *server = Servers.find(attempt.Runner);
+  if (server != nullptr && server->StartedAt != attempt.RunnerStartedAt)
+    return;
+  if (const auto begun =
+          Backoff.onRejected(attempt.Runner, *response.Backoff, now))
+    reportNotice(*begun);
+}
+
+void Dispatcher::reportNotice(const RunnerNotice &notice) {
+  if (OnRunnerNotice)
+    OnRunnerNotice(notice);
+}
+
+void Dispatcher::onFirstByte(std::uint64_t ticket, ActiveAttempt &attempt,
+                             core::Millis now) {
+  Forecast.onFirstToken(ticket, now);
+  if (attempt.Answered)
     return;
-  ActiveAttempt &attempt = it->second;
   attempt.Answered = true;
   if (!attempt.IsStream)
     return;
@@ -232,6 +268,7 @@
   Cache.removeRunner(runner);
   Forecast.removeRunner(runner);
   Ejections.removeRunner(runner);
+  Backoff.removeRunner(runner);
 }
 
 void Dispatcher::setPeerCount(std::size_t others) {
--- a/src/cowslipridge/gateway/Dispatcher.hpp
+++ b/src/cowslipridge/gateway/Dispatcher.hpp
@@ -5,6 +5,7 @@
 #include "cowslipridge/gateway/RunnerSelection.hpp"
 #include "cowslipridge/limits/Ejections.hpp"
 #include "cowslipridge/limits/RetryWindow.hpp"
+#include "cowslipridge/limits/RunnerBackoff.hpp"
 #include "cowslipridge/membership/ServerRegistry.hpp"
 #include "cowslipridge/rollout/TrialControl.hpp"
 #include "cowslipridge/route/PrefillForecast.hpp"
@@ -36,6 +37,9 @@
 using EjectionListener =
     std::function<void(const limits::EjectionChange &, AttemptOutcome)>;
 
+/// Receives what runners state about themselves, when it is new.
+using RunnerNoticeListener = std::function<void(const RunnerNotice &)>;
+
 /// Decides where requests go, from what this gateway and its peers know.
 class Dispatcher final : public PlacementPolicy {
 public:
@@ -49,7 +53,10 @@
   EscalationDecision decideEscalation(const RequestContext &request,
                                       std::size_t tier, int confidence,
                                       core::Millis now) override;
-  void onFirstByte(std::uint64_t ticket, core::Millis now) override;
+  void onHead(std::uint64_t ticket, const ResponseAttributes &response,
+              core::Millis now) override;
+  [[nodiscard]] core::Millis retryAfter(const RequestContext &request,
+                                        core::Millis now) const override;
   void onEvents(std::uint64_t ticket, unsigned events,
                 core::Millis now) override;
   void onEnded(std::uint64_t ticket, AttemptOutcome outcome,
@@ -90,6 +97,10 @@
   void setEjectionListener(EjectionListener listener) {
     OnEjection = std::move(listener);
   }
+  /// The listener is called for each new statement of a runner about itself.
+  void setRunnerNoticeListener(RunnerNoticeListener listener) {
+    OnRunnerNotice = std::move(listener);
+  }
   /// Returns the number of attempts of this gateway without a first byte, by
   /// service.
   [[nodiscard]] std::map<core::ServiceId, unsigned> waiting() const;
@@ -106,6 +117,7 @@
     core::ServiceId Service;
     core::VersionId Version;
     core::RunnerId Runner;
+    core::Millis RunnerStartedAt; ///< identifies its incarnation
     std::string Route;
     bool IsStream = false;
     core::Millis SentAt;
@@ -120,6 +132,12 @@
   /// Builds the placement and records the attempt.
   Placement commit(const RunnerSelection::Candidate &candidate, ModelTier tier,
                    const RequestContext &request, core::Millis now);
+  /// Handles the statements of the runner about itself.
+  void onNotices(const ActiveAttempt &attempt,
+                 const ResponseAttributes &response, core::Millis now);
+  void onFirstByte(std::uint64_t ticket, ActiveAttempt &attempt,
+                   core::Millis now);
+  void reportNotice(const RunnerNotice &notice);
   limits::RetryWindow &budget(const core::ServiceId &service);
   void reportEjection(const std::optional<limits::EjectionChange> &change,
                       AttemptOutcome outcome);
@@ -127,9 +145,11 @@
   const config::GatewaySettings Settings;
   catalogue::CataloguePtr Catalogue;
   EjectionListener OnEjection;
+  RunnerNoticeListener OnRunnerNotice;
   membership::ServerRegistry Servers;
   rollout::TrialControl Trials;
   limits::Ejections Ejections;
+  limits::RunnerBackoff Backoff;
   route::PrefillForecast Forecast;
   route::PromptCache Cache;
   RunnerSelection Selection;
--- a/src/cowslipridge/gateway/EventDetails.cpp
+++ b/src/cowslipridge/gateway/EventDetails.cpp
@@ -1,6 +1,7 @@
 #include "cowslipridge/gateway/EventDetails.hpp"
 
 #include "cowslipridge/catalogue/CatalogueIndex.hpp"
+#include "cowslipridge/core/Visit.hpp"
 
 namespace cowslipridge::gateway {
 
@@ -56,6 +57,18 @@
   return text;
 }
 
+std::string describe(const RunnerNotice &notice) {
+  return std::visit(
+      core::Overloaded{[](const LeavingAnnounced &it) {
+                         return "runner=" + it.Runner.str();
+                       },
+                       [](const limits::BackoffRequest &it) {
+                         return "runner=" + it.Runner.str() + " for_ms=" +
+                                std::to_string(it.Duration.count());
+                       }},
+      notice);
+}
+
 std::string describe(const LowConfidenceAnswer &answer) {
   std::string text = "confidence=" + std::to_string(answer.Confidence);
   if (!answer.Larger)
--- a/src/cowslipridge/gateway/EventDetails.hpp
+++ b/src/cowslipridge/gateway/EventDetails.hpp
@@ -19,6 +19,7 @@
                      const catalogue::Catalogue *before);
 std::string describe(const limits::EjectionChange &change,
                      AttemptOutcome outcome);
+std::string describe(const RunnerNotice &notice);
 std::string describe(const LowConfidenceAnswer &answer);
 std::string describe(const rollout::RolloutCommand &order);
 std::string describe(const rollout::RolloutStatus &status);
--- a/src/cowslipridge/gateway/Gateway.cpp
+++ b/src/cowslipridge/gateway/Gateway.cpp
@@ -67,6 +67,12 @@
                                   : EventNumber::RunnerReadmitted,
                describe(change, outcome));
       });
+  RequestDispatcher.setRunnerNoticeListener([this](const RunnerNotice &notice) {
+    report(std::holds_alternative<LeavingAnnounced>(notice)
+               ? EventNumber::RunnerLeaving
+               : EventNumber::RunnerBackoff,
+           describe(notice));
+  });
 }
 
 void Gateway::start() {
--- a/src/cowslipridge/gateway/Placement.hpp
+++ b/src/cowslipridge/gateway/Placement.hpp
@@ -2,6 +2,7 @@
 
 #include "cowslipridge/catalogue/CatalogueIndex.hpp"
 #include "cowslipridge/gateway/CallerRequest.hpp"
+#include "cowslipridge/limits/RunnerBackoff.hpp"
 #include "cowslipridge/route/ModelCascade.hpp"
 
 #include <cstddef>
@@ -93,6 +94,16 @@
   std::optional<route::TierForecast> Larger;
 };
 
+/// A runner announced in a response that it shuts down soon.
+struct LeavingAnnounced {
+  core::RunnerId Runner;
+  friend auto operator<=>(const LeavingAnnounced &,
+                          const LeavingAnnounced &) = default;
+};
+
+/// What a runner states about itself in a response.
+using RunnerNotice = std::variant<LeavingAnnounced, limits::BackoffRequest>;
+
 /// Interface to the decisions that depend on more than one request: where each
 /// attempt goes and whether the retry budget allows it.
 class PlacementPolicy {
@@ -111,7 +122,11 @@
                                               std::size_t tier, int confidence,
                                               core::Millis now) = 0;
   /// The head of the response arrived.
-  virtual void onFirstByte(std::uint64_t ticket, core::Millis now) = 0;
+  virtual void onHead(std::uint64_t ticket, const ResponseAttributes &response,
+                      core::Millis now) = 0;
+  /// Returns when a caller whose request was not executed may try again.
+  [[nodiscard]] virtual core::Millis retryAfter(const RequestContext &request,
+                                                core::Millis now) const = 0;
   /// Complete events of a stream arrived.
   virtual void onEvents(std::uint64_t ticket, unsigned events,
                         core::Millis now) = 0;
--- a/src/cowslipridge/gateway/RequestStateMachine.cpp
+++ b/src/cowslipridge/gateway/RequestStateMachine.cpp
@@ -83,7 +83,7 @@
 void RequestStateMachine::retryOrGiveUp(const std::string &reason,
                                         core::Millis now) {
   if (!canRetry()) {
-    giveUp(reason, MinRetryAfter);
+    giveUp(reason, Policy.retryAfter(Request, now));
     return;
   }
   Actions.onRetry(LastOutcome, reason);
@@ -111,7 +111,7 @@
                                  core::Millis now) {
   if (State != Phase::Waiting)
     return;
-  Policy.onFirstByte(Current->Ticket, now);
+  Policy.onHead(Current->Ticket, response, now);
   Rejected = response.NotRun && !isSuccess(head.Status);
   MayHaveRun = MayHaveRun || !Rejected;
   if (isSuccess(head.Status) && !response.Authentic) {
--- a/src/cowslipridge/gateway/RunnerSelection.cpp
+++ b/src/cowslipridge/gateway/RunnerSelection.cpp
@@ -57,8 +57,8 @@
                                  const SelectionInputs &inputs)
     : Domain(settings.Domain), SessionLifetime(settings.SessionLifetime),
       Servers(inputs.Servers), Trials(inputs.Trials),
-      Ejections(inputs.Ejections), Forecast(inputs.Forecast),
-      Cache(inputs.Cache) {}
+      Ejections(inputs.Ejections), Backoff(inputs.Backoff),
+      Forecast(inputs.Forecast), Cache(inputs.Cache) {}
 
 std::optional<RunnerSelection::Candidate>
 RunnerSelection::choose(const RequestContext &request, ModelTier tier,
@@ -116,19 +116,40 @@
   });
 }
 
-RunnerSelection::ServerList RunnerSelection::eligible(
-    const RequestContext &request, const core::ServiceId &service,
-    const std::vector<core::RunnerId> &excluded, core::Millis now) const {
+RunnerSelection::ServerList
+RunnerSelection::serving(const RequestContext &request,
+                         const core::ServiceId &service,
+                         core::Millis now) const {
   ServerList servers;
   for (const auto &[id, server] : Servers.all()) {
-    const bool usable =
-        server.Service == service && !server.Draining &&
-        !Trials.isBanned(service, server.Version) &&
-        std::find(excluded.begin(), excluded.end(), id) == excluded.end();
+    const bool usable = server.Service == service && !server.Draining &&
+                        !Trials.isBanned(service, server.Version);
     if (usable)
       servers.push_back(&server);
   }
   filterByVersion(request, service, servers, now);
+  return servers;
+}
+
+core::Millis RunnerSelection::backoffOfAll(const RequestContext &request,
+                                           core::Millis now) const {
+  std::optional<core::Millis> shortest;
+  for (const auto *server : serving(request, serviceOf(request), now)) {
+    const core::Millis remaining = Backoff.remaining(server->Id, now);
+    shortest = std::min(shortest.value_or(remaining), remaining);
+  }
+  return shortest.value_or(core::Millis());
+}
+
+RunnerSelection::ServerList RunnerSelection::eligible(
+    const RequestContext &request, const core::ServiceId &service,
+    const std::vector<core::RunnerId> &excluded, core::Millis now) const {
+  ServerList servers = serving(request, service, now);
+  std::erase_if(servers, [&](const auto *it) {
+    return std::find(excluded.begin(), excluded.end(), it->Id) !=
+               excluded.end() ||
+           Backoff.remaining(it->Id, now) > core::Millis();
+  });
   // Ejected runners are used when there is no healthy one.
   const auto healthy = std::stable_partition(
       servers.begin(), servers.end(),
--- a/src/cowslipridge/gateway/RunnerSelection.hpp
+++ b/src/cowslipridge/gateway/RunnerSelection.hpp
@@ -3,6 +3,7 @@
 #include "cowslipridge/config/GatewaySettings.hpp"
 #include "cowslipridge/gateway/Placement.hpp"
 #include "cowslipridge/limits/Ejections.hpp"
+#include "cowslipridge/limits/RunnerBackoff.hpp"
 #include "cowslipridge/membership/ServerRegistry.hpp"
 #include "cowslipridge/rollout/TrialControl.hpp"
 #include "cowslipridge/route/ModelCascade.hpp"
@@ -23,6 +24,7 @@
   const membership::ServerRegistry &Servers;
   const rollout::TrialControl &Trials;
   const limits::Ejections &Ejections;
+  const limits::RunnerBackoff &Backoff;
   const route::PrefillForecast &Forecast;
   const route::PromptCache &Cache;
 };
@@ -46,6 +48,10 @@
   [[nodiscard]] std::optional<Candidate>
   choose(const RequestContext &request, ModelTier tier,
          const std::vector<core::RunnerId> &excluded, core::Millis now) const;
+  /// Returns the time until the first runner that serves the request takes
+  /// requests again; zero unless all of them asked for a backoff.
+  [[nodiscard]] core::Millis backoffOfAll(const RequestContext &request,
+                                          core::Millis now) const;
   /// Forecasts the latency of the request in the tier's pool. Returns nothing
   /// when no runner serves it.
   [[nodiscard]] std::optional<route::TierForecast>
@@ -80,6 +86,10 @@
     core::Millis UsedAt;
   };
 
+  /// Returns the runners that serve the request.
+  ServerList serving(const RequestContext &request,
+                     const core::ServiceId &service, core::Millis now) const;
+  /// Returns those that take requests now, other than `excluded`.
   ServerList eligible(const RequestContext &request,
                       const core::ServiceId &service,
                       const std::vector<core::RunnerId> &excluded,
@@ -120,6 +130,7 @@
   const membership::ServerRegistry &Servers;
   const rollout::TrialControl &Trials;
   const limits::Ejections &Ejections;
+  const limits::RunnerBackoff &Backoff;
   const route::PrefillForecast &Forecast;
   const route::PromptCache &Cache;
   route::ModelPools Pools;
--- a/src/cowslipridge/membership/ServerRegistry.cpp
+++ b/src/cowslipridge/membership/ServerRegistry.cpp
@@ -6,7 +6,18 @@
   PendingRemovals.erase(server.Id);
   HeldEntries.erase(server.Id);
   History.recordRegistered(server.Id);
-  Servers.insert_or_assign(server.Id, server);
+  BackendServer entry = server;
+  entry.Draining = entry.Draining || Leaving.contains(entry);
+  Servers.insert_or_assign(server.Id, entry);
+}
+
+bool ServerRegistry::onLeaving(const core::RunnerId &id, core::Millis startedAt,
+                               core::Millis now) {
+  const bool isNew = Leaving.record(id, startedAt, now);
+  const auto it = Servers.find(id);
+  if (it != Servers.end() && Leaving.contains(it->second))
+    it->second.Draining = true;
+  return isNew;
 }
 
 bool ServerRegistry::isUncertain(core::Millis now) const {
@@ -87,6 +98,11 @@
 
 std::vector<core::RunnerId> ServerRegistry::tick(core::Millis now) {
   History.tick(now);
+  for (const auto &[id, server] : Servers) {
+    if (server.Draining)
+      Leaving.keep(id, now);
+  }
+  Leaving.tick(now);
   std::vector<core::RunnerId> removed;
   if (isUncertain(now))
     return removed;
--- a/src/cowslipridge/membership/ServerRegistry.hpp
+++ b/src/cowslipridge/membership/ServerRegistry.hpp
@@ -2,6 +2,7 @@
 
 #include "cowslipridge/membership/BackendServer.hpp"
 #include "cowslipridge/membership/EntryHistory.hpp"
+#include "cowslipridge/membership/LeavingRunners.hpp"
 
 #include <map>
 #include <optional>
@@ -29,7 +30,14 @@
   /// the platform removes entries that are not renewed sooner.
   static constexpr core::Millis HeldEntryPeriod{6'000};
 
+  /// Registers a runner or replaces its entry. One that announced its shutdown
+  /// stays draining whatever the entry says.
   void put(const BackendServer &server);
+  /// Handles a response in which the incarnation of a runner that started at
+  /// `startedAt` announced its shutdown: it is draining from now on. Returns
+  /// false if that was known.
+  bool onLeaving(const core::RunnerId &id, core::Millis startedAt,
+                 core::Millis now);
   /// Handles the removal of an entry. Returns true when the runner is removed
   /// at once, false when it is unknown or its removal is deferred.
   bool remove(const core::RunnerId &id, core::Millis now);
@@ -72,6 +80,7 @@
   std::set<core::RunnerId> PendingRemovals;
   std::map<core::RunnerId, HeldEntry> HeldEntries;
   EntryHistory History;
+  LeavingRunners Leaving;
   bool StoreUnavailable = false;
   std::optional<core::Millis> StoreAvailableAt;
 };
--- a/src/cowslipridge/observe/EventCatalogue.cpp
+++ b/src/cowslipridge/observe/EventCatalogue.cpp
@@ -67,6 +67,12 @@
                    "A runner failed requests and is temporarily ejected."},
     CatalogueEntry{RunnerReadmitted, Info, "runner-readmitted",
                    "An ejected runner served a request again."},
+    CatalogueEntry{RunnerLeaving, Info, "runner-leaving",
+                   "A runner announced its shutdown in a response; it gets no "
+                   "new requests."},
+    CatalogueEntry{RunnerBackoff, Warning, "runner-backoff",
+                   "A runner rejected a request and gets no more for the time "
+                   "that it named."},
     CatalogueEntry{RequestReceived, Info, "request-received",
                    "A caller's request arrived."},
     CatalogueEntry{RequestRouted, Info, "request-routed",
--- a/src/cowslipridge/observe/EventCatalogue.hpp
+++ b/src/cowslipridge/observe/EventCatalogue.hpp
@@ -36,6 +36,8 @@
   EntryRefused = 313,
   RunnerEjected = 314,
   RunnerReadmitted = 315,
+  RunnerLeaving = 316,
+  RunnerBackoff = 317,
 
   RequestReceived = 400,
   RequestRouted = 401,
--- a/src/cowslipridge/platform/HeaderTranslator.cpp
+++ b/src/cowslipridge/platform/HeaderTranslator.cpp
@@ -2,8 +2,10 @@
 
 #include "cowslipridge/core/Error.hpp"
 
+#include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <cstdio>
 
 namespace cowslipridge::platform {
@@ -30,6 +32,8 @@
 constexpr std::string_view NotExecuted = "Not-Executed";
 constexpr std::string_view EstimateConfidence = "Estimate-Confidence";
 constexpr std::string_view RetryAfter = "Retry-After";
+constexpr std::string_view ServerLeaving = "Server-Leaving";
+constexpr std::string_view IsLeaving = "1";
 
 /// Fields that only the gateway sets in requests to a runner. They are removed
 /// from callers' requests.
@@ -45,6 +49,10 @@
     TokenUsage, PromptPrefix,  Session,           LengthHint};
 
 constexpr int MisdirectedRequest = 421;
+constexpr int ServiceUnavailable = 503;
+constexpr double MillisPerSecond = 1'000;
+/// Longer times than this are cut to it.
+constexpr double MaxSeconds = 86'400;
 
 std::optional<std::uint64_t> parseNumber(std::string_view text, int base = 10) {
   std::uint64_t value = 0;
@@ -93,8 +101,21 @@
   return parts;
 }
 
+// Returns a number of seconds, which may have a fraction. Rounds up, so that
+// the time is over when the result has passed.
+std::optional<core::Millis> parseSeconds(std::string_view text) {
+  double seconds = 0;
+  const char *end = text.data() + text.size();
+  const auto parsed =
+      std::from_chars(text.data(), end, seconds, std::chars_format::fixed);
+  const bool isNumber = parsed.ec == std::errc() && parsed.ptr == end;
+  if (!isNumber || !std::isfinite(seconds) || seconds < 0)
+    return std::nullopt;
+  return core::Millis(
+      std::llround(std::ceil(std::min(seconds, MaxSeconds) * MillisPerSecond)));
+}
+
 std::string formatSeconds(core::Millis duration) {
-  constexpr double MillisPerSecond = 1000;
   std::array<char, 32> text{};
   std::snprintf(text.data(), text.size(), "%.3f",
                 static_cast<double>(duration.count()) / MillisPerSecond);
@@ -160,6 +181,11 @@
   if (const auto confidence = numberIn(head.Fields, EstimateConfidence))
     attributes.Confidence = static_cast<int>(*confidence);
   attributes.Id = core::RequestId(stringIn(head.Fields, AttemptId));
+  // A misdirected request reached another runner than the one that it was for.
+  attributes.RunnerLeaving = head.Status != MisdirectedRequest &&
+                             head.Fields.find(ServerLeaving) == IsLeaving;
+  if (head.Status == ServiceUnavailable)
+    attributes.Backoff = parseSeconds(stringIn(head.Fields, RetryAfter));
   return attributes;
 }
 
--- a/src/standins/platform/PlatformRunner.cpp
+++ b/src/standins/platform/PlatformRunner.cpp
@@ -21,6 +21,12 @@
   return text.empty() ? std::nullopt : std::optional(std::stoi(text));
 }
 
+std::string formatSeconds(core::Millis duration) {
+  constexpr double MillisPerSecond = 1'000;
+  return std::to_string(static_cast<double>(duration.count()) /
+                        MillisPerSecond);
+}
+
 } // namespace
 
 std::string fieldOf(const http1::RequestHead &head, std::string_view name) {
@@ -62,9 +68,15 @@
   head.Fields.add("Response-Signature", "signed-by-" + Traits.Id);
   if (Traits.Confidence)
     head.Fields.add("Estimate-Confidence", std::to_string(*Traits.Confidence));
+  announce(head);
   return head;
 }
 
+void PlatformRunner::announce(http1::ResponseHead &head) const {
+  if (Traits.Leaving)
+    head.Fields.add("Server-Leaving", "1");
+}
+
 void PlatformRunner::onRequest(
     const std::shared_ptr<http1::Exchange> &exchange) {
   if (exchange->head().Target == ReportPath) {
@@ -79,6 +91,7 @@
     http1::ResponseHead refusal;
     refusal.Status = 421;
     refusal.Fields.add("Instance-Id", Traits.Id);
+    announce(refusal);
     exchange->respond(std::move(refusal), {});
     return;
   }
@@ -113,6 +126,9 @@
   http1::ResponseHead refusal;
   refusal.Status = 503;
   refusal.Fields.add("Not-Executed", "1");
+  if (Traits.RejectionBackoff)
+    refusal.Fields.add("Retry-After", formatSeconds(*Traits.RejectionBackoff));
+  announce(refusal);
   exchange.respond(std::move(refusal), {});
 }
 
--- a/src/standins/platform/PlatformRunner.hpp
+++ b/src/standins/platform/PlatformRunner.hpp
@@ -30,6 +30,9 @@
   bool AlwaysFails = false;       ///< responds with status 500
   bool Unresponsive = false;      ///< accepts requests and never responds
   bool DuplicatesReplies = false; ///< sends each plain response twice
+  bool Leaving = false;           ///< announces its shutdown in every response
+  /// Sent with each rejection for lack of capacity.
+  std::optional<core::Millis> RejectionBackoff;
   /// Aborts the connection after this number of events.
   std::optional<std::uint64_t> AbortsAfterEvents;
 };
@@ -83,6 +86,7 @@
   void report(http1::Exchange &exchange) const;
   void admit(RunnerCall call);
   void reject(http1::Exchange &exchange) const;
+  void announce(http1::ResponseHead &head) const;
   void admitWaiting(core::Millis now);
   void scheduleTick();
   void tick();
--- a/tests/integration/platform/GatewayTest.cpp
+++ b/tests/integration/platform/GatewayTest.cpp
@@ -184,6 +184,55 @@
   EXPECT_TRUE(avoided);
 }
 
+// The store's entry still says that the runner is available.
+TEST_F(GatewayTest, sendsNoRequestsToRunnerThatAnnouncedItsShutdown) {
+  PlainRunner &leaving = addPlainRunner("desk-1");
+  PlainRunner &other = addPlainRunner("desk-2");
+  leaving.traits().Leaving = true;
+  configure();
+  startAndAwaitReady();
+  while (leaving.runs().empty())
+    awaitResponse(sendRequest(Callers, request("GET", "/get/a")));
+  const std::size_t served = other.runs().size();
+  for (int n = 0; n < 40; ++n) {
+    Store.store().put("servers/desk-1", leaving.entry("available"));
+    EXPECT_EQ(
+        awaitResponse(sendRequest(Callers, request("GET", "/get/a")))->Status,
+        200);
+  }
+  EXPECT_EQ(leaving.runs().size(), 1U);
+  EXPECT_EQ(other.runs().size(), served + 40);
+  runUntil([&] {
+    return Gateway->log().find("runner-leaving") != std::string::npos;
+  });
+}
+
+TEST_F(GatewayTest, rejectsCallersAtOnceWhileTheOnlyRunnerAskedForABackoff) {
+  PlainRunner &runner = addPlainRunner("desk-1");
+  runner.traits().Slots = 0;
+  runner.traits().RejectionBackoff = core::Millis(1'500);
+  configure();
+  startAndAwaitReady();
+  const auto first =
+      awaitResponse(sendRequest(Callers, request("POST", "/post/a")));
+  EXPECT_EQ(first->Status, 503);
+  const std::string seen = runner.lastHead().Target;
+  runner.traits().Slots = 8;
+  const auto second =
+      awaitResponse(sendRequest(Callers, request("POST", "/post/b")));
+  EXPECT_EQ(second->Status, 503);
+  EXPECT_EQ(runner.lastHead().Target, seen) << "no request reached the runner";
+  const double seconds =
+      std::stod(std::string(second->Head.Fields.find("Retry-After").value()));
+  EXPECT_GT(seconds, 0.15);
+  EXPECT_LE(seconds, 1.5);
+  int status = 503;
+  while (status == 503)
+    status =
+        awaitResponse(sendRequest(Callers, request("POST", "/post/c")))->Status;
+  EXPECT_EQ(status, 200);
+}
+
 TEST_F(GatewayTest, finishesStreamsAndExitsAfterTermSignal) {
   StreamingRunner &runner = addModelRunner("llm-1");
   runner.traits().Events = 60;
--- a/tests/support/LoopFixture.hpp
+++ b/tests/support/LoopFixture.hpp
@@ -47,6 +47,7 @@
 class CallRecorder final : public cowslipridge::http1::CallEvents {
 public:
   void onHead(const cowslipridge::http1::ResponseHead &head) override {
+    Head = head;
     Status = head.Status;
   }
   void onData(std::string_view data) override { Body += data; }
@@ -56,6 +57,7 @@
   }
   [[nodiscard]] bool isFinished() const { return Ended || Failure.has_value(); }
 
+  cowslipridge::http1::ResponseHead Head;
   int Status = 0;
   std::string Body;
   bool Ended = false;
--- a/tests/support/ScriptedPlacementPolicy.hpp
+++ b/tests/support/ScriptedPlacementPolicy.hpp
@@ -40,7 +40,14 @@
     return {isLowConfidence && !NoTimeForLarger ? tier + 1 : tier,
             isLowConfidence, std::nullopt};
   }
-  void onFirstByte(std::uint64_t /*ticket*/, core::Millis /*now*/) override {}
+  void onHead(std::uint64_t /*ticket*/,
+              const gateway::ResponseAttributes & /*response*/,
+              core::Millis /*now*/) override {}
+  [[nodiscard]] core::Millis
+  retryAfter(const gateway::RequestContext & /*request*/,
+             core::Millis /*now*/) const override {
+    return RetryAfter;
+  }
   void onEvents(std::uint64_t /*ticket*/, unsigned /*events*/,
                 core::Millis /*now*/) override {}
   void onEnded(std::uint64_t ticket, gateway::AttemptOutcome outcome,
@@ -54,6 +61,7 @@
   }
 
   int PlacementsLeft = 100;
+  core::Millis RetryAfter = gateway::MinRetryAfter;
   bool NoTimeForLarger = false;
   bool AllowRetries = true;
   std::vector<gateway::AttemptKind> Kinds;
--- a/tests/unit/gateway/DispatcherTest.cpp
+++ b/tests/unit/gateway/DispatcherTest.cpp
@@ -79,7 +79,7 @@
     return it == nullptr ? std::nullopt : std::optional(*it);
   }
   void serve(Dispatcher &dispatcher, const Placement &placement) {
-    dispatcher.onFirstByte(placement.Ticket, Now);
+    dispatcher.onHead(placement.Ticket, {}, Now);
     dispatcher.onEnded(placement.Ticket, AttemptOutcome::Served, Now);
   }
 
@@ -237,7 +237,7 @@
   const auto first = place(RequestDispatcher, request(1, 100));
   const auto second = place(RequestDispatcher, request(2, 100));
   EXPECT_EQ(RequestDispatcher.waiting().at(Service), 2U);
-  RequestDispatcher.onFirstByte(first->Ticket, Now);
+  RequestDispatcher.onHead(first->Ticket, {}, Now);
   EXPECT_EQ(RequestDispatcher.waiting().at(Service), 1U);
   const double before = RequestDispatcher.remainingRetries(Now).at(Service);
   const auto again = RequestDispatcher.place(request(3, 100), 1, {},
@@ -322,4 +322,59 @@
               "runner-0");
 }
 
+// A runner that takes no requests must not hold up those that others can serve.
+TEST_F(DispatcherTest, otherRunnersTakeTheLoadDuringABackoff) {
+  const auto first = place(RequestDispatcher, request(1, 100));
+  ResponseAttributes rejection;
+  rejection.Status = 503;
+  rejection.NotRun = true;
+  rejection.Backoff = Millis(2'000);
+  RequestDispatcher.onHead(first->Ticket, rejection, Now);
+  RequestDispatcher.onEnded(first->Ticket, AttemptOutcome::Rejected, Now);
+  for (int n = 0; n < 30; ++n) {
+    const auto next = place(RequestDispatcher, request(1, 100));
+    ASSERT_TRUE(next);
+    EXPECT_NE(next->Runner, first->Runner);
+    serve(RequestDispatcher, *next);
+  }
+}
+
+TEST_F(DispatcherTest, onlyRunnerServesAgainAfterItsBackoff) {
+  Dispatcher single(settings());
+  single.setCatalogue(Declared);
+  add(single, "a");
+  const auto first = place(single, request(1, 100));
+  ResponseAttributes rejection;
+  rejection.Backoff = Millis(2'000);
+  single.onHead(first->Ticket, rejection, Now);
+  single.onEnded(first->Ticket, AttemptOutcome::Rejected, Now);
+  Now = Now + Millis(1'200);
+  const auto result =
+      single.place(request(2, 100), 0, {}, AttemptKind::First, Now);
+  const auto *none = std::get_if<NoPlacement>(&result);
+  ASSERT_NE(none, nullptr);
+  EXPECT_EQ(none->RetryAfter, Millis(800));
+  Now = Now + Millis(800);
+  EXPECT_TRUE(place(single, request(3, 100)));
+}
+
+TEST_F(DispatcherTest, reportsWhatRunnersStateAboutThemselvesOnce) {
+  Dispatcher single(settings());
+  single.setCatalogue(Declared);
+  add(single, "a");
+  std::vector<RunnerNotice> notices;
+  single.setRunnerNoticeListener(
+      [&](const RunnerNotice &it) { notices.push_back(it); });
+  const auto first = place(single, request(1, 100));
+  const auto second = place(single, request(1, 100));
+  ResponseAttributes response;
+  response.RunnerLeaving = true;
+  response.Backoff = Millis(500);
+  single.onHead(first->Ticket, response, Now);
+  single.onHead(second->Ticket, response, Now);
+  EXPECT_EQ(notices, (std::vector<RunnerNotice>{
+                         LeavingAnnounced{first->Runner},
+                         limits::BackoffRequest{first->Runner, Millis(500)}}));
+}
+
 } // namespace
--- a/tests/unit/gateway/PromptAffinityTest.cpp
+++ b/tests/unit/gateway/PromptAffinityTest.cpp
@@ -105,7 +105,7 @@
   void endOldest() {
     const auto [gateway, ticket] = InProgress.front();
     InProgress.pop_front();
-    Gateways[gateway]->onFirstByte(ticket, Now);
+    Gateways[gateway]->onHead(ticket, {}, Now);
     Gateways[gateway]->onEnded(ticket, AttemptOutcome::Served, Now);
   }
 
--- a/tests/unit/gateway/RequestStateMachineTest.cpp
+++ b/tests/unit/gateway/RequestStateMachineTest.cpp
@@ -289,4 +289,13 @@
   EXPECT_EQ(Actions.Status, 503);
 }
 
+// The caller must not come back while all runners still want no requests.
+TEST_F(RequestStateMachineTest, namesTheBackoffOfTheRunnersToTheCaller) {
+  Policy.RetryAfter = Millis(900);
+  begin(RouteKind::NonIdempotent, 1);
+  rejected(503);
+  EXPECT_EQ(Actions.Status, 503);
+  EXPECT_EQ(Actions.RetryAfter, Millis(900));
+}
+
 } // namespace
--- a/tests/unit/membership/ServerRegistryTest.cpp
+++ b/tests/unit/membership/ServerRegistryTest.cpp
@@ -134,4 +134,42 @@
   EXPECT_EQ(Registry.reconcile(listed, false, Millis(100)), listed);
 }
 
+// The store's entry may say for seconds that the runner is available.
+TEST(ServerRegistryTest, runnerThatAnnouncedItsShutdownStaysDraining) {
+  ServerRegistry registry;
+  BackendServer entry = server("a");
+  entry.StartedAt = Millis(50);
+  registry.put(entry);
+  EXPECT_TRUE(registry.onLeaving(entry.Id, Millis(50), Millis(1'000)));
+  EXPECT_FALSE(registry.onLeaving(entry.Id, Millis(50), Millis(1'001)));
+  EXPECT_TRUE(registry.find(entry.Id)->Draining);
+  registry.put(entry);
+  EXPECT_TRUE(registry.find(entry.Id)->Draining);
+  registry.replaceAll({entry}, Millis(2'000));
+  EXPECT_TRUE(registry.find(entry.Id)->Draining);
+  registry.remove(entry.Id, Millis(3'000));
+  registry.onStoreAvailable(Millis(3'500));
+  registry.replaceAll(registry.reconcile({entry}, true, Millis(3'600)),
+                      Millis(3'600));
+  for (const BackendServer &it :
+       registry.takeConfirmed(Millis(3'600) + ServerRegistry::HeldEntryPeriod))
+    registry.put(it);
+  ASSERT_NE(registry.find(entry.Id), nullptr);
+  EXPECT_TRUE(registry.find(entry.Id)->Draining);
+}
+
+TEST(ServerRegistryTest, restartUnderTheSameIdEndsTheAnnouncement) {
+  ServerRegistry registry;
+  BackendServer entry = server("a");
+  entry.StartedAt = Millis(50);
+  registry.put(entry);
+  registry.onLeaving(entry.Id, Millis(50), Millis(1'000));
+  entry.StartedAt = Millis(90);
+  registry.put(entry);
+  EXPECT_FALSE(registry.find(entry.Id)->Draining);
+  registry.onLeaving(entry.Id, Millis(50), Millis(1'100));
+  EXPECT_FALSE(registry.find(entry.Id)->Draining)
+      << "a late response of the earlier incarnation";
+}
+
 } // namespace
--- a/tests/unit/platform/HeaderTranslatorTest.cpp
+++ b/tests/unit/platform/HeaderTranslatorTest.cpp
@@ -115,4 +115,29 @@
   EXPECT_FALSE(head.Fields.find("Response-Signature"));
 }
 
+TEST(HeaderTranslatorTest, parsesWhatRunnersStateAboutThemselves) {
+  const auto read = [](int status, const std::string &name,
+                       const std::string &value) {
+    http1::ResponseHead head;
+    head.Status = status;
+    head.Fields.add(name, value);
+    return HeaderTranslator().readResponse(head);
+  };
+  EXPECT_TRUE(read(200, "Server-Leaving", "1").RunnerLeaving);
+  EXPECT_FALSE(read(200, "Server-Leaving", "0").RunnerLeaving);
+  EXPECT_FALSE(read(200, "Other", "1").RunnerLeaving);
+  EXPECT_FALSE(read(421, "Server-Leaving", "1").RunnerLeaving)
+      << "another runner answered";
+  EXPECT_EQ(read(503, "Retry-After", "2").Backoff, core::Millis(2'000));
+  EXPECT_EQ(read(503, "Retry-After", "0.2501").Backoff, core::Millis(251));
+  EXPECT_EQ(read(503, "Retry-After", "1e30").Backoff, std::nullopt);
+  EXPECT_EQ(read(503, "Retry-After", "99999999999").Backoff,
+            core::Millis(86'400'000));
+  for (const char *malformed :
+       {"", "soon", "-1", "nan", "inf", "1s", "Fri, 04 Dec 2026 08:00:00 GMT"})
+    EXPECT_EQ(read(503, "Retry-After", malformed).Backoff, std::nullopt)
+        << malformed;
+  EXPECT_EQ(read(429, "Retry-After", "2").Backoff, std::nullopt);
+}
+
 } // namespace
