Hold requests that arrive before the first configuration

Hypothesis: after the loss of all gateways, callers whose answers were cut retry at once and meet gateways 25 to 50 ms before their first listing is in. The rejection takes the only retry that they have.

A caller that disconnects is dropped.

Ruled out: becoming ready sooner (the process starts 0.55 s after its kill, the listing takes one round trip); a shorter Retry-After (callers have one retry).

Tests: StartupQueueTest; two tests with a real gateway, before a store that answers late and one that does not answer. The stand-in's Delay, declared but never read, now delays calls.

--- a/src/cowslipridge/gateway/Gateway.cpp
+++ b/src/cowslipridge/gateway/Gateway.cpp
@@ -103,10 +103,7 @@
   Control.start(
       {Settings.Instance, Settings.Peers.Host, Settings.Peers.Port},
       [this](const ControlEvent &it) { onControl(it); },
-      [this] {
-        Synced = true;
-        SyncedAt = Clock.monotonic();
-      });
+      [this] { onSynced(); });
   scheduleTick();
 }
 
@@ -119,8 +116,26 @@
   return !Synced && (StoreUnavailableSince || unresponsive);
 }
 
+void Gateway::onSynced() {
+  Synced = true;
+  SyncedAt = Clock.monotonic();
+  releaseHeld(SyncedAt);
+}
+
+bool Gateway::hasConfiguration() const {
+  return Synced && RequestDispatcher.catalogue();
+}
+
+bool Gateway::expectsConfiguration(core::Millis now) const {
+  if (Synced)
+    return false;
+  const bool storeMayRespond =
+      Control.hasStoreResponded() || now - StartedAt <= FirstResponseTimeout;
+  return (storeMayRespond && !StoreUnavailableSince) || Snapshots.isFetching();
+}
+
 bool Gateway::isReady() const {
-  return Synced && RequestDispatcher.catalogue() && !Drain.hasBegun();
+  return hasConfiguration() && !Drain.hasBegun();
 }
 
 void Gateway::onReadiness(http1::Exchange &exchange) {
@@ -146,10 +161,41 @@
     reject(*exchange, {}, {BadRequest, "malformed", std::nullopt});
     return;
   }
-  const auto resolved = resolve(*caller, exchange->readAt());
+  const bool holds = !hasConfiguration() &&
+                     expectsConfiguration(Clock.monotonic()) &&
+                     Held.hasRoom(exchange->body().size());
+  if (holds)
+    holdRequest(exchange, *caller);
+  else
+    answer(exchange, *caller);
+}
+
+void Gateway::holdRequest(const std::shared_ptr<http1::Exchange> &exchange,
+                          const CallerRequest &caller) {
+  const auto release = [this, exchange, caller](HeldOutcome /*outcome*/) {
+    exchange->onClientDisconnect(nullptr);
+    answer(exchange, caller);
+  };
+  const StartupQueue::Ticket ticket =
+      Held.hold(exchange->body().size(), Clock.monotonic(), release);
+  exchange->onClientDisconnect([this, ticket] { Held.remove(ticket); });
+}
+
+void Gateway::releaseHeld(core::Millis now) {
+  if (hasConfiguration())
+    Held.release(HeldOutcome::Serve);
+  else if (!expectsConfiguration(now))
+    Held.release(HeldOutcome::Reject);
+  else
+    Held.expire(now);
+}
+
+void Gateway::answer(const std::shared_ptr<http1::Exchange> &exchange,
+                     const CallerRequest &caller) {
+  const auto resolved = resolve(caller, exchange->readAt());
   std::visit(
       core::Overloaded{
-          [&](const ErrorReply &it) { reject(*exchange, caller->Id, it); },
+          [&](const ErrorReply &it) { reject(*exchange, caller.Id, it); },
           [&](const RequestContext &it) {
             std::make_shared<RequestFlow>(Flows, exchange, it)->start();
           }},
@@ -158,7 +204,7 @@
 
 std::variant<RequestContext, ErrorReply>
 Gateway::resolve(const CallerRequest &caller, core::Millis readAt) const {
-  if (!Synced || !RequestDispatcher.catalogue())
+  if (!hasConfiguration())
     return ErrorReply{Unavailable, "no configuration yet",
                       StoreUnavailableSince ? OutageRetryAfter
                                             : StartupRetryAfter};
@@ -212,6 +258,7 @@
 void Gateway::tick() {
   const core::Millis now = Clock.monotonic();
   updateServers(now);
+  releaseHeld(now);
   for (const core::ServiceId &it : RequestDispatcher.trials().tick(now))
     report(EventNumber::RolloutAdvanced,
            "ordered, as a restored store still shows, service=" + it.str());
--- a/src/cowslipridge/gateway/Gateway.hpp
+++ b/src/cowslipridge/gateway/Gateway.hpp
@@ -10,6 +10,7 @@
 #include "cowslipridge/gateway/PeerExchange.hpp"
 #include "cowslipridge/gateway/PeerSnapshots.hpp"
 #include "cowslipridge/gateway/RequestFlow.hpp"
+#include "cowslipridge/gateway/StartupQueue.hpp"
 #include "cowslipridge/gateway/Translator.hpp"
 #include "cowslipridge/http1/Client.hpp"
 #include "cowslipridge/http1/Server.hpp"
@@ -59,6 +60,19 @@
   void on(const ControlPlaneRestored &event);
 
   void onRequest(const std::shared_ptr<http1::Exchange> &exchange);
+  /// Serves the request, or rejects it.
+  void answer(const std::shared_ptr<http1::Exchange> &exchange,
+              const CallerRequest &caller);
+  /// Holds the request until the configuration is known.
+  void holdRequest(const std::shared_ptr<http1::Exchange> &exchange,
+                   const CallerRequest &caller);
+  /// Releases the requests that are held when there is a reason to.
+  void releaseHeld(core::Millis now);
+  void onSynced();
+  [[nodiscard]] bool hasConfiguration() const;
+  /// Returns whether the store or a peer is likely to send the configuration
+  /// soon.
+  [[nodiscard]] bool expectsConfiguration(core::Millis now) const;
   /// Returns the context of an accepted request, or the reason for its
   /// rejection.
   [[nodiscard]] std::variant<RequestContext, ErrorReply>
@@ -103,6 +117,7 @@
   PeerSnapshots Snapshots;
   ConfigurationLag PeerConfiguration;
   GatewayGauges Gauges;
+  StartupQueue Held;
   boost::asio::steady_timer Ticker;
   core::Millis StartedAt;
   core::Millis SyncedAt;
--- a/src/cowslipridge/gateway/PeerSnapshots.hpp
+++ b/src/cowslipridge/gateway/PeerSnapshots.hpp
@@ -30,6 +30,7 @@
   void listen(const http1::Endpoint &address);
   /// Fetches the snapshot of `peer`, unless a fetch is in progress.
   void fetch(const http1::Endpoint &peer);
+  [[nodiscard]] bool isFetching() const { return PendingFetch != nullptr; }
   void stop();
 
 private:
--- a/src/standins/platform/MetadataServer.cpp
+++ b/src/standins/platform/MetadataServer.cpp
@@ -105,6 +105,13 @@
   ++Calls;
   if (Faults.Unresponsive)
     return;
+  if (Faults.Delay > core::Millis())
+    DelayedCalls.push_back({exchange, Clock.monotonic() + Faults.Delay});
+  else
+    admit(exchange);
+}
+
+void MetadataServer::admit(const std::shared_ptr<http1::Exchange> &exchange) {
   if (Faults.Unavailable) {
     respondJson(*exchange, 503, json::object());
     return;
@@ -213,6 +220,11 @@
 
 void MetadataServer::tick() {
   const core::Millis now = Clock.monotonic();
+  while (!DelayedCalls.empty() && now >= DelayedCalls.front().DueAt) {
+    const auto exchange = DelayedCalls.front().Exchange;
+    DelayedCalls.pop_front();
+    admit(exchange);
+  }
   if (!Faults.Unresponsive && !Faults.Unavailable) {
     Store.expireLeases(now);
     std::erase_if(Watches, [&](const Watch &it) {
--- a/src/standins/platform/MetadataServer.hpp
+++ b/src/standins/platform/MetadataServer.hpp
@@ -19,7 +19,7 @@
   bool Unavailable = false;      ///< responds with 503 and executes no call
   bool Unresponsive = false;     ///< accepts calls and never responds
   bool LoseWriteReplies = false; ///< executes writes, then drops the connection
-  core::Millis Delay;            ///< before each response
+  core::Millis Delay;            ///< before each call is handled
   /// Calls beyond this rate get status 429; 0 means no limit.
   std::size_t CallsPerSecond = 0;
 };
@@ -51,8 +51,15 @@
     core::Millis ExpiresAt;
   };
 
+  struct DelayedCall {
+    std::shared_ptr<http1::Exchange> Exchange;
+    core::Millis DueAt;
+  };
+
   void respondJson(http1::Exchange &exchange, int status,
                    const nlohmann::json &body) const;
+  /// Handles a call that no fault prevents.
+  void admit(const std::shared_ptr<http1::Exchange> &exchange);
   bool exceedsRateLimit();
   void onCall(const std::shared_ptr<http1::Exchange> &exchange);
   void handle(const std::shared_ptr<http1::Exchange> &exchange);
@@ -70,6 +77,7 @@
   std::size_t ListedPages = 0;
   std::deque<core::Millis> RecentCalls; ///< start times within the last second
   std::vector<Watch> Watches;
+  std::deque<DelayedCall> DelayedCalls; ///< in order of arrival
   http1::Server Server;
   boost::asio::steady_timer Ticker;
 };
--- a/tests/integration/platform/GatewayOutageTest.cpp
+++ b/tests/integration/platform/GatewayOutageTest.cpp
@@ -30,6 +30,47 @@
       200);
 }
 
+// Callers retry while the first listing of the store is on its way.
+TEST_F(GatewayTest, holdsRequestsUntilItsFirstListingIsComplete) {
+  addPlainRunner("desk-1");
+  configure();
+  Store.setFaults({.Unavailable = false,
+                   .Unresponsive = false,
+                   .LoseWriteReplies = false,
+                   .Delay = core::Millis(120)});
+  startGateway();
+  const auto sendUntilConnected = [&] {
+    auto response =
+        awaitResponse(sendRequest(Callers, request("GET", "/get/a")));
+    while (response->Failure == http1::CallFailure::NotConnected)
+      response = awaitResponse(sendRequest(Callers, request("GET", "/get/a")));
+    return response;
+  };
+  EXPECT_EQ(sendUntilConnected()->Status, 200);
+  EXPECT_EQ(Gateway->log().find("no configuration yet"), std::string::npos);
+}
+
+TEST_F(GatewayTest, rejectsRequestsWhileTheStoreDoesNotAnswerFirstCalls) {
+  addPlainRunner("desk-1");
+  configure();
+  Store.setFaults({.Unavailable = false,
+                   .Unresponsive = true,
+                   .LoseWriteReplies = false,
+                   .Delay = {}});
+  startGateway();
+  auto response = awaitResponse(sendRequest(Callers, request("GET", "/get/a")));
+  while (response->Failure == http1::CallFailure::NotConnected)
+    response = awaitResponse(sendRequest(Callers, request("GET", "/get/a")));
+  EXPECT_EQ(response->Status, 503);
+  EXPECT_TRUE(response->Head.Fields.find("Retry-After"));
+  const core::Millis before = Clock.monotonic();
+  EXPECT_EQ(
+      awaitResponse(sendRequest(Callers, request("GET", "/get/a")))->Status,
+      503);
+  EXPECT_LT(Clock.monotonic() - before, core::Millis(250))
+      << "rejected at once, not held";
+}
+
 TEST_F(GatewayTest, listsAgainWhenMissedChangesAreCompacted) {
   addPlainRunner("desk-1");
   configure();
--- /dev/null
+++ b/tests/unit/gateway/StartupQueueTest.cpp
@@ -0,0 +1,82 @@
+#include "cowslipridge/gateway/StartupQueue.hpp"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+using namespace cowslipridge;
+using namespace cowslipridge::gateway;
+using core::Millis;
+
+namespace {
+
+class StartupQueueTest : public testing::Test {
+protected:
+  StartupQueue::Ticket hold(const std::string &name, std::size_t bytes = 100,
+                            Millis now = Millis(0)) {
+    return Queue.hold(bytes, now, [this, name](HeldOutcome outcome) {
+      Released.push_back(
+          (outcome == HeldOutcome::Serve ? "serve " : "reject ") + name);
+    });
+  }
+
+  StartupQueue Queue;
+  std::vector<std::string> Released;
+};
+
+// Pattern: all gateways were lost; callers retry while the first listing of
+// the store is on its way.
+TEST_F(StartupQueueTest, servesAllInOrderOnceTheConfigurationIsKnown) {
+  hold("a");
+  hold("b");
+  hold("c");
+  Queue.expire(Millis(30));
+  EXPECT_TRUE(Released.empty());
+  Queue.release(HeldOutcome::Serve);
+  EXPECT_EQ(Released,
+            (std::vector<std::string>{"serve a", "serve b", "serve c"}));
+  EXPECT_EQ(Queue.size(), 0U);
+}
+
+TEST_F(StartupQueueTest, rejectsEachRequestAfterTheLongestHold) {
+  hold("a", 100, Millis(0));
+  hold("b", 100, Millis(200));
+  Queue.expire(StartupQueue::MaxHold - Millis(1));
+  EXPECT_TRUE(Released.empty());
+  Queue.expire(StartupQueue::MaxHold);
+  EXPECT_EQ(Released, std::vector<std::string>{"reject a"});
+  Queue.expire(StartupQueue::MaxHold + Millis(200));
+  EXPECT_EQ(Released, (std::vector<std::string>{"reject a", "reject b"}));
+}
+
+TEST_F(StartupQueueTest, boundsNumberAndMemory) {
+  hold("large", StartupQueue::MaxBytes - 50);
+  EXPECT_TRUE(Queue.hasRoom(50));
+  EXPECT_FALSE(Queue.hasRoom(51));
+  Queue.release(HeldOutcome::Reject);
+  EXPECT_TRUE(Queue.hasRoom(StartupQueue::MaxBytes));
+  for (std::size_t n = 0; n < StartupQueue::MaxRequests; ++n)
+    hold("small", 1);
+  EXPECT_FALSE(Queue.hasRoom(1));
+}
+
+TEST_F(StartupQueueTest, releasesNoRequestWhoseCallerHasDisconnected) {
+  hold("a");
+  const StartupQueue::Ticket gone = hold("b", StartupQueue::MaxBytes - 200);
+  Queue.remove(gone);
+  Queue.remove(gone);
+  EXPECT_TRUE(Queue.hasRoom(StartupQueue::MaxBytes - 200));
+  Queue.release(HeldOutcome::Serve);
+  EXPECT_EQ(Released, std::vector<std::string>{"serve a"});
+}
+
+// A request that is released may itself be held again.
+TEST_F(StartupQueueTest, handlersMayHoldFurtherRequests) {
+  Queue.hold(10, Millis(0), [this](HeldOutcome) { hold("again"); });
+  Queue.release(HeldOutcome::Serve);
+  EXPECT_EQ(Queue.size(), 1U);
+  EXPECT_TRUE(Released.empty());
+}
+
+} // namespace
