Decide by what the caller has, and by where prompts are cached

Hypothesis: a prompt is read again because the runner that has it is busy, while a transfer between runners takes a tenth of the time. Kept, when the transfer is forecast to be faster than reading; bandwidth and bytes a token come from the operators' configuration. Hypothesis: a caller that resumes a stream waits in the middle of it, and what it has may be the largest model's; a run of the smallest model first only lengthens the pause. Hypothesis: the model of intermediate size is good enough for answers that were almost confident, at a fraction of the time and cost. Kept; NextModelRecord leaves it out where its answers mostly do not suffice. Hypothesis: a gateway knows only its own sends, so that others read the same prompt elsewhere.

--- a/src/cowslipridge/catalogue/Catalogue.hpp
+++ b/src/cowslipridge/catalogue/Catalogue.hpp
@@ -66,6 +66,10 @@
   std::uint64_t CacheTokens = 0; ///< KV cache capacity of one runner
   unsigned TokensPerEvent = 1;
   std::vector<Model> Models;
+  std::uint64_t CacheBytesPerToken = 0; ///< of KV cache; 0: unknown
+  /// Bandwidth between two runners, in megabits a second; 0: unknown, so that
+  /// runners are not told to transfer cached prefixes.
+  double TransferMbps = 0;
   friend auto operator<=>(const Engine &, const Engine &) = default;
 };
 
--- a/src/cowslipridge/gateway/CallerRequest.hpp
+++ b/src/cowslipridge/gateway/CallerRequest.hpp
@@ -48,6 +48,9 @@
   std::optional<std::string> Model;
   std::optional<std::uint64_t> LastEventId;
   int Urgency = 5; ///< 0 is served first, 9 last
+  /// HOST:PORT of a runner from which the addressed one fetches what it lacks
+  /// of the prompt's cached prefix.
+  std::optional<std::string> PrefixSource;
 };
 
 /// The attributes in the head of a runner's response.
--- a/src/cowslipridge/gateway/Dispatcher.cpp
+++ b/src/cowslipridge/gateway/Dispatcher.cpp
@@ -13,6 +13,8 @@
 /// Capacity of the prompt cache model in blocks: several times what runners
 /// keep.
 constexpr std::size_t MaxCacheBlocks = 20'000;
+/// Bounds the number of prompts in one report, so that it fits a datagram.
+constexpr std::size_t MaxReportedPrompts = 60;
 /// First-byte timeout of a stream, as a multiple of the forecast.
 constexpr std::int64_t StreamTimeoutFactor = 4;
 /// First-byte timeout of a plain request: the time until its deadline, divided
@@ -84,6 +86,10 @@
   placement.Tier = tier;
   placement.PredictedFirstByte = candidate.FirstToken;
   placement.UncachedTokens = candidate.UncachedTokens;
+  placement.FetchedTokens = candidate.FetchedTokens;
+  if (candidate.PrefixSource != nullptr)
+    placement.PrefixSource = candidate.PrefixSource->Host + ":" +
+                             std::to_string(candidate.PrefixSource->Port);
   placement.PeerLoadAge = Forecast.maxRemoteLoadAge(now);
   placement.FirstByteTimeout =
       isStream ? std::max(MinStreamIdleTimeout,
@@ -107,7 +113,7 @@
   const std::string model = modelOf(request, tier);
   Forecast.onAttemptSent(placement.Ticket, placement.Runner, model,
                          candidate.UncachedTokens, now);
-  Cache.recordPrompt(blocksOf(request.Caller, model), placement.Runner);
+  recordPrompt(blocksOf(request.Caller, model), placement.Runner);
   Selection.onSelected(request, tier, candidate, now);
   ++OwnEvidence[{placement.Service, placement.Version, request.Route->Name}]
         .Sent;
@@ -125,11 +131,21 @@
   return placement;
 }
 
+void Dispatcher::recordPrompt(const std::vector<route::CacheBlock> &prompt,
+                              const core::RunnerId &runner) {
+  Cache.recordPrompt(prompt, runner);
+  // The last block belongs to this request alone.
+  if (prompt.size() > 1 && NewPrompts.size() < MaxReportedPrompts)
+    NewPrompts.push_back({prompt[prompt.size() - 2].Hash, runner});
+}
+
 ModelTier Dispatcher::firstTier(const RequestContext &request,
                                 core::Millis /*now*/) {
   if (!request.Caller.AnyModel || request.Route->Models.empty())
     return std::nullopt;
-  return 0;
+  // The events that the caller has may be the largest model's, and a pause in
+  // its stream has begun.
+  return isResumed(request) ? request.Route->Models.size() - 1 : 0;
 }
 
 EscalationDecision Dispatcher::decideEscalation(const RequestContext &request,
@@ -139,6 +155,9 @@
   const std::size_t largest = request.Route->Models.size() - 1;
   EscalationDecision decision{
       tier, tier < largest && route::isLowConfidence(confidence), {}};
+  const bool isIntermediate = tier > 0 && tier < largest;
+  if (isIntermediate)
+    NextModels[request.Route->Name].record(!decision.LowConfidence, now);
   if (tier < largest)
     decision.Larger = Selection.forecast(request, largest, now);
   if (!decision.Larger)
@@ -149,10 +168,20 @@
   context.Deadline = request.Deadline - now;
   context.Largest = *decision.Larger;
   if (route::shouldEscalate(context))
-    decision.Tier = largest;
+    decision.Tier = escalationTier(request, tier, confidence, now);
   return decision;
 }
 
+std::size_t Dispatcher::escalationTier(const RequestContext &request,
+                                       std::size_t tier, int confidence,
+                                       core::Millis now) {
+  const std::size_t largest = request.Route->Models.size() - 1;
+  const bool triesNext = tier == 0 &&
+                         route::isWithinReachOfNextModel(confidence) &&
+                         NextModels[request.Route->Name].isWorthwhile(now);
+  return triesNext ? tier + 1 : largest;
+}
+
 core::Millis Dispatcher::retryAfter(const RequestContext &request,
                                     core::Millis now) const {
   return std::max(MinRetryAfter, Selection.backoffOfAll(request, now));
@@ -282,6 +311,8 @@
   Forecast.setRemoteLoads(report.Gateway, report.Loads, now);
   PeerEvidence.insert_or_assign(report.Gateway, report.Evidence);
   Trials.onPeerKnowledge(report.Rollouts, now);
+  for (const PromptPlacement &it : report.Prompts)
+    Cache.recordBlock(it.Block, it.Runner);
 }
 
 void Dispatcher::removePeerLoad(const core::InstanceId &peer) {
@@ -296,6 +327,7 @@
   report.PinnedSessions = Selection.pinnedSessions(now);
   report.Configuration = generation();
   report.Rollouts = Trials.knowledge(now);
+  report.Prompts = NewPrompts;
   for (const core::ServiceId &service : Trials.activeRollouts()) {
     for (const auto &[key, counts] : OwnEvidence) {
       if (key.Service == service)
--- a/src/cowslipridge/gateway/Dispatcher.hpp
+++ b/src/cowslipridge/gateway/Dispatcher.hpp
@@ -8,6 +8,7 @@
 #include "cowslipridge/limits/RunnerBackoff.hpp"
 #include "cowslipridge/membership/ServerRegistry.hpp"
 #include "cowslipridge/rollout/TrialControl.hpp"
+#include "cowslipridge/route/NextModelRecord.hpp"
 #include "cowslipridge/route/PrefillForecast.hpp"
 #include "cowslipridge/route/PromptCache.hpp"
 
@@ -19,6 +20,14 @@
 
 namespace cowslipridge::gateway {
 
+/// The runner to which a prompt was sent, by the hash of its last shared block.
+struct PromptPlacement {
+  std::uint64_t Block = 0;
+  core::RunnerId Runner;
+  friend auto operator<=>(const PromptPlacement &,
+                          const PromptPlacement &) = default;
+};
+
 /// The state that gateways send to their peers, several times a second.
 struct PeerReport {
   core::InstanceId Gateway;
@@ -30,6 +39,8 @@
   std::optional<core::Millis> ExitsWithin;
   core::Generation Configuration; ///< in force at the gateway; 0 if none
   std::vector<rollout::RolloutKnowledge> Rollouts;
+  /// Prompts that were sent since the previous report.
+  std::vector<PromptPlacement> Prompts;
 };
 
 /// Receives an ejection or readmission, with the outcome of the attempt that
@@ -85,6 +96,9 @@
   void removePeerLoad(const core::InstanceId &peer);
   /// Returns the report to send to peers.
   [[nodiscard]] PeerReport report(core::Millis now) const;
+  /// Handles that the report was sent to the peers: the next one leaves out the
+  /// prompts in it.
+  void onReportSent() { NewPrompts.clear(); }
   /// Returns the decisions on roll-outs that are due. `rank` is the rank of
   /// this gateway among those alive.
   [[nodiscard]] std::vector<rollout::TrialDecision>
@@ -138,6 +152,12 @@
   void onFirstByte(std::uint64_t ticket, ActiveAttempt &attempt,
                    core::Millis now);
   void reportNotice(const RunnerNotice &notice);
+  /// Returns the tier to which a low-confidence answer of `tier` escalates.
+  std::size_t escalationTier(const RequestContext &request, std::size_t tier,
+                             int confidence, core::Millis now);
+  /// Records that the runner reads the prompt.
+  void recordPrompt(const std::vector<route::CacheBlock> &prompt,
+                    const core::RunnerId &runner);
   limits::RetryWindow &budget(const core::ServiceId &service);
   void reportEjection(const std::optional<limits::EjectionChange> &change,
                       AttemptOutcome outcome);
@@ -155,6 +175,8 @@
   RunnerSelection Selection;
   std::map<core::ServiceId, limits::RetryWindow> Budgets;
   std::unordered_map<std::uint64_t, ActiveAttempt> ActiveAttempts;
+  std::map<std::string, route::NextModelRecord> NextModels; ///< by route
+  std::vector<PromptPlacement> NewPrompts; ///< not yet reported to peers
   rollout::RouteEvidenceTable OwnEvidence;
   std::map<core::InstanceId, rollout::RouteEvidenceTable> PeerEvidence;
   std::size_t Gateways = 1;
--- a/src/cowslipridge/gateway/PeerExchange.cpp
+++ b/src/cowslipridge/gateway/PeerExchange.cpp
@@ -60,6 +60,7 @@
       Socket.send_to(boost::asio::buffer(bytes), Udp::endpoint(host, peer.Port),
                      0, ignored);
   }
+  RequestDispatcher.onReportSent();
 }
 
 void PeerExchange::receive() {
--- a/src/cowslipridge/gateway/PeerReportCodec.cpp
+++ b/src/cowslipridge/gateway/PeerReportCodec.cpp
@@ -16,6 +16,7 @@
 constexpr int FormatVersion = 3;
 constexpr std::size_t ConfigurationIndex = 6;
 constexpr std::size_t RolloutsIndex = 7;
+constexpr std::size_t PromptsIndex = 8;
 
 json encodeLoads(const PeerReport &report) {
   json loads = json::array();
@@ -43,6 +44,13 @@
   return rollouts;
 }
 
+json encodePrompts(const PeerReport &report) {
+  json prompts = json::array();
+  for (const PromptPlacement &it : report.Prompts)
+    prompts.push_back({it.Block, it.Runner.str()});
+  return prompts;
+}
+
 std::optional<rollout::RolloutPhase> phaseOf(int number) {
   using enum rollout::RolloutPhase;
   for (const auto phase : {InProgress, Completed, Reverted}) {
@@ -91,6 +99,11 @@
         core::Generation(message.at(ConfigurationIndex).get<std::uint64_t>());
   if (message.size() > RolloutsIndex)
     decodeRollouts(message.at(RolloutsIndex), report);
+  if (message.size() > PromptsIndex) {
+    for (const json &it : message.at(PromptsIndex))
+      report.Prompts.push_back({it.at(0).get<std::uint64_t>(),
+                                core::RunnerId(it.at(1).get<std::string>())});
+  }
   return report;
 }
 
@@ -105,7 +118,8 @@
                         report.ExitsWithin ? json(report.ExitsWithin->count())
                                            : json(),
                         report.Configuration.value(),
-                        encodeRollouts(report)};
+                        encodeRollouts(report),
+                        encodePrompts(report)};
   std::string bytes;
   json::to_msgpack(message, bytes);
   return bytes;
--- a/src/cowslipridge/gateway/Placement.hpp
+++ b/src/cowslipridge/gateway/Placement.hpp
@@ -53,6 +53,9 @@
   std::string Host;
   std::uint16_t Port = 0;
   ModelTier Tier;
+  /// HOST:PORT of the runner from which the chosen one fetches the cached
+  /// prefix of the prompt.
+  std::optional<std::string> PrefixSource;
   std::size_t MaxConnections = 1; ///< from this gateway to the runner
   /// The runner counts as unresponsive when no byte of its response has arrived
   /// within this time.
@@ -61,6 +64,7 @@
   // The reasons for the decision, for the log.
   AttemptKind Kind = AttemptKind::First;
   std::uint64_t UncachedTokens = 0; ///< of the prompt, forecast
+  std::uint64_t FetchedTokens = 0;  ///< from PrefixSource, forecast
   core::Millis PeerLoadAge;         ///< of the oldest peer load report in use
 };
 
--- a/src/cowslipridge/gateway/RequestFlow.cpp
+++ b/src/cowslipridge/gateway/RequestFlow.cpp
@@ -96,6 +96,7 @@
   if (placement.Tier)
     attributes.Model = modelOf(placement);
   attributes.LastEventId = after;
+  attributes.PrefixSource = placement.PrefixSource;
   attributes.Urgency = urgencyOf(request);
 
   http1::CallSpec spec;
@@ -128,6 +129,7 @@
       " version=" + placement.Version.str() + " model=" + modelOf(placement) +
       " forecast_ms=" + std::to_string(placement.PredictedFirstByte.count()) +
       " uncached_tokens=" + std::to_string(placement.UncachedTokens) +
+      " fetched_tokens=" + std::to_string(placement.FetchedTokens) +
       " peers_age_ms=" + std::to_string(placement.PeerLoadAge.count()) +
       " left_ms=" + std::to_string(remaining.count());
   if (!caller.Session.empty())
--- a/src/cowslipridge/gateway/RequestTraits.cpp
+++ b/src/cowslipridge/gateway/RequestTraits.cpp
@@ -24,6 +24,14 @@
                                        : caller.Session.str());
 }
 
+bool isLargestModel(const RequestContext &request, std::size_t tier) {
+  return tier + 1 == request.Route->Models.size();
+}
+
+bool isResumed(const RequestContext &request) {
+  return request.Caller.LastEventId.value_or(0) > 0;
+}
+
 std::vector<route::CacheBlock> blocksOf(const CallerRequest &caller,
                                         const std::string &model) {
   std::vector<route::CacheBlock> blocks;
@@ -60,6 +68,20 @@
   return services.front().Service;
 }
 
+double transferMillisPerToken(const RequestContext &request) {
+  constexpr double BitsPerByte = 8;
+  constexpr double BitsPerMilliAtOneMbps = 1'000;
+  const catalogue::Service *declared =
+      request.Catalogue->service(serviceOf(request));
+  if (declared == nullptr || !declared->Inference ||
+      declared->Inference->TransferMbps <= 0)
+    return 0;
+  const double bits =
+      static_cast<double>(declared->Inference->CacheBytesPerToken) *
+      BitsPerByte;
+  return bits / (declared->Inference->TransferMbps * BitsPerMilliAtOneMbps);
+}
+
 double expectedEvents(const RequestContext &request,
                       const core::ServiceId &service) {
   const catalogue::Service *declared = request.Catalogue->service(service);
--- a/src/cowslipridge/gateway/RequestTraits.hpp
+++ b/src/cowslipridge/gateway/RequestTraits.hpp
@@ -17,10 +17,17 @@
 const core::ServiceId &serviceOf(const RequestContext &request);
 /// Returns the model of the tier, or the one that the caller named.
 std::string modelOf(const RequestContext &request, ModelTier tier);
+/// Returns whether the tier is the route's largest model.
+bool isLargestModel(const RequestContext &request, std::size_t tier);
+/// Returns whether the caller continues a stream of which it has events.
+bool isResumed(const RequestContext &request);
 /// Returns the prompt as cache blocks of the model.
 std::vector<route::CacheBlock> blocksOf(const CallerRequest &caller,
                                         const std::string &model);
 std::uint64_t promptTokens(const CallerRequest &caller);
+/// Returns the time that runners of the service need to transfer one token of a
+/// cached prefix to each other; 0 if it is unknown.
+double transferMillisPerToken(const RequestContext &request);
 /// Estimates the number of events in a streamed response.
 double expectedEvents(const RequestContext &request,
                       const core::ServiceId &service);
--- a/src/cowslipridge/gateway/RunnerSelection.cpp
+++ b/src/cowslipridge/gateway/RunnerSelection.cpp
@@ -3,17 +3,12 @@
 #include "cowslipridge/gateway/RequestTraits.hpp"
 
 #include <algorithm>
-#include <array>
 #include <cmath>
 
 namespace cowslipridge::gateway {
 
 namespace {
 
-/// Probability that requests of other gateways have already put the shared
-/// segments of a prompt into the cache of the preferred runner, and of the one
-/// that follows it in rendezvous order.
-constexpr std::array<double, 2> PreferredCacheFractions = {0.85, 0.4};
 /// Part of a prefill's duration by which it delays each answer in progress at
 /// the same runner.
 constexpr double RunningAnswerDelay = 0.1;
@@ -32,25 +27,12 @@
 /// to the first token has weight 1.
 constexpr double EventsInScore = 5;
 
+/// Time that the transfer of a cached prefix takes whatever its size.
+constexpr double TransferSetupMillis = 10;
+
 /// Bounds the number of sessions in one report, so that it fits a datagram.
 constexpr std::size_t MaxReportedPins = 60;
 
-/// Returns the hash by which requests are assigned to runners: that of the last
-/// shared segment. The first segments are common to many subjects, and the last
-/// segment of a prompt belongs to one request or session.
-std::uint64_t affinityKey(const std::vector<route::CacheBlock> &prompt) {
-  return prompt.size() < 2 ? prompt.back().Hash
-                           : prompt[prompt.size() - 2].Hash;
-}
-
-/// Returns the number of tokens in all segments but the last.
-std::uint64_t sharedTokens(const std::vector<route::CacheBlock> &prompt) {
-  std::uint64_t tokens = 0;
-  for (std::size_t n = 0; n + 1 < prompt.size(); ++n)
-    tokens += prompt[n].Tokens;
-  return tokens;
-}
-
 } // namespace
 
 RunnerSelection::RunnerSelection(const config::GatewaySettings &settings,
@@ -72,7 +54,7 @@
                                  const Candidate &candidate, core::Millis now) {
   if (tier)
     Pools.recordWork(
-        *tier == 0,
+        isLargestModel(request, *tier),
         static_cast<double>(Forecast
                                 .idleTimeToFirstToken(candidate.Server->Id,
                                                       modelOf(request, tier),
@@ -116,10 +98,9 @@
   });
 }
 
-RunnerSelection::ServerList
-RunnerSelection::serving(const RequestContext &request,
-                         const core::ServiceId &service,
-                         core::Millis now) const {
+ServerList RunnerSelection::serving(const RequestContext &request,
+                                    const core::ServiceId &service,
+                                    core::Millis now) const {
   ServerList servers;
   for (const auto &[id, server] : Servers.all()) {
     const bool usable = server.Service == service && !server.Draining &&
@@ -141,7 +122,7 @@
   return shortest.value_or(core::Millis());
 }
 
-RunnerSelection::ServerList RunnerSelection::eligible(
+ServerList RunnerSelection::eligible(
     const RequestContext &request, const core::ServiceId &service,
     const std::vector<core::RunnerId> &excluded, core::Millis now) const {
   ServerList servers = serving(request, service, now);
@@ -195,28 +176,6 @@
   });
 }
 
-RunnerSelection::Preference
-RunnerSelection::preferenceFor(const ServerList &servers,
-                               const std::vector<route::CacheBlock> &prompt,
-                               const RequestContext &request) {
-  const std::uint64_t key =
-      prompt.empty() ? hashOf(request.Caller.Id.str()) : affinityKey(prompt);
-  Preference preference{};
-  std::array<std::uint64_t, PreferredCacheFractions.size()> weights{};
-  for (const auto *server : servers) {
-    const std::uint64_t weight =
-        route::PromptCache::rendezvousWeight(key, server->Id);
-    if (preference[0] == nullptr || weight > weights[0]) {
-      preference = {server, preference[0]};
-      weights = {weight, weights[0]};
-    } else if (preference[1] == nullptr || weight > weights[1]) {
-      preference[1] = server;
-      weights[1] = weight;
-    }
-  }
-  return preference;
-}
-
 double RunnerSelection::congestionOf(const ServerList &servers) const {
   double requests = 0;
   for (const auto *server : servers) {
@@ -226,39 +185,20 @@
   return requests / static_cast<double>(servers.size());
 }
 
-std::uint64_t RunnerSelection::expectedCachedTokens(
-    const membership::BackendServer &server,
-    const std::vector<route::CacheBlock> &prompt,
-    const Preference &preference) const {
-  const std::uint64_t known = Cache.cachedTokens(prompt, server.Id);
-  const auto *const at =
-      std::find(preference.begin(), preference.end(), &server);
-  if (at == preference.end() || prompt.size() < 2)
-    return known;
-  const double fraction = PreferredCacheFractions.at(
-      static_cast<std::size_t>(at - preference.begin()));
-  return std::max(known,
-                  static_cast<std::uint64_t>(
-                      fraction * static_cast<double>(sharedTokens(prompt))));
-}
-
-RunnerSelection::Candidate
-RunnerSelection::evaluate(const membership::BackendServer &server,
-                          const std::vector<route::CacheBlock> &prompt,
-                          const std::string &model,
-                          const RequestContext &request, const PoolView &pool,
-                          core::Millis now) const {
+RunnerSelection::Candidate RunnerSelection::evaluate(
+    const membership::BackendServer &server, const PromptLocation &prompt,
+    const std::string &model, const RequestContext &request, double congestion,
+    core::Millis now) const {
   Candidate candidate;
   candidate.Server = &server;
-  const std::uint64_t cached =
-      expectedCachedTokens(server, prompt, pool.Preferred);
+  const std::uint64_t cached = prompt.cachedTokens(server);
   const std::uint64_t all = promptTokens(request.Caller);
   candidate.UncachedTokens = all > cached ? all - cached : 0;
   candidate.FirstToken =
       Forecast.timeToFirstToken(server.Id, model, candidate.UncachedTokens);
   candidate.Score = static_cast<double>(candidate.FirstToken.count());
   const route::ServerLoad load = Forecast.load(server.Id);
-  if (prompt.empty()) {
+  if (prompt.isEmpty()) {
     candidate.Score += MillisPerPlainRequest * (load.Waiting + load.Running);
     return candidate;
   }
@@ -268,14 +208,15 @@
       Forecast.prefillMillis(model, candidate.UncachedTokens);
   const auto target = static_cast<double>(request.Route->TargetLatency.count());
   candidate.Score +=
-      prefill + std::min(pool.Congestion * prefill, MaxDelayShare * target);
+      prefill + std::min(congestion * prefill, MaxDelayShare * target);
   candidate.Score +=
       EventsInScore * Forecast.eventIntervalMillis(server.Id, now);
   return candidate;
 }
 
-RunnerSelection::ServerList RunnerSelection::poolOf(ServerList servers,
-                                                    ModelTier tier) const {
+ServerList RunnerSelection::poolOf(ServerList servers,
+                                   const RequestContext &request,
+                                   ModelTier tier) const {
   if (!tier || servers.size() < 2)
     return servers;
   std::sort(servers.begin(), servers.end(), [](const auto *a, const auto *b) {
@@ -283,11 +224,11 @@
   });
   const auto bound =
       servers.begin() +
-      static_cast<std::ptrdiff_t>(Pools.smallestModelPoolSize(servers.size()));
-  if (*tier == 0)
-    servers.erase(bound, servers.end());
-  else
+      static_cast<std::ptrdiff_t>(Pools.smallerModelsPoolSize(servers.size()));
+  if (isLargestModel(request, *tier))
     servers.erase(servers.begin(), bound);
+  else
+    servers.erase(bound, servers.end());
   return servers;
 }
 
@@ -296,27 +237,57 @@
                       const RequestContext &request, core::Millis now) const {
   if (servers.empty())
     return std::nullopt;
-  const auto prompt = blocksOf(request.Caller, model);
-  const PoolView pool{preferenceFor(servers, prompt, request),
-                      congestionOf(servers)};
+  const PromptLocation prompt(Cache, blocksOf(request.Caller, model),
+                              hashOf(request.Caller.Id.str()), servers);
+  const double congestion = congestionOf(servers);
   std::optional<Candidate> chosen;
   for (const auto *server : servers) {
-    Candidate candidate = evaluate(*server, prompt, model, request, pool, now);
+    Candidate candidate =
+        evaluate(*server, prompt, model, request, congestion, now);
     // Runners in this gateway's failure domain have a shorter network path.
     // Ties go to the preferred runner.
     candidate.Score += server->Domain == Domain ? 0 : 1;
-    candidate.Score -= server == pool.Preferred[0] ? 1 : 0;
+    candidate.Score -= server == prompt.preferred() ? 1 : 0;
     if (!chosen || candidate.Score < chosen->Score)
       chosen = candidate;
   }
+  planTransfer(*chosen, prompt, servers, model, request);
   return chosen;
 }
 
+// The choice itself takes no account of transfers: a prefix that is read where
+// it is cached moves nowhere.
+void RunnerSelection::planTransfer(Candidate &candidate,
+                                   const PromptLocation &prompt,
+                                   const ServerList &servers,
+                                   const std::string &model,
+                                   const RequestContext &request) const {
+  const double perToken = transferMillisPerToken(request);
+  if (perToken <= 0)
+    return;
+  const PromptLocation::Holder holder = prompt.largestHolder(servers);
+  const std::uint64_t cached = prompt.cachedTokens(*candidate.Server);
+  if (holder.Tokens <= cached)
+    return;
+  const std::uint64_t tokens =
+      std::min(holder.Tokens - cached, candidate.UncachedTokens);
+  const double transfer =
+      TransferSetupMillis + perToken * static_cast<double>(tokens);
+  if (transfer >= Forecast.prefillMillis(model, tokens))
+    return;
+  candidate.PrefixSource = holder.Server;
+  candidate.FetchedTokens = tokens;
+  candidate.UncachedTokens -= tokens;
+  candidate.FirstToken = Forecast.timeToFirstToken(candidate.Server->Id, model,
+                                                   candidate.UncachedTokens) +
+                         core::Millis(std::llround(transfer));
+}
+
 std::optional<RunnerSelection::Candidate>
 RunnerSelection::bestOfPool(const ServerList &servers, const std::string &model,
                             ModelTier tier, const RequestContext &request,
                             core::Millis now) const {
-  const auto own = best(poolOf(servers, tier), model, request, now);
+  const auto own = best(poolOf(servers, request, tier), model, request, now);
   if (!tier || (own && own->FirstToken * OverflowDivisor <=
                            request.Route->TargetLatency))
     return own;
@@ -331,7 +302,8 @@
 RunnerSelection::forecast(const RequestContext &request, std::size_t tier,
                           core::Millis now) const {
   const core::ServiceId service = serviceOf(request);
-  const auto servers = poolOf(eligible(request, service, {}, now), tier);
+  const auto servers =
+      poolOf(eligible(request, service, {}, now), request, tier);
   const auto candidate = best(servers, modelOf(request, tier), request, now);
   if (!candidate)
     return std::nullopt;
--- a/src/cowslipridge/gateway/RunnerSelection.hpp
+++ b/src/cowslipridge/gateway/RunnerSelection.hpp
@@ -2,6 +2,7 @@
 
 #include "cowslipridge/config/GatewaySettings.hpp"
 #include "cowslipridge/gateway/Placement.hpp"
+#include "cowslipridge/gateway/PromptLocation.hpp"
 #include "cowslipridge/limits/Ejections.hpp"
 #include "cowslipridge/limits/RunnerBackoff.hpp"
 #include "cowslipridge/membership/ServerRegistry.hpp"
@@ -11,7 +12,6 @@
 #include "cowslipridge/route/PrefillForecast.hpp"
 #include "cowslipridge/route/PromptCache.hpp"
 
-#include <array>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -35,7 +35,10 @@
 public:
   struct Candidate {
     const membership::BackendServer *Server = nullptr;
-    std::uint64_t UncachedTokens = 0;
+    std::uint64_t UncachedTokens = 0; ///< that the runner has to prefill
+    /// The runner from which the cached prefix is fetched; null if none is.
+    const membership::BackendServer *PrefixSource = nullptr;
+    std::uint64_t FetchedTokens = 0;
     core::Millis FirstToken;
     double Score = 0; ///< milliseconds; lower is better
   };
@@ -72,14 +75,6 @@
   void tick(core::Millis now);
 
 private:
-  using ServerList = std::vector<const membership::BackendServer *>;
-  /// The servers preferred for a prompt, best first; null if there are fewer.
-  using Preference = std::array<const membership::BackendServer *, 2>;
-  /// What the evaluation of one server needs to know of all candidates.
-  struct PoolView {
-    Preference Preferred{};
-    double Congestion = 0; ///< see congestionOf()
-  };
   struct Pin {
     core::ServiceId Service;
     core::VersionId Version;
@@ -97,23 +92,20 @@
   void filterByVersion(const RequestContext &request,
                        const core::ServiceId &service, ServerList &servers,
                        core::Millis now) const;
-  /// Returns the first servers in rendezvous order, on which all gateways
-  /// agree.
-  static Preference preferenceFor(const ServerList &servers,
-                                  const std::vector<route::CacheBlock> &prompt,
-                                  const RequestContext &request);
   /// Returns the mean number of requests that a prefill delays at a server.
   [[nodiscard]] double congestionOf(const ServerList &servers) const;
-  [[nodiscard]] std::uint64_t
-  expectedCachedTokens(const membership::BackendServer &server,
-                       const std::vector<route::CacheBlock> &prompt,
-                       const Preference &preference) const;
   Candidate evaluate(const membership::BackendServer &server,
-                     const std::vector<route::CacheBlock> &prompt,
-                     const std::string &model, const RequestContext &request,
-                     const PoolView &pool, core::Millis now) const;
+                     const PromptLocation &prompt, const std::string &model,
+                     const RequestContext &request, double congestion,
+                     core::Millis now) const;
+  /// Lets the chosen runner fetch the cached prefix of the prompt from the one
+  /// that has most of it, if that is faster than prefilling it again.
+  void planTransfer(Candidate &candidate, const PromptLocation &prompt,
+                    const ServerList &servers, const std::string &model,
+                    const RequestContext &request) const;
   /// Returns those of `servers` that serve the tier.
-  ServerList poolOf(ServerList servers, ModelTier tier) const;
+  ServerList poolOf(ServerList servers, const RequestContext &request,
+                    ModelTier tier) const;
   std::optional<Candidate> best(const ServerList &servers,
                                 const std::string &model,
                                 const RequestContext &request,
--- a/src/cowslipridge/platform/Documents.cpp
+++ b/src/cowslipridge/platform/Documents.cpp
@@ -92,6 +92,9 @@
       std::max<std::int64_t>(0, integerAt(json, "kvCacheTokens").value_or(0)));
   engine.TokensPerEvent = static_cast<unsigned>(
       std::max<std::int64_t>(1, integerAt(json, "stride").value_or(1)));
+  engine.CacheBytesPerToken = static_cast<std::uint64_t>(
+      std::max<std::int64_t>(0, integerAt(json, "kvBytes").value_or(0)));
+  engine.TransferMbps = std::max(0.0, numberAt(json, "linkMbps").value_or(0));
   for (const Json &it : arrayAt(json, "models")) {
     if (const auto name = stringAt(it, "name"))
       engine.Models.push_back({*name, numberAt(it, "cost").value_or(0)});
--- a/src/cowslipridge/platform/HeaderTranslator.cpp
+++ b/src/cowslipridge/platform/HeaderTranslator.cpp
@@ -31,6 +31,8 @@
 constexpr std::string_view Signature = "Response-Signature";
 constexpr std::string_view NotExecuted = "Not-Executed";
 constexpr std::string_view EstimateConfidence = "Estimate-Confidence";
+// "IP:PORT" of the runner that has the prefix.
+constexpr std::string_view KvFetch = "Kv-Fetch";
 constexpr std::string_view RetryAfter = "Retry-After";
 constexpr std::string_view ServerLeaving = "Server-Leaving";
 constexpr std::string_view IsLeaving = "1";
@@ -40,7 +42,7 @@
 constexpr std::array<std::string_view, 11> GatewayFields = {
     ExpectedInstance,  "Expected-Version", TenantName,       RequestPriority,
     "Cache-Retention", "Pin-Duration",     "Kv-Backup",      "Kv-From",
-    "Kv-Fetch",        Authorization,      DeadlineRemaining};
+    KvFetch,           Authorization,      DeadlineRemaining};
 
 /// Fields that a request may contain only once: with two of them it would be
 /// ambiguous which value applies.
@@ -166,6 +168,8 @@
     relayed.Fields.add(TenantName, attributes.Organisation->str());
   if (attributes.Model)
     relayed.Fields.set(ModelName, *attributes.Model);
+  if (attributes.PrefixSource)
+    relayed.Fields.add(KvFetch, *attributes.PrefixSource);
   if (attributes.LastEventId)
     relayed.Fields.set(LastEventId, std::to_string(*attributes.LastEventId));
   return relayed;
--- a/src/cowslipridge/route/ModelCascade.cpp
+++ b/src/cowslipridge/route/ModelCascade.cpp
@@ -8,6 +8,9 @@
 
 /// Confidence below which an answer is escalated if the runners are idle.
 constexpr double LowConfidenceThreshold = 62;
+/// Confidence above which a model of intermediate size is likely to be good
+/// enough.
+constexpr int MinNextModelConfidence = 45;
 /// Slack is the share of the time beside the larger model's own that the wait
 /// for other requests would leave unused. Below the first value nothing is
 /// escalated; above the second the full confidence threshold applies; in
@@ -34,6 +37,10 @@
   return confidence < LowConfidenceThreshold;
 }
 
+bool isWithinReachOfNextModel(int confidence) {
+  return confidence >= MinNextModelConfidence;
+}
+
 bool shouldEscalate(const EscalationContext &context) {
   const TierForecast &largest = context.Largest;
   const core::Millis ownTime = largest.FirstToken - largest.Waiting;
--- a/src/cowslipridge/route/ModelCascade.hpp
+++ b/src/cowslipridge/route/ModelCascade.hpp
@@ -24,15 +24,17 @@
 /// are idle.
 bool isLowConfidence(int confidence);
 
-/// Returns true if the request is to be escalated to the largest model.
+/// Returns true if an answer is so close to sufficient confidence that the next
+/// larger model is likely to be good enough for the request.
+bool isWithinReachOfNextModel(int confidence);
+
+/// Returns true if the request is to be escalated to a larger model.
 ///
 /// A larger model answers hard requests better but has less capacity. While its
 /// runners are idle, every low-confidence answer is escalated if the larger
 /// model's own time fits the target. As the wait for other requests takes up
 /// the rest of the time, only the answers with the lowest confidence are
 /// escalated, and none once its answer would be late.
-/// Models of intermediate size are skipped: they answer few of the requests for
-/// which the smallest model reports low confidence.
 bool shouldEscalate(const EscalationContext &context);
 
 } // namespace cowslipridge::route
--- a/src/cowslipridge/route/ModelPools.cpp
+++ b/src/cowslipridge/route/ModelPools.cpp
@@ -9,7 +9,7 @@
 
 /// Half-life of the exponentially decayed sums of work.
 constexpr double HalfLifeMillis = 6'000;
-/// The smallest model's share of the runners before any work is recorded, and
+/// The smaller models' share of the runners before any work is recorded, and
 /// its limits. The limits keep a short burst of one kind of request from taking
 /// nearly all runners.
 constexpr double InitialShare = 0.25;
@@ -20,13 +20,12 @@
 
 } // namespace
 
-void ModelPools::recordWork(bool smallest, double workMillis,
-                            core::Millis now) {
+void ModelPools::recordWork(bool largest, double workMillis, core::Millis now) {
   decay(now);
-  (smallest ? SmallWork : LargeWork) += workMillis;
+  (largest ? LargeWork : SmallWork) += workMillis;
 }
 
-std::size_t ModelPools::smallestModelPoolSize(std::size_t total) const {
+std::size_t ModelPools::smallerModelsPoolSize(std::size_t total) const {
   if (total < 2)
     return total;
   const double work = SmallWork + LargeWork;
--- a/src/cowslipridge/route/ModelPools.hpp
+++ b/src/cowslipridge/route/ModelPools.hpp
@@ -8,20 +8,20 @@
 
 namespace cowslipridge::route {
 
-/// Partitions the runners of a service into a pool for its smallest model and
-/// one for the larger models.
+/// Partitions the runners of a service into a pool for its largest model and
+/// one for the smaller models.
 ///
-/// A runner that prefills a long prompt with a large model in chunks delays
-/// every token that the small model generates on the same runner, so that short
-/// answers to cheap requests miss their deadline. Separate pools keep the small
-/// model's latency independent of the prefill work of the larger ones.
+/// A runner that prefills a long prompt with the largest model in chunks delays
+/// every token that smaller models generate on the same runner, so that short
+/// answers to cheap requests miss their deadline. Separate pools keep the
+/// latency of the smaller models independent of the largest one's work.
 class ModelPools {
 public:
   /// Records work that was sent to a runner, in milliseconds of its time.
-  void recordWork(bool smallest, double workMillis, core::Millis now);
-  /// Returns how many of `total` runners serve the smallest model.
-  [[nodiscard]] std::size_t smallestModelPoolSize(std::size_t total) const;
-  /// Orders the runners for assignment to the smallest model's pool. All
+  void recordWork(bool largest, double workMillis, core::Millis now);
+  /// Returns how many of `total` runners serve the smaller models.
+  [[nodiscard]] std::size_t smallerModelsPoolSize(std::size_t total) const;
+  /// Orders the runners for assignment to the smaller models' pool. All
   /// gateways use the same order.
   static bool before(const core::RunnerId &a, const core::RunnerId &b);
 
--- a/src/cowslipridge/route/PromptCache.hpp
+++ b/src/cowslipridge/route/PromptCache.hpp
@@ -36,6 +36,11 @@
   /// Records that the runner holds the prompt's blocks.
   void recordPrompt(const std::vector<CacheBlock> &prompt,
                     const core::RunnerId &runner);
+  /// Records that the runner holds the blocks of a prefix whose last one has
+  /// this hash.
+  void recordBlock(std::uint64_t lastBlock, const core::RunnerId &runner) {
+    Index.insert(lastBlock, runner);
+  }
   /// Returns the number of the prompt's leading tokens that the runner holds
   /// and doesn't prefill again.
   [[nodiscard]] std::uint64_t
--- a/tests/unit/gateway/DispatcherTest.cpp
+++ b/tests/unit/gateway/DispatcherTest.cpp
@@ -377,4 +377,122 @@
                          limits::BackoffRequest{first->Runner, Millis(500)}}));
 }
 
+// Pattern: a subject becomes hot. Runners that lack its prompt must not read
+// it again while another one can send it to them.
+TEST_F(DispatcherTest, overloadedHolderSendsItsPrefixToTheChosenRunner) {
+  catalogue::Catalogue declared = Declared->catalogue();
+  declared.Services.front().Inference->CacheBytesPerToken = 20'000;
+  declared.Services.front().Inference->TransferMbps = 100'000;
+  Declared = std::make_shared<const catalogue::CatalogueIndex>(declared);
+  RequestDispatcher.setCatalogue(Declared);
+  const auto first = place(RequestDispatcher, request(7, 20'000), 1);
+  ASSERT_TRUE(first);
+  EXPECT_FALSE(first->PrefixSource);
+  std::size_t elsewhere = 0;
+  for (int n = 0; n < 100; ++n) {
+    const auto next = place(RequestDispatcher, request(7, 20'000), 1);
+    ASSERT_TRUE(next);
+    if (next->PrefixSource)
+      ++elsewhere;
+    EXPECT_LT(next->UncachedTokens, 9'000U) << next->Runner.str();
+  }
+  EXPECT_GT(elsewhere, 0U);
+}
+
+TEST_F(DispatcherTest, transfersNoPrefixThatIsFasterToRead) {
+  catalogue::Catalogue declared = Declared->catalogue();
+  declared.Services.front().Inference->CacheBytesPerToken = 20'000;
+  declared.Services.front().Inference->TransferMbps = 1;
+  Declared = std::make_shared<const catalogue::CatalogueIndex>(declared);
+  RequestDispatcher.setCatalogue(Declared);
+  for (int n = 0; n < 100; ++n)
+    EXPECT_FALSE(place(RequestDispatcher, request(7, 20'000), 1)->PrefixSource);
+}
+
+// Pattern: all gateways were lost, and callers resume their streams. A second
+// run of the smallest model would lengthen the pause, and it might continue
+// what the largest model has begun.
+TEST_F(DispatcherTest, resumedStreamGoesToTheLargestModelAtOnce) {
+  RequestContext fresh = request(1, 100);
+  EXPECT_EQ(RequestDispatcher.firstTier(fresh, Now), ModelTier(0));
+  fresh.Caller.LastEventId = 0;
+  EXPECT_EQ(RequestDispatcher.firstTier(fresh, Now), ModelTier(0));
+  RequestContext resumed = request(1, 100);
+  resumed.Caller.LastEventId = 7;
+  EXPECT_EQ(RequestDispatcher.firstTier(resumed, Now), ModelTier(1));
+  resumed.Caller.AnyModel = false;
+  EXPECT_EQ(RequestDispatcher.firstTier(resumed, Now), ModelTier());
+}
+
+/// A dispatcher whose route has a model of intermediate size.
+class ThreeModelsTest : public DispatcherTest {
+protected:
+  ThreeModelsTest() {
+    catalogue::Catalogue declared = Declared->catalogue();
+    declared.Routes.front().Models = {"small", "medium", "large"};
+    declared.Services.front().Inference->Models = {
+        {"small", 0.01}, {"medium", 0.05}, {"large", 0.1}};
+    Declared = std::make_shared<const catalogue::CatalogueIndex>(declared);
+    RequestDispatcher.setCatalogue(Declared);
+  }
+  std::size_t escalated(std::size_t tier, int confidence) {
+    return RequestDispatcher
+        .decideEscalation(request(++Ids, 100), tier, confidence, Now)
+        .Tier;
+  }
+};
+
+// Pattern: many answers are almost confident enough. The largest model takes
+// several times as long for what the one of intermediate size can answer.
+TEST_F(ThreeModelsTest, nearlySufficientAnswersEscalateToTheNextModel) {
+  EXPECT_EQ(escalated(0, 95), 0U);
+  EXPECT_EQ(escalated(0, 55), 1U);
+  EXPECT_EQ(escalated(0, 10), 2U);
+  EXPECT_EQ(escalated(1, 95), 1U);
+  EXPECT_EQ(escalated(1, 55), 2U);
+}
+
+TEST_F(ThreeModelsTest, nextModelIsLeftOutWhileItsAnswersDoNotSuffice) {
+  for (int n = 0; n < 40; ++n)
+    escalated(1, 20);
+  EXPECT_EQ(escalated(0, 55), 2U);
+}
+
+TEST_F(ThreeModelsTest, largestModelHasRunnersOfItsOwn) {
+  std::set<core::RunnerId> largest;
+  std::set<core::RunnerId> smaller;
+  for (std::uint64_t n = 0; n < 100; ++n) {
+    for (const std::size_t tier : {0U, 1U, 2U}) {
+      const auto placement = place(RequestDispatcher, request(n, 2'000), tier);
+      ASSERT_TRUE(placement);
+      (tier == 2 ? largest : smaller).insert(placement->Runner);
+      serve(RequestDispatcher, *placement);
+    }
+  }
+  for (const core::RunnerId &it : largest)
+    EXPECT_FALSE(smaller.contains(it)) << it.str();
+}
+
+// A subject's requests reach any gateway; each must know where the others sent
+// its prompt.
+TEST_F(DispatcherTest, peersKnowWhereAPromptWasSent) {
+  Dispatcher other(settings());
+  other.setCatalogue(Declared);
+  for (int n = 0; n < 12; ++n)
+    add(other, "runner-" + std::to_string(n));
+  const auto first = place(other, request(7, 20'000), 1);
+  ASSERT_TRUE(first);
+  serve(other, *first);
+  const PeerReport report = other.report(Now);
+  ASSERT_EQ(report.Prompts.size(), 1U);
+  EXPECT_EQ(report.Prompts.front().Runner, first->Runner);
+  RequestDispatcher.onPeerReport(report, Now);
+  const auto second = place(RequestDispatcher, request(7, 20'000), 1);
+  ASSERT_TRUE(second);
+  EXPECT_EQ(second->Runner, first->Runner);
+  EXPECT_EQ(second->UncachedTokens, 500U) << "only its own part";
+  other.onReportSent();
+  EXPECT_TRUE(other.report(Now).Prompts.empty());
+}
+
 } // namespace
--- a/tests/unit/gateway/PeerReportCodecTest.cpp
+++ b/tests/unit/gateway/PeerReportCodecTest.cpp
@@ -23,6 +23,8 @@
        rollout::RolloutPhase::Reverted,
        2,
        core::Millis(9'000)}};
+  report.Prompts = {{1ULL << 63, core::RunnerId("r")},
+                    {7, core::RunnerId("r2")}};
   return report;
 }
 
@@ -36,6 +38,7 @@
   EXPECT_EQ(decoded->ExitsWithin, sampleReport().ExitsWithin);
   EXPECT_EQ(decoded->Configuration, sampleReport().Configuration);
   EXPECT_EQ(decoded->Rollouts, sampleReport().Rollouts);
+  EXPECT_EQ(decoded->Prompts, sampleReport().Prompts);
   const auto serving = decodePeerReport(encodePeerReport(PeerReport()));
   ASSERT_TRUE(serving.ok());
   EXPECT_FALSE(serving->ExitsWithin);
--- a/tests/unit/platform/HeaderTranslatorTest.cpp
+++ b/tests/unit/platform/HeaderTranslatorTest.cpp
@@ -140,4 +140,16 @@
   EXPECT_EQ(read(429, "Retry-After", "2").Backoff, std::nullopt);
 }
 
+TEST(HeaderTranslatorTest, namesTheRunnerThatHasThePrefix) {
+  gateway::RelayAttributes attributes;
+  EXPECT_FALSE(HeaderTranslator()
+                   .relay(makeCallerHead(), attributes)
+                   .Fields.find("Kv-Fetch"));
+  attributes.PrefixSource = "10.0.0.4:8088";
+  EXPECT_EQ(HeaderTranslator()
+                .relay(makeCallerHead(), attributes)
+                .Fields.find("Kv-Fetch"),
+            "10.0.0.4:8088");
+}
+
 } // namespace
