Trust two models that nearly agree, and learn nothing from rejections

Hypothesis: a rejection comes at once, so that a full runner looks fast. Hypothesis: the middle model's answer follows one of the smallest that was nearly confident; both opinions together need less confidence.

--- a/src/cowslipridge/gateway/Dispatcher.cpp
+++ b/src/cowslipridge/gateway/Dispatcher.cpp
@@ -15,6 +15,7 @@
 constexpr std::size_t MaxCacheBlocks = 20'000;
 /// Bounds the number of prompts in one report, so that it fits a datagram.
 constexpr std::size_t MaxReportedPrompts = 60;
+constexpr int FirstErrorStatus = 400;
 /// First-byte timeout of a stream, as a multiple of the forecast.
 constexpr std::int64_t StreamTimeoutFactor = 4;
 /// First-byte timeout of a plain request: the time until its deadline, divided
@@ -149,13 +150,14 @@
 }
 
 EscalationDecision Dispatcher::decideEscalation(const RequestContext &request,
-                                                std::size_t tier,
-                                                int confidence,
+                                                std::size_t tier, int reported,
                                                 core::Millis now) {
   const std::size_t largest = request.Route->Models.size() - 1;
+  const bool isIntermediate = tier > 0 && tier < largest;
+  const int confidence =
+      isIntermediate ? route::confidenceOfSecondModel(reported) : reported;
   EscalationDecision decision{
       tier, tier < largest && route::isLowConfidence(confidence), {}};
-  const bool isIntermediate = tier > 0 && tier < largest;
   if (isIntermediate)
     NextModels[request.Route->Name].record(!decision.LowConfidence, now);
   if (tier < largest)
@@ -193,7 +195,10 @@
   if (it == ActiveAttempts.end())
     return;
   onNotices(it->second, response, now);
-  onFirstByte(ticket, it->second, now);
+  // A rejection or a failure says nothing about the time to the first token.
+  const bool hasAnswer = !response.NotRun && response.Status < FirstErrorStatus;
+  if (hasAnswer)
+    onFirstByte(ticket, it->second, now);
 }
 
 void Dispatcher::onNotices(const ActiveAttempt &attempt,
--- a/src/cowslipridge/gateway/Dispatcher.hpp
+++ b/src/cowslipridge/gateway/Dispatcher.hpp
@@ -62,7 +62,7 @@
                         AttemptKind kind, core::Millis now) override;
   ModelTier firstTier(const RequestContext &request, core::Millis now) override;
   EscalationDecision decideEscalation(const RequestContext &request,
-                                      std::size_t tier, int confidence,
+                                      std::size_t tier, int reported,
                                       core::Millis now) override;
   void onHead(std::uint64_t ticket, const ResponseAttributes &response,
               core::Millis now) override;
--- a/src/cowslipridge/route/ModelCascade.cpp
+++ b/src/cowslipridge/route/ModelCascade.cpp
@@ -10,7 +10,10 @@
 constexpr double LowConfidenceThreshold = 62;
 /// Confidence above which a model of intermediate size is likely to be good
 /// enough.
-constexpr int MinNextModelConfidence = 45;
+constexpr int MinNextModelConfidence = 38;
+/// Weight of the first model's opinion in that of the second.
+constexpr int SecondModelBonus = 12;
+constexpr int MaxConfidence = 100;
 /// Slack is the share of the time beside the larger model's own that the wait
 /// for other requests would leave unused. Below the first value nothing is
 /// escalated; above the second the full confidence threshold applies; in
@@ -37,6 +40,10 @@
   return confidence < LowConfidenceThreshold;
 }
 
+int confidenceOfSecondModel(int reported) {
+  return std::min(MaxConfidence, reported + SecondModelBonus);
+}
+
 bool isWithinReachOfNextModel(int confidence) {
   return confidence >= MinNextModelConfidence;
 }
--- a/src/cowslipridge/route/ModelCascade.hpp
+++ b/src/cowslipridge/route/ModelCascade.hpp
@@ -24,6 +24,11 @@
 /// are idle.
 bool isLowConfidence(int confidence);
 
+/// Returns the confidence that the answer of a second model deserves if it
+/// reported this one. Requests reach it only after a smaller model was nearly
+/// confident enough, so that both opinions count.
+int confidenceOfSecondModel(int reported);
+
 /// Returns true if an answer is so close to sufficient confidence that the next
 /// larger model is likely to be good enough for the request.
 bool isWithinReachOfNextModel(int confidence);
--- a/tests/unit/route/ModelCascadeTest.cpp
+++ b/tests/unit/route/ModelCascadeTest.cpp
@@ -76,4 +76,17 @@
   EXPECT_FALSE(shouldEscalate(context));
 }
 
+// Both models doubt a little; each alone would be escalated.
+TEST(ModelCascadeTest, secondModelNeedsLessConfidenceThanTheFirst) {
+  EXPECT_TRUE(isLowConfidence(55));
+  EXPECT_FALSE(isLowConfidence(confidenceOfSecondModel(55)));
+  EXPECT_TRUE(isLowConfidence(confidenceOfSecondModel(40)));
+  EXPECT_EQ(confidenceOfSecondModel(100), 100);
+}
+
+TEST(ModelCascadeTest, onlyNearlyConfidentAnswersAreWithinReachOfNextModel) {
+  EXPECT_TRUE(isWithinReachOfNextModel(55));
+  EXPECT_FALSE(isWithinReachOfNextModel(10));
+}
+
 } // namespace
