Try the next model where the largest has no time

Hypothesis: a model of intermediate size reads it in a quarter of that time and is good enough for some of them.

Tests: ThreeModelsTest.nextModelAnswersWhatTheLargestHasNoTimeFor.

--- a/src/cowslipridge/gateway/Dispatcher.cpp
+++ b/src/cowslipridge/gateway/Dispatcher.cpp
@@ -29,7 +29,8 @@
 Dispatcher::Dispatcher(const config::GatewaySettings &settings)
     : Settings(settings), Trials(settings.Exposure.Fraction),
       Cache(MaxCacheBlocks), Selection(settings, {Servers, Trials, Ejections,
-                                                  Backoff, Forecast, Cache}) {}
+                                                  Backoff, Forecast, Cache}),
+      Escalations(Selection) {}
 
 void Dispatcher::setCatalogue(catalogue::CataloguePtr catalogue) {
   Catalogue = std::move(catalogue);
@@ -142,46 +143,14 @@
 
 ModelTier Dispatcher::firstTier(const RequestContext &request,
                                 core::Millis /*now*/) {
-  if (!request.Caller.AnyModel || request.Route->Models.empty())
-    return std::nullopt;
-  // The events that the caller has may be the largest model's, and a pause in
-  // its stream has begun.
-  return isResumed(request) ? request.Route->Models.size() - 1 : 0;
+  return EscalationPolicy::firstTier(request);
 }
 
 EscalationDecision Dispatcher::decideEscalation(const RequestContext &request,
-                                                std::size_t tier, int reported,
+                                                std::size_t tier,
+                                                int confidence,
                                                 core::Millis now) {
-  const std::size_t largest = request.Route->Models.size() - 1;
-  const bool isIntermediate = tier > 0 && tier < largest;
-  const int confidence =
-      isIntermediate ? route::confidenceOfSecondModel(reported) : reported;
-  EscalationDecision decision{
-      tier, tier < largest && route::isLowConfidence(confidence), {}};
-  if (isIntermediate)
-    NextModels[request.Route->Name].record(!decision.LowConfidence, now);
-  if (tier < largest)
-    decision.Larger = Selection.forecast(request, largest, now);
-  if (!decision.Larger)
-    return decision;
-  route::EscalationContext context;
-  context.Confidence = confidence;
-  context.Target = request.Route->TargetLatency - (now - request.ArrivedAt);
-  context.Deadline = request.Deadline - now;
-  context.Largest = *decision.Larger;
-  if (route::shouldEscalate(context))
-    decision.Tier = escalationTier(request, tier, confidence, now);
-  return decision;
-}
-
-std::size_t Dispatcher::escalationTier(const RequestContext &request,
-                                       std::size_t tier, int confidence,
-                                       core::Millis now) {
-  const std::size_t largest = request.Route->Models.size() - 1;
-  const bool triesNext = tier == 0 &&
-                         route::isWithinReachOfNextModel(confidence) &&
-                         NextModels[request.Route->Name].isWorthwhile(now);
-  return triesNext ? tier + 1 : largest;
+  return Escalations.decide(request, tier, confidence, now);
 }
 
 core::Millis Dispatcher::retryAfter(const RequestContext &request,
@@ -311,75 +280,6 @@
     window.setMembers(Gateways);
 }
 
-void Dispatcher::onPeerReport(const PeerReport &report, core::Millis now) {
-  Selection.addRemotePins(report.PinnedSessions, now);
-  Forecast.setRemoteLoads(report.Gateway, report.Loads, now);
-  PeerEvidence.insert_or_assign(report.Gateway, report.Evidence);
-  Trials.onPeerKnowledge(report.Rollouts, now);
-  for (const PromptPlacement &it : report.Prompts)
-    Cache.recordBlock(it.Block, it.Runner);
-}
-
-void Dispatcher::removePeerLoad(const core::InstanceId &peer) {
-  // Its evidence stays valid; its requests in flight no longer count.
-  Forecast.removeRemoteLoads(peer);
-}
-
-PeerReport Dispatcher::report(core::Millis now) const {
-  PeerReport report;
-  report.Gateway = Settings.Instance;
-  report.Loads = Forecast.ownLoads();
-  report.PinnedSessions = Selection.pinnedSessions(now);
-  report.Configuration = generation();
-  report.Rollouts = Trials.knowledge(now);
-  report.Prompts = NewPrompts;
-  for (const core::ServiceId &service : Trials.activeRollouts()) {
-    for (const auto &[key, counts] : OwnEvidence) {
-      if (key.Service == service)
-        report.Evidence.emplace(key, counts);
-    }
-  }
-  return report;
-}
-
-rollout::RouteEvidenceTable Dispatcher::pooledEvidence() const {
-  rollout::RouteEvidenceTable pooled = OwnEvidence;
-  for (const auto &[peer, evidence] : PeerEvidence) {
-    for (const auto &[key, counts] : evidence)
-      pooled[key] += counts;
-  }
-  return pooled;
-}
-
-std::vector<rollout::TrialDecision>
-Dispatcher::dueDecisions(std::size_t rank, core::Millis now) const {
-  std::vector<rollout::TrialDecision> decisions;
-  const auto services = Trials.undecidedRollouts();
-  if (services.empty())
-    return decisions;
-  rollout::TrialControl::Observation observation;
-  observation.Evidence = pooledEvidence();
-  observation.Rank = rank;
-  for (const core::ServiceId &service : services) {
-    const core::VersionId target =
-        Trials.activeTarget(service).value_or(core::VersionId());
-    observation.StableInFlight = 0;
-    observation.TargetHasRunner = false;
-    for (const auto &[id, server] : Servers.all()) {
-      if (server.Service != service)
-        continue;
-      const route::ServerLoad load = Forecast.load(id);
-      if (server.Version != target)
-        observation.StableInFlight += load.Waiting + load.Running;
-      else if (!server.Draining)
-        observation.TargetHasRunner = true;
-    }
-    if (auto decision = Trials.next(service, observation, now))
-      decisions.push_back(std::move(*decision));
-  }
-  return decisions;
-}
-
 std::size_t Dispatcher::ejected(core::Millis now) const {
   const auto &all = Servers.all();
   return static_cast<std::size_t>(
--- a/src/cowslipridge/gateway/Dispatcher.hpp
+++ b/src/cowslipridge/gateway/Dispatcher.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cowslipridge/config/GatewaySettings.hpp"
+#include "cowslipridge/gateway/EscalationPolicy.hpp"
 #include "cowslipridge/gateway/Placement.hpp"
 #include "cowslipridge/gateway/RunnerSelection.hpp"
 #include "cowslipridge/limits/Ejections.hpp"
@@ -8,7 +9,6 @@
 #include "cowslipridge/limits/RunnerBackoff.hpp"
 #include "cowslipridge/membership/ServerRegistry.hpp"
 #include "cowslipridge/rollout/TrialControl.hpp"
-#include "cowslipridge/route/NextModelRecord.hpp"
 #include "cowslipridge/route/PrefillForecast.hpp"
 #include "cowslipridge/route/PromptCache.hpp"
 
@@ -62,7 +62,7 @@
                         AttemptKind kind, core::Millis now) override;
   ModelTier firstTier(const RequestContext &request, core::Millis now) override;
   EscalationDecision decideEscalation(const RequestContext &request,
-                                      std::size_t tier, int reported,
+                                      std::size_t tier, int confidence,
                                       core::Millis now) override;
   void onHead(std::uint64_t ticket, const ResponseAttributes &response,
               core::Millis now) override;
@@ -152,9 +152,6 @@
   void onFirstByte(std::uint64_t ticket, ActiveAttempt &attempt,
                    core::Millis now);
   void reportNotice(const RunnerNotice &notice);
-  /// Returns the tier to which a low-confidence answer of `tier` escalates.
-  std::size_t escalationTier(const RequestContext &request, std::size_t tier,
-                             int confidence, core::Millis now);
   /// Records that the runner reads the prompt.
   void recordPrompt(const std::vector<route::CacheBlock> &prompt,
                     const core::RunnerId &runner);
@@ -173,9 +170,9 @@
   route::PrefillForecast Forecast;
   route::PromptCache Cache;
   RunnerSelection Selection;
+  EscalationPolicy Escalations;
   std::map<core::ServiceId, limits::RetryWindow> Budgets;
   std::unordered_map<std::uint64_t, ActiveAttempt> ActiveAttempts;
-  std::map<std::string, route::NextModelRecord> NextModels; ///< by route
   std::vector<PromptPlacement> NewPrompts; ///< not yet reported to peers
   rollout::RouteEvidenceTable OwnEvidence;
   std::map<core::InstanceId, rollout::RouteEvidenceTable> PeerEvidence;
--- /dev/null
+++ b/src/cowslipridge/gateway/DispatcherReports.cpp
@@ -0,0 +1,76 @@
+#include "cowslipridge/gateway/Dispatcher.hpp"
+
+// The state that gateways exchange, and the decisions on roll-outs that rest on
+// it.
+namespace cowslipridge::gateway {
+
+void Dispatcher::onPeerReport(const PeerReport &report, core::Millis now) {
+  Selection.addRemotePins(report.PinnedSessions, now);
+  Forecast.setRemoteLoads(report.Gateway, report.Loads, now);
+  PeerEvidence.insert_or_assign(report.Gateway, report.Evidence);
+  Trials.onPeerKnowledge(report.Rollouts, now);
+  for (const PromptPlacement &it : report.Prompts)
+    Cache.recordBlock(it.Block, it.Runner);
+}
+
+void Dispatcher::removePeerLoad(const core::InstanceId &peer) {
+  // Its evidence stays valid; its requests in flight no longer count.
+  Forecast.removeRemoteLoads(peer);
+}
+
+PeerReport Dispatcher::report(core::Millis now) const {
+  PeerReport report;
+  report.Gateway = Settings.Instance;
+  report.Loads = Forecast.ownLoads();
+  report.PinnedSessions = Selection.pinnedSessions(now);
+  report.Configuration = generation();
+  report.Rollouts = Trials.knowledge(now);
+  report.Prompts = NewPrompts;
+  for (const core::ServiceId &service : Trials.activeRollouts()) {
+    for (const auto &[key, counts] : OwnEvidence) {
+      if (key.Service == service)
+        report.Evidence.emplace(key, counts);
+    }
+  }
+  return report;
+}
+
+rollout::RouteEvidenceTable Dispatcher::pooledEvidence() const {
+  rollout::RouteEvidenceTable pooled = OwnEvidence;
+  for (const auto &[peer, evidence] : PeerEvidence) {
+    for (const auto &[key, counts] : evidence)
+      pooled[key] += counts;
+  }
+  return pooled;
+}
+
+std::vector<rollout::TrialDecision>
+Dispatcher::dueDecisions(std::size_t rank, core::Millis now) const {
+  std::vector<rollout::TrialDecision> decisions;
+  const auto services = Trials.undecidedRollouts();
+  if (services.empty())
+    return decisions;
+  rollout::TrialControl::Observation observation;
+  observation.Evidence = pooledEvidence();
+  observation.Rank = rank;
+  for (const core::ServiceId &service : services) {
+    const core::VersionId target =
+        Trials.activeTarget(service).value_or(core::VersionId());
+    observation.StableInFlight = 0;
+    observation.TargetHasRunner = false;
+    for (const auto &[id, server] : Servers.all()) {
+      if (server.Service != service)
+        continue;
+      const route::ServerLoad load = Forecast.load(id);
+      if (server.Version != target)
+        observation.StableInFlight += load.Waiting + load.Running;
+      else if (!server.Draining)
+        observation.TargetHasRunner = true;
+    }
+    if (auto decision = Trials.next(service, observation, now))
+      decisions.push_back(std::move(*decision));
+  }
+  return decisions;
+}
+
+} // namespace cowslipridge::gateway
--- a/src/cowslipridge/route/ModelCascade.cpp
+++ b/src/cowslipridge/route/ModelCascade.cpp
@@ -11,6 +11,8 @@
 /// Confidence above which a model of intermediate size is likely to be good
 /// enough.
 constexpr int MinNextModelConfidence = 38;
+/// Confidence above which it may be good enough.
+constexpr int MinPossibleNextModelConfidence = 25;
 /// Weight of the first model's opinion in that of the second.
 constexpr int SecondModelBonus = 12;
 constexpr int MaxConfidence = 100;
@@ -48,12 +50,16 @@
   return confidence >= MinNextModelConfidence;
 }
 
+bool mayBeWithinReachOfNextModel(int confidence) {
+  return confidence >= MinPossibleNextModelConfidence;
+}
+
 bool shouldEscalate(const EscalationContext &context) {
-  const TierForecast &largest = context.Largest;
-  const core::Millis ownTime = largest.FirstToken - largest.Waiting;
+  const TierForecast &larger = context.Larger;
+  const core::Millis ownTime = larger.FirstToken - larger.Waiting;
   const double available = std::min(
-      slackShare(context.Target - ownTime, largest.Waiting),
-      slackShare(context.Deadline, largest.Completion) + DeadlineMargin);
+      slackShare(context.Target - ownTime, larger.Waiting),
+      slackShare(context.Deadline, larger.Completion) + DeadlineMargin);
   const double scale = std::clamp(
       (available - MinSlackShare) / (FullEscalationSlackShare - MinSlackShare),
       0.0, 1.0);
--- a/src/cowslipridge/route/ModelCascade.hpp
+++ b/src/cowslipridge/route/ModelCascade.hpp
@@ -11,13 +11,13 @@
   core::Millis Completion; ///< time until the end of the answer
 };
 
-/// Inputs of the decision whether to escalate a request to the largest model
+/// Inputs of the decision whether to escalate a request to a larger model
 /// after a smaller one has answered.
 struct EscalationContext {
   int Confidence = 0;  ///< the smaller model's confidence in its answer, 0..100
   core::Millis Target; ///< time left until the target for the first token
   core::Millis Deadline; ///< time left until the deadline of the answer
-  TierForecast Largest;
+  TierForecast Larger;   ///< of the model to which the request would escalate
 };
 
 /// Returns true if an answer with this confidence is escalated when the runners
@@ -33,6 +33,10 @@
 /// larger model is likely to be good enough for the request.
 bool isWithinReachOfNextModel(int confidence);
 
+/// Returns true if the next larger model may be good enough, so that it is
+/// better than no other model at all.
+bool mayBeWithinReachOfNextModel(int confidence);
+
 /// Returns true if the request is to be escalated to a larger model.
 ///
 /// A larger model answers hard requests better but has less capacity. While its
--- a/tests/unit/gateway/DispatcherTest.cpp
+++ b/tests/unit/gateway/DispatcherTest.cpp
@@ -516,4 +516,18 @@
   EXPECT_TRUE(other.report(Now).Prompts.empty());
 }
 
+// Pattern: the largest prompts. Reading them takes the largest model longer
+// than the target, on idle runners too.
+TEST_F(ThreeModelsTest, nextModelAnswersWhatTheLargestHasNoTimeFor) {
+  RequestContext large = request(1, 100);
+  large.Caller.Prompt = {{42, 80'000}};
+  large.Caller.PromptTokens = 80'000;
+  const auto tierFor = [&](int confidence) {
+    return RequestDispatcher.decideEscalation(large, 0, confidence, Now).Tier;
+  };
+  EXPECT_EQ(tierFor(30), 1U);
+  EXPECT_EQ(tierFor(5), 0U) << "too hard for the next model as well";
+  EXPECT_EQ(escalated(0, 30), 2U) << "the largest has time for a small prompt";
+}
+
 } // namespace
--- a/tests/unit/route/ModelCascadeTest.cpp
+++ b/tests/unit/route/ModelCascadeTest.cpp
@@ -13,9 +13,9 @@
   context.Confidence = confidence;
   context.Target = Millis(4'000);
   context.Deadline = Millis(12'000);
-  context.Largest = {.FirstToken = Millis(300),
-                     .Waiting = Millis(0),
-                     .Completion = Millis(2'000)};
+  context.Larger = {.FirstToken = Millis(300),
+                    .Waiting = Millis(0),
+                    .Completion = Millis(2'000)};
   return context;
 }
 
@@ -39,15 +39,15 @@
 TEST(ModelCascadeTest, escalatesFewerAnswersAsTheLargestModelSlowsDown) {
   EscalationContext context = makeIdleContext(0);
   int before = highestEscalated(context);
-  const Millis ownTime = context.Largest.FirstToken;
+  const Millis ownTime = context.Larger.FirstToken;
   for (const int millis : {1'000, 2'000, 3'000, 3'900}) {
-    context.Largest.FirstToken = Millis(millis);
-    context.Largest.Waiting = Millis(millis) - ownTime;
+    context.Larger.FirstToken = Millis(millis);
+    context.Larger.Waiting = Millis(millis) - ownTime;
     EXPECT_LE(highestEscalated(context), before) << millis;
     before = highestEscalated(context);
   }
   EXPECT_EQ(before, -1) << "the wait takes nearly all of the time";
-  context.Largest.FirstToken = Millis(4'000);
+  context.Larger.FirstToken = Millis(4'000);
   EXPECT_EQ(highestEscalated(context), -1) << "the answer would be late";
 }
 
@@ -56,17 +56,17 @@
 TEST(ModelCascadeTest, escalatesLargePromptsLikeSmallOnesWhileRunnersAreIdle) {
   const int small = highestEscalated(makeIdleContext(0));
   EscalationContext context = makeIdleContext(0);
-  context.Largest.FirstToken = Millis(3'000);
-  context.Largest.Waiting = Millis(50);
+  context.Larger.FirstToken = Millis(3'000);
+  context.Larger.Waiting = Millis(50);
   EXPECT_EQ(highestEscalated(context), small);
-  context.Largest.FirstToken = Millis(3'500);
-  context.Largest.Waiting = Millis(500);
+  context.Larger.FirstToken = Millis(3'500);
+  context.Larger.Waiting = Millis(500);
   EXPECT_LT(highestEscalated(context), small);
 }
 
 TEST(ModelCascadeTest, doesNotEscalateWhenTheAnswerWouldMissTheDeadline) {
   EscalationContext context = makeIdleContext(0);
-  context.Largest.Completion = Millis(12'500);
+  context.Larger.Completion = Millis(12'500);
   EXPECT_FALSE(shouldEscalate(context));
 }
 
@@ -89,4 +89,10 @@
   EXPECT_FALSE(isWithinReachOfNextModel(10));
 }
 
+TEST(ModelCascadeTest, nextModelMayHelpWhereItIsNotTheFirstChoice) {
+  EXPECT_TRUE(mayBeWithinReachOfNextModel(30));
+  EXPECT_FALSE(isWithinReachOfNextModel(30));
+  EXPECT_FALSE(mayBeWithinReachOfNextModel(5));
+}
+
 } // namespace
