--- a/tests/unit/route/NextModelRecordTest.cpp
+++ b/tests/unit/route/NextModelRecordTest.cpp
@@ -14,7 +14,7 @@
 
 TEST(NextModelRecordTest, staysWithAModelWhoseAnswersSuffice) {
   NextModelRecord record;
-  for (int n = 0; n < 200; ++n)
+  for (std::int64_t n = 0; n < 200; ++n)
     record.record(n % 4 != 0, Millis(n * 50));
   EXPECT_TRUE(record.isWorthwhile(Millis(10'000)));
 }
@@ -23,14 +23,14 @@
 // one, so that nearly all requests run a third time.
 TEST(NextModelRecordTest, leavesOutAModelThatIsHardlyBetter) {
   NextModelRecord record;
-  for (int n = 0; n < 60; ++n)
+  for (std::int64_t n = 0; n < 60; ++n)
     record.record(n % 5 == 0, Millis(n * 50));
   EXPECT_FALSE(record.isWorthwhile(Millis(3'000)));
 }
 
 TEST(NextModelRecordTest, triesAgainAfterAWhile) {
   NextModelRecord record;
-  for (int n = 0; n < 60; ++n)
+  for (std::int64_t n = 0; n < 60; ++n)
     record.record(false, Millis(n * 50));
   EXPECT_FALSE(record.isWorthwhile(Millis(3'000)));
   EXPECT_TRUE(record.isWorthwhile(Millis(200'000)));
