Look for a prompt's holder only where a transfer can pay

Cause: planTransfer asked every runner of the pool a second time what it keeps of the prompt, for each placement and forecast, also for prompts that are read in less time than any transfer takes.

Change: such prompts return before the search. Nothing else changes: the tokens to move are at most the uncached ones, the reading time is proportional to them, and a transfer takes its setup time at least, so the later comparison would have refused the same ones. Ruled out for now: to collect the holder in the loop that evaluates the runners, which changes the class.

--- a/src/cowslipridge/gateway/RunnerSelection.cpp
+++ b/src/cowslipridge/gateway/RunnerSelection.cpp
@@ -265,6 +265,10 @@
   const double perToken = transferMillisPerToken(request);
   if (perToken <= 0)
     return;
+  // Most prompts are read in less time than any transfer takes.
+  if (Forecast.prefillMillis(model, candidate.UncachedTokens) <=
+      TransferSetupMillis)
+    return;
   const PromptLocation::Holder holder = prompt.largestHolder(servers);
   const std::uint64_t cached = prompt.cachedTokens(*candidate.Server);
   if (holder.Tokens <= cached)
