Log a digest of what each request asks for

The log knew requests by ids, which differ each time that the same request comes, so that it could not tell whether one request was in each crash. Event 401 has content=, a digest of organisation, method, host, target and body.

Ruled out: to take the prompt's segments into it, as the last one differs with each request. No logic is changed.

--- a/src/cowslipridge/gateway/CallerRequest.hpp
+++ b/src/cowslipridge/gateway/CallerRequest.hpp
@@ -37,6 +37,8 @@
   std::optional<std::uint64_t> EstimatedOutputTokens;
   std::vector<PromptPart> Prompt;
   core::SessionId Session; ///< empty if the request belongs to no session
+  /// Digest of what the request asks for; see contentDigest().
+  std::uint64_t Content = 0;
 };
 
 /// The attributes that the gateway adds to a request which it relays.
--- a/src/cowslipridge/gateway/EventDetails.cpp
+++ b/src/cowslipridge/gateway/EventDetails.cpp
@@ -82,15 +82,14 @@
 }
 
 std::string describe(const QuarantineStart &start) {
-  std::ostringstream text;
-  text << "service=" << start.Quarantined.Segment.Service.str()
-       << " segment=" << std::hex << start.Quarantined.Segment.Id << std::dec
-       << " for_ms=" << start.Quarantined.Remaining.count();
-  if (start.isOwnDecision())
-    text << " crashes=" << start.Crashes << " requests=" << start.Requests;
-  else
-    text << " as others report";
-  return text.str();
+  const std::string text =
+      "service=" + start.Quarantined.Segment.Service.str() +
+      " segment=" + formatHex(start.Quarantined.Segment.Id) +
+      " for_ms=" + std::to_string(start.Quarantined.Remaining.count());
+  if (!start.isOwnDecision())
+    return text + " as others report";
+  return text + " crashes=" + std::to_string(start.Crashes) +
+         " requests=" + std::to_string(start.Requests);
 }
 
 std::string describe(const LowConfidenceAnswer &answer) {
@@ -106,10 +105,15 @@
 
 std::string describeSharedSegments(const CallerRequest &caller) {
   const std::vector<std::uint64_t> segments = sharedSegments(caller);
-  std::ostringstream text;
-  text << std::hex;
+  std::string text;
   for (std::size_t n = 0; n < std::min(segments.size(), MaxLoggedSegments); ++n)
-    text << (n > 0 ? "," : "") << segments[n];
+    text += (n > 0 ? "," : "") + formatHex(segments[n]);
+  return text;
+}
+
+std::string formatHex(std::uint64_t number) {
+  std::ostringstream text;
+  text << std::hex << number;
   return text.str();
 }
 
--- a/src/cowslipridge/gateway/EventDetails.hpp
+++ b/src/cowslipridge/gateway/EventDetails.hpp
@@ -8,6 +8,7 @@
 #include "cowslipridge/membership/BackendServer.hpp"
 #include "cowslipridge/rollout/RolloutCommand.hpp"
 
+#include <cstdint>
 #include <string>
 
 /// Formats typed values for a gateway's log lines, as `name=value` pairs.
@@ -26,6 +27,8 @@
 /// Returns the ids of the prompt's segments that other requests may share, in
 /// hexadecimal; empty if there are none.
 std::string describeSharedSegments(const CallerRequest &caller);
+/// Returns the digest or id in hexadecimal.
+std::string formatHex(std::uint64_t number);
 std::string describe(const rollout::RolloutCommand &order);
 std::string describe(const rollout::RolloutStatus &status);
 std::string describe(const rollout::RolloutProgress &progress);
--- a/src/cowslipridge/gateway/Gateway.cpp
+++ b/src/cowslipridge/gateway/Gateway.cpp
@@ -3,6 +3,7 @@
 #include "cowslipridge/core/Chrono.hpp"
 #include "cowslipridge/core/Visit.hpp"
 #include "cowslipridge/gateway/EventDetails.hpp"
+#include "cowslipridge/gateway/RequestTraits.hpp"
 
 #include <boost/asio/ip/address.hpp>
 
@@ -218,12 +219,15 @@
 
 void Gateway::answer(const std::shared_ptr<http1::Exchange> &exchange,
                      const CallerRequest &caller) {
-  const auto resolved = resolve(caller, exchange->readAt());
+  auto resolved = resolve(caller, exchange->readAt());
   std::visit(
       core::Overloaded{
           [&](const ErrorReply &it) { reject(*exchange, caller.Id, it); },
-          [&](const RequestContext &it) {
-            std::make_shared<RequestFlow>(Flows, exchange, it)->start();
+          [&](RequestContext &it) {
+            it.Caller.Content =
+                contentDigest(it, exchange->head(), exchange->body());
+            std::make_shared<RequestFlow>(Flows, exchange, std::move(it))
+                ->start();
           }},
       resolved);
 }
--- a/src/cowslipridge/gateway/RequestFlow.cpp
+++ b/src/cowslipridge/gateway/RequestFlow.cpp
@@ -141,6 +141,7 @@
       " left_ms=" + std::to_string(remaining.count());
   if (!caller.Session.empty())
     detail += " session=" + caller.Session.str();
+  detail += " content=" + formatHex(caller.Content);
   if (const std::string segments = describeSharedSegments(caller);
       !segments.empty())
     detail += " prompt=" + segments;
--- a/src/cowslipridge/gateway/RequestTraits.cpp
+++ b/src/cowslipridge/gateway/RequestTraits.cpp
@@ -52,6 +52,23 @@
   return ids;
 }
 
+std::uint64_t contentDigest(const RequestContext &request,
+                            const http1::RequestHead &head,
+                            std::string_view body) {
+  const std::string organisation = request.Organisation != nullptr
+                                       ? request.Organisation->Name.str()
+                                       : std::string();
+  // Each part is hashed with the digest of those before as its seed, so that
+  // the same bytes in other parts give another digest.
+  std::uint64_t digest = 0;
+  for (const std::string_view part :
+       {std::string_view(organisation), std::string_view(head.Method),
+        std::string_view(request.Caller.Host), std::string_view(head.Target),
+        body})
+    digest = XXH64(part.data(), part.size(), digest);
+  return digest;
+}
+
 std::uint64_t promptTokens(const CallerRequest &caller) {
   std::uint64_t listed = 0;
   for (const PromptPart &it : caller.Prompt)
--- a/src/cowslipridge/gateway/RequestTraits.hpp
+++ b/src/cowslipridge/gateway/RequestTraits.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
 #include "cowslipridge/gateway/Placement.hpp"
+#include "cowslipridge/http1/Message.hpp"
 #include "cowslipridge/route/PromptCache.hpp"
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cowslipridge::gateway {
@@ -27,6 +29,11 @@
 /// Returns the ids of the prompt's segments that other requests may share: all
 /// but the last one. Of long prompts, only the first ones.
 std::vector<std::uint64_t> sharedSegments(const CallerRequest &caller);
+/// Returns a digest that is the same for all requests of one organisation with
+/// the same method, host, target and body, whatever their ids.
+std::uint64_t contentDigest(const RequestContext &request,
+                            const http1::RequestHead &head,
+                            std::string_view body);
 std::uint64_t promptTokens(const CallerRequest &caller);
 /// Returns the time that runners of the service need to transfer one token of a
 /// cached prefix to each other; 0 if it is unknown.
