Add failing tests of one request that crashes runners again and again

The fleet of the tests of crashing prompts is made to play both kinds; its tests are unchanged and pass.

--- a/src/standins/platform/PlainRunner.cpp
+++ b/src/standins/platform/PlainRunner.cpp
@@ -1,15 +1,35 @@
 #include "standins/platform/PlainRunner.hpp"
 
+#include <algorithm>
+
 namespace cowslipridge::standins::platform {
 
 void PlainRunner::startRequest(RunnerCall call) {
-  if (traits().ServiceTime == core::Millis())
+  if (traits().ServiceTime == core::Millis() && !isCrashing(call))
     respond(call);
   else
     Active.push_back({std::move(call), now() + traits().ServiceTime});
 }
 
+bool PlainRunner::isCrashing(const RunnerCall &call) const {
+  return traits().CrashingTarget == call.Exchange->head().Target;
+}
+
+void PlainRunner::crash() {
+  for (const ActiveRequest &it : Active)
+    it.Call.Exchange->abort();
+  Active.clear();
+}
+
 void PlainRunner::process(core::Millis now) {
+  const bool crashes =
+      std::any_of(Active.begin(), Active.end(), [&](const ActiveRequest &it) {
+        return now >= it.DueAt && isCrashing(it.Call);
+      });
+  if (crashes) {
+    crash();
+    return;
+  }
   for (const ActiveRequest &it : Active) {
     if (!*it.Call.Disconnected && now >= it.DueAt)
       respond(it.Call);
--- a/src/standins/platform/PlainRunner.hpp
+++ b/src/standins/platform/PlainRunner.hpp
@@ -25,6 +25,8 @@
   };
 
   void respond(const RunnerCall &call);
+  [[nodiscard]] bool isCrashing(const RunnerCall &call) const;
+  void crash();
 
   std::list<ActiveRequest> Active;
 };
--- a/src/standins/platform/PlatformRunner.hpp
+++ b/src/standins/platform/PlatformRunner.hpp
@@ -40,6 +40,9 @@
   /// Crashes after the first event of a stream whose prompt has the segment
   /// with this id: aborts all its connections.
   std::optional<std::string> CrashingSegment;
+  /// Crashes instead of answering a plain request for this target: aborts all
+  /// its connections.
+  std::optional<std::string> CrashingTarget;
 };
 
 /// One request at a runner.
--- a/tests/integration/platform/GatewayQuarantineTest.cpp
+++ b/tests/integration/platform/GatewayQuarantineTest.cpp
@@ -11,8 +11,31 @@
 constexpr const char *RecordPrefix = "cowslipridge/quarantine/";
 constexpr int RunnerCount = 4;
 
+/// Runners that crash on some requests, and a gateway in front of them.
+class CrashingRunnersTest : public GatewayTest {
+protected:
+  std::shared_ptr<CallRecorder> send(const std::string &bytes) {
+    return awaitResponse(sendRequest(Callers, bytes));
+  }
+  bool hasLogged(const std::string &text) const {
+    return Gateway->log().find(text) != std::string::npos;
+  }
+  void runFor(core::Millis time) {
+    const core::Millis end = Clock.monotonic() + time;
+    runUntil([&] { return Clock.monotonic() >= end; });
+  }
+  void expectRejected(const std::string &bytes) {
+    const auto response = send(bytes);
+    EXPECT_EQ(response->Status, 503);
+    EXPECT_EQ(runsOfLastRequest(), 0);
+    const auto retryAfter = response->Head.Fields.find("Retry-After");
+    ASSERT_TRUE(retryAfter);
+    EXPECT_GT(std::stod(std::string(*retryAfter)), 500);
+  }
+};
+
 /// Runners crash when they answer prompts with one segment.
-class GatewayQuarantineTest : public GatewayTest {
+class GatewayQuarantineTest : public CrashingRunnersTest {
 protected:
   GatewayQuarantineTest() {
     for (int n = 0; n < RunnerCount; ++n)
@@ -27,12 +50,6 @@
                    "Prompt-Prefix: a1:80,dead:20,c" +
                        std::to_string(RequestCount) + ":20\r\n");
   }
-  std::shared_ptr<CallRecorder> send(const std::string &bytes) {
-    return awaitResponse(sendRequest(Callers, bytes));
-  }
-  bool hasLogged(const std::string &text) const {
-    return Gateway->log().find(text) != std::string::npos;
-  }
   /// Sends requests that crash runners until the gateway reacts.
   void crashUntilQuarantined() {
     const core::Millis end = Clock.monotonic() + core::Millis(10'000);
@@ -43,10 +60,6 @@
       runFor(core::Millis(160));
     }
   }
-  void runFor(core::Millis time) {
-    const core::Millis end = Clock.monotonic() + time;
-    runUntil([&] { return Clock.monotonic() >= end; });
-  }
   bool hasRecord() {
     for (const auto &item : Store.store().list(RecordPrefix, "")) {
       if (item.Key.ends_with(CrashingSegment))
@@ -55,12 +68,35 @@
     return false;
   }
   void expectRejected() {
-    const auto response = send(crashingRequest());
-    EXPECT_EQ(response->Status, 503);
-    EXPECT_EQ(runsOfLastRequest(), 0);
-    const auto retryAfter = response->Head.Fields.find("Retry-After");
-    ASSERT_TRUE(retryAfter);
-    EXPECT_GT(std::stod(std::string(*retryAfter)), 500);
+    CrashingRunnersTest::expectRejected(crashingRequest());
+  }
+};
+
+/// Runners crash when they run one plain request.
+class GatewayRepeatedRequestTest : public CrashingRunnersTest {
+protected:
+  GatewayRepeatedRequestTest() {
+    for (int n = 0; n < RunnerCount; ++n) {
+      RunnerTraits &traits =
+          addPlainRunner("desk-" + std::to_string(n)).traits();
+      traits.CrashingTarget = "/get/crash";
+      traits.ServiceTime = core::Millis(10);
+    }
+    configure();
+  }
+
+  std::string crashingRequest() { return request("GET", "/get/crash"); }
+  /// Sends the request until it has crashed three runners or more, and lets the
+  /// gateway react.
+  void crashRunners() {
+    int runs = 0;
+    while (runs < 3) {
+      EXPECT_EQ(send(crashingRequest())->Status, 502);
+      runs += runsOfLastRequest();
+      EXPECT_EQ(send(request("GET", "/get/x"))->Status, 200);
+      runFor(core::Millis(160));
+    }
+    runFor(core::Millis(1'500));
   }
 };
 
@@ -108,4 +144,22 @@
   expectRejected();
 }
 
+// Guards against one plain request that crashes runner after runner, as it
+// comes again with a new id each time.
+TEST_F(GatewayRepeatedRequestTest, rejectsARequestThatCrashesRunners) {
+  startAndAwaitReady();
+  crashRunners();
+  expectRejected(crashingRequest());
+  EXPECT_EQ(send(request("GET", "/get/x"))->Status, 200);
+}
+
+// Guards against crashes that begin again when all gateways restart.
+TEST_F(GatewayRepeatedRequestTest, restartedGatewayRejectsItAtOnce) {
+  startAndAwaitReady();
+  crashRunners();
+  Gateway->kill();
+  startAndAwaitReady();
+  expectRejected(crashingRequest());
+}
+
 } // namespace
--- a/tests/unit/gateway/CrashingPromptTest.cpp
+++ b/tests/unit/gateway/CrashingPromptTest.cpp
@@ -1,4 +1,4 @@
-#include "CrashingPromptFleet.hpp"
+#include "CrashingRequestFleet.hpp"
 
 #include <gtest/gtest.h>
 
@@ -15,10 +15,10 @@
 TEST(CrashingPromptTest, segmentThatCrashesRunnersIsKeptFromThem) {
   for (const std::size_t position : {std::size_t{0}, std::size_t{1}}) {
     for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
-      support::CrashingPromptLoad load;
+      support::CrashLoad load;
       load.Seed = seed;
       load.Position = position;
-      const auto result = support::CrashingPromptFleet(load).run();
+      const auto result = support::CrashingRequestFleet(load).run();
       EXPECT_LE(result.LateArrivals, MaxLateArrivals)
           << "seed " << seed << ", " << result.Crashes << " crashes";
     }
@@ -29,10 +29,10 @@
 // those that crash runners.
 TEST(CrashingPromptTest, requestsThatShareOtherSegmentsGoOn) {
   for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
-    support::CrashingPromptLoad load;
+    support::CrashLoad load;
     load.Seed = seed;
     load.Duration = Millis(40'000);
-    const auto result = support::CrashingPromptFleet(load).run();
+    const auto result = support::CrashingRequestFleet(load).run();
     ASSERT_GT(result.Related, 10) << "seed " << seed;
     EXPECT_GE(result.RelatedPlaced * 2, result.Related) << "seed " << seed;
   }
--- a/tests/unit/gateway/CrashingRequestFleet.cpp
+++ b/tests/unit/gateway/CrashingRequestFleet.cpp
@@ -1,6 +1,7 @@
-#include "CrashingPromptFleet.hpp"
+#include "CrashingRequestFleet.hpp"
 
 #include "support/ModelCatalogue.hpp"
+#include "support/PlainCatalogue.hpp"
 
 #include <algorithm>
 #include <string>
@@ -18,10 +19,13 @@
 /// Time from the beginning of an answer until its runner crashes.
 constexpr Millis LongestCrashDelay{130};
 constexpr Millis LongestAnswer{4'000};
-constexpr int FifthCrash = 5;
+constexpr Millis LongestPlainAnswer{100};
+constexpr int CrashesOfASegment = 5;
+constexpr int CrashesOfAContent = 3;
 constexpr unsigned MaxAttempts = 3;
 
 constexpr std::uint64_t CrashingSegment = 0xdead;
+constexpr std::uint64_t CrashingContent = 0xdead;
 constexpr std::uint64_t RelatedSegment = 0xa0;
 constexpr std::uint64_t FirstSegments = 6;
 constexpr std::uint64_t Subjects = 40;
@@ -29,23 +33,25 @@
 
 } // namespace
 
-CrashingPromptFleet::CrashingPromptFleet(const CrashingPromptLoad &load)
-    : Load(load), Random(load.Seed), Declared(modelCatalogue()) {
-  for (std::size_t n = 0; n < RunnerCount; ++n)
+CrashingRequestFleet::CrashingRequestFleet(const CrashLoad &load)
+    : Load(load), Random(load.Seed),
+      Declared(load.Cause == CrashCause::Content ? plainCatalogue()
+                                                 : modelCatalogue()) {
+  for (std::size_t n = 0; n < Load.Runners; ++n)
     Runners.insert(core::RunnerId("runner-" + std::to_string(n)));
-  for (std::size_t n = 0; n < GatewayCount; ++n)
+  for (std::size_t n = 0; n < Load.Gateways; ++n)
     Gateways.push_back(makeGateway(n));
 }
 
 std::unique_ptr<gateway::Dispatcher>
-CrashingPromptFleet::makeGateway(std::size_t number) const {
+CrashingRequestFleet::makeGateway(std::size_t number) const {
   config::GatewaySettings settings;
   settings.Instance = core::InstanceId("gateway-" + std::to_string(number));
   settings.Retries = {1, 1'000, Millis(10'000)};
   auto gateway = std::make_unique<gateway::Dispatcher>(settings);
   gateway->setCatalogue(Declared);
   std::set<core::InstanceId> peers;
-  for (std::size_t n = 0; n < GatewayCount; ++n) {
+  for (std::size_t n = 0; n < Load.Gateways; ++n) {
     if (n != number)
       peers.insert(core::InstanceId("gateway-" + std::to_string(n)));
   }
@@ -55,19 +61,19 @@
   return gateway;
 }
 
-void CrashingPromptFleet::registerRunner(gateway::Dispatcher &gateway,
-                                         const core::RunnerId &runner) const {
+void CrashingRequestFleet::registerRunner(gateway::Dispatcher &gateway,
+                                          const core::RunnerId &runner) const {
   membership::BackendServer server;
   server.Id = runner;
-  server.Service = ModelService;
+  server.Service = isPlain() ? PlainService : ModelService;
   server.Host = "127.0.0.1";
   server.Port = 80;
   server.Version = core::VersionId("v1");
   gateway.servers().put(server);
 }
 
-gateway::RequestContext CrashingPromptFleet::makeRequest(bool crashing,
-                                                         bool related) {
+gateway::RequestContext CrashingRequestFleet::makeRequest(bool crashing,
+                                                          bool related) {
   gateway::RequestContext request;
   request.Caller.Id = core::RequestId("id-" + std::to_string(++Ids));
   request.Caller.AnyModel = true;
@@ -89,22 +95,40 @@
   return request;
 }
 
-bool CrashingPromptFleet::crashes(
+gateway::RequestContext CrashingRequestFleet::makePlainRequest(bool crashing) {
+  gateway::RequestContext request;
+  request.Caller.Id = core::RequestId("id-" + std::to_string(++Ids));
+  request.Caller.Content = crashing ? CrashingContent : 1'000'000 + Ids;
+  request.Catalogue = Declared;
+  request.Route = &Declared->catalogue().Routes.front();
+  request.ArrivedAt = Now;
+  request.Deadline = Now + request.Route->Timeout;
+  return request;
+}
+
+int CrashingRequestFleet::crashesToReact() const {
+  return isPlain() ? CrashesOfAContent : CrashesOfASegment;
+}
+
+bool CrashingRequestFleet::crashes(
     const gateway::RequestContext &request) const {
+  if (isPlain())
+    return request.Caller.Content == CrashingContent;
   const auto &prompt = request.Caller.Prompt;
   return std::any_of(prompt.begin(), prompt.end(),
                      [](const auto &it) { return it.Id == CrashingSegment; });
 }
 
-bool CrashingPromptFleet::isLate() const {
-  return Result.Crashes >= FifthCrash && Now > *LastOfFiveAt + ReactionTime;
+bool CrashingRequestFleet::isLate() const {
+  return Result.Crashes >= crashesToReact() &&
+         Now > *LastCrashAt + ReactionTime;
 }
 
-bool CrashingPromptFleet::hasSettled() const {
-  return LastOfFiveAt && Now > *LastOfFiveAt + ReactionTime * 2;
+bool CrashingRequestFleet::hasSettled() const {
+  return LastCrashAt && Now > *LastCrashAt + ReactionTime * 2;
 }
 
-CrashingPromptResult CrashingPromptFleet::run() {
+CrashResult CrashingRequestFleet::run() {
   Millis reportAt = Now;
   bool restarted = false;
   while (Now - StartedAt < Load.Duration) {
@@ -127,12 +151,14 @@
   return Result;
 }
 
-void CrashingPromptFleet::arrive() {
+void CrashingRequestFleet::arrive() {
   const bool crashing = core::uniform(Random) < Load.CrashingShare;
   // As many sound requests share the first segment of the crashing ones.
-  const bool related = crashing || core::uniform(Random) < Load.CrashingShare;
-  const auto request = makeRequest(crashing, related);
-  const std::size_t gateway = core::uniformIndex(Random, GatewayCount);
+  const bool related =
+      crashing || isPlain() || core::uniform(Random) < Load.CrashingShare;
+  const auto request =
+      isPlain() ? makePlainRequest(crashing) : makeRequest(crashing, related);
+  const std::size_t gateway = core::uniformIndex(Random, Load.Gateways);
   const std::size_t before = Attempts.size();
   place(gateway, request, {}, gateway::AttemptKind::First);
   if (crashing || !related || !hasSettled())
@@ -141,11 +167,13 @@
   Result.RelatedPlaced += Attempts.size() > before ? 1 : 0;
 }
 
-void CrashingPromptFleet::place(std::size_t gateway,
-                                const gateway::RequestContext &request,
-                                const std::vector<core::RunnerId> &tried,
-                                gateway::AttemptKind kind) {
-  const auto result = Gateways[gateway]->place(request, 0, tried, kind, Now);
+void CrashingRequestFleet::place(std::size_t gateway,
+                                 const gateway::RequestContext &request,
+                                 const std::vector<core::RunnerId> &tried,
+                                 gateway::AttemptKind kind) {
+  const gateway::ModelTier tier =
+      isPlain() ? gateway::ModelTier() : gateway::ModelTier(0);
+  const auto result = Gateways[gateway]->place(request, tier, tried, kind, Now);
   const auto *placement = std::get_if<gateway::Placement>(&result);
   if (placement == nullptr)
     return;
@@ -166,13 +194,18 @@
     return Millis(static_cast<std::int64_t>(
         core::uniformIndex(Random, static_cast<std::size_t>(longest.count()))));
   };
-  attempt.BeginsAt = Now + Step + upTo(LongestPrefill);
-  attempt.EndsAt = attempt.BeginsAt + Step +
-                   upTo(crashes(request) ? LongestCrashDelay : LongestAnswer);
+  if (isPlain()) {
+    attempt.EndsAt = Now + Step + upTo(LongestPlainAnswer);
+    attempt.BeginsAt = attempt.EndsAt + (crashes(request) ? Step : Millis());
+  } else {
+    attempt.BeginsAt = Now + Step + upTo(LongestPrefill);
+    attempt.EndsAt = attempt.BeginsAt + Step +
+                     upTo(crashes(request) ? LongestCrashDelay : LongestAnswer);
+  }
   Attempts.push_back(std::move(attempt));
 }
 
-void CrashingPromptFleet::step() {
+void CrashingRequestFleet::step() {
   std::set<core::RunnerId> crashed;
   for (Attempt &it : Attempts) {
     gateway::Dispatcher &gateway = *Gateways[it.Gateway];
@@ -200,12 +233,12 @@
     it->tick(Now);
 }
 
-void CrashingPromptFleet::crash(const core::RunnerId &runner) {
+void CrashingRequestFleet::crash(const core::RunnerId &runner) {
   if (Runners.erase(runner) == 0)
     return;
   ++Result.Crashes;
-  if (Result.Crashes <= FifthCrash)
-    LastOfFiveAt = Now;
+  if (Result.Crashes <= crashesToReact())
+    LastCrashAt = Now;
   Returning.emplace(runner, Now + RunnerRestart);
   std::vector<Attempt> broken;
   std::copy_if(Attempts.begin(), Attempts.end(), std::back_inserter(broken),
@@ -221,7 +254,7 @@
   }
 }
 
-void CrashingPromptFleet::restoreRunners() {
+void CrashingRequestFleet::restoreRunners() {
   for (auto it = Returning.begin(); it != Returning.end();) {
     if (Now < it->second) {
       ++it;
@@ -238,13 +271,13 @@
   }
 }
 
-void CrashingPromptFleet::restartGateways() {
+void CrashingRequestFleet::restartGateways() {
   Attempts.clear();
-  for (std::size_t n = 0; n < GatewayCount; ++n)
+  for (std::size_t n = 0; n < Load.Gateways; ++n)
     Gateways[n] = makeGateway(n);
 }
 
-void CrashingPromptFleet::exchangeReports() {
+void CrashingRequestFleet::exchangeReports() {
   for (const auto &from : Gateways) {
     const gateway::PeerReport report = from->report(Now);
     for (const auto &to : Gateways) {
--- a/tests/unit/gateway/CrashingRequestFleet.hpp
+++ b/tests/unit/gateway/CrashingRequestFleet.hpp
@@ -12,9 +12,18 @@
 
 namespace cowslipridge::support {
 
-/// The load of one run of a CrashingPromptFleet.
-struct CrashingPromptLoad {
+/// What the requests that crash runners have in common.
+enum class CrashCause {
+  PromptSegment, ///< a segment of the prompt; the requests differ otherwise
+  Content,       ///< they are the same plain request, repeated under other ids
+};
+
+/// The load of one run of a CrashingRequestFleet.
+struct CrashLoad {
   std::uint64_t Seed = 1;
+  CrashCause Cause = CrashCause::PromptSegment;
+  std::size_t Gateways = 4;
+  std::size_t Runners = 12;
   double RequestsPerSecond = 25;
   double CrashingShare = 0.05; ///< of the requests
   /// Position of the segment that crashes runners in the prompt.
@@ -25,30 +34,30 @@
 };
 
 /// What the runners and callers of a fleet saw.
-struct CrashingPromptResult {
+struct CrashResult {
   int Crashes = 0;
-  /// Requests with the crashing segment that reached runners later than the
-  /// time for the fleet to react after the fifth crash.
+  /// Requests with the cause that reached runners later than the time for the
+  /// fleet to react after the crash that should have been one of the last.
   int LateArrivals = 0;
-  /// Sound requests with the same first segment, once the fleet had twice the
-  /// time to react to the fifth crash, or to the last one if there are fewer.
+  /// Sound requests with the same first segment (of plain requests: all sound
+  /// ones), once the fleet had twice the time to react to that crash, or to the
+  /// last one if there are fewer.
   int Related = 0;
   int RelatedPlaced = 0;
 };
 
-/// Gateways, runners and callers without network. A few requests have a prompt
-/// segment that crashes each runner a short time after it began an answer to
-/// them; all answers in progress there break.
-class CrashingPromptFleet {
+/// Gateways, runners and callers without network. A few requests crash each
+/// runner that runs them: because of a prompt segment, a short time after it
+/// began an answer, or because of their whole content, before it answers. All
+/// answers in progress there break.
+class CrashingRequestFleet {
 public:
-  static constexpr std::size_t GatewayCount = 4;
-  static constexpr std::size_t RunnerCount = 12;
-  /// Time that the fleet has to react to the fifth crash.
+  /// Time that the fleet has to react to a crash.
   static constexpr core::Millis ReactionTime{3'000};
 
-  explicit CrashingPromptFleet(const CrashingPromptLoad &load);
+  explicit CrashingRequestFleet(const CrashLoad &load);
 
-  CrashingPromptResult run();
+  CrashResult run();
 
 private:
   struct Attempt {
@@ -67,7 +76,13 @@
                       const core::RunnerId &runner) const;
   [[nodiscard]] gateway::RequestContext makeRequest(bool crashing,
                                                     bool related);
+  [[nodiscard]] gateway::RequestContext makePlainRequest(bool crashing);
+  [[nodiscard]] bool isPlain() const {
+    return Load.Cause == CrashCause::Content;
+  }
   [[nodiscard]] bool crashes(const gateway::RequestContext &request) const;
+  /// Returns the number of crashes to which the fleet has to react.
+  [[nodiscard]] int crashesToReact() const;
   void arrive();
   void place(std::size_t gateway, const gateway::RequestContext &request,
              const std::vector<core::RunnerId> &tried,
@@ -77,11 +92,11 @@
   void restoreRunners();
   void restartGateways();
   void exchangeReports();
-  /// Returns whether the fleet had time to react to the fifth crash.
+  /// Returns whether the fleet had time to react to the crashes.
   [[nodiscard]] bool isLate() const;
   [[nodiscard]] bool hasSettled() const;
 
-  const CrashingPromptLoad Load;
+  const CrashLoad Load;
   core::Random Random;
   catalogue::CataloguePtr Declared;
   std::vector<std::unique_ptr<gateway::Dispatcher>> Gateways;
@@ -90,10 +105,11 @@
   std::vector<Attempt> Attempts;
   core::Millis Now{100'000};
   core::Millis StartedAt{100'000};
-  std::optional<core::Millis> LastOfFiveAt; ///< of the first five crashes
+  /// The last crash of those to which the fleet has to react.
+  std::optional<core::Millis> LastCrashAt;
   std::uint64_t Ids = 0;
   std::uint64_t Incarnations = 0;
-  CrashingPromptResult Result;
+  CrashResult Result;
 };
 
 } // namespace cowslipridge::support
