Let crashes be attributed to any trait of a request, not to prompt segments alone

No behaviour changes: limits/RequestTrait names what requests may share, a prompt segment or (nothing uses it yet) the whole content; CrashAttribution, TraitQuarantine (before: SegmentQuarantine), CrashWatch and the records take traits. Reports and records keep their layout.

Ruled out: a second attribution and a second quarantine beside the first, with records, reports and expiry written twice.

--- a/src/cowslipridge/gateway/ControlPlane.hpp
+++ b/src/cowslipridge/gateway/ControlPlane.hpp
@@ -3,7 +3,7 @@
 #include "cowslipridge/catalogue/CatalogueIndex.hpp"
 #include "cowslipridge/core/Clock.hpp"
 #include "cowslipridge/core/Ids.hpp"
-#include "cowslipridge/limits/SegmentQuarantine.hpp"
+#include "cowslipridge/limits/TraitQuarantine.hpp"
 #include "cowslipridge/membership/BackendServer.hpp"
 #include "cowslipridge/rollout/RolloutCommand.hpp"
 
@@ -72,9 +72,9 @@
 struct PeerRemoved {
   core::InstanceId Name;
 };
-/// A gateway has quarantined a prompt segment.
-struct SegmentReported {
-  limits::QuarantinedSegment Segment;
+/// A gateway has quarantined a trait of requests.
+struct QuarantineReported {
+  limits::QuarantinedTrait Quarantined;
 };
 /// The store does not respond; the last known state stays in force.
 struct ControlPlaneUnavailable {
@@ -90,7 +90,7 @@
                  ServerChanged, ServerRemoved, ServersListed,
                  RolloutCommandChanged, RolloutWithdrawn, RolloutStatusChanged,
                  RolloutProgressChanged, RolloutsListed, PeerChanged,
-                 PeerRemoved, SegmentReported, ControlPlaneUnavailable,
+                 PeerRemoved, QuarantineReported, ControlPlaneUnavailable,
                  ControlPlaneAvailable, ControlPlaneRestored>;
 
 /// Interface to the store that operators and runners write to.
@@ -110,7 +110,7 @@
                        const rollout::RolloutProgress &progress) = 0;
   /// Writes a quarantine that this gateway decided on to the store, for
   /// gateways that start later.
-  virtual void recordQuarantine(const limits::QuarantinedSegment &segment) = 0;
+  virtual void recordQuarantine(const limits::QuarantinedTrait &trait) = 0;
   /// Returns whether the store has answered any call since the start.
   [[nodiscard]] virtual bool hasStoreResponded() const = 0;
   /// Removes the registration of this gateway.
--- a/src/cowslipridge/gateway/CrashWatch.cpp
+++ b/src/cowslipridge/gateway/CrashWatch.cpp
@@ -15,7 +15,7 @@
 // Bounds on one report, so that it fits a datagram.
 constexpr std::size_t MaxReportedBreaks = 40;
 constexpr std::size_t MaxReportedSurvivals = 60;
-constexpr std::size_t MaxReportedSegments = 60;
+constexpr std::size_t MaxReportedTraits = 60;
 
 } // namespace
 
@@ -23,9 +23,10 @@
                         const core::RunnerId &runner,
                         const CallerRequest &caller) {
   Attempt attempt;
-  attempt.Prompt = {service, runner, hashOf(caller.Id.str()),
-                    sharedSegments(caller), core::Millis()};
-  if (!attempt.Prompt.Segments.empty())
+  attempt.Runner = runner;
+  attempt.Request = hashOf(caller.Id.str());
+  attempt.Traits = traitsOf(caller, service);
+  if (!attempt.Traits.isEmpty())
     Attempts.emplace(ticket, std::move(attempt));
 }
 
@@ -34,7 +35,7 @@
   if (it == Attempts.end() || it->second.Begun)
     return;
   it->second.Begun = true;
-  it->second.Prompt.At = now;
+  it->second.BegunAt = now;
   Attribution.onBegun(now);
 }
 
@@ -42,10 +43,10 @@
   const auto it = Attempts.find(ticket);
   if (it == Attempts.end() || it->second.Survived || !it->second.Begun)
     return;
-  if (now - it->second.Prompt.At <= CrashAttribution::MaxCrashDelay)
+  if (now - it->second.BegunAt <= CrashAttribution::MaxCrashDelay)
     return;
   it->second.Survived = true;
-  onSurvived(it->second.Prompt, now);
+  onSurvived(it->second.Traits, now);
 }
 
 void CrashWatch::onEnded(std::uint64_t ticket, AttemptOutcome outcome,
@@ -55,21 +56,20 @@
     return;
   const Attempt attempt = std::move(it->second);
   Attempts.erase(it);
-  const bool isYoung =
-      attempt.Begun && !attempt.Survived &&
-      now - attempt.Prompt.At <= CrashAttribution::MaxCrashDelay;
+  const bool isYoung = attempt.Begun && !attempt.Survived &&
+                       now - attempt.BegunAt <= CrashAttribution::MaxCrashDelay;
   switch (outcome) {
   case AttemptOutcome::Served:
     if (!attempt.Survived)
-      onSurvived(attempt.Prompt, now);
+      onSurvived(attempt.Traits, now);
     break;
   case AttemptOutcome::Broken:
     if (isYoung)
       onBroken(attempt, now);
-    blameCancelled(attempt.Prompt.Runner, now);
+    blameCancelled(attempt.Runner, now);
     break;
   case AttemptOutcome::Unreachable:
-    blameCancelled(attempt.Prompt.Runner, now);
+    blameCancelled(attempt.Runner, now);
     break;
   case AttemptOutcome::Cancelled:
     if (isYoung)
@@ -83,8 +83,8 @@
 }
 
 void CrashWatch::onBroken(const Attempt &attempt, core::Millis now) {
-  limits::EarlyBreak event = attempt.Prompt;
-  event.At = now;
+  limits::EarlyBreak event{attempt.Runner, attempt.Request, attempt.Traits,
+                           now};
   record(event, true, now);
   OwnBreaks.push_back(std::move(event));
 }
@@ -93,8 +93,8 @@
                                 core::Millis brokenAt) {
   std::erase_if(Cancelled, [&](const Attempt &it) {
     const bool isCandidate =
-        it.Prompt.Runner == runner && it.Prompt.At <= brokenAt &&
-        brokenAt - it.Prompt.At <= CrashAttribution::MaxCrashDelay;
+        it.Runner == runner && it.BegunAt <= brokenAt &&
+        brokenAt - it.BegunAt <= CrashAttribution::MaxCrashDelay;
     if (isCandidate)
       onBroken(it, brokenAt);
     return isCandidate;
@@ -103,24 +103,24 @@
 
 void CrashWatch::record(const limits::EarlyBreak &event, bool isOwn,
                         core::Millis now) {
-  if (Quarantine.find(event.Service, event.Segments, now))
+  if (Quarantine.find(event.Traits, now))
     Attribution.onExplained(event);
   else
     Attribution.onBreak(event, isOwn, now);
 }
 
-void CrashWatch::onSurvived(const limits::EarlyBreak &prompt,
+void CrashWatch::onSurvived(const limits::RequestTraits &traits,
                             core::Millis now) {
-  for (const std::uint64_t it : prompt.Segments)
-    Attribution.onSurvived({{prompt.Service, it}, now}, true);
+  for (const limits::RequestTrait &it : traits.list())
+    Attribution.onSurvived({it, now}, true);
 }
 
 void CrashWatch::applyVerdicts(core::Millis now) {
   while (const auto verdict = Attribution.verdict(now)) {
-    Attribution.onBlamed(verdict->Segment);
-    const bool isNew = Quarantine.add(verdict->Segment, now);
+    Attribution.onBlamed(verdict->Trait);
+    const bool isNew = Quarantine.add(verdict->Trait, now);
     if (isNew && OnQuarantine)
-      OnQuarantine({{verdict->Segment, limits::SegmentQuarantine::Duration},
+      OnQuarantine({{verdict->Trait, limits::TraitQuarantine::Duration},
                     verdict->Crashes,
                     verdict->Requests});
   }
@@ -130,25 +130,25 @@
                                                const core::ServiceId &service,
                                                AttemptKind kind,
                                                core::Millis now) const {
-  const std::vector<std::uint64_t> segments = sharedSegments(caller);
-  if (const auto found = Quarantine.find(service, segments, now))
+  const limits::RequestTraits traits = traitsOf(caller, service);
+  if (const auto found = Quarantine.find(traits, now))
     return NoPlacement{"a segment of the prompt is quarantined",
                        found->Remaining};
-  const bool isRepeated = kind == AttemptKind::Retry &&
-                          Attribution.isSuspect(service, segments, now);
+  const bool isRepeated =
+      kind == AttemptKind::Retry && Attribution.isSuspect(traits, now);
   if (isRepeated)
     return NoPlacement{"a segment of the prompt may crash runners",
                        MinRetryAfter};
   return std::nullopt;
 }
 
-void CrashWatch::adopt(const limits::QuarantinedSegment &segment,
+void CrashWatch::adopt(const limits::QuarantinedTrait &trait,
                        core::Millis now) {
-  if (!Quarantine.adopt(segment, now))
+  if (!Quarantine.adopt(trait, now))
     return;
-  Attribution.onBlamed(segment.Segment);
+  Attribution.onBlamed(trait.Trait);
   if (OnQuarantine)
-    OnQuarantine({segment});
+    OnQuarantine({trait});
 }
 
 CrashReport CrashWatch::report(core::Millis now) const {
@@ -158,12 +158,12 @@
   report.Survivals = Attribution.ownSurvivalsSince(now - ReportTime);
   if (report.Survivals.size() > MaxReportedSurvivals)
     report.Survivals.resize(MaxReportedSurvivals);
-  report.Quarantined = Quarantine.list(MaxReportedSegments, now);
+  report.Quarantined = Quarantine.list(MaxReportedTraits, now);
   return report;
 }
 
 void CrashWatch::onPeerReport(const CrashReport &report, core::Millis now) {
-  for (const limits::QuarantinedSegment &it : report.Quarantined)
+  for (const limits::QuarantinedTrait &it : report.Quarantined)
     adopt(it, now);
   const auto toOwnClock = [&](core::Millis at) {
     return now - (report.SentAt - at);
@@ -173,8 +173,8 @@
     record(it, false, now);
     blameCancelled(it.Runner, it.At);
   }
-  for (const limits::SegmentSurvival &it : report.Survivals)
-    Attribution.onSurvived({it.Segment, toOwnClock(it.At)}, false);
+  for (const limits::TraitSurvival &it : report.Survivals)
+    Attribution.onSurvived({it.Trait, toOwnClock(it.At)}, false);
 }
 
 void CrashWatch::tick(core::Millis now) {
@@ -184,8 +184,8 @@
   while (!OwnBreaks.empty() && (OwnBreaks.size() > MaxReportedBreaks ||
                                 now - OwnBreaks.front().At > ReportTime))
     OwnBreaks.pop_front();
-  while (!Cancelled.empty() && now - Cancelled.front().Prompt.At >
-                                   CrashAttribution::MaxCrashDelay * 2)
+  while (!Cancelled.empty() &&
+         now - Cancelled.front().BegunAt > CrashAttribution::MaxCrashDelay * 2)
     Cancelled.pop_front();
 }
 
--- a/src/cowslipridge/gateway/CrashWatch.hpp
+++ b/src/cowslipridge/gateway/CrashWatch.hpp
@@ -2,7 +2,7 @@
 
 #include "cowslipridge/gateway/Placement.hpp"
 #include "cowslipridge/limits/CrashAttribution.hpp"
-#include "cowslipridge/limits/SegmentQuarantine.hpp"
+#include "cowslipridge/limits/TraitQuarantine.hpp"
 
 #include <cstdint>
 #include <deque>
@@ -13,19 +13,19 @@
 
 namespace cowslipridge::gateway {
 
-/// What one gateway tells its peers about prompts that crash runners. All times
-/// are of the sender's clock.
+/// What one gateway tells its peers about requests that crash runners. All
+/// times are of the sender's clock.
 struct CrashReport {
   core::Millis SentAt;
   std::vector<limits::EarlyBreak> Breaks;
-  std::vector<limits::SegmentSurvival> Survivals;
-  std::vector<limits::QuarantinedSegment> Quarantined;
+  std::vector<limits::TraitSurvival> Survivals;
+  std::vector<limits::QuarantinedTrait> Quarantined;
 };
 
-/// A segment that this gateway has begun to quarantine.
+/// A trait that this gateway has begun to quarantine.
 struct QuarantineStart {
-  limits::QuarantinedSegment Quarantined;
-  // The evidence; 0 if a peer or the store names the segment.
+  limits::QuarantinedTrait Quarantined;
+  // The evidence; 0 if a peer or the store names the trait.
   std::size_t Crashes = 0;
   std::size_t Requests = 0;
 
@@ -34,12 +34,12 @@
 
 using QuarantineListener = std::function<void(const QuarantineStart &)>;
 
-/// Watches the attempts of this gateway for prompt segments that crash runners,
-/// shares what it sees with the peers, and keeps prompts with such a segment
-/// from the runners.
+/// Watches the attempts of this gateway for traits of requests that crash
+/// runners, shares what it sees with the peers, and keeps requests with such a
+/// trait from the runners.
 class CrashWatch {
 public:
-  /// The listener is called for each segment that is quarantined.
+  /// The listener is called for each trait that is quarantined.
   void setListener(QuarantineListener listener) {
     OnQuarantine = std::move(listener);
   }
@@ -56,32 +56,38 @@
   [[nodiscard]] std::optional<NoPlacement>
   refusal(const CallerRequest &caller, const core::ServiceId &service,
           AttemptKind kind, core::Millis now) const;
-  /// Adds a segment that a peer or the store names.
-  void adopt(const limits::QuarantinedSegment &segment, core::Millis now);
+  /// Adds a trait that a peer or the store names.
+  void adopt(const limits::QuarantinedTrait &trait, core::Millis now);
 
-  /// Returns the recent evidence and the quarantined segments.
+  /// Returns the recent evidence and the quarantined traits.
   [[nodiscard]] CrashReport report(core::Millis now) const;
   /// Handles the report of a peer.
   void onPeerReport(const CrashReport &report, core::Millis now);
-  [[nodiscard]] std::size_t quarantined() const { return Quarantine.size(); }
+  /// Returns the number of quarantined traits of this kind.
+  [[nodiscard]] std::size_t quarantined(limits::TraitKind kind) const {
+    return Quarantine.count(kind);
+  }
   void tick(core::Millis now);
 
 private:
   struct Attempt {
-    limits::EarlyBreak Prompt; ///< At: when the answer began
+    core::RunnerId Runner;
+    std::uint64_t Request = 0; ///< hash of the request's id
+    limits::RequestTraits Traits;
+    core::Millis BegunAt;
     bool Begun = false;
     bool Survived = false;
   };
 
   void onBroken(const Attempt &attempt, core::Millis now);
   void blameCancelled(const core::RunnerId &runner, core::Millis brokenAt);
-  void onSurvived(const limits::EarlyBreak &prompt, core::Millis now);
+  void onSurvived(const limits::RequestTraits &traits, core::Millis now);
   void record(const limits::EarlyBreak &event, bool isOwn, core::Millis now);
   void applyVerdicts(core::Millis now);
 
   QuarantineListener OnQuarantine;
   limits::CrashAttribution Attribution;
-  limits::SegmentQuarantine Quarantine;
+  limits::TraitQuarantine Quarantine;
   std::unordered_map<std::uint64_t, Attempt> Attempts;
   /// Attempts that this gateway cancelled shortly after their answer began;
   /// their runner may still crash.
--- a/src/cowslipridge/gateway/EventDetails.cpp
+++ b/src/cowslipridge/gateway/EventDetails.cpp
@@ -83,8 +83,8 @@
 
 std::string describe(const QuarantineStart &start) {
   const std::string text =
-      "service=" + start.Quarantined.Segment.Service.str() +
-      " segment=" + formatHex(start.Quarantined.Segment.Id) +
+      "service=" + start.Quarantined.Trait.Service.str() +
+      " segment=" + formatHex(start.Quarantined.Trait.Id) +
       " for_ms=" + std::to_string(start.Quarantined.Remaining.count());
   if (!start.isOwnDecision())
     return text + " as others report";
--- a/src/cowslipridge/gateway/Gateway.hpp
+++ b/src/cowslipridge/gateway/Gateway.hpp
@@ -55,7 +55,7 @@
   void on(const RolloutsListed &event);
   void on(const PeerChanged &event);
   void on(const PeerRemoved &event);
-  void on(const SegmentReported &event);
+  void on(const QuarantineReported &event);
   void on(const ControlPlaneUnavailable &event);
   void on(const ControlPlaneAvailable &event);
   void on(const ControlPlaneRestored &event);
--- a/src/cowslipridge/gateway/GatewayControl.cpp
+++ b/src/cowslipridge/gateway/GatewayControl.cpp
@@ -121,8 +121,8 @@
   report(EventNumber::PeerRemoved, "peer=" + event.Name.str());
 }
 
-void Gateway::on(const SegmentReported &event) {
-  RequestDispatcher.crashes().adopt(event.Segment, Clock.monotonic());
+void Gateway::on(const QuarantineReported &event) {
+  RequestDispatcher.crashes().adopt(event.Quarantined, Clock.monotonic());
 }
 
 void Gateway::on(const ControlPlaneUnavailable &event) {
--- a/src/cowslipridge/gateway/GatewayGauges.cpp
+++ b/src/cowslipridge/gateway/GatewayGauges.cpp
@@ -35,7 +35,8 @@
   set(GaugeName::RunnersEjected,
       static_cast<double>(dispatcher.ejected(sources.Now)));
   set(GaugeName::SegmentsQuarantined,
-      static_cast<double>(dispatcher.crashes().quarantined()));
+      static_cast<double>(
+          dispatcher.crashes().quarantined(limits::TraitKind::PromptSegment)));
   set(GaugeName::RunnersRateLimited,
       static_cast<double>(dispatcher.rateLimited()));
   if (dispatcher.catalogue())
--- a/src/cowslipridge/gateway/PeerReportCodec.cpp
+++ b/src/cowslipridge/gateway/PeerReportCodec.cpp
@@ -56,16 +56,16 @@
 json encodeCrashes(const CrashReport &report) {
   json breaks = json::array();
   for (const limits::EarlyBreak &it : report.Breaks)
-    breaks.push_back({it.Service.str(), it.Runner.str(), it.Request,
-                      it.Segments, (report.SentAt - it.At).count()});
+    breaks.push_back({it.Traits.Service.str(), it.Runner.str(), it.Request,
+                      it.Traits.Segments, (report.SentAt - it.At).count()});
   json survivals = json::array();
-  for (const limits::SegmentSurvival &it : report.Survivals)
-    survivals.push_back({it.Segment.Service.str(), it.Segment.Id,
-                         (report.SentAt - it.At).count()});
+  for (const limits::TraitSurvival &it : report.Survivals)
+    survivals.push_back(
+        {it.Trait.Service.str(), it.Trait.Id, (report.SentAt - it.At).count()});
   json quarantined = json::array();
-  for (const limits::QuarantinedSegment &it : report.Quarantined)
+  for (const limits::QuarantinedTrait &it : report.Quarantined)
     quarantined.push_back(
-        {it.Segment.Service.str(), it.Segment.Id, it.Remaining.count()});
+        {it.Trait.Service.str(), it.Trait.Id, it.Remaining.count()});
   return {breaks, survivals, quarantined};
 }
 
@@ -92,23 +92,23 @@
 
 /// The decoded report was sent at time zero: earlier times are negative.
 CrashReport decodeCrashes(const json &message) {
-  const auto segmentOf = [](const json &it) {
-    return limits::PromptSegment{core::ServiceId(it.at(0).get<std::string>()),
-                                 it.at(1).get<std::uint64_t>()};
+  const auto traitOf = [](const json &it) {
+    return limits::RequestTrait{core::ServiceId(it.at(0).get<std::string>()),
+                                it.at(1).get<std::uint64_t>()};
   };
   CrashReport report;
   for (const json &it : message.at(0))
-    report.Breaks.push_back({core::ServiceId(it.at(0).get<std::string>()),
-                             core::RunnerId(it.at(1).get<std::string>()),
+    report.Breaks.push_back({core::RunnerId(it.at(1).get<std::string>()),
                              it.at(2).get<std::uint64_t>(),
-                             it.at(3).get<std::vector<std::uint64_t>>(),
+                             {core::ServiceId(it.at(0).get<std::string>()),
+                              it.at(3).get<std::vector<std::uint64_t>>()},
                              core::Millis(-it.at(4).get<std::int64_t>())});
   for (const json &it : message.at(1))
     report.Survivals.push_back(
-        {segmentOf(it), core::Millis(-it.at(2).get<std::int64_t>())});
+        {traitOf(it), core::Millis(-it.at(2).get<std::int64_t>())});
   for (const json &it : message.at(2))
     report.Quarantined.push_back(
-        {segmentOf(it), core::Millis(it.at(2).get<std::int64_t>())});
+        {traitOf(it), core::Millis(it.at(2).get<std::int64_t>())});
   return report;
 }
 
--- a/src/cowslipridge/gateway/RequestTraits.cpp
+++ b/src/cowslipridge/gateway/RequestTraits.cpp
@@ -52,6 +52,11 @@
   return ids;
 }
 
+limits::RequestTraits traitsOf(const CallerRequest &caller,
+                               const core::ServiceId &service) {
+  return {service, sharedSegments(caller), 0};
+}
+
 std::uint64_t contentDigest(const RequestContext &request,
                             const http1::RequestHead &head,
                             std::string_view body) {
--- a/src/cowslipridge/gateway/RequestTraits.hpp
+++ b/src/cowslipridge/gateway/RequestTraits.hpp
@@ -2,6 +2,7 @@
 
 #include "cowslipridge/gateway/Placement.hpp"
 #include "cowslipridge/http1/Message.hpp"
+#include "cowslipridge/limits/RequestTrait.hpp"
 #include "cowslipridge/route/PromptCache.hpp"
 
 #include <cstdint>
@@ -29,6 +30,10 @@
 /// Returns the ids of the prompt's segments that other requests may share: all
 /// but the last one. Of long prompts, only the first ones.
 std::vector<std::uint64_t> sharedSegments(const CallerRequest &caller);
+/// Returns what the request may share with others that crash runners of the
+/// service.
+limits::RequestTraits traitsOf(const CallerRequest &caller,
+                               const core::ServiceId &service);
 /// Returns a digest that is the same for all requests of one organisation with
 /// the same method, host, target and body, whatever their ids.
 std::uint64_t contentDigest(const RequestContext &request,
--- a/src/cowslipridge/limits/CrashAttribution.cpp
+++ b/src/cowslipridge/limits/CrashAttribution.cpp
@@ -11,7 +11,7 @@
 
 constexpr core::Millis EvidenceLifetime{600'000};
 constexpr std::size_t MaxBreaks = 400;
-/// How long answers that went well speak for a segment without recorded breaks.
+/// How long answers that went well speak for a trait without recorded breaks.
 constexpr core::Millis SurvivalLifetime{60'000};
 constexpr core::Millis PruneInterval{1'000};
 /// Time over which the share of answers that break for other reasons is taken.
@@ -28,11 +28,11 @@
 constexpr std::size_t CrashesForSuspicion = 2;
 constexpr std::size_t MinCrashes = 3;
 constexpr std::size_t MinRequests = 2;
-/// Further crashes that are needed while another segment is in as many.
+/// Further crashes that are needed while another trait is in as many.
 constexpr std::size_t CrashesToBreakTie = 2;
 /// Further crashes that are needed if answers went well not long before.
 constexpr std::size_t CrashesAfterSurvival = 2;
-/// Accepted probability that a segment without influence is in all crashes of a
+/// Accepted probability that a trait without influence is in all crashes of a
 /// series by chance.
 constexpr double FalseAlarmProbability = 1e-5;
 /// Without evidence, the share of answers that break for other reasons is
@@ -41,12 +41,6 @@
 constexpr double PriorBreaks = 0.5;
 constexpr double MaxBreakShare = 0.99;
 
-bool contains(const EarlyBreak &event, const PromptSegment &segment) {
-  return event.Service == segment.Service &&
-         std::find(event.Segments.begin(), event.Segments.end(), segment.Id) !=
-             event.Segments.end();
-}
-
 bool isSameCrash(core::Millis first, core::Millis second) {
   return second - first <= CrashSpan && first - second <= CrashSpan;
 }
@@ -59,40 +53,40 @@
     Begun.pop_front();
 }
 
-bool CrashAttribution::isKnown(const PromptSegment &segment) const {
+bool CrashAttribution::isKnown(const RequestTrait &trait) const {
   return std::any_of(Breaks.begin(), Breaks.end(), [&](const Record &it) {
-    return contains(it.Event, segment);
+    return it.Event.Traits.contains(trait);
   });
 }
 
-void CrashAttribution::onSurvived(const SegmentSurvival &survival, bool isOwn) {
-  Survival &last = Survivals[survival.Segment];
+void CrashAttribution::onSurvived(const TraitSurvival &survival, bool isOwn) {
+  Survival &last = Survivals[survival.Trait];
   if (last.At < survival.At)
     last = {survival.At, isOwn};
 }
 
-std::vector<SegmentSurvival>
+std::vector<TraitSurvival>
 CrashAttribution::ownSurvivalsSince(core::Millis since) const {
-  std::vector<SegmentSurvival> found;
+  std::vector<TraitSurvival> found;
   if (Breaks.empty())
     return found;
-  for (const auto &[segment, survival] : Survivals) {
-    if (survival.IsOwn && survival.At >= since && isKnown(segment))
-      found.push_back({segment, survival.At});
+  for (const auto &[trait, survival] : Survivals) {
+    if (survival.IsOwn && survival.At >= since && isKnown(trait))
+      found.push_back({trait, survival.At});
   }
   return found;
 }
 
 std::vector<const CrashAttribution::Record *>
-CrashAttribution::breaksSinceSurvival(const PromptSegment &segment,
+CrashAttribution::breaksSinceSurvival(const RequestTrait &trait,
                                       core::Millis until) const {
-  const auto survival = Survivals.find(segment);
+  const auto survival = Survivals.find(trait);
   std::vector<const Record *> found;
   for (const Record &it : Breaks) {
     const bool isOpen =
         it.Event.At <= until &&
         (survival == Survivals.end() || it.Event.At > survival->second.At);
-    if (isOpen && contains(it.Event, segment))
+    if (isOpen && it.Event.Traits.contains(trait))
       found.push_back(&it);
   }
   std::sort(found.begin(), found.end(), [](const auto *a, const auto *b) {
@@ -102,12 +96,12 @@
 }
 
 CrashAttribution::Evidence
-CrashAttribution::evidence(const PromptSegment &segment,
+CrashAttribution::evidence(const RequestTrait &trait,
                            core::Millis until) const {
   Evidence found;
   std::set<std::uint64_t> requests;
   std::optional<core::Millis> crashAt;
-  for (const Record *it : breaksSinceSurvival(segment, until)) {
+  for (const Record *it : breaksSinceSurvival(trait, until)) {
     requests.insert(it->Event.Request);
     if (crashAt && isSameCrash(*crashAt, it->Event.At))
       continue;
@@ -119,12 +113,11 @@
 }
 
 // The probability that n answers in a row break by chance is the n-th power of
-// the share of answers that break without the segment.
-std::size_t
-CrashAttribution::crashesNeeded(const PromptSegment &segment) const {
+// the share of answers that break without the trait.
+std::size_t CrashAttribution::crashesNeeded(const RequestTrait &trait) const {
   std::vector<const EarlyBreak *> explained;
   for (const Record &it : Breaks) {
-    if (contains(it.Event, segment))
+    if (it.Event.Traits.contains(trait))
       explained.push_back(&it.Event);
   }
   double breaks = PriorBreaks;
@@ -144,7 +137,7 @@
   const double needed =
       std::ceil(std::log(FalseAlarmProbability) / std::log(share));
   return std::max(MinCrashes, static_cast<std::size_t>(needed)) +
-         (hasSurvived(segment) ? CrashesAfterSurvival : 0);
+         (hasSurvived(trait) ? CrashesAfterSurvival : 0);
 }
 
 bool CrashAttribution::onBreak(const EarlyBreak &event, bool isOwn,
@@ -152,42 +145,42 @@
   const bool isRepeated =
       std::any_of(Breaks.begin(), Breaks.end(), [&](const Record &it) {
         return it.Event.Request == event.Request &&
-               it.Event.Runner == event.Runner &&
-               it.Event.Service == event.Service;
+               it.Event.Runner == event.Runner;
       });
-  if (isRepeated || event.Segments.empty() || isExplained(event))
+  if (isRepeated || event.Traits.isEmpty() || isExplained(event))
     return false;
   Breaks.push_back({event, isOwn});
   tick(now);
   return true;
 }
 
-std::map<PromptSegment, std::size_t>
-CrashAttribution::segmentsBetween(core::Millis from, core::Millis until) const {
-  std::map<PromptSegment, std::size_t> segments;
+std::map<RequestTrait, std::size_t>
+CrashAttribution::traitsBetween(core::Millis from, core::Millis until) const {
+  std::map<RequestTrait, std::size_t> positions;
   for (const Record &it : Breaks) {
     if (it.Event.At < from || it.Event.At > until)
       continue;
-    for (std::size_t n = 0; n < it.Event.Segments.size(); ++n) {
-      std::size_t &last = segments[{it.Event.Service, it.Event.Segments[n]}];
-      last = std::max(last, n);
+    std::size_t position = 0;
+    for (const RequestTrait &trait : it.Event.Traits.list()) {
+      std::size_t &last = positions[trait];
+      last = std::max(last, position++);
     }
   }
-  return segments;
+  return positions;
 }
 
 std::optional<CrashVerdict> CrashAttribution::verdict(core::Millis now) const {
   const core::Millis until = now - SettleTime;
-  // More crashes weigh most. Among equals, a segment that was answered is less
-  // likely to be the cause, and a later one is in fewer prompts.
+  // More crashes weigh most. Among equals, a trait that was answered is less
+  // likely to be the cause, and a later one is in fewer requests.
   using Rank = std::tuple<std::size_t, bool, std::size_t>;
   Rank bestRank;
   CrashVerdict best;
   bool isTied = false;
-  for (const auto &[segment, position] :
-       segmentsBetween(until - JudgementTime, until)) {
-    const Evidence found = evidence(segment, until);
-    const Rank rank{found.Crashes, !hasSurvived(segment), position};
+  for (const auto &[trait, position] :
+       traitsBetween(until - JudgementTime, until)) {
+    const Evidence found = evidence(trait, until);
+    const Rank rank{found.Crashes, !hasSurvived(trait), position};
     const bool isBetter = rank > bestRank;
     const bool isEqual = std::get<0>(rank) == std::get<0>(bestRank) &&
                          std::get<1>(rank) == std::get<1>(bestRank);
@@ -195,23 +188,23 @@
     if (!isBetter)
       continue;
     bestRank = rank;
-    best = {segment, found.Crashes, found.Requests};
+    best = {trait, found.Crashes, found.Requests};
   }
   if (best.Crashes < MinCrashes || best.Requests < MinRequests)
     return std::nullopt;
   const std::size_t needed =
-      crashesNeeded(best.Segment) + (isTied ? CrashesToBreakTie : 0);
+      crashesNeeded(best.Trait) + (isTied ? CrashesToBreakTie : 0);
   return best.Crashes < needed ? std::nullopt : std::optional(best);
 }
 
-void CrashAttribution::onBlamed(const PromptSegment &segment) {
+void CrashAttribution::onBlamed(const RequestTrait &trait) {
   for (const Record &it : Breaks) {
-    if (contains(it.Event, segment))
+    if (it.Event.Traits.contains(trait))
       Explained.push_back({it.Event.Runner, it.Event.At});
   }
   std::erase_if(Breaks,
                 [&](const Record &it) { return isExplained(it.Event); });
-  Survivals.erase(segment);
+  Survivals.erase(trait);
 }
 
 void CrashAttribution::onExplained(const EarlyBreak &event) {
@@ -227,19 +220,16 @@
       });
 }
 
-bool CrashAttribution::isSuspect(const core::ServiceId &service,
-                                 const std::vector<std::uint64_t> &segments,
+bool CrashAttribution::isSuspect(const RequestTraits &traits,
                                  core::Millis now) const {
   if (Breaks.empty())
     return false;
-  return std::any_of(segments.begin(), segments.end(),
-                     [&](const std::uint64_t it) {
-                       const PromptSegment segment{service, it};
-                       const std::size_t needed =
-                           CrashesForSuspicion +
-                           (hasSurvived(segment) ? CrashesAfterSurvival : 0);
-                       return evidence(segment, now).Crashes >= needed;
-                     });
+  const std::vector<RequestTrait> all = traits.list();
+  return std::any_of(all.begin(), all.end(), [&](const RequestTrait &it) {
+    const std::size_t needed =
+        CrashesForSuspicion + (hasSurvived(it) ? CrashesAfterSurvival : 0);
+    return evidence(it, now).Crashes >= needed;
+  });
 }
 
 void CrashAttribution::tick(core::Millis now) {
--- a/src/cowslipridge/platform/QuarantineRecords.cpp
+++ b/src/cowslipridge/platform/QuarantineRecords.cpp
@@ -20,28 +20,28 @@
 constexpr std::size_t MaxJitterMillis = 500;
 constexpr int Hexadecimal = 16;
 
-std::string keyOf(const limits::PromptSegment &segment) {
+std::string keyOf(const limits::RequestTrait &trait) {
   std::array<char, 16> digits{};
   const auto end = std::to_chars(digits.data(), digits.data() + digits.size(),
-                                 segment.Id, Hexadecimal);
+                                 trait.Id, Hexadecimal);
   return internal::makeKey(RecordPrefix,
-                           segment.Service.str() + "/" +
+                           trait.Service.str() + "/" +
                                std::string(digits.data(), end.ptr));
 }
 
-std::optional<limits::PromptSegment> parseKey(const std::string &key) {
+std::optional<limits::RequestTrait> parseKey(const std::string &key) {
   const auto rest = internal::stripPrefix(RecordPrefix, key);
   const std::size_t slash = rest ? rest->rfind('/') : std::string::npos;
   if (slash == std::string::npos)
     return std::nullopt;
   const std::string digits = rest->substr(slash + 1);
-  limits::PromptSegment segment{core::ServiceId(rest->substr(0, slash)), 0};
+  limits::RequestTrait trait{core::ServiceId(rest->substr(0, slash)), 0};
   const char *end = digits.data() + digits.size();
   const auto parsed =
-      std::from_chars(digits.data(), end, segment.Id, Hexadecimal);
+      std::from_chars(digits.data(), end, trait.Id, Hexadecimal);
   if (digits.empty() || parsed.ec != std::errc() || parsed.ptr != end)
     return std::nullopt;
-  return segment;
+  return trait;
 }
 
 } // namespace
@@ -56,26 +56,26 @@
   return internal::stripPrefix(RecordPrefix, key).has_value();
 }
 
-void QuarantineRecords::write(const limits::QuarantinedSegment &segment) {
-  const core::Millis expiry = Clock.wall() + segment.Remaining;
-  Own[keyOf(segment.Segment)] = {
+void QuarantineRecords::write(const limits::QuarantinedTrait &quarantined) {
+  const core::Millis expiry = Clock.wall() + quarantined.Remaining;
+  Own[keyOf(quarantined.Trait)] = {
       internal::Json{{"expires_at_ms", expiry.count()}}.dump(),
-      Clock.monotonic() + segment.Remaining};
+      Clock.monotonic() + quarantined.Remaining};
   schedule(core::Millis(static_cast<std::int64_t>(
       core::uniformIndex(JitterRandom, MaxJitterMillis))));
 }
 
-std::optional<limits::QuarantinedSegment>
+std::optional<limits::QuarantinedTrait>
 QuarantineRecords::parse(const StoreItem &item) const {
-  const auto segment = parseKey(item.Key);
+  const auto trait = parseKey(item.Key);
   const auto expiry =
       internal::integerAt(internal::parseJson(item.Value), "expires_at_ms");
-  if (!segment || !expiry)
+  if (!trait || !expiry)
     return std::nullopt;
   const core::Millis remaining = core::Millis(*expiry) - Clock.wall();
-  return limits::QuarantinedSegment{
-      *segment, std::clamp(remaining, core::Millis(),
-                           limits::SegmentQuarantine::Duration)};
+  return limits::QuarantinedTrait{
+      *trait,
+      std::clamp(remaining, core::Millis(), limits::TraitQuarantine::Duration)};
 }
 
 void QuarantineRecords::onItem(const StoreItem &item) {
--- a/src/cowslipridge/platform/QuarantineRecords.hpp
+++ b/src/cowslipridge/platform/QuarantineRecords.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "cowslipridge/core/Random.hpp"
-#include "cowslipridge/limits/SegmentQuarantine.hpp"
+#include "cowslipridge/limits/TraitQuarantine.hpp"
 #include "cowslipridge/platform/MonitoredStoreClient.hpp"
 
 #include <boost/asio/steady_timer.hpp>
@@ -13,9 +13,9 @@
 
 namespace cowslipridge::platform {
 
-/// Keeps the quarantined prompt segments that this gateway decided on in the
-/// store, so that gateways which start later know them. Each record is written
-/// under a lease that ends with its quarantine.
+/// Keeps the quarantines that this gateway decided on in the store, so that
+/// gateways which start later know them. Each record is written under a lease
+/// that ends with its quarantine.
 class QuarantineRecords {
 public:
   /// `seed` must differ between gateways, so that those which take the same
@@ -25,10 +25,10 @@
 
   /// Writes a record, unless another gateway has written it by then. Repeats
   /// the attempt until it succeeds.
-  void write(const limits::QuarantinedSegment &segment);
-  /// Returns the segment of a record with the rest of its time; nothing if the
+  void write(const limits::QuarantinedTrait &quarantined);
+  /// Returns the trait of a record with the rest of its time; nothing if the
   /// item is no valid record.
-  [[nodiscard]] std::optional<limits::QuarantinedSegment>
+  [[nodiscard]] std::optional<limits::QuarantinedTrait>
   parse(const StoreItem &item) const;
   /// Returns whether the key is one of a record.
   static bool isRecordKey(const std::string &key);
--- a/src/cowslipridge/platform/StoreControlPlane.cpp
+++ b/src/cowslipridge/platform/StoreControlPlane.cpp
@@ -234,8 +234,8 @@
   // early in an outage.
   if (item.Deleted)
     return;
-  if (const auto segment = Quarantined.parse(item))
-    report(gateway::SegmentReported{*segment});
+  if (const auto trait = Quarantined.parse(item))
+    report(gateway::QuarantineReported{*trait});
   else
     report(gateway::EntryRefused{item.Key});
 }
--- a/src/cowslipridge/platform/StoreControlPlane.hpp
+++ b/src/cowslipridge/platform/StoreControlPlane.hpp
@@ -31,8 +31,8 @@
              std::function<void()> onSynced) override;
   void advance(const rollout::RolloutStatus &status,
                const rollout::RolloutProgress &progress) override;
-  void recordQuarantine(const limits::QuarantinedSegment &segment) override {
-    Quarantined.write(segment);
+  void recordQuarantine(const limits::QuarantinedTrait &trait) override {
+    Quarantined.write(trait);
   }
   [[nodiscard]] bool hasStoreResponded() const override {
     return Store.hasStoreResponded();
--- a/tests/unit/gateway/CrashWatchTest.cpp
+++ b/tests/unit/gateway/CrashWatchTest.cpp
@@ -67,7 +67,7 @@
   EXPECT_FALSE(refusal(watch, request({Common}, 21)));
   ASSERT_EQ(started.size(), 1U);
   EXPECT_TRUE(started.front().isOwnDecision());
-  EXPECT_EQ(started.front().Quarantined.Segment.Id, Crashing);
+  EXPECT_EQ(started.front().Quarantined.Trait.Id, Crashing);
 }
 
 // Guards against a retry that carries the crash to one more runner.
--- a/tests/unit/gateway/PeerReportCodecTest.cpp
+++ b/tests/unit/gateway/PeerReportCodecTest.cpp
@@ -25,10 +25,9 @@
        core::Millis(9'000)}};
   report.Prompts = {{1ULL << 63, core::RunnerId("r")},
                     {7, core::RunnerId("r2")}};
-  report.Crashes.Breaks = {{core::ServiceId("s"),
-                            core::RunnerId("r"),
+  report.Crashes.Breaks = {{core::RunnerId("r"),
                             1ULL << 63,
-                            {3, 1ULL << 62},
+                            {core::ServiceId("s"), {3, 1ULL << 62}},
                             core::Millis(-40)}};
   report.Crashes.Survivals = {{{core::ServiceId("s"), 3}, core::Millis(-700)}};
   report.Crashes.Quarantined = {
--- a/tests/unit/gateway/PeerSnapshotsTest.cpp
+++ b/tests/unit/gateway/PeerSnapshotsTest.cpp
@@ -12,8 +12,8 @@
 public:
   void start(Peer /*self*/, Listener /*listener*/,
              std::function<void()> /*onSynced*/) override {}
-  void
-  recordQuarantine(const limits::QuarantinedSegment & /*segment*/) override {}
+  void recordQuarantine(const limits::QuarantinedTrait & /*segment*/) override {
+  }
   void advance(const rollout::RolloutStatus & /*status*/,
                const rollout::RolloutProgress & /*progress*/) override {}
   [[nodiscard]] bool hasStoreResponded() const override { return false; }
--- a/tests/unit/limits/CrashAttributionTest.cpp
+++ b/tests/unit/limits/CrashAttributionTest.cpp
@@ -28,7 +28,7 @@
                std::vector<std::uint64_t> segments) {
     Now = at;
     Attribution.onBreak(
-        {Service, core::RunnerId(runner), request, std::move(segments), at},
+        {core::RunnerId(runner), request, {Service, std::move(segments)}, at},
         true, at);
   }
   std::optional<CrashVerdict> settle() {
@@ -61,9 +61,9 @@
 TEST_F(CrashAttributionTest, anAnswerThatGoesWellClearsItsSegments) {
   breakAt(Millis(1'000), 1, "a", {Subject});
   breakAt(Millis(2'000), 2, "b", {Subject});
-  EXPECT_TRUE(Attribution.isSuspect(Service, {Subject}, Now));
+  EXPECT_TRUE(Attribution.isSuspect({Service, {Subject}}, Now));
   Attribution.onSurvived({{Service, Subject}, Millis(2'500)}, true);
-  EXPECT_FALSE(Attribution.isSuspect(Service, {Subject}, Now));
+  EXPECT_FALSE(Attribution.isSuspect({Service, {Subject}}, Now));
   breakAt(Millis(3'000), 3, "c", {Subject});
   EXPECT_FALSE(settle());
 }
@@ -86,7 +86,7 @@
   Attribution.onSurvived({{Service, Common}, Now}, true);
   const auto verdict = Attribution.verdict(Now);
   ASSERT_TRUE(verdict);
-  EXPECT_EQ(verdict->Segment.Id, Crashing);
+  EXPECT_EQ(verdict->Trait.Id, Crashing);
 }
 
 TEST_F(CrashAttributionTest, crashesThatAreExplainedDoNotCountAgainstOthers) {
@@ -108,21 +108,22 @@
     if (n % 2 == 0)
       breakAt(at, n, runner, {Common, Subject});
     Attribution.onExplained(
-        {Service, core::RunnerId(runner), 10 + n, {Common, Crashing}, at});
+        {core::RunnerId(runner), 10 + n, {Service, {Common, Crashing}}, at});
     breakAt(at + Millis(20), 20 + n, runner, {Common, Subject});
   }
   EXPECT_FALSE(settle());
-  EXPECT_FALSE(Attribution.isSuspect(Service, {Common, Subject}, Now));
+  EXPECT_FALSE(Attribution.isSuspect({Service, {Common, Subject}}, Now));
 }
 
 TEST_F(CrashAttributionTest, segmentsOfOtherServicesAreOthers) {
   breakAt(Millis(1'000), 1, "a", {Subject});
   breakAt(Millis(2'000), 2, "b", {Subject});
-  EXPECT_FALSE(Attribution.isSuspect(core::ServiceId("other"), {Subject}, Now));
+  EXPECT_FALSE(
+      Attribution.isSuspect({core::ServiceId("other"), {Subject}}, Now));
 }
 
 TEST_F(CrashAttributionTest, recordsEachBreakOnce) {
-  const EarlyBreak event{Service, core::RunnerId("a"), 1, {Subject}, Now};
+  const EarlyBreak event{core::RunnerId("a"), 1, {Service, {Subject}}, Now};
   EXPECT_TRUE(Attribution.onBreak(event, true, Now));
   EXPECT_FALSE(Attribution.onBreak(event, false, Now));
 }
@@ -144,16 +145,17 @@
           100 + core::uniformIndex(random, Subjects)};
       attribution.onBegun(now);
       if (core::uniform(random) < share)
-        attribution.onBreak({Service,
-                             core::RunnerId("r" + std::to_string(n % 12)), n,
-                             segments, now},
+        attribution.onBreak({core::RunnerId("r" + std::to_string(n % 12)),
+                             n,
+                             {Service, segments},
+                             now},
                             true, now);
       else
         for (const std::uint64_t it : segments)
           attribution.onSurvived({{Service, it}, now}, true);
       if (const auto verdict = attribution.verdict(now)) {
         ++blamed;
-        attribution.onBlamed(verdict->Segment);
+        attribution.onBlamed(verdict->Trait);
       }
     }
     EXPECT_EQ(blamed, 0) << "share " << share;
