Keep a request that crashes runners from them when it comes again

Cause: crashes were attributed to prompt segments only, and only once an answer had begun. A plain request has no segments and breaks before its answer, so each crash was blamed on the runner alone, and the request went to the next one. Class: a failure that travels with the work is attributed to the place where the work runs.

Change: the content of a request (organisation, method, host, target, body) is a trait like a segment. A break before the answer counts against it; three crashes without a good answer keep it from runners for ten minutes, with the same reports, records and events (320, gauge contents_quarantined). A request that broke at two runners is not sent to a third, unless many answers break for other reasons. Only a blamed content's breaks stay as one crash against its segments.

--- a/src/cowslipridge/gateway/CrashWatch.cpp
+++ b/src/cowslipridge/gateway/CrashWatch.cpp
@@ -54,7 +54,7 @@
   const auto it = Attempts.find(ticket);
   if (it == Attempts.end())
     return;
-  const Attempt attempt = std::move(it->second);
+  Attempt attempt = std::move(it->second);
   Attempts.erase(it);
   const bool isYoung = attempt.Begun && !attempt.Survived &&
                        now - attempt.BegunAt <= CrashAttribution::MaxCrashDelay;
@@ -66,6 +66,8 @@
   case AttemptOutcome::Broken:
     if (isYoung)
       onBroken(attempt, now);
+    else if (!attempt.Begun)
+      onBrokenBeforeAnswer(attempt, now);
     blameCancelled(attempt.Runner, now);
     break;
   case AttemptOutcome::Unreachable:
@@ -73,7 +75,7 @@
     break;
   case AttemptOutcome::Cancelled:
     if (isYoung)
-      Cancelled.push_back(attempt);
+      Cancelled.push_back(std::move(attempt));
     break;
   case AttemptOutcome::Rejected:
   case AttemptOutcome::ErrorResponse:
@@ -89,6 +91,14 @@
   OwnBreaks.push_back(std::move(event));
 }
 
+// A runner may crash on a request before it answers, but then it has not begun
+// to write on the prompt.
+void CrashWatch::onBrokenBeforeAnswer(Attempt attempt, core::Millis now) {
+  attempt.Traits.Segments.clear();
+  Attribution.onBegun(now);
+  onBroken(attempt, now);
+}
+
 void CrashWatch::blameCancelled(const core::RunnerId &runner,
                                 core::Millis brokenAt) {
   std::erase_if(Cancelled, [&](const Attempt &it) {
@@ -130,15 +140,17 @@
                                                const core::ServiceId &service,
                                                AttemptKind kind,
                                                core::Millis now) const {
+  const bool isRetry = kind == AttemptKind::Retry;
+  if (Quarantine.size() == 0 && !isRetry)
+    return std::nullopt;
   const limits::RequestTraits traits = traitsOf(caller, service);
   if (const auto found = Quarantine.find(traits, now))
-    return NoPlacement{"a segment of the prompt is quarantined",
+    return NoPlacement{found->Trait.Kind == limits::TraitKind::Content
+                           ? "the request is quarantined"
+                           : "a segment of the prompt is quarantined",
                        found->Remaining};
-  const bool isRepeated =
-      kind == AttemptKind::Retry && Attribution.isSuspect(traits, now);
-  if (isRepeated)
-    return NoPlacement{"a segment of the prompt may crash runners",
-                       MinRetryAfter};
+  if (isRetry && Attribution.isSuspect(traits, now))
+    return NoPlacement{"the request may crash runners", MinRetryAfter};
   return std::nullopt;
 }
 
--- a/src/cowslipridge/gateway/CrashWatch.hpp
+++ b/src/cowslipridge/gateway/CrashWatch.hpp
@@ -80,6 +80,7 @@
   };
 
   void onBroken(const Attempt &attempt, core::Millis now);
+  void onBrokenBeforeAnswer(Attempt attempt, core::Millis now);
   void blameCancelled(const core::RunnerId &runner, core::Millis brokenAt);
   void onSurvived(const limits::RequestTraits &traits, core::Millis now);
   void record(const limits::EarlyBreak &event, bool isOwn, core::Millis now);
--- a/src/cowslipridge/gateway/EventDetails.cpp
+++ b/src/cowslipridge/gateway/EventDetails.cpp
@@ -82,9 +82,11 @@
 }
 
 std::string describe(const QuarantineStart &start) {
+  const limits::RequestTrait &trait = start.Quarantined.Trait;
+  const bool isContent = trait.Kind == limits::TraitKind::Content;
   const std::string text =
-      "service=" + start.Quarantined.Trait.Service.str() +
-      " segment=" + formatHex(start.Quarantined.Trait.Id) +
+      "service=" + trait.Service.str() +
+      (isContent ? " content=" : " segment=") + formatHex(trait.Id) +
       " for_ms=" + std::to_string(start.Quarantined.Remaining.count());
   if (!start.isOwnDecision())
     return text + " as others report";
--- a/src/cowslipridge/gateway/Gateway.cpp
+++ b/src/cowslipridge/gateway/Gateway.cpp
@@ -169,7 +169,11 @@
 }
 
 void Gateway::onQuarantine(const QuarantineStart &start) {
-  report(EventNumber::SegmentQuarantined, describe(start));
+  const bool isContent =
+      start.Quarantined.Trait.Kind == limits::TraitKind::Content;
+  report(isContent ? EventNumber::ContentQuarantined
+                   : EventNumber::SegmentQuarantined,
+         describe(start));
   if (start.isOwnDecision())
     Control.recordQuarantine(start.Quarantined);
   // Deferred, because the policy is in the middle of its decision.
--- a/src/cowslipridge/gateway/GatewayGauges.cpp
+++ b/src/cowslipridge/gateway/GatewayGauges.cpp
@@ -34,9 +34,12 @@
       static_cast<double>(dispatcher.servers().all().size()));
   set(GaugeName::RunnersEjected,
       static_cast<double>(dispatcher.ejected(sources.Now)));
+  const auto quarantined = [&](limits::TraitKind kind) {
+    return static_cast<double>(dispatcher.crashes().quarantined(kind));
+  };
   set(GaugeName::SegmentsQuarantined,
-      static_cast<double>(
-          dispatcher.crashes().quarantined(limits::TraitKind::PromptSegment)));
+      quarantined(limits::TraitKind::PromptSegment));
+  set(GaugeName::ContentsQuarantined, quarantined(limits::TraitKind::Content));
   set(GaugeName::RunnersRateLimited,
       static_cast<double>(dispatcher.rateLimited()));
   if (dispatcher.catalogue())
--- a/src/cowslipridge/gateway/PeerReportCodec.cpp
+++ b/src/cowslipridge/gateway/PeerReportCodec.cpp
@@ -19,6 +19,11 @@
 constexpr std::size_t PromptsIndex = 8;
 constexpr std::size_t CrashesIndex = 9;
 constexpr std::size_t RateLimitsIndex = 10;
+// Positions in the entries on crashes.
+constexpr std::size_t BreakContentIndex = 5;
+constexpr std::size_t TraitKindIndex = 3;
+constexpr int SegmentCode = 0;
+constexpr int ContentCode = 1;
 
 json encodeLoads(const PeerReport &report) {
   json loads = json::array();
@@ -53,19 +58,34 @@
   return prompts;
 }
 
+int encode(limits::TraitKind kind) {
+  return kind == limits::TraitKind::Content ? ContentCode : SegmentCode;
+}
+
+// Reports of older builds lack the kind: they know segments only.
+limits::TraitKind decodeKind(const json &entry) {
+  const bool isContent =
+      entry.size() > TraitKindIndex && entry.at(TraitKindIndex) == ContentCode;
+  return isContent ? limits::TraitKind::Content
+                   : limits::TraitKind::PromptSegment;
+}
+
+json encode(const limits::RequestTrait &trait, core::Millis time) {
+  return {trait.Service.str(), trait.Id, time.count(), encode(trait.Kind)};
+}
+
 json encodeCrashes(const CrashReport &report) {
   json breaks = json::array();
   for (const limits::EarlyBreak &it : report.Breaks)
     breaks.push_back({it.Traits.Service.str(), it.Runner.str(), it.Request,
-                      it.Traits.Segments, (report.SentAt - it.At).count()});
+                      it.Traits.Segments, (report.SentAt - it.At).count(),
+                      it.Traits.Content});
   json survivals = json::array();
   for (const limits::TraitSurvival &it : report.Survivals)
-    survivals.push_back(
-        {it.Trait.Service.str(), it.Trait.Id, (report.SentAt - it.At).count()});
+    survivals.push_back(encode(it.Trait, report.SentAt - it.At));
   json quarantined = json::array();
   for (const limits::QuarantinedTrait &it : report.Quarantined)
-    quarantined.push_back(
-        {it.Trait.Service.str(), it.Trait.Id, it.Remaining.count()});
+    quarantined.push_back(encode(it.Trait, it.Remaining));
   return {breaks, survivals, quarantined};
 }
 
@@ -94,15 +114,20 @@
 CrashReport decodeCrashes(const json &message) {
   const auto traitOf = [](const json &it) {
     return limits::RequestTrait{core::ServiceId(it.at(0).get<std::string>()),
-                                it.at(1).get<std::uint64_t>()};
+                                it.at(1).get<std::uint64_t>(), decodeKind(it)};
   };
   CrashReport report;
-  for (const json &it : message.at(0))
-    report.Breaks.push_back({core::RunnerId(it.at(1).get<std::string>()),
-                             it.at(2).get<std::uint64_t>(),
-                             {core::ServiceId(it.at(0).get<std::string>()),
-                              it.at(3).get<std::vector<std::uint64_t>>()},
-                             core::Millis(-it.at(4).get<std::int64_t>())});
+  for (const json &it : message.at(0)) {
+    limits::EarlyBreak event;
+    event.Traits.Service = core::ServiceId(it.at(0).get<std::string>());
+    event.Runner = core::RunnerId(it.at(1).get<std::string>());
+    event.Request = it.at(2).get<std::uint64_t>();
+    event.Traits.Segments = it.at(3).get<std::vector<std::uint64_t>>();
+    event.At = core::Millis(-it.at(4).get<std::int64_t>());
+    if (it.size() > BreakContentIndex)
+      event.Traits.Content = it.at(BreakContentIndex).get<std::uint64_t>();
+    report.Breaks.push_back(std::move(event));
+  }
   for (const json &it : message.at(1))
     report.Survivals.push_back(
         {traitOf(it), core::Millis(-it.at(2).get<std::int64_t>())});
--- a/src/cowslipridge/gateway/RequestTraits.cpp
+++ b/src/cowslipridge/gateway/RequestTraits.cpp
@@ -54,7 +54,7 @@
 
 limits::RequestTraits traitsOf(const CallerRequest &caller,
                                const core::ServiceId &service) {
-  return {service, sharedSegments(caller), 0};
+  return {service, sharedSegments(caller), caller.Content};
 }
 
 std::uint64_t contentDigest(const RequestContext &request,
--- a/src/cowslipridge/limits/CrashAttribution.cpp
+++ b/src/cowslipridge/limits/CrashAttribution.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <set>
 #include <tuple>
+#include <utility>
 
 namespace cowslipridge::limits {
 
@@ -27,7 +28,8 @@
 
 constexpr std::size_t CrashesForSuspicion = 2;
 constexpr std::size_t MinCrashes = 3;
-constexpr std::size_t MinRequests = 2;
+/// Requests with a blamed segment; one is enough to blame a content.
+constexpr std::size_t MinRequestsOfSegment = 2;
 /// Further crashes that are needed while another trait is in as many.
 constexpr std::size_t CrashesToBreakTie = 2;
 /// Further crashes that are needed if answers went well not long before.
@@ -35,13 +37,15 @@
 /// Accepted probability that a trait without influence is in all crashes of a
 /// series by chance.
 constexpr double FalseAlarmProbability = 1e-5;
+/// The same for a request that is not retried.
+constexpr double FalseSuspicionProbability = 1e-3;
 /// Without evidence, the share of answers that break for other reasons is
 /// PriorBreaks of PriorAnswers.
 constexpr double PriorAnswers = 50;
 constexpr double PriorBreaks = 0.5;
 constexpr double MaxBreakShare = 0.99;
 
-bool isSameCrash(core::Millis first, core::Millis second) {
+bool isSameTime(core::Millis first, core::Millis second) {
   return second - first <= CrashSpan && first - second <= CrashSpan;
 }
 
@@ -95,26 +99,37 @@
   return found;
 }
 
+// The loss of a rack breaks answers at many runners at once, and a segment is
+// in many of them. A content is in one request at one runner, so that its
+// breaks at several runners are as many crashes.
+bool CrashAttribution::isSameCrash(const Record &first, const Record &second,
+                                   TraitKind kind) {
+  const bool isSegment = kind == TraitKind::PromptSegment;
+  const bool isSameBlamedContent =
+      first.BlamedContent != 0 && first.BlamedContent == second.BlamedContent;
+  return (isSegment && isSameBlamedContent) ||
+         (isSameTime(first.Event.At, second.Event.At) &&
+          (isSegment || first.Event.Runner == second.Event.Runner));
+}
+
 CrashAttribution::Evidence
 CrashAttribution::evidence(const RequestTrait &trait,
                            core::Millis until) const {
-  Evidence found;
+  std::vector<const Record *> crashes; // the first break of each
   std::set<std::uint64_t> requests;
-  std::optional<core::Millis> crashAt;
-  for (const Record *it : breaksSinceSurvival(trait, until)) {
-    requests.insert(it->Event.Request);
-    if (crashAt && isSameCrash(*crashAt, it->Event.At))
-      continue;
-    crashAt = it->Event.At;
-    ++found.Crashes;
+  for (const Record *record : breaksSinceSurvival(trait, until)) {
+    requests.insert(record->Event.Request);
+    const bool isKnown =
+        std::any_of(crashes.begin(), crashes.end(), [&](const auto *it) {
+          return isSameCrash(*it, *record, trait.Kind);
+        });
+    if (!isKnown)
+      crashes.push_back(record);
   }
-  found.Requests = requests.size();
-  return found;
+  return {crashes.size(), requests.size()};
 }
 
-// The probability that n answers in a row break by chance is the n-th power of
-// the share of answers that break without the trait.
-std::size_t CrashAttribution::crashesNeeded(const RequestTrait &trait) const {
+double CrashAttribution::breakShareWithout(const RequestTrait &trait) const {
   std::vector<const EarlyBreak *> explained;
   for (const Record &it : Breaks) {
     if (it.Event.Traits.contains(trait))
@@ -127,16 +142,23 @@
     const bool isExplained = std::any_of(
         explained.begin(), explained.end(), [&](const EarlyBreak *other) {
           return other->Runner == it.Event.Runner &&
-                 isSameCrash(other->At, it.Event.At);
+                 isSameTime(other->At, it.Event.At);
         });
     if (it.IsOwn && isRecent && !isExplained)
       ++breaks;
   }
   const double answers = PriorAnswers + static_cast<double>(Begun.size());
-  const double share = std::min(breaks / answers, MaxBreakShare);
+  return std::min(breaks / answers, MaxBreakShare);
+}
+
+// The probability that n answers in a row break by chance is the n-th power of
+// the share of answers that break without the trait.
+std::size_t CrashAttribution::crashesNeeded(const RequestTrait &trait,
+                                            double probability,
+                                            std::size_t min) const {
   const double needed =
-      std::ceil(std::log(FalseAlarmProbability) / std::log(share));
-  return std::max(MinCrashes, static_cast<std::size_t>(needed)) +
+      std::ceil(std::log(probability) / std::log(breakShareWithout(trait)));
+  return std::max(min, static_cast<std::size_t>(needed)) +
          (hasSurvived(trait) ? CrashesAfterSurvival : 0);
 }
 
@@ -155,22 +177,41 @@
 }
 
 std::map<RequestTrait, std::size_t>
-CrashAttribution::traitsBetween(core::Millis from, core::Millis until) const {
+CrashAttribution::traitsBetween(TraitKind kind, core::Millis from,
+                                core::Millis until) const {
   std::map<RequestTrait, std::size_t> positions;
   for (const Record &it : Breaks) {
     if (it.Event.At < from || it.Event.At > until)
       continue;
     std::size_t position = 0;
     for (const RequestTrait &trait : it.Event.Traits.list()) {
+      if (trait.Kind != kind)
+        continue;
       std::size_t &last = positions[trait];
       last = std::max(last, position++);
     }
   }
+  std::erase_if(positions, [&](const auto &it) {
+    return countBreaks(it.first) < MinCrashes;
+  });
   return positions;
 }
 
+std::size_t CrashAttribution::countBreaks(const RequestTrait &trait) const {
+  return static_cast<std::size_t>(
+      std::count_if(Breaks.begin(), Breaks.end(), [&](const Record &it) {
+        return it.Event.Traits.contains(trait);
+      }));
+}
+
 std::optional<CrashVerdict> CrashAttribution::verdict(core::Millis now) const {
   const core::Millis until = now - SettleTime;
+  const auto onSegment = verdictOn(TraitKind::PromptSegment, until);
+  return onSegment ? onSegment : verdictOn(TraitKind::Content, until);
+}
+
+std::optional<CrashVerdict>
+CrashAttribution::verdictOn(TraitKind kind, core::Millis until) const {
   // More crashes weigh most. Among equals, a trait that was answered is less
   // likely to be the cause, and a later one is in fewer requests.
   using Rank = std::tuple<std::size_t, bool, std::size_t>;
@@ -178,7 +219,7 @@
   CrashVerdict best;
   bool isTied = false;
   for (const auto &[trait, position] :
-       traitsBetween(until - JudgementTime, until)) {
+       traitsBetween(kind, until - JudgementTime, until)) {
     const Evidence found = evidence(trait, until);
     const Rank rank{found.Crashes, !hasSurvived(trait), position};
     const bool isBetter = rank > bestRank;
@@ -190,33 +231,47 @@
     bestRank = rank;
     best = {trait, found.Crashes, found.Requests};
   }
-  if (best.Crashes < MinCrashes || best.Requests < MinRequests)
+  const std::size_t requests =
+      kind == TraitKind::PromptSegment ? MinRequestsOfSegment : 1;
+  if (best.Crashes < MinCrashes || best.Requests < requests)
     return std::nullopt;
   const std::size_t needed =
-      crashesNeeded(best.Trait) + (isTied ? CrashesToBreakTie : 0);
+      crashesNeeded(best.Trait, FalseAlarmProbability, MinCrashes) +
+      (isTied ? CrashesToBreakTie : 0);
   return best.Crashes < needed ? std::nullopt : std::optional(best);
 }
 
 void CrashAttribution::onBlamed(const RequestTrait &trait) {
-  for (const Record &it : Breaks) {
-    if (it.Event.Traits.contains(trait))
-      Explained.push_back({it.Event.Runner, it.Event.At});
+  for (Record &it : Breaks) {
+    if (!it.Event.Traits.contains(trait))
+      continue;
+    Explained.push_back({it.Event.Runner, it.Event.At});
+    if (trait.Kind == TraitKind::Content)
+      it.BlamedContent = std::exchange(it.Event.Traits.Content, 0);
   }
-  std::erase_if(Breaks,
-                [&](const Record &it) { return isExplained(it.Event); });
+  if (trait.Kind == TraitKind::PromptSegment)
+    std::erase_if(Breaks, [&](const Record &it) {
+      return it.Event.Traits.contains(trait);
+    });
+  eraseExplained();
   Survivals.erase(trait);
 }
 
 void CrashAttribution::onExplained(const EarlyBreak &event) {
   Explained.push_back({event.Runner, event.At});
-  std::erase_if(Breaks,
-                [&](const Record &it) { return isExplained(it.Event); });
+  eraseExplained();
+}
+
+void CrashAttribution::eraseExplained() {
+  std::erase_if(Breaks, [&](const Record &it) {
+    return it.BlamedContent == 0 && isExplained(it.Event);
+  });
 }
 
 bool CrashAttribution::isExplained(const EarlyBreak &event) const {
   return std::any_of(
       Explained.begin(), Explained.end(), [&](const ExplainedCrash &it) {
-        return it.Runner == event.Runner && isSameCrash(it.At, event.At);
+        return it.Runner == event.Runner && isSameTime(it.At, event.At);
       });
 }
 
@@ -226,9 +281,10 @@
     return false;
   const std::vector<RequestTrait> all = traits.list();
   return std::any_of(all.begin(), all.end(), [&](const RequestTrait &it) {
-    const std::size_t needed =
-        CrashesForSuspicion + (hasSurvived(it) ? CrashesAfterSurvival : 0);
-    return evidence(it, now).Crashes >= needed;
+    const std::size_t crashes = evidence(it, now).Crashes;
+    return crashes >= CrashesForSuspicion &&
+           crashes >= crashesNeeded(it, FalseSuspicionProbability,
+                                    CrashesForSuspicion);
   });
 }
 
--- a/src/cowslipridge/limits/CrashAttribution.hpp
+++ b/src/cowslipridge/limits/CrashAttribution.hpp
@@ -13,12 +13,12 @@
 
 namespace cowslipridge::limits {
 
-/// An answer that broke off soon after it had begun, possibly because the
-/// request crashed the runner.
+/// An attempt that broke off before its answer or soon after the answer had
+/// begun, possibly because the request crashed the runner.
 struct EarlyBreak {
   core::RunnerId Runner;
   std::uint64_t Request = 0; ///< hash of the request's id
-  RequestTraits Traits;      ///< that may have crashed the runner
+  RequestTraits Traits;      ///< those that may have crashed the runner
   core::Millis At;
   friend auto operator<=>(const EarlyBreak &, const EarlyBreak &) = default;
 };
@@ -48,14 +48,19 @@
 /// number rises with the share of answers that break for other reasons, while
 /// another trait is in as many crashes, and if answers went well not long
 /// before. Crashes that a blamed trait explains are no evidence against the
-/// others.
+/// others; those of a blamed content count as one against its own segments.
+///
+/// A request that comes again with the same content may crash runners because
+/// of its content or because of a segment. The segment is blamed unless answers
+/// to other requests with it went well: if that is wrong, a few other requests
+/// are rejected; the opposite error costs more crashes.
 class CrashAttribution {
 public:
   /// A crash follows the beginning of the answer that causes it within this
   /// time.
   static constexpr core::Millis MaxCrashDelay{500};
 
-  /// An answer of this gateway began.
+  /// An answer of this gateway began, or broke off before it began.
   void onBegun(core::Millis now);
   /// An answer went well for longer than MaxCrashDelay, or to its end.
   void onSurvived(const TraitSurvival &survival, bool isOwn);
@@ -65,7 +70,8 @@
   /// Returns a trait to blame, if the evidence suffices. Breaks count once
   /// all gateways had time to report theirs of the same crash.
   [[nodiscard]] std::optional<CrashVerdict> verdict(core::Millis now) const;
-  /// Erases the breaks of all crashes that the trait explains.
+  /// Erases the breaks of all crashes that the trait explains. Of a content,
+  /// its own breaks remain.
   void onBlamed(const RequestTrait &trait);
   /// An answer broke whose request has a trait that was blamed already: the
   /// other breaks of that crash are no evidence.
@@ -85,6 +91,8 @@
   struct Record {
     EarlyBreak Event;
     bool IsOwn = false;
+    /// The event's content, once it is blamed; the event has none then.
+    std::uint64_t BlamedContent = 0;
   };
   /// A crash whose cause is known.
   struct ExplainedCrash {
@@ -100,16 +108,34 @@
     std::size_t Requests = 0;
   };
 
+  /// Returns whether two breaks of requests with a trait of this kind count as
+  /// one crash.
+  static bool isSameCrash(const Record &first, const Record &second,
+                          TraitKind kind);
+  /// Erases the breaks of explained crashes.
+  void eraseExplained();
   /// Returns the breaks up to `until` since the last answer that went well.
   [[nodiscard]] std::vector<const Record *>
   breaksSinceSurvival(const RequestTrait &trait, core::Millis until) const;
   [[nodiscard]] Evidence evidence(const RequestTrait &trait,
                                   core::Millis until) const;
-  /// Returns the traits of the breaks between these times, with their last
-  /// position in a list of traits.
+  /// Returns a trait of this kind to blame for breaks up to `until`.
+  [[nodiscard]] std::optional<CrashVerdict> verdictOn(TraitKind kind,
+                                                      core::Millis until) const;
+  /// Returns the traits of this kind of the breaks between these times, with
+  /// their last position in a list of traits. Leaves out those in too few
+  /// breaks for a verdict.
   [[nodiscard]] std::map<RequestTrait, std::size_t>
-  traitsBetween(core::Millis from, core::Millis until) const;
-  [[nodiscard]] std::size_t crashesNeeded(const RequestTrait &trait) const;
+  traitsBetween(TraitKind kind, core::Millis from, core::Millis until) const;
+  [[nodiscard]] std::size_t countBreaks(const RequestTrait &trait) const;
+  /// Returns the share of recent answers at this gateway that broke without the
+  /// trait.
+  [[nodiscard]] double breakShareWithout(const RequestTrait &trait) const;
+  /// Returns the number of crashes in a row that has at most this probability
+  /// by chance, at least `min`.
+  [[nodiscard]] std::size_t crashesNeeded(const RequestTrait &trait,
+                                          double probability,
+                                          std::size_t min) const;
   [[nodiscard]] bool hasSurvived(const RequestTrait &trait) const {
     return Survivals.contains(trait);
   }
--- a/src/cowslipridge/observe/EventCatalogue.cpp
+++ b/src/cowslipridge/observe/EventCatalogue.cpp
@@ -78,6 +78,9 @@
     CatalogueEntry{RunnerRateLimit, Info, "runner-rate-limit",
                    "A runner names the rate of requests that it takes, or no "
                    "longer does."},
+    CatalogueEntry{ContentQuarantined, Warning, "content-quarantined",
+                   "A request that crashes runners is rejected, whatever its "
+                   "id."},
     CatalogueEntry{RequestReceived, Info, "request-received",
                    "A caller's request arrived."},
     CatalogueEntry{RequestRouted, Info, "request-routed",
--- a/src/cowslipridge/observe/EventCatalogue.hpp
+++ b/src/cowslipridge/observe/EventCatalogue.hpp
@@ -40,6 +40,7 @@
   RunnerBackoff = 317,
   SegmentQuarantined = 318,
   RunnerRateLimit = 319,
+  ContentQuarantined = 320,
 
   RequestReceived = 400,
   RequestRouted = 401,
--- a/src/cowslipridge/observe/Metrics.cpp
+++ b/src/cowslipridge/observe/Metrics.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 constexpr std::size_t CounterCount = 11;
-constexpr std::size_t GaugeCount = 15;
+constexpr std::size_t GaugeCount = 16;
 constexpr std::size_t HistogramCount = 4;
 constexpr double MillisPerSecond = 1'000;
 
@@ -59,6 +59,8 @@
          "Prompt segments that crash runners and are rejected."},
         {"cowslipridge_runners_rate_limited",
          "Runners that named the rate of requests that they take."},
+        {"cowslipridge_contents_quarantined",
+         "Requests that crash runners and are rejected."},
         {"cowslipridge_request_seconds",
          "Time from a request's arrival to the end of its answer."},
         {"cowslipridge_first_token_seconds",
--- a/src/cowslipridge/observe/Metrics.hpp
+++ b/src/cowslipridge/observe/Metrics.hpp
@@ -43,6 +43,7 @@
   PeersReporting,      ///< other gateways whose reports are up to date
   SegmentsQuarantined, ///< prompt segments that are kept from runners
   RunnersRateLimited,  ///< runners that named a rate limit
+  ContentsQuarantined, ///< requests that are kept from runners
 };
 
 /// Histograms of durations.
--- a/src/cowslipridge/platform/QuarantineRecords.cpp
+++ b/src/cowslipridge/platform/QuarantineRecords.cpp
@@ -14,6 +14,8 @@
 
 // Written by gateways only.
 constexpr std::string_view RecordPrefix = "cowslipridge/quarantine/";
+/// Stands before the digest of a content, not before the id of a segment.
+constexpr std::string_view ContentPrefix = "content-";
 constexpr core::Millis CallTimeout{800};
 constexpr core::Millis RetryDelay{1'000};
 /// Gateways that take the same decision spread their writes over this time.
@@ -24,9 +26,11 @@
   std::array<char, 16> digits{};
   const auto end = std::to_chars(digits.data(), digits.data() + digits.size(),
                                  trait.Id, Hexadecimal);
+  std::string name = trait.Service.str() + "/";
+  if (trait.Kind == limits::TraitKind::Content)
+    name += ContentPrefix;
   return internal::makeKey(RecordPrefix,
-                           trait.Service.str() + "/" +
-                               std::string(digits.data(), end.ptr));
+                           name + std::string(digits.data(), end.ptr));
 }
 
 std::optional<limits::RequestTrait> parseKey(const std::string &key) {
@@ -34,8 +38,12 @@
   const std::size_t slash = rest ? rest->rfind('/') : std::string::npos;
   if (slash == std::string::npos)
     return std::nullopt;
-  const std::string digits = rest->substr(slash + 1);
+  std::string digits = rest->substr(slash + 1);
   limits::RequestTrait trait{core::ServiceId(rest->substr(0, slash)), 0};
+  if (digits.starts_with(ContentPrefix)) {
+    trait.Kind = limits::TraitKind::Content;
+    digits.erase(0, ContentPrefix.size());
+  }
   const char *end = digits.data() + digits.size();
   const auto parsed =
       std::from_chars(digits.data(), end, trait.Id, Hexadecimal);
--- a/tests/integration/platform/GatewayQuarantineTest.cpp
+++ b/tests/integration/platform/GatewayQuarantineTest.cpp
@@ -1,5 +1,6 @@
 #include "integration/platform/GatewayFixture.hpp"
 
+#include <algorithm>
 #include <string>
 
 using namespace cowslipridge;
@@ -24,6 +25,13 @@
     const core::Millis end = Clock.monotonic() + time;
     runUntil([&] { return Clock.monotonic() >= end; });
   }
+  /// Returns whether the store has a record whose key contains the text.
+  bool hasRecordWith(const std::string &text) {
+    const auto records = Store.store().list(RecordPrefix, "");
+    return std::any_of(records.begin(), records.end(), [&](const auto &it) {
+      return it.Key.find(text) != std::string::npos;
+    });
+  }
   void expectRejected(const std::string &bytes) {
     const auto response = send(bytes);
     EXPECT_EQ(response->Status, 503);
@@ -60,13 +68,7 @@
       runFor(core::Millis(160));
     }
   }
-  bool hasRecord() {
-    for (const auto &item : Store.store().list(RecordPrefix, "")) {
-      if (item.Key.ends_with(CrashingSegment))
-        return true;
-    }
-    return false;
-  }
+  bool hasRecord() { return hasRecordWith(CrashingSegment); }
   void expectRejected() {
     CrashingRunnersTest::expectRejected(crashingRequest());
   }
@@ -157,6 +159,7 @@
 TEST_F(GatewayRepeatedRequestTest, restartedGatewayRejectsItAtOnce) {
   startAndAwaitReady();
   crashRunners();
+  runUntil([&] { return hasRecordWith("content-"); });
   Gateway->kill();
   startAndAwaitReady();
   expectRejected(crashingRequest());
--- a/tests/unit/gateway/CrashWatchTest.cpp
+++ b/tests/unit/gateway/CrashWatchTest.cpp
@@ -36,6 +36,20 @@
     Now = Now + delay;
     watch.onEnded(Ticket, outcome, Now);
   }
+  static CallerRequest plainRequest(std::uint64_t content, int number) {
+    CallerRequest caller;
+    caller.Id = core::RequestId("id-" + std::to_string(number));
+    caller.Content = content;
+    return caller;
+  }
+  /// The attempt ends before the runner answers.
+  void unanswered(CrashWatch &watch, const CallerRequest &caller,
+                  const std::string &runner, AttemptOutcome outcome) {
+    ++Ticket;
+    watch.onSent(Ticket, Service, core::RunnerId(runner), caller);
+    Now = Now + Millis(50);
+    watch.onEnded(Ticket, outcome, Now);
+  }
   void letSettle(CrashWatch &watch) {
     Now = Now + Settled;
     watch.tick(Now);
@@ -166,4 +180,117 @@
   EXPECT_FALSE(refusal(here, request({Common}, 5), AttemptKind::Retry));
 }
 
+// Guards against one plain request that crashes runner after runner, as it
+// comes again with a new id each time.
+TEST_F(CrashWatchTest, rejectsARequestThatCrashedThreeRunners) {
+  CrashWatch watch;
+  std::vector<QuarantineStart> started;
+  watch.setListener([&](const QuarantineStart &it) { started.push_back(it); });
+  for (int n = 0; n < 3; ++n) {
+    unanswered(watch, plainRequest(7, n), "r" + std::to_string(n),
+               AttemptOutcome::Broken);
+    attempt(watch, plainRequest(100U + static_cast<unsigned>(n), 10 + n), "s",
+            AttemptOutcome::Served);
+  }
+  letSettle(watch);
+  EXPECT_TRUE(refusal(watch, plainRequest(7, 20)));
+  EXPECT_FALSE(refusal(watch, plainRequest(8, 21)));
+  ASSERT_EQ(started.size(), 1U);
+  EXPECT_EQ(started.front().Quarantined.Trait,
+            (limits::RequestTrait{Service, 7, limits::TraitKind::Content}));
+}
+
+// Pattern: a request and its retry break within a short time at two runners.
+TEST_F(CrashWatchTest, requestThatBrokeAtTwoRunnersIsNotRetried) {
+  CrashWatch watch;
+  const CallerRequest caller = plainRequest(7, 1);
+  unanswered(watch, caller, "a", AttemptOutcome::Broken);
+  EXPECT_FALSE(refusal(watch, caller, AttemptKind::Retry));
+  unanswered(watch, caller, "b", AttemptOutcome::Broken);
+  EXPECT_TRUE(refusal(watch, caller, AttemptKind::Retry));
+}
+
+// Guards against blaming requests that were in progress at the crashed runners,
+// or their prompts.
+TEST_F(CrashWatchTest, requestsBesideTheOneThatCrashesAreNotBlamed) {
+  CrashWatch watch;
+  const CallerRequest crashing = plainRequest(7, 1);
+  CallerRequest beside = request({Common}, 2);
+  beside.Content = 9;
+  for (int n = 0; n < 3; ++n) {
+    const std::string runner = "r" + std::to_string(n);
+    ++Ticket;
+    watch.onSent(Ticket, Service, core::RunnerId(runner), beside);
+    const std::uint64_t besideTicket = Ticket;
+    unanswered(watch, crashing, runner, AttemptOutcome::Broken);
+    watch.onEnded(besideTicket, AttemptOutcome::Broken, Now);
+  }
+  attempt(watch, beside, "s", AttemptOutcome::Served);
+  letSettle(watch);
+  EXPECT_TRUE(refusal(watch, crashing));
+  EXPECT_FALSE(refusal(watch, beside));
+}
+
+// Pattern: a rack with all runners fails; a request breaks there and is served
+// elsewhere.
+TEST_F(CrashWatchTest, requestsOfALostRackAreNotBlamed) {
+  CrashWatch watch;
+  for (int n = 0; n < 30; ++n) {
+    ++Ticket;
+    watch.onSent(Ticket, Service, core::RunnerId("r" + std::to_string(n % 6)),
+                 plainRequest(100U + static_cast<unsigned>(n), n));
+    watch.onEnded(Ticket, AttemptOutcome::Broken, Now);
+  }
+  letSettle(watch);
+  for (int n = 0; n < 30; ++n)
+    EXPECT_FALSE(refusal(watch,
+                         plainRequest(100U + static_cast<unsigned>(n), n),
+                         AttemptKind::Retry));
+}
+
+// Pattern: the same prompt comes again under other ids and crashes each runner;
+// sound prompts share its segments.
+TEST_F(CrashWatchTest, requestIsBlamedBeforeSegmentsThatWereAnswered) {
+  CrashWatch watch;
+  attempt(watch, request({Common, Crashing}, 50), "s", AttemptOutcome::Served);
+  CallerRequest crashing;
+  for (int n = 0; n < 3; ++n) {
+    crashing = request({Common, Crashing}, n);
+    crashing.Content = 7;
+    attempt(watch, crashing, "r" + std::to_string(n), AttemptOutcome::Broken);
+    Now = Now + Millis(300);
+  }
+  letSettle(watch);
+  EXPECT_TRUE(refusal(watch, crashing));
+  EXPECT_FALSE(refusal(watch, request({Common, Crashing}, 51)));
+}
+
+// Guards against forgetting the crashes of a segment when a request that was
+// retried several times was blamed first.
+TEST_F(CrashWatchTest, segmentIsBlamedOnceOtherRequestsWithItCrashRunners) {
+  CrashWatch watch;
+  int runners = 0;
+  const auto crash = [&](int number) {
+    CallerRequest caller = request({Common, Crashing}, number);
+    caller.Content = 1'000U + static_cast<unsigned>(number);
+    attempt(watch, caller, "r" + std::to_string(runners++),
+            AttemptOutcome::Broken);
+    attempt(watch, request({Common}, 100 + runners), "s",
+            AttemptOutcome::Served);
+    Now = Now + Millis(300);
+  };
+  for (int n = 0; n < 3; ++n)
+    crash(1);
+  letSettle(watch);
+  CallerRequest again = request({Common, Crashing}, 50);
+  again.Content = 1'001;
+  EXPECT_TRUE(refusal(watch, again));
+  EXPECT_FALSE(refusal(watch, request({Common, Crashing}, 51)));
+  crash(2);
+  crash(3);
+  letSettle(watch);
+  EXPECT_TRUE(refusal(watch, request({Common, Crashing}, 52)));
+  EXPECT_FALSE(refusal(watch, request({Common}, 53)));
+}
+
 } // namespace
--- a/tests/unit/gateway/CrashingRequestFleet.cpp
+++ b/tests/unit/gateway/CrashingRequestFleet.cpp
@@ -31,6 +31,12 @@
 constexpr std::uint64_t Subjects = 40;
 constexpr std::uint64_t SegmentTokens = 2'000;
 
+std::vector<core::RunnerId> with(std::vector<core::RunnerId> runners,
+                                 const core::RunnerId &added) {
+  runners.push_back(added);
+  return runners;
+}
+
 } // namespace
 
 CrashingRequestFleet::CrashingRequestFleet(const CrashLoad &load)
@@ -180,6 +186,9 @@
   if (!Runners.contains(placement->Runner)) {
     Gateways[gateway]->onEnded(placement->Ticket,
                                gateway::AttemptOutcome::Unreachable, Now);
+    if (isPlain() && tried.size() < MaxAttempts)
+      place(gateway, request, with(tried, placement->Runner),
+            tried.empty() ? gateway::AttemptKind::Failover : kind);
     return;
   }
   if (crashes(request) && isLate())
@@ -188,8 +197,7 @@
   attempt.Gateway = gateway;
   attempt.Request = request;
   attempt.Placed = *placement;
-  attempt.Tried = tried;
-  attempt.Tried.push_back(placement->Runner);
+  attempt.Tried = with(tried, placement->Runner);
   const auto upTo = [&](Millis longest) {
     return Millis(static_cast<std::int64_t>(
         core::uniformIndex(Random, static_cast<std::size_t>(longest.count()))));
--- a/tests/unit/gateway/PeerReportCodecTest.cpp
+++ b/tests/unit/gateway/PeerReportCodecTest.cpp
@@ -27,11 +27,16 @@
                     {7, core::RunnerId("r2")}};
   report.Crashes.Breaks = {{core::RunnerId("r"),
                             1ULL << 63,
-                            {core::ServiceId("s"), {3, 1ULL << 62}},
+                            {core::ServiceId("s"), {3, 1ULL << 62}, 1ULL << 61},
                             core::Millis(-40)}};
-  report.Crashes.Survivals = {{{core::ServiceId("s"), 3}, core::Millis(-700)}};
+  report.Crashes.Survivals = {
+      {{core::ServiceId("s"), 3}, core::Millis(-700)},
+      {{core::ServiceId("s"), 5, limits::TraitKind::Content},
+       core::Millis(-60)}};
   report.Crashes.Quarantined = {
-      {{core::ServiceId("s"), 4}, core::Millis(90'000)}};
+      {{core::ServiceId("s"), 4}, core::Millis(90'000)},
+      {{core::ServiceId("s"), 4, limits::TraitKind::Content},
+       core::Millis(80'000)}};
   report.RateLimits = {{{core::RunnerId("r"), 2.5}, core::Millis(40)},
                        {{core::RunnerId("r2"), std::nullopt}, core::Millis(0)}};
   return report;
@@ -84,4 +89,25 @@
   EXPECT_TRUE(decoded->Crashes.Quarantined.empty());
 }
 
+// Guards against misreading the evidence of a build that knows prompt segments
+// only: its entries on crashes are shorter.
+TEST(PeerReportCodecTest, entriesWithoutAKindAreOfSegments) {
+  using nlohmann::json;
+  constexpr std::size_t CrashesIndex = 9;
+  json message = json::from_msgpack(encodePeerReport(sampleReport()));
+  for (json &list : message.at(CrashesIndex)) {
+    for (json &entry : list)
+      entry.erase(entry.size() - 1);
+  }
+  std::string bytes;
+  json::to_msgpack(message, bytes);
+  const auto decoded = decodePeerReport(bytes);
+  ASSERT_TRUE(decoded.ok());
+  ASSERT_EQ(decoded->Crashes.Breaks.size(), 1U);
+  EXPECT_EQ(decoded->Crashes.Breaks.front().Traits.Content, 0U);
+  ASSERT_EQ(decoded->Crashes.Quarantined.size(), 2U);
+  EXPECT_EQ(decoded->Crashes.Quarantined.back().Trait.Kind,
+            limits::TraitKind::PromptSegment);
+}
+
 } // namespace
