Let a request that broke at two runners be tried a third time

Found by GatewayTest.resumesAbortedStreamAtAnotherRunner on the commit before: a resumable stream that broke off at two runners within 150 ms was not resumed at a third, as its content counted as suspect after two crashes.

Change: a content is suspect after three crashes; the attempts of one request are bounded by its route.

--- a/src/cowslipridge/limits/CrashAttribution.cpp
+++ b/src/cowslipridge/limits/CrashAttribution.cpp
@@ -26,7 +26,10 @@
 /// Later evidence may still decide on a break for this time.
 constexpr core::Millis JudgementTime{5'000};
 
-constexpr std::size_t CrashesForSuspicion = 2;
+constexpr std::size_t CrashesOfSuspectSegment = 2;
+/// A request that is retried is not suspect because of its own attempts alone:
+/// its route bounds them.
+constexpr std::size_t CrashesOfSuspectContent = 3;
 constexpr std::size_t MinCrashes = 3;
 /// Requests with a blamed segment; one is enough to blame a content.
 constexpr std::size_t MinRequestsOfSegment = 2;
@@ -281,10 +284,12 @@
     return false;
   const std::vector<RequestTrait> all = traits.list();
   return std::any_of(all.begin(), all.end(), [&](const RequestTrait &it) {
+    const std::size_t min = it.Kind == TraitKind::Content
+                                ? CrashesOfSuspectContent
+                                : CrashesOfSuspectSegment;
     const std::size_t crashes = evidence(it, now).Crashes;
-    return crashes >= CrashesForSuspicion &&
-           crashes >= crashesNeeded(it, FalseSuspicionProbability,
-                                    CrashesForSuspicion);
+    return crashes >= min &&
+           crashes >= crashesNeeded(it, FalseSuspicionProbability, min);
   });
 }
 
