Blame no segment while nothing tells it from another one

Change: traits that are equal in crashes, answers and place are left undecided until a crash or an answer tells them apart. Ruled out: more crashes for each tie, as equal traits may stay equal for any number.

--- a/src/cowslipridge/limits/CrashAttribution.cpp
+++ b/src/cowslipridge/limits/CrashAttribution.cpp
@@ -221,6 +221,7 @@
   Rank bestRank;
   CrashVerdict best;
   bool isTied = false;
+  bool isUndecided = false;
   for (const auto &[trait, position] :
        traitsBetween(kind, until - JudgementTime, until)) {
     const Evidence found = evidence(trait, until);
@@ -229,6 +230,7 @@
     const bool isEqual = std::get<0>(rank) == std::get<0>(bestRank) &&
                          std::get<1>(rank) == std::get<1>(bestRank);
     isTied = isEqual || (isTied && !isBetter);
+    isUndecided = rank == bestRank || (isUndecided && !isBetter);
     if (!isBetter)
       continue;
     bestRank = rank;
@@ -236,7 +238,7 @@
   }
   const std::size_t requests =
       kind == TraitKind::PromptSegment ? MinRequestsOfSegment : 1;
-  if (best.Crashes < MinCrashes || best.Requests < requests)
+  if (isUndecided || best.Crashes < MinCrashes || best.Requests < requests)
     return std::nullopt;
   const std::size_t needed =
       crashesNeeded(best.Trait, FalseAlarmProbability, MinCrashes) +
--- a/tests/unit/gateway/CrashingRequestFleet.cpp
+++ b/tests/unit/gateway/CrashingRequestFleet.cpp
@@ -186,7 +186,7 @@
   if (!Runners.contains(placement->Runner)) {
     Gateways[gateway]->onEnded(placement->Ticket,
                                gateway::AttemptOutcome::Unreachable, Now);
-    if (isPlain() && tried.size() < MaxAttempts)
+    if (tried.size() < MaxAttempts)
       place(gateway, request, with(tried, placement->Runner),
             tried.empty() ? gateway::AttemptKind::Failover : kind);
     return;
--- a/tests/unit/limits/CrashAttributionTest.cpp
+++ b/tests/unit/limits/CrashAttributionTest.cpp
@@ -89,6 +89,23 @@
   EXPECT_EQ(verdict->Trait.Id, Crashing);
 }
 
+// Guards against an arbitrary choice between two segments that stand at the
+// same place of their prompts, soon after the start, when nothing was answered
+// yet.
+TEST_F(CrashAttributionTest, waitsWhileNothingTellsTwoSegmentsApart) {
+  for (std::uint64_t n = 0; n < 6; ++n) {
+    const Millis at(1'000 + static_cast<std::int64_t>(n) * 500);
+    const std::string runner = "r" + std::to_string(n);
+    breakAt(at, n, runner, {Common});
+    breakAt(at, 100 + n, runner, {Crashing});
+  }
+  EXPECT_FALSE(settle());
+  breakAt(Now, 50, "x", {Crashing});
+  const auto verdict = settle();
+  ASSERT_TRUE(verdict);
+  EXPECT_EQ(verdict->Trait.Id, Crashing);
+}
+
 TEST_F(CrashAttributionTest, crashesThatAreExplainedDoNotCountAgainstOthers) {
   for (std::uint64_t n = 0; n < 5; ++n)
     breakAt(Millis(1'000 + static_cast<std::int64_t>(n) * 500), n,
