Add a failing test of a backoff that is forgotten with a runner's entry

RunnerNoticeProperty now erases what the gateway knows of a runner when its entry leaves the store, as the gateway does: a runner that asked for a backoff, and whose entry expires and comes back (it could not reach the store for a while), gets requests before the backoff is over.

Fails on this code within 3,000 histories (shrunk: a backoff, the entry expires, the entry is back, a request).

--- a/tests/property/gateway/RunnerNoticeProperty.cpp
+++ b/tests/property/gateway/RunnerNoticeProperty.cpp
@@ -33,7 +33,8 @@
 
   void advance(Millis time) {
     Now = Now + time;
-    Gateway.servers().tick(Now);
+    for (const core::RunnerId &it : Gateway.servers().tick(Now))
+      Gateway.removeServer(it);
   }
 
   void restart(std::size_t runner) {
@@ -50,15 +51,19 @@
   void writeEntry(std::size_t runner) {
     Gateway.servers().put(Entries.at(runner));
   }
+  /// The entry expires, though the runner is alive.
   void removeEntry(std::size_t runner) {
-    Gateway.servers().remove(Entries.at(runner).Id, Now);
+    const core::RunnerId &id = Entries.at(runner).Id;
+    if (Gateway.servers().remove(id, Now))
+      Gateway.removeServer(id);
   }
   void listAll(bool afterRestore) {
     std::vector<BackendServer> listed;
     for (const auto &[n, entry] : Entries)
       listed.push_back(entry);
-    Gateway.servers().replaceAll(
-        Gateway.servers().reconcile(listed, afterRestore, Now), Now);
+    const auto kept = Gateway.servers().reconcile(listed, afterRestore, Now);
+    for (const core::RunnerId &it : Gateway.servers().replaceAll(kept, Now))
+      Gateway.removeServer(it);
   }
 
   /// Sends a request and checks that the chosen runner takes requests.
