Keep a runner's backoff while its entry is away from the store

Cause: what a runner asks for was erased with its entry. An entry goes when the runner cannot reach the store for three heartbeats, which says nothing about the backoff. Class: state of a runner bound to the life of its registration instead of to its incarnation. Evidence: RunnerNoticeProperty, red on the commit before (a backoff, the entry expires and is back, a request), green now.

Change: RunnerBackoff identifies the incarnation by its start time, ignores the registration, and erases backoffs when they are over. RunnerBackoffTest.forgetsARunnerThatWasRemoved asserted the fault; holdsForOneIncarnationOnly and keepsNoBackoffThatIsOver replace it: a restarted runner takes requests at once, and nothing is kept for good.

--- a/src/cowslipridge/gateway/Dispatcher.cpp
+++ b/src/cowslipridge/gateway/Dispatcher.cpp
@@ -198,8 +198,8 @@
   onRateLimit(attempt.Runner, response, now);
   if (!response.Backoff)
     return;
-  if (const auto begun =
-          Backoff.onRejected(attempt.Runner, *response.Backoff, now))
+  if (const auto begun = Backoff.onRejected(
+          attempt.Runner, attempt.RunnerStartedAt, *response.Backoff, now))
     reportNotice(*begun);
 }
 
@@ -304,7 +304,6 @@
   Cache.removeRunner(runner);
   Forecast.removeRunner(runner);
   Ejections.removeRunner(runner);
-  Backoff.removeRunner(runner);
   RateLimits.removeRunner(runner);
 }
 
@@ -343,6 +342,7 @@
 void Dispatcher::tick(core::Millis now) {
   Selection.tick(now);
   Crashes.tick(now);
+  Backoff.tick(now);
   RateLimits.tick(now);
 }
 
--- a/src/cowslipridge/gateway/Dispatcher.hpp
+++ b/src/cowslipridge/gateway/Dispatcher.hpp
@@ -93,7 +93,8 @@
   rollout::TrialControl &trials() { return Trials; }
   CrashWatch &crashes() { return Crashes; }
   [[nodiscard]] const rollout::TrialControl &trials() const { return Trials; }
-  /// Erases all state of a runner that was removed.
+  /// Erases what is known of a runner that was removed. What it asked for holds
+  /// on, as it may be alive and only unable to reach the store.
   void removeServer(const core::RunnerId &runner);
   /// Sets the other gateways, which share retry budgets and the limits of
   /// runners with this one.
--- a/src/cowslipridge/gateway/RunnerSelection.cpp
+++ b/src/cowslipridge/gateway/RunnerSelection.cpp
@@ -112,17 +112,18 @@
   return servers;
 }
 
-core::Millis RunnerSelection::unavailableFor(const core::RunnerId &runner,
-                                             core::Millis now) const {
-  return std::max(Backoff.remaining(runner, now),
-                  RateLimits.remaining(runner, now));
+core::Millis
+RunnerSelection::unavailableFor(const membership::BackendServer &server,
+                                core::Millis now) const {
+  return std::max(Backoff.remaining(server.Id, server.StartedAt, now),
+                  RateLimits.remaining(server.Id, now));
 }
 
 core::Millis RunnerSelection::timeUntilAvailable(const RequestContext &request,
                                                  core::Millis now) const {
   std::optional<core::Millis> shortest;
   for (const auto *server : serving(request, serviceOf(request), now)) {
-    const core::Millis remaining = unavailableFor(server->Id, now);
+    const core::Millis remaining = unavailableFor(*server, now);
     shortest = std::min(shortest.value_or(remaining), remaining);
   }
   return shortest.value_or(core::Millis());
@@ -135,7 +136,7 @@
   std::erase_if(servers, [&](const auto *it) {
     return std::find(excluded.begin(), excluded.end(), it->Id) !=
                excluded.end() ||
-           unavailableFor(it->Id, now) > core::Millis();
+           unavailableFor(*it, now) > core::Millis();
   });
   // Ejected runners are used when there is no healthy one.
   const auto healthy = std::stable_partition(
--- a/src/cowslipridge/gateway/RunnerSelection.hpp
+++ b/src/cowslipridge/gateway/RunnerSelection.hpp
@@ -85,8 +85,9 @@
   };
 
   /// Returns the time until the runner takes a request of this gateway.
-  [[nodiscard]] core::Millis unavailableFor(const core::RunnerId &runner,
-                                            core::Millis now) const;
+  [[nodiscard]] core::Millis
+  unavailableFor(const membership::BackendServer &server,
+                 core::Millis now) const;
   /// Returns the runners that serve the request.
   ServerList serving(const RequestContext &request,
                      const core::ServiceId &service, core::Millis now) const;
--- a/src/cowslipridge/limits/RunnerBackoff.hpp
+++ b/src/cowslipridge/limits/RunnerBackoff.hpp
@@ -3,6 +3,7 @@
 #include "cowslipridge/core/Clock.hpp"
 #include "cowslipridge/core/Ids.hpp"
 
+#include <cstddef>
 #include <map>
 #include <optional>
 
@@ -17,7 +18,9 @@
                           const BackoffRequest &) = default;
 };
 
-/// Tracks which runners want no requests from this gateway for some time.
+/// Tracks which runners want no requests from this gateway for some time. A
+/// backoff holds for one incarnation of a runner, which its start time
+/// identifies, whether it is registered all the while or not.
 class RunnerBackoff {
 public:
   /// Upper bound on a backoff, against unreasonable values.
@@ -26,16 +29,25 @@
   /// Handles a rejection that asks for a backoff. Returns the backoff if it
   /// begins with this rejection; one that only extends it returns nothing.
   std::optional<BackoffRequest> onRejected(const core::RunnerId &runner,
+                                           core::Millis startedAt,
                                            core::Millis duration,
                                            core::Millis now);
-  void removeRunner(const core::RunnerId &runner) { Until.erase(runner); }
   /// Returns how long the runner still wants no requests; zero if it takes
   /// them.
   [[nodiscard]] core::Millis remaining(const core::RunnerId &runner,
+                                       core::Millis startedAt,
                                        core::Millis now) const;
+  [[nodiscard]] std::size_t size() const { return Backoffs.size(); }
+  /// Erases backoffs that are over.
+  void tick(core::Millis now);
 
 private:
-  std::map<core::RunnerId, core::Millis> Until;
+  struct Backoff {
+    core::Millis StartedAt; ///< of the runner
+    core::Millis Until;
+  };
+
+  std::map<core::RunnerId, Backoff> Backoffs;
 };
 
 } // namespace cowslipridge::limits
