Show that sound requests that come again are not blamed, and bound what is kept of them

Two questions that the change left open: whether the same lookup of the same caller, sent many times a second beside runners that crash for other reasons, is blamed; and what callers cost that send ever new requests. Answers that went well are kept for 60 s, now for 10,000 traits at most; those that broke before are always recorded.

--- a/src/cowslipridge/limits/CrashAttribution.cpp
+++ b/src/cowslipridge/limits/CrashAttribution.cpp
@@ -12,6 +12,8 @@
 
 constexpr core::Millis EvidenceLifetime{600'000};
 constexpr std::size_t MaxBreaks = 400;
+/// Bounds the memory for answers that went well to ever new requests.
+constexpr std::size_t MaxSurvivals = 10'000;
 /// How long answers that went well speak for a trait without recorded breaks.
 constexpr core::Millis SurvivalLifetime{60'000};
 constexpr core::Millis PruneInterval{1'000};
@@ -67,6 +69,8 @@
 }
 
 void CrashAttribution::onSurvived(const TraitSurvival &survival, bool isOwn) {
+  if (Survivals.size() >= MaxSurvivals && !isKnown(survival.Trait))
+    return;
   Survival &last = Survivals[survival.Trait];
   if (last.At < survival.At)
     last = {survival.At, isOwn};
--- a/src/cowslipridge/limits/CrashAttribution.hpp
+++ b/src/cowslipridge/limits/CrashAttribution.hpp
@@ -84,6 +84,8 @@
   /// recorded break.
   [[nodiscard]] std::vector<TraitSurvival>
   ownSurvivalsSince(core::Millis since) const;
+  /// Returns the number of traits with a recent answer that went well.
+  [[nodiscard]] std::size_t survivals() const { return Survivals.size(); }
   /// Erases old evidence.
   void tick(core::Millis now);
 
--- a/tests/unit/gateway/CrashingRequestFleet.cpp
+++ b/tests/unit/gateway/CrashingRequestFleet.cpp
@@ -4,6 +4,7 @@
 #include "support/PlainCatalogue.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <string>
 
 namespace cowslipridge::support {
@@ -50,7 +51,7 @@
 }
 
 std::unique_ptr<gateway::Dispatcher>
-CrashingRequestFleet::makeGateway(std::size_t number) const {
+CrashingRequestFleet::makeGateway(std::size_t number) {
   config::GatewaySettings settings;
   settings.Instance = core::InstanceId("gateway-" + std::to_string(number));
   settings.Retries = {1, 1'000, Millis(10'000)};
@@ -62,6 +63,9 @@
       peers.insert(core::InstanceId("gateway-" + std::to_string(n)));
   }
   gateway->setPeers(peers);
+  gateway->crashes().setListener([this](const gateway::QuarantineStart &it) {
+    Result.Quarantined += it.isOwnDecision() ? 1 : 0;
+  });
   for (const core::RunnerId &it : Runners)
     registerRunner(*gateway, it);
   return gateway;
@@ -104,7 +108,10 @@
 gateway::RequestContext CrashingRequestFleet::makePlainRequest(bool crashing) {
   gateway::RequestContext request;
   request.Caller.Id = core::RequestId("id-" + std::to_string(++Ids));
-  request.Caller.Content = crashing ? CrashingContent : 1'000'000 + Ids;
+  const std::uint64_t sound =
+      Load.SoundContents == 0 ? Ids
+                              : core::uniformIndex(Random, Load.SoundContents);
+  request.Caller.Content = crashing ? CrashingContent : 1'000'000 + sound;
   request.Catalogue = Declared;
   request.Route = &Declared->catalogue().Routes.front();
   request.ArrivedAt = Now;
@@ -143,6 +150,7 @@
     if (core::uniform(Random) < arrivals)
       arrive();
     step();
+    crashRunnersByChance();
     restoreRunners();
     if (Load.RestartAt && !restarted && Now - StartedAt >= *Load.RestartAt) {
       restarted = true;
@@ -262,6 +270,15 @@
   }
 }
 
+void CrashingRequestFleet::crashRunnersByChance() {
+  if (!Load.CrashInterval || Runners.empty() ||
+      (Now - StartedAt).count() % Load.CrashInterval->count() != 0)
+    return;
+  auto it = Runners.begin();
+  std::advance(it, core::uniformIndex(Random, Runners.size()));
+  crash(*it);
+}
+
 void CrashingRequestFleet::restoreRunners() {
   for (auto it = Returning.begin(); it != Returning.end();) {
     if (Now < it->second) {
--- a/tests/unit/gateway/CrashingRequestFleet.hpp
+++ b/tests/unit/gateway/CrashingRequestFleet.hpp
@@ -29,6 +29,10 @@
   /// Position of the segment that crashes runners in the prompt.
   std::size_t Position = 1;
   core::Millis Duration{25'000};
+  /// A runner, which requests have no part in, crashes at this interval.
+  std::optional<core::Millis> CrashInterval;
+  /// Number of different contents of sound plain requests; without limit if 0.
+  std::uint64_t SoundContents = 0;
   /// Every gateway loses its state at this time.
   std::optional<core::Millis> RestartAt;
 };
@@ -44,6 +48,7 @@
   /// last one if there are fewer.
   int Related = 0;
   int RelatedPlaced = 0;
+  int Quarantined = 0; ///< decisions of gateways to quarantine a trait
 };
 
 /// Gateways, runners and callers without network. A few requests crash each
@@ -71,7 +76,7 @@
   };
 
   [[nodiscard]] std::unique_ptr<gateway::Dispatcher>
-  makeGateway(std::size_t number) const;
+  makeGateway(std::size_t number);
   void registerRunner(gateway::Dispatcher &gateway,
                       const core::RunnerId &runner) const;
   [[nodiscard]] gateway::RequestContext makeRequest(bool crashing,
@@ -89,6 +94,7 @@
              gateway::AttemptKind kind);
   void step();
   void crash(const core::RunnerId &runner);
+  void crashRunnersByChance();
   void restoreRunners();
   void restartGateways();
   void exchangeReports();
--- a/tests/unit/gateway/CrashingRequestTest.cpp
+++ b/tests/unit/gateway/CrashingRequestTest.cpp
@@ -3,7 +3,6 @@
 #include <gtest/gtest.h>
 
 using namespace cowslipridge;
-using core::Millis;
 
 namespace {
 
@@ -43,4 +42,22 @@
   }
 }
 
+// Pattern: callers send the same few requests again and again, beside runners
+// that crash for reasons of their own, each of them down most of the time.
+TEST(CrashingRequestTest, soundRequestsThatComeAgainAreNotBlamed) {
+  for (const std::uint64_t contents : {1U, 5U, 40U}) {
+    for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+      support::CrashLoad load = repeatedRequest(seed);
+      load.CrashingShare = 0;
+      load.RequestsPerSecond = 60;
+      load.SoundContents = contents;
+      load.CrashInterval = core::Millis(1'300);
+      const auto result = support::CrashingRequestFleet(load).run();
+      EXPECT_GT(result.Crashes, 10) << "seed " << seed;
+      EXPECT_EQ(result.Quarantined, 0)
+          << "seed " << seed << ", " << contents << " contents";
+    }
+  }
+}
+
 } // namespace
--- a/tests/unit/limits/CrashAttributionTest.cpp
+++ b/tests/unit/limits/CrashAttributionTest.cpp
@@ -145,6 +145,20 @@
   EXPECT_FALSE(Attribution.onBreak(event, false, Now));
 }
 
+// Pattern: callers that send ever new requests. An answer still clears a
+// request that broke before.
+TEST_F(CrashAttributionTest, memoryForAnswersThatWentWellIsBounded) {
+  constexpr TraitKind Kind = TraitKind::Content;
+  constexpr std::uint64_t Broken = 7;
+  Attribution.onBreak({core::RunnerId("a"), 1, {Service, {}, Broken}, Now},
+                      true, Now);
+  for (std::uint64_t n = 0; n < 50'000; ++n)
+    Attribution.onSurvived({{Service, 1'000 + n, Kind}, Now}, true);
+  EXPECT_LE(Attribution.survivals(), 10'000U);
+  Attribution.onSurvived({{Service, Broken, Kind}, Now}, true);
+  EXPECT_EQ(Attribution.ownSurvivalsSince(Now).size(), 1U);
+}
+
 // Pattern: runners that reset many connections for reasons of their own. Each
 // subject is rare, and some have a run of bad luck.
 TEST_F(CrashAttributionTest, blamesNothingWhenAnswersBreakByChance) {
