Compare the versions of a roll-out by the fastest of their streams

Cause: versions were compared by the first token against a forecast that learns the slowness of the runner, and by a mean. The slow part shows in the streams: the runners of the version share each step, so that all of their streams are slower, by 1.6; the fastest has 30 ms between events, that of the stable version 20 ms.

Change: streams are counted by mean interval and by the other requests at their runner; a version is worse if it has under 0.3 of the fast streams that the stable one has at the same load, with a chance under 1e-3. Events 401 show the runner's slowness and load.

--- a/src/cowslipridge/gateway/Dispatcher.cpp
+++ b/src/cowslipridge/gateway/Dispatcher.cpp
@@ -21,6 +21,8 @@
 /// First-byte timeout of a plain request: the time until its deadline, divided
 /// by this.
 constexpr std::int64_t PlainTimeoutDivisor = 3;
+/// Intervals between events from which the speed of a stream shows.
+constexpr unsigned MinIntervals = 3;
 /// Lower bound on this gateway's share of a runner's connection limit.
 constexpr std::size_t MinConnectionsPerRunner = 4;
 
@@ -103,6 +105,8 @@
     placement.PrefixSource = candidate.PrefixSource->Host + ":" +
                              std::to_string(candidate.PrefixSource->Port);
   placement.PeerLoadAge = Forecast.maxRemoteLoadAge(now);
+  placement.RunnerSlowness = Forecast.slowness(server.Id);
+  placement.RunnerLoad = requestsAt(server.Id);
   placement.FirstByteTimeout =
       isStream ? std::max(MinStreamIdleTimeout,
                           candidate.FirstToken * StreamTimeoutFactor)
@@ -142,6 +146,7 @@
   attempt.IsStream = catalogue::isStream(request.Route->Kind);
   attempt.SentAt = now;
   attempt.Predicted = candidate.FirstToken;
+  attempt.OtherRequests = placement.RunnerLoad;
   ActiveAttempts.emplace(placement.Ticket, std::move(attempt));
   return placement;
 }
@@ -243,6 +248,33 @@
                           core::Millis now) {
   Forecast.onStreamEvents(ticket, events, now);
   Crashes.onEvents(ticket, now);
+  const auto it = ActiveAttempts.find(ticket);
+  if (it == ActiveAttempts.end() || events == 0)
+    return;
+  ActiveAttempt &attempt = it->second;
+  if (attempt.Events == 0) {
+    attempt.FirstEvents = events;
+    attempt.FirstEventAt = now;
+  }
+  attempt.Events += events;
+  attempt.LastEventAt = now;
+}
+
+void Dispatcher::recordInterval(const ActiveAttempt &attempt,
+                                rollout::AnswerCounts &counts) const {
+  const unsigned intervals = attempt.Events - attempt.FirstEvents;
+  if (intervals < MinIntervals)
+    return;
+  const auto elapsed =
+      static_cast<double>((attempt.LastEventAt - attempt.FirstEventAt).count());
+  counts.Intervals.add(
+      std::max(attempt.OtherRequests, requestsAt(attempt.Runner)),
+      elapsed / intervals);
+}
+
+unsigned Dispatcher::requestsAt(const core::RunnerId &runner) const {
+  const route::ServerLoad load = Forecast.load(runner);
+  return load.Waiting + load.Running;
 }
 
 void Dispatcher::onEnded(std::uint64_t ticket, AttemptOutcome outcome,
@@ -260,6 +292,7 @@
   case AttemptOutcome::Served:
     reportEjection(Ejections.onSuccess(attempt.Runner), outcome);
     ++counts.Judged;
+    recordInterval(attempt, counts);
     break;
   case AttemptOutcome::Unreachable:
     reportEjection(Ejections.onUnreachable(attempt.Runner, now), outcome);
--- a/src/cowslipridge/gateway/Dispatcher.hpp
+++ b/src/cowslipridge/gateway/Dispatcher.hpp
@@ -148,6 +148,13 @@
     core::Millis SentAt;
     core::Millis Predicted;
     bool Answered = false;
+    // Of a stream: its events, how many came with the first of them, and the
+    // other requests at the runner when it was sent.
+    unsigned FirstEvents = 0;
+    unsigned Events = 0;
+    unsigned OtherRequests = 0;
+    core::Millis FirstEventAt;
+    core::Millis LastEventAt;
   };
 
   /// Builds the placement, with its limits and timeouts.
@@ -166,6 +173,11 @@
                    core::Millis now);
   void onFirstByte(std::uint64_t ticket, ActiveAttempt &attempt,
                    core::Millis now);
+  /// Records how fast a complete stream was.
+  void recordInterval(const ActiveAttempt &attempt,
+                      rollout::AnswerCounts &counts) const;
+  /// Returns the number of requests at the runner that have not ended.
+  [[nodiscard]] unsigned requestsAt(const core::RunnerId &runner) const;
   void reportNotice(const RunnerNotice &notice);
   /// Records that the runner reads the prompt.
   void recordPrompt(const std::vector<route::CacheBlock> &prompt,
--- a/src/cowslipridge/gateway/EventDetails.cpp
+++ b/src/cowslipridge/gateway/EventDetails.cpp
@@ -5,6 +5,7 @@
 #include "cowslipridge/gateway/RequestTraits.hpp"
 
 #include <algorithm>
+#include <iomanip>
 #include <sstream>
 
 namespace cowslipridge::gateway {
@@ -113,6 +114,12 @@
   return text;
 }
 
+std::string formatFactor(double factor) {
+  std::ostringstream text;
+  text << std::fixed << std::setprecision(2) << factor;
+  return text.str();
+}
+
 std::string formatHex(std::uint64_t number) {
   std::ostringstream text;
   text << std::hex << number;
--- a/src/cowslipridge/gateway/EventDetails.hpp
+++ b/src/cowslipridge/gateway/EventDetails.hpp
@@ -27,6 +27,8 @@
 /// Returns the ids of the prompt's segments that other requests may share, in
 /// hexadecimal; empty if there are none.
 std::string describeSharedSegments(const CallerRequest &caller);
+/// Returns the factor with two decimals.
+std::string formatFactor(double factor);
 /// Returns the digest or id in hexadecimal.
 std::string formatHex(std::uint64_t number);
 std::string describe(const rollout::RolloutCommand &order);
--- a/src/cowslipridge/gateway/PeerReportCodec.cpp
+++ b/src/cowslipridge/gateway/PeerReportCodec.cpp
@@ -19,6 +19,7 @@
 constexpr std::size_t PromptsIndex = 8;
 constexpr std::size_t CrashesIndex = 9;
 constexpr std::size_t RateLimitsIndex = 10;
+constexpr std::size_t EvidenceIntervalsIndex = 9;
 // Positions in the entries on crashes.
 constexpr std::size_t BreakContentIndex = 5;
 constexpr std::size_t TraitKindIndex = 3;
@@ -33,12 +34,36 @@
   return loads;
 }
 
+// Rows of a class of load, a bucket and its count; most buckets are empty.
+json encode(const rollout::IntervalsByLoad &intervals) {
+  json rows = json::array();
+  for (std::size_t load = 0; load < rollout::IntervalsByLoad::ClassCount;
+       ++load) {
+    const auto &counts = intervals.ofClass(load).counts();
+    for (std::size_t n = 0; n < counts.size(); ++n) {
+      if (counts.at(n) > 0)
+        rows.push_back({load, n, counts.at(n)});
+    }
+  }
+  return rows;
+}
+
+void decode(const json &rows, rollout::IntervalsByLoad &intervals) {
+  for (const json &it : rows) {
+    const auto load = it.at(0).get<std::size_t>();
+    if (load < rollout::IntervalsByLoad::ClassCount)
+      intervals.ofClass(load).addToBucket(it.at(1).get<std::size_t>(),
+                                          it.at(2).get<std::uint32_t>());
+  }
+}
+
 json encodeEvidence(const PeerReport &report) {
   json evidence = json::array();
   for (const auto &[key, counts] : report.Evidence)
     evidence.push_back({key.Service.str(), key.Version.str(), key.Route,
                         counts.Sent, counts.Judged, counts.Failed,
-                        counts.Broken, counts.Timed, counts.LogSlowness});
+                        counts.Broken, counts.Timed, counts.LogSlowness,
+                        encode(counts.Intervals)});
   return evidence;
 }
 
@@ -160,6 +185,23 @@
   }
 }
 
+rollout::RouteEvidenceTable::value_type decodeEvidence(const json &entry) {
+  rollout::AnswerCounts counts;
+  counts.Sent = entry.at(3).get<std::uint64_t>();
+  counts.Judged = entry.at(4).get<std::uint64_t>();
+  counts.Failed = entry.at(5).get<std::uint64_t>();
+  counts.Broken = entry.at(6).get<std::uint64_t>();
+  counts.Timed = entry.at(7).get<std::uint64_t>();
+  counts.LogSlowness = entry.at(8).get<double>();
+  if (entry.size() > EvidenceIntervalsIndex)
+    decode(entry.at(EvidenceIntervalsIndex), counts.Intervals);
+  return {
+      rollout::RouteEvidenceKey{core::ServiceId(entry.at(0).get<std::string>()),
+                                core::VersionId(entry.at(1).get<std::string>()),
+                                entry.at(2).get<std::string>()},
+      counts};
+}
+
 PeerReport decode(const json &message) {
   PeerReport report;
   report.Gateway = core::InstanceId(message.at(1).get<std::string>());
@@ -169,14 +211,7 @@
                                            it.at(2).get<unsigned>(),
                                            it.at(3).get<unsigned>()});
   for (const json &it : message.at(3))
-    report.Evidence.emplace(
-        rollout::RouteEvidenceKey{core::ServiceId(it.at(0).get<std::string>()),
-                                  core::VersionId(it.at(1).get<std::string>()),
-                                  it.at(2).get<std::string>()},
-        rollout::AnswerCounts{
-            it.at(3).get<std::uint64_t>(), it.at(4).get<std::uint64_t>(),
-            it.at(5).get<std::uint64_t>(), it.at(6).get<std::uint64_t>(),
-            it.at(7).get<std::uint64_t>(), it.at(8).get<double>()});
+    report.Evidence.insert(decodeEvidence(it));
   report.PinnedSessions = message.at(4).get<std::vector<std::uint64_t>>();
   if (!message.at(5).is_null())
     report.ExitsWithin = core::Millis(message.at(5).get<std::int64_t>());
--- a/src/cowslipridge/gateway/Placement.hpp
+++ b/src/cowslipridge/gateway/Placement.hpp
@@ -67,6 +67,8 @@
   std::uint64_t UncachedTokens = 0; ///< of the prompt, forecast
   std::uint64_t FetchedTokens = 0;  ///< from PrefixSource, forecast
   core::Millis PeerLoadAge;         ///< of the oldest peer load report in use
+  double RunnerSlowness = 1;        ///< factor in PredictedFirstByte
+  unsigned RunnerLoad = 0;          ///< requests at the runner
 };
 
 /// No runner can take the request now.
--- a/src/cowslipridge/gateway/RequestFlow.cpp
+++ b/src/cowslipridge/gateway/RequestFlow.cpp
@@ -137,6 +137,8 @@
       " forecast_ms=" + std::to_string(placement.PredictedFirstByte.count()) +
       " uncached_tokens=" + std::to_string(placement.UncachedTokens) +
       " fetched_tokens=" + std::to_string(placement.FetchedTokens) +
+      " slowness=" + formatFactor(placement.RunnerSlowness) +
+      " runner_load=" + std::to_string(placement.RunnerLoad) +
       " peers_age_ms=" + std::to_string(placement.PeerLoadAge.count()) +
       " left_ms=" + std::to_string(remaining.count());
   if (!caller.Session.empty())
--- a/src/cowslipridge/rollout/TrialEvidence.cpp
+++ b/src/cowslipridge/rollout/TrialEvidence.cpp
@@ -1,6 +1,9 @@
 #include "cowslipridge/rollout/TrialEvidence.hpp"
 
+#include <algorithm>
+#include <array>
 #include <cmath>
+#include <optional>
 
 namespace cowslipridge::rollout {
 
@@ -23,6 +26,24 @@
 /// a factor.
 constexpr double SlownessFactor = 2.2;
 
+// Other requests make a stream slower, never faster. So the fastest streams of
+// a version show its speed whatever the load, and a version of the same speed
+// has as many of them at the same load.
+
+/// Minimum number of streams of the stable version for a comparison.
+constexpr std::uint64_t MinStableStreams = 30;
+/// Share of the streams of the stable version that count as its fastest.
+constexpr double FastestShare = 0.03;
+/// Buckets beyond the slowest of these that still count as fast, as runners of
+/// one version differ in speed. The fewest tell a version apart that is hardly
+/// slower (from a factor of 1.3), the most need the fewest streams.
+constexpr std::array<std::size_t, 3> FastMargins = {2, 3, 4};
+/// A version on trial is slower if it has less than this part of the fast
+/// streams that are expected.
+constexpr double MinFastPart = 0.3;
+/// Accepted probability that a version of the same speed has so few.
+constexpr double FalseAlarmProbability = 1e-3;
+
 double share(std::uint64_t part, std::uint64_t total) {
   return total == 0 ? 0
                     : static_cast<double>(part) / static_cast<double>(total);
@@ -53,6 +74,63 @@
          meanLog(trial) - meanLog(stable) > std::log(SlownessFactor);
 }
 
+// Returns the streams of the stable version at the load of this class, and at
+// more load if there are too few of them; nothing if there are too few still.
+std::optional<IntervalHistogram> comparableTo(const IntervalsByLoad &stable,
+                                              std::size_t loadClass) {
+  IntervalHistogram streams;
+  for (std::size_t n = loadClass; n < IntervalsByLoad::ClassCount; ++n) {
+    streams += stable.ofClass(n);
+    if (streams.total() >= MinStableStreams)
+      return streams;
+  }
+  return std::nullopt;
+}
+
+// Returns the number of fast streams that a version of the same speed has in as
+// many streams, at the same load, as the version on trial.
+double expectedFast(const IntervalsByLoad &trial, const IntervalsByLoad &stable,
+                    std::size_t slowestFast) {
+  double expected = 0;
+  for (std::size_t n = 0; n < IntervalsByLoad::ClassCount; ++n) {
+    const auto comparable = comparableTo(stable, n);
+    if (!comparable)
+      break;
+    expected += static_cast<double>(trial.ofClass(n).total()) *
+                share(comparable->countUpTo(slowestFast), comparable->total());
+  }
+  return expected;
+}
+
+// Chernoff bound on the probability of at most `hits` independent events when
+// more are expected.
+double lowerTailBound(double hits, double expected) {
+  const double exponent =
+      hits > 0 ? expected - hits + hits * std::log(hits / expected) : expected;
+  return std::exp(-exponent);
+}
+
+bool hasFewerFastStreams(const IntervalsByLoad &trial,
+                         const IntervalsByLoad &stable,
+                         std::size_t slowestFast) {
+  const double expected = expectedFast(trial, stable, slowestFast);
+  const auto fast = static_cast<double>(trial.sum().countUpTo(slowestFast));
+  return fast < MinFastPart * expected &&
+         lowerTailBound(fast, expected) < FalseAlarmProbability;
+}
+
+bool streamsSlower(const IntervalsByLoad &trial,
+                   const IntervalsByLoad &stable) {
+  const IntervalHistogram allStable = stable.sum();
+  if (allStable.total() < MinStableStreams)
+    return false;
+  const std::size_t fastest = allStable.quantileBucket(FastestShare);
+  return std::any_of(FastMargins.begin(), FastMargins.end(),
+                     [&](std::size_t it) {
+                       return hasFewerFastStreams(trial, stable, fastest + it);
+                     });
+}
+
 } // namespace
 
 AnswerCounts &AnswerCounts::operator+=(const AnswerCounts &other) {
@@ -62,12 +140,14 @@
   Broken += other.Broken;
   Timed += other.Timed;
   LogSlowness += other.LogSlowness;
+  Intervals += other.Intervals;
   return *this;
 }
 
 bool isWorse(const AnswerCounts &trial, const AnswerCounts &stable) {
   return failsMore(trial, stable) || breaksOffMore(trial, stable) ||
-         isSlower(trial, stable);
+         isSlower(trial, stable) ||
+         streamsSlower(trial.Intervals, stable.Intervals);
 }
 
 std::map<core::VersionId, AnswerCounts>
--- a/tests/unit/gateway/DispatcherTest.cpp
+++ b/tests/unit/gateway/DispatcherTest.cpp
@@ -513,4 +513,36 @@
   EXPECT_EQ(escalated(0, 30), 2U) << "the largest has time for a small prompt";
 }
 
+// The evidence on which versions of a roll-out are compared.
+TEST_F(DispatcherTest, recordsTheSpeedOfCompleteStreamsByTheLoadAtTheirRunner) {
+  const auto first = place(RequestDispatcher, request(1, 500));
+  ASSERT_TRUE(first);
+  const auto events = [&](unsigned count) {
+    RequestDispatcher.onEvents(first->Ticket, count, Now);
+    Now = Now + Millis(30);
+  };
+  RequestDispatcher.onHead(first->Ticket, {}, Now);
+  events(2); // they say nothing about the interval
+  events(1);
+  events(2);
+  RequestDispatcher.onEnded(first->Ticket, AttemptOutcome::Served, Now);
+  const auto pooled = RequestDispatcher.pooledEvidence();
+  ASSERT_EQ(pooled.size(), 1U);
+  rollout::IntervalsByLoad expected;
+  expected.add(0, 60.0 / 3);
+  EXPECT_EQ(pooled.begin()->second.Intervals, expected);
+  // Too few events, and a stream that broke off.
+  for (const auto outcome : {AttemptOutcome::Served, AttemptOutcome::Broken}) {
+    const auto other = place(RequestDispatcher, request(1, 500));
+    ASSERT_TRUE(other);
+    RequestDispatcher.onHead(other->Ticket, {}, Now);
+    RequestDispatcher.onEvents(other->Ticket, 3, Now);
+    if (outcome == AttemptOutcome::Broken)
+      RequestDispatcher.onEvents(other->Ticket, 5, Now + Millis(100));
+    RequestDispatcher.onEnded(other->Ticket, outcome, Now);
+  }
+  EXPECT_EQ(RequestDispatcher.pooledEvidence().begin()->second.Intervals,
+            expected);
+}
+
 } // namespace
--- a/tests/unit/rollout/TrialEvidenceTest.cpp
+++ b/tests/unit/rollout/TrialEvidenceTest.cpp
@@ -46,11 +46,22 @@
 }
 
 // Guards against completing the roll-out of a version of which only a part of
-// the answers is slow.
+// the answers is computed slowly: none of its streams is as fast as those of
+// the stable version at the same load.
 TEST(TrialEvidenceTest, slownessOfAThirdOfTheAnswersIsWorse) {
-  AnswerCounts trial = timed(36, 3);
-  trial += timed(84, 1);
-  EXPECT_TRUE(isWorse(trial, timed(500, 1)));
+  AnswerCounts stable;
+  AnswerCounts trial;
+  for (int n = 0; n < 40; ++n) {
+    stable.Intervals.add(0, n % 2 == 0 ? 20 : 32);
+    stable.Intervals.add(5, 45);
+  }
+  for (int n = 0; n < 16; ++n)
+    trial.Intervals.add(0, n % 3 == 0 ? 45 : 32);
+  EXPECT_TRUE(isWorse(trial, stable));
+  AnswerCounts sound;
+  for (int n = 0; n < 16; ++n)
+    sound.Intervals.add(0, n % 3 == 0 ? 45 : 20);
+  EXPECT_FALSE(isWorse(sound, stable));
 }
 
 TEST(TrialEvidenceTest, sumsRoutesOfEachVersionOfOneService) {
