Avoid runners that reject requests

Hypothesis: a runner that rejected is likely to reject again, and the choice ignores it until three in a row eject it. Ruled out: to eject at the first rejection, which takes the capacity that such runners still have.

--- a/src/cowslipridge/gateway/Dispatcher.cpp
+++ b/src/cowslipridge/gateway/Dispatcher.cpp
@@ -32,7 +32,7 @@
     : Settings(settings), Trials(settings.Exposure.Fraction),
       Cache(MaxCacheBlocks),
       Selection(settings, {Servers, Trials, Ejections, RateLimits, Backoff,
-                           Forecast, Cache}),
+                           Rejections, Forecast, Cache}),
       Escalations(Selection) {}
 
 void Dispatcher::setCatalogue(catalogue::CataloguePtr catalogue) {
@@ -187,6 +187,7 @@
   if (!hasAnswer)
     return;
   Crashes.onBegun(ticket, now);
+  Rejections.onAccepted(it->second.Runner, now);
   onFirstByte(ticket, it->second, now);
 }
 
@@ -310,6 +311,7 @@
     break;
   case AttemptOutcome::Rejected:
     reportEjection(Ejections.onFailure(attempt.Runner, now), outcome);
+    Rejections.onRejected(attempt.Runner, now);
     break;
   case AttemptOutcome::Cancelled:
     break;
@@ -338,6 +340,7 @@
   Forecast.removeRunner(runner);
   Ejections.removeRunner(runner);
   RateLimits.removeRunner(runner);
+  Rejections.removeRunner(runner);
 }
 
 void Dispatcher::setPeers(const std::set<core::InstanceId> &others) {
--- a/src/cowslipridge/gateway/Dispatcher.hpp
+++ b/src/cowslipridge/gateway/Dispatcher.hpp
@@ -6,6 +6,7 @@
 #include "cowslipridge/gateway/Placement.hpp"
 #include "cowslipridge/gateway/RunnerSelection.hpp"
 #include "cowslipridge/limits/Ejections.hpp"
+#include "cowslipridge/limits/RejectionRates.hpp"
 #include "cowslipridge/limits/RetryWindow.hpp"
 #include "cowslipridge/limits/RunnerBackoff.hpp"
 #include "cowslipridge/limits/RunnerRateLimits.hpp"
@@ -195,6 +196,7 @@
   limits::Ejections Ejections;
   limits::RunnerBackoff Backoff;
   limits::RunnerRateLimits RateLimits;
+  limits::RejectionRates Rejections;
   CrashWatch Crashes;
   route::PrefillForecast Forecast;
   route::PromptCache Cache;
--- a/src/cowslipridge/gateway/RunnerSelection.cpp
+++ b/src/cowslipridge/gateway/RunnerSelection.cpp
@@ -40,7 +40,8 @@
     : Domain(settings.Domain), SessionLifetime(settings.SessionLifetime),
       Servers(inputs.Servers), Trials(inputs.Trials),
       Ejections(inputs.Ejections), RateLimits(inputs.RateLimits),
-      Backoff(inputs.Backoff), Forecast(inputs.Forecast), Cache(inputs.Cache) {}
+      Backoff(inputs.Backoff), Rejections(inputs.Rejections),
+      Forecast(inputs.Forecast), Cache(inputs.Cache) {}
 
 std::optional<RunnerSelection::Candidate>
 RunnerSelection::choose(const RequestContext &request, ModelTier tier,
@@ -203,7 +204,9 @@
   candidate.UncachedTokens = all > cached ? all - cached : 0;
   candidate.FirstToken =
       Forecast.timeToFirstToken(server.Id, model, candidate.UncachedTokens);
-  candidate.Score = static_cast<double>(candidate.FirstToken.count());
+  const auto target = static_cast<double>(request.Route->TargetLatency.count());
+  candidate.Score = static_cast<double>(candidate.FirstToken.count()) +
+                    Rejections.rate(server.Id, now) * target;
   const route::ServerLoad load = Forecast.load(server.Id);
   if (prompt.isEmpty()) {
     candidate.Score += MillisPerPlainRequest * (load.Waiting + load.Running);
@@ -213,7 +216,6 @@
   // other requests.
   const double prefill =
       Forecast.prefillMillis(model, candidate.UncachedTokens);
-  const auto target = static_cast<double>(request.Route->TargetLatency.count());
   candidate.Score +=
       prefill + std::min(congestion * prefill, MaxDelayShare * target);
   candidate.Score +=
--- a/src/cowslipridge/gateway/RunnerSelection.hpp
+++ b/src/cowslipridge/gateway/RunnerSelection.hpp
@@ -4,6 +4,7 @@
 #include "cowslipridge/gateway/Placement.hpp"
 #include "cowslipridge/gateway/PromptLocation.hpp"
 #include "cowslipridge/limits/Ejections.hpp"
+#include "cowslipridge/limits/RejectionRates.hpp"
 #include "cowslipridge/limits/RunnerBackoff.hpp"
 #include "cowslipridge/limits/RunnerRateLimits.hpp"
 #include "cowslipridge/membership/ServerRegistry.hpp"
@@ -27,6 +28,7 @@
   const limits::Ejections &Ejections;
   const limits::RunnerRateLimits &RateLimits;
   const limits::RunnerBackoff &Backoff;
+  const limits::RejectionRates &Rejections;
   const route::PrefillForecast &Forecast;
   const route::PromptCache &Cache;
 };
@@ -131,6 +133,7 @@
   const limits::Ejections &Ejections;
   const limits::RunnerRateLimits &RateLimits;
   const limits::RunnerBackoff &Backoff;
+  const limits::RejectionRates &Rejections;
   const route::PrefillForecast &Forecast;
   const route::PromptCache &Cache;
   route::ModelPools Pools;
