--- a/src/cowslipridge/gateway/Dispatcher.cpp
+++ b/src/cowslipridge/gateway/Dispatcher.cpp
@@ -15,14 +15,11 @@
 constexpr std::size_t MaxCacheBlocks = 20'000;
 /// Bounds the number of prompts in one report, so that it fits a datagram.
 constexpr std::size_t MaxReportedPrompts = 60;
-constexpr int FirstErrorStatus = 400;
 /// First-byte timeout of a stream, as a multiple of the forecast.
 constexpr std::int64_t StreamTimeoutFactor = 4;
 /// First-byte timeout of a plain request: the time until its deadline, divided
 /// by this.
 constexpr std::int64_t PlainTimeoutDivisor = 3;
-/// Intervals between events from which the speed of a stream shows.
-constexpr unsigned MinIntervals = 3;
 /// Lower bound on this gateway's share of a runner's connection limit.
 constexpr std::size_t MinConnectionsPerRunner = 4;
 
@@ -176,155 +173,11 @@
   return std::max(MinRetryAfter, Selection.timeUntilAvailable(request, now));
 }
 
-void Dispatcher::onHead(std::uint64_t ticket,
-                        const ResponseAttributes &response, core::Millis now) {
-  const auto it = ActiveAttempts.find(ticket);
-  if (it == ActiveAttempts.end())
-    return;
-  onNotices(it->second, response, now);
-  // A rejection or a failure says nothing about the time to the first token.
-  const bool hasAnswer = !response.NotRun && response.Status < FirstErrorStatus;
-  if (!hasAnswer)
-    return;
-  Crashes.onBegun(ticket, now);
-  Rejections.onAccepted(it->second.Runner, now);
-  onFirstByte(ticket, it->second, now);
-}
-
-void Dispatcher::onNotices(const ActiveAttempt &attempt,
-                           const ResponseAttributes &response,
-                           core::Millis now) {
-  if (response.RunnerLeaving &&
-      Servers.onLeaving(attempt.Runner, attempt.RunnerStartedAt, now))
-    reportNotice(LeavingAnnounced{attempt.Runner});
-  // A runner that has restarted since does not know of this response.
-  const membership::BackendServer *server = Servers.find(attempt.Runner);
-  if (server != nullptr && server->StartedAt != attempt.RunnerStartedAt)
-    return;
-  onRateLimit(attempt.Runner, response, now);
-  if (!response.Backoff)
-    return;
-  if (const auto begun = Backoff.onRejected(
-          attempt.Runner, attempt.RunnerStartedAt, *response.Backoff, now))
-    reportNotice(*begun);
-}
-
-void Dispatcher::onRateLimit(const core::RunnerId &runner,
-                             const ResponseAttributes &response,
-                             core::Millis now) {
-  // A response that does not come from the runner says nothing about its limit.
-  if (!response.RateLimit && !response.Authentic)
-    return;
-  onStatement({runner, response.RateLimit}, now, now);
-}
-
-void Dispatcher::onStatement(const limits::RateLimitStatement &statement,
-                             core::Millis at, core::Millis now) {
-  if (RateLimits.onStatement(statement, at, now))
-    reportNotice(statement);
-}
-
-void Dispatcher::reportNotice(const RunnerNotice &notice) {
-  if (OnRunnerNotice)
-    OnRunnerNotice(notice);
-}
-
-void Dispatcher::onFirstByte(std::uint64_t ticket, ActiveAttempt &attempt,
-                             core::Millis now) {
-  Forecast.onFirstToken(ticket, now);
-  if (attempt.Answered)
-    return;
-  attempt.Answered = true;
-  if (!attempt.IsStream)
-    return;
-  rollout::AnswerCounts &counts =
-      OwnEvidence[{attempt.Service, attempt.Version, attempt.Route}];
-  ++counts.Timed;
-  const auto elapsed = static_cast<double>((now - attempt.SentAt).count()) + 1;
-  const auto predicted = static_cast<double>(attempt.Predicted.count()) + 1;
-  counts.LogSlowness += std::log(elapsed / predicted);
-}
-
-void Dispatcher::onEvents(std::uint64_t ticket, unsigned events,
-                          core::Millis now) {
-  Forecast.onStreamEvents(ticket, events, now);
-  Crashes.onEvents(ticket, now);
-  const auto it = ActiveAttempts.find(ticket);
-  if (it == ActiveAttempts.end() || events == 0)
-    return;
-  ActiveAttempt &attempt = it->second;
-  if (attempt.Events == 0) {
-    attempt.FirstEvents = events;
-    attempt.FirstEventAt = now;
-  }
-  attempt.Events += events;
-  attempt.LastEventAt = now;
-}
-
-void Dispatcher::recordInterval(const ActiveAttempt &attempt,
-                                rollout::AnswerCounts &counts) const {
-  const unsigned intervals = attempt.Events - attempt.FirstEvents;
-  if (intervals < MinIntervals)
-    return;
-  const auto elapsed =
-      static_cast<double>((attempt.LastEventAt - attempt.FirstEventAt).count());
-  counts.Intervals.add(
-      std::max(attempt.OtherRequests, requestsAt(attempt.Runner)),
-      elapsed / intervals);
-}
-
 unsigned Dispatcher::requestsAt(const core::RunnerId &runner) const {
   const route::ServerLoad load = Forecast.load(runner);
   return load.Waiting + load.Running;
 }
 
-void Dispatcher::onEnded(std::uint64_t ticket, AttemptOutcome outcome,
-                         core::Millis now) {
-  Forecast.onAttemptEnded(ticket);
-  Crashes.onEnded(ticket, outcome, now);
-  const auto it = ActiveAttempts.find(ticket);
-  if (it == ActiveAttempts.end())
-    return;
-  const ActiveAttempt attempt = it->second;
-  ActiveAttempts.erase(it);
-  rollout::AnswerCounts &counts =
-      OwnEvidence[{attempt.Service, attempt.Version, attempt.Route}];
-  switch (outcome) {
-  case AttemptOutcome::Served:
-    reportEjection(Ejections.onSuccess(attempt.Runner), outcome);
-    ++counts.Judged;
-    recordInterval(attempt, counts);
-    break;
-  case AttemptOutcome::Unreachable:
-    reportEjection(Ejections.onUnreachable(attempt.Runner, now), outcome);
-    break;
-  case AttemptOutcome::ErrorResponse:
-    reportEjection(Ejections.onFailure(attempt.Runner, now), outcome);
-    ++counts.Judged;
-    ++counts.Failed;
-    break;
-  case AttemptOutcome::Broken:
-  case AttemptOutcome::TimedOut:
-    reportEjection(Ejections.onFailure(attempt.Runner, now), outcome);
-    ++counts.Judged;
-    ++counts.Broken;
-    break;
-  case AttemptOutcome::Rejected:
-    reportEjection(Ejections.onFailure(attempt.Runner, now), outcome);
-    Rejections.onRejected(attempt.Runner, now);
-    break;
-  case AttemptOutcome::Cancelled:
-    break;
-  }
-}
-
-void Dispatcher::reportEjection(
-    const std::optional<limits::EjectionChange> &change,
-    AttemptOutcome outcome) {
-  if (change && OnEjection)
-    OnEjection(*change, outcome);
-}
-
 limits::RetryWindow &Dispatcher::budget(const core::ServiceId &service) {
   const auto known = Budgets.find(service);
   if (known != Budgets.end())
--- /dev/null
+++ b/src/cowslipridge/gateway/DispatcherOutcomes.cpp
@@ -0,0 +1,161 @@
+#include "cowslipridge/gateway/Dispatcher.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+// What attempts tell about their runners: responses, events of streams, ends.
+namespace cowslipridge::gateway {
+
+namespace {
+
+constexpr int FirstErrorStatus = 400;
+/// Intervals between events from which the speed of a stream shows.
+constexpr unsigned MinIntervals = 3;
+
+} // namespace
+
+void Dispatcher::onHead(std::uint64_t ticket,
+                        const ResponseAttributes &response, core::Millis now) {
+  const auto it = ActiveAttempts.find(ticket);
+  if (it == ActiveAttempts.end())
+    return;
+  onNotices(it->second, response, now);
+  // A rejection or a failure says nothing about the time to the first token.
+  const bool hasAnswer = !response.NotRun && response.Status < FirstErrorStatus;
+  if (!hasAnswer)
+    return;
+  Crashes.onBegun(ticket, now);
+  Rejections.onAccepted(it->second.Runner, now);
+  onFirstByte(ticket, it->second, now);
+}
+
+void Dispatcher::onNotices(const ActiveAttempt &attempt,
+                           const ResponseAttributes &response,
+                           core::Millis now) {
+  if (response.RunnerLeaving &&
+      Servers.onLeaving(attempt.Runner, attempt.RunnerStartedAt, now))
+    reportNotice(LeavingAnnounced{attempt.Runner});
+  // A runner that has restarted since does not know of this response.
+  const membership::BackendServer *server = Servers.find(attempt.Runner);
+  if (server != nullptr && server->StartedAt != attempt.RunnerStartedAt)
+    return;
+  onRateLimit(attempt.Runner, response, now);
+  if (!response.Backoff)
+    return;
+  if (const auto begun = Backoff.onRejected(
+          attempt.Runner, attempt.RunnerStartedAt, *response.Backoff, now))
+    reportNotice(*begun);
+}
+
+void Dispatcher::onRateLimit(const core::RunnerId &runner,
+                             const ResponseAttributes &response,
+                             core::Millis now) {
+  // A response that does not come from the runner says nothing about its limit.
+  if (!response.RateLimit && !response.Authentic)
+    return;
+  onStatement({runner, response.RateLimit}, now, now);
+}
+
+void Dispatcher::onStatement(const limits::RateLimitStatement &statement,
+                             core::Millis at, core::Millis now) {
+  if (RateLimits.onStatement(statement, at, now))
+    reportNotice(statement);
+}
+
+void Dispatcher::reportNotice(const RunnerNotice &notice) {
+  if (OnRunnerNotice)
+    OnRunnerNotice(notice);
+}
+
+void Dispatcher::onFirstByte(std::uint64_t ticket, ActiveAttempt &attempt,
+                             core::Millis now) {
+  Forecast.onFirstToken(ticket, now);
+  if (attempt.Answered)
+    return;
+  attempt.Answered = true;
+  if (!attempt.IsStream)
+    return;
+  rollout::AnswerCounts &counts =
+      OwnEvidence[{attempt.Service, attempt.Version, attempt.Route}];
+  ++counts.Timed;
+  const auto elapsed = static_cast<double>((now - attempt.SentAt).count()) + 1;
+  const auto predicted = static_cast<double>(attempt.Predicted.count()) + 1;
+  counts.LogSlowness += std::log(elapsed / predicted);
+}
+
+void Dispatcher::onEvents(std::uint64_t ticket, unsigned events,
+                          core::Millis now) {
+  Forecast.onStreamEvents(ticket, events, now);
+  Crashes.onEvents(ticket, now);
+  const auto it = ActiveAttempts.find(ticket);
+  if (it == ActiveAttempts.end() || events == 0)
+    return;
+  ActiveAttempt &attempt = it->second;
+  if (attempt.Events == 0) {
+    attempt.FirstEvents = events;
+    attempt.FirstEventAt = now;
+  }
+  attempt.Events += events;
+  attempt.LastEventAt = now;
+}
+
+void Dispatcher::recordInterval(const ActiveAttempt &attempt,
+                                rollout::AnswerCounts &counts) const {
+  const unsigned intervals = attempt.Events - attempt.FirstEvents;
+  if (intervals < MinIntervals)
+    return;
+  const auto elapsed =
+      static_cast<double>((attempt.LastEventAt - attempt.FirstEventAt).count());
+  counts.Intervals.add(
+      std::max(attempt.OtherRequests, requestsAt(attempt.Runner)),
+      elapsed / intervals);
+}
+
+void Dispatcher::onEnded(std::uint64_t ticket, AttemptOutcome outcome,
+                         core::Millis now) {
+  Forecast.onAttemptEnded(ticket);
+  Crashes.onEnded(ticket, outcome, now);
+  const auto it = ActiveAttempts.find(ticket);
+  if (it == ActiveAttempts.end())
+    return;
+  const ActiveAttempt attempt = it->second;
+  ActiveAttempts.erase(it);
+  rollout::AnswerCounts &counts =
+      OwnEvidence[{attempt.Service, attempt.Version, attempt.Route}];
+  switch (outcome) {
+  case AttemptOutcome::Served:
+    reportEjection(Ejections.onSuccess(attempt.Runner), outcome);
+    ++counts.Judged;
+    recordInterval(attempt, counts);
+    break;
+  case AttemptOutcome::Unreachable:
+    reportEjection(Ejections.onUnreachable(attempt.Runner, now), outcome);
+    break;
+  case AttemptOutcome::ErrorResponse:
+    reportEjection(Ejections.onFailure(attempt.Runner, now), outcome);
+    ++counts.Judged;
+    ++counts.Failed;
+    break;
+  case AttemptOutcome::Broken:
+  case AttemptOutcome::TimedOut:
+    reportEjection(Ejections.onFailure(attempt.Runner, now), outcome);
+    ++counts.Judged;
+    ++counts.Broken;
+    break;
+  case AttemptOutcome::Rejected:
+    reportEjection(Ejections.onFailure(attempt.Runner, now), outcome);
+    Rejections.onRejected(attempt.Runner, now);
+    break;
+  case AttemptOutcome::Cancelled:
+    break;
+  }
+}
+
+void Dispatcher::reportEjection(
+    const std::optional<limits::EjectionChange> &change,
+    AttemptOutcome outcome) {
+  if (change && OnEjection)
+    OnEjection(*change, outcome);
+}
+
+} // namespace cowslipridge::gateway
--- a/src/cowslipridge/gateway/Gateway.cpp
+++ b/src/cowslipridge/gateway/Gateway.cpp
@@ -3,7 +3,6 @@
 #include "cowslipridge/core/Chrono.hpp"
 #include "cowslipridge/core/Visit.hpp"
 #include "cowslipridge/gateway/EventDetails.hpp"
-#include "cowslipridge/gateway/RequestTraits.hpp"
 
 #include <boost/asio/ip/address.hpp>
 
@@ -25,13 +24,7 @@
 /// A store that has not responded by this time after the start counts as
 /// unavailable.
 constexpr core::Millis FirstResponseTimeout{300};
-/// Retry-After for callers while this gateway has no configuration yet.
-constexpr core::Millis StartupRetryAfter{200};
-/// Retry-After in that state during a store outage: outages last for seconds.
-constexpr core::Millis OutageRetryAfter{1'500};
 
-constexpr int BadRequest = 400;
-constexpr int Unauthorized = 401;
 constexpr int NotFound = 404;
 constexpr int Unavailable = 503;
 
@@ -188,99 +181,6 @@
   }
 }
 
-void Gateway::onRequest(const std::shared_ptr<http1::Exchange> &exchange) {
-  const auto caller = Translation.readRequest(exchange->head());
-  if (!caller) {
-    reject(*exchange, {}, {BadRequest, "malformed", std::nullopt});
-    return;
-  }
-  const bool holds = !hasConfiguration() &&
-                     expectsConfiguration(Clock.monotonic()) &&
-                     Held.hasRoom(exchange->body().size());
-  if (holds)
-    holdRequest(exchange, *caller);
-  else
-    answer(exchange, *caller);
-}
-
-void Gateway::holdRequest(const std::shared_ptr<http1::Exchange> &exchange,
-                          const CallerRequest &caller) {
-  const auto release = [this, exchange, caller] {
-    exchange->onClientDisconnect(nullptr);
-    answer(exchange, caller);
-  };
-  const StartupQueue::Ticket ticket =
-      Held.hold(exchange->body().size(), Clock.monotonic(), release);
-  exchange->onClientDisconnect([this, ticket] { Held.remove(ticket); });
-}
-
-void Gateway::releaseHeld(core::Millis now) {
-  if (hasConfiguration() || !expectsConfiguration(now))
-    Held.releaseAll();
-  else
-    Held.expire(now);
-}
-
-void Gateway::answer(const std::shared_ptr<http1::Exchange> &exchange,
-                     const CallerRequest &caller) {
-  auto resolved = resolve(caller, exchange->readAt());
-  std::visit(
-      core::Overloaded{
-          [&](const ErrorReply &it) { reject(*exchange, caller.Id, it); },
-          [&](RequestContext &it) {
-            it.Caller.Content =
-                contentDigest(it, exchange->head(), exchange->body());
-            std::make_shared<RequestFlow>(Flows, exchange, std::move(it))
-                ->start();
-          }},
-      resolved);
-}
-
-std::variant<RequestContext, ErrorReply>
-Gateway::resolve(const CallerRequest &caller, core::Millis readAt) const {
-  if (!hasConfiguration())
-    return ErrorReply{Unavailable, "no configuration yet",
-                      StoreUnavailableSince ? OutageRetryAfter
-                                            : StartupRetryAfter};
-  RequestContext context;
-  context.Caller = caller;
-  context.Catalogue = RequestDispatcher.catalogue();
-  context.Route = context.Catalogue->route(caller.Host, caller.Path);
-  if (context.Route == nullptr)
-    return ErrorReply{NotFound, "no route", std::nullopt};
-  if (!context.Route->Public && context.Catalogue->catalogue().Organisations) {
-    if (caller.ApiKey)
-      context.Organisation =
-          context.Catalogue->findOrganisation(*caller.ApiKey);
-    if (context.Organisation == nullptr)
-      return ErrorReply{Unauthorized, "unknown key", std::nullopt};
-  }
-  context.ArrivedAt = readAt;
-  context.Deadline =
-      readAt + std::min(context.Route->Timeout,
-                        caller.Remaining.value_or(context.Route->Timeout));
-  const core::Millis now = Clock.monotonic();
-  if (!Drain.accepts(context, now))
-    return ErrorReply{
-        Unavailable, "leaving",
-        Peers.retryAfter(Drain.exitsWithin(now).value_or(core::Millis()))};
-  return context;
-}
-
-void Gateway::reject(http1::Exchange &exchange, const core::RequestId &request,
-                     const ErrorReply &refusal) {
-  Log.report(EventNumber::RequestRefused,
-             {.Request = request,
-              .Version = {},
-              .Cause = {},
-              .Detail = "status=" + std::to_string(refusal.Status) + " " +
-                        refusal.Reason});
-  Metrics.add(observe::CounterName::Requests,
-              {.Service = {}, .Version = {}, .Outcome = "refused"});
-  exchange.respond(
-      Translation.localReply(refusal.Status, request, refusal.RetryAfter), {});
-}
-
 void Gateway::scheduleTick() {
   Ticker.expires_after(core::toChrono(TickInterval));
   Ticker.async_wait([this](const auto &ec) {
