Log how far a failed call had come, and when a gateway stood still

Event 402 had the reason of a failure only: 'not-connected' for a runner that refused the connection, for one that was not reached in time, and for one that took the connection and the request. The three hypotheses need that told apart, and whether the event loop stood still before. Events 402 and 404 now have reused, connected, sent and call_ms of the failed call; event 105 (pause-detected), which sidecars had, is logged by gateways too, after a gap of over 200 ms between two ticks. The detector moves from sidecar to core, so that there is one.

Ruled out: a metric of its own, as events are counted by number already. Tests: EventDetailsTest, ClientTest.progressTellsWhetherTheRequestMayHaveLeft. No logic is changed.

--- a/src/cowslipridge/sidecar/PauseDetector.hpp
+++ b/src/cowslipridge/core/PauseDetector.hpp
@@ -4,18 +4,18 @@
 
 #include <optional>
 
-namespace cowslipridge::sidecar {
+namespace cowslipridge::core {
 
 /// Detects from the gaps between regular ticks that the process was not
 /// scheduled for some time.
 class PauseDetector {
 public:
   /// `limit` is the longest gap that does not count as a pause.
-  explicit PauseDetector(core::Millis limit) : Limit(limit) {}
+  explicit PauseDetector(Millis limit) : Limit(limit) {}
 
   /// Records a tick; returns the length of the gap if it was a pause.
-  std::optional<core::Millis> tick(core::Millis now) {
-    const std::optional<core::Millis> last = LastTick;
+  std::optional<Millis> tick(Millis now) {
+    const std::optional<Millis> last = LastTick;
     LastTick = now;
     if (!last || now - *last <= Limit)
       return std::nullopt;
@@ -23,8 +23,8 @@
   }
 
 private:
-  const core::Millis Limit;
-  std::optional<core::Millis> LastTick;
+  const Millis Limit;
+  std::optional<Millis> LastTick;
 };
 
-} // namespace cowslipridge::sidecar
+} // namespace cowslipridge::core
--- a/src/cowslipridge/gateway/EventDetails.cpp
+++ b/src/cowslipridge/gateway/EventDetails.cpp
@@ -126,6 +126,13 @@
   return text.str();
 }
 
+std::string describe(const http1::CallProgress &call) {
+  const auto yesNo = [](bool value) { return value ? "yes" : "no"; };
+  return "reused=" + std::string(yesNo(call.Reused)) +
+         " connected=" + yesNo(call.Connected) + " sent=" + yesNo(call.Sent) +
+         " call_ms=" + std::to_string(call.Age.count());
+}
+
 std::string describe(const rollout::RolloutCommand &order) {
   return targetOf(order.Service, order.Target) +
          " duration_ms=" + std::to_string(order.Duration.count());
--- a/src/cowslipridge/gateway/EventDetails.hpp
+++ b/src/cowslipridge/gateway/EventDetails.hpp
@@ -4,6 +4,7 @@
 #include "cowslipridge/gateway/CrashWatch.hpp"
 #include "cowslipridge/gateway/Placement.hpp"
 #include "cowslipridge/gateway/RequestStateMachine.hpp"
+#include "cowslipridge/http1/Client.hpp"
 #include "cowslipridge/limits/Ejections.hpp"
 #include "cowslipridge/membership/BackendServer.hpp"
 #include "cowslipridge/rollout/RolloutCommand.hpp"
@@ -24,6 +25,7 @@
 std::string describe(const RunnerNotice &notice);
 std::string describe(const QuarantineStart &start);
 std::string describe(const LowConfidenceAnswer &answer);
+std::string describe(const http1::CallProgress &call);
 /// Returns the ids of the prompt's segments that other requests may share, in
 /// hexadecimal; empty if there are none.
 std::string describeSharedSegments(const CallerRequest &caller);
--- a/src/cowslipridge/gateway/Gateway.cpp
+++ b/src/cowslipridge/gateway/Gateway.cpp
@@ -16,6 +16,8 @@
 
 constexpr core::Millis TickInterval{50};
 constexpr core::Millis ReportInterval{200};
+/// Longest gap between two ticks that is not logged as a pause.
+constexpr core::Millis PauseLimit{200};
 /// Time between two attempts to write a roll-out's next record, so that the
 /// watch can deliver the first write.
 constexpr core::Millis AdvanceInterval{500};
@@ -67,7 +69,8 @@
                          "from=" + it.address().to_string() + ":" +
                              std::to_string(it.port()));
                 }),
-      Gauges(metrics), Ticker(loop), Drain(settings.GracePeriod) {
+      Gauges(metrics), Ticker(loop), Pauses(PauseLimit),
+      Drain(settings.GracePeriod) {
   RequestDispatcher.setEjectionListener(
       [this](const limits::EjectionChange &change, AttemptOutcome outcome) {
         report(change.isEjected() ? EventNumber::RunnerEjected
@@ -191,6 +194,7 @@
 
 void Gateway::tick() {
   const core::Millis now = Clock.monotonic();
+  reportPause(now);
   updateServers(now);
   releaseHeld(now);
   for (const core::ServiceId &it : RequestDispatcher.trials().tick(now))
@@ -209,6 +213,13 @@
   scheduleTick();
 }
 
+void Gateway::reportPause(core::Millis now) {
+  const auto pause = Pauses.tick(now);
+  if (!pause)
+    return;
+  report(EventNumber::PauseDetected, std::to_string(pause->count()) + " ms");
+}
+
 void Gateway::updateServers(core::Millis now) {
   membership::ServerRegistry &servers = RequestDispatcher.servers();
   for (const core::RunnerId &it : servers.tick(now))
--- a/src/cowslipridge/gateway/Gateway.hpp
+++ b/src/cowslipridge/gateway/Gateway.hpp
@@ -2,6 +2,7 @@
 
 #include "cowslipridge/config/GatewaySettings.hpp"
 #include "cowslipridge/core/Clock.hpp"
+#include "cowslipridge/core/PauseDetector.hpp"
 #include "cowslipridge/gateway/ConfigurationLag.hpp"
 #include "cowslipridge/gateway/ControlPlane.hpp"
 #include "cowslipridge/gateway/Dispatcher.hpp"
@@ -94,6 +95,7 @@
   void removeServer(const core::RunnerId &runner);
   void scheduleTick();
   void tick();
+  void reportPause(core::Millis now);
   void driveRollouts(core::Millis now);
   void drainStep(core::Millis now);
   [[nodiscard]] bool isReady() const;
@@ -123,6 +125,7 @@
   GatewayGauges Gauges;
   StartupQueue Held;
   boost::asio::steady_timer Ticker;
+  core::PauseDetector Pauses;
   core::Millis StartedAt;
   core::Millis SyncedAt;
   bool Synced = false;
--- a/src/cowslipridge/gateway/RequestFlow.cpp
+++ b/src/cowslipridge/gateway/RequestFlow.cpp
@@ -123,6 +123,7 @@
   Version = placement.Version;
   reportRouted(placement, remaining);
   HeadAt.reset();
+  FailedCall.reset();
   Current = std::make_shared<Attempt>(shared_from_this());
   Call = Context.Runners.call(std::move(spec), Current);
 }
@@ -206,14 +207,18 @@
   return text;
 }
 
-std::string RequestFlow::responseAge() const {
-  return HeadAt ? " response_ms=" + std::to_string((now() - *HeadAt).count())
-                : "";
+std::string RequestFlow::attemptDetail() const {
+  std::string text;
+  if (HeadAt)
+    text += " response_ms=" + std::to_string((now() - *HeadAt).count());
+  if (FailedCall)
+    text += " " + describe(*FailedCall);
+  return text;
 }
 
 void RequestFlow::abort(const std::string &reason) {
   report(observe::EventNumber::RequestRefused,
-         "broken off: " + reason + responseAge() + progress());
+         "broken off: " + reason + attemptDetail() + progress());
   count("broken-off");
   Exchange->abort();
 }
@@ -221,7 +226,7 @@
 void RequestFlow::replyWithError(const ErrorReply &reply) {
   report(observe::EventNumber::RequestRefused,
          "status=" + std::to_string(reply.Status) + " " + reply.Reason +
-             responseAge());
+             attemptDetail());
   count(reply.Status == ServiceUnavailable ? "refused" : "failed");
   Exchange->respond(Context.Translation.localReply(reply.Status,
                                                    Machine.request().Caller.Id,
@@ -230,7 +235,7 @@
 }
 
 void RequestFlow::onRetry(AttemptOutcome outcome, const std::string &reason) {
-  report(observe::EventNumber::RequestRetried, reason + responseAge());
+  report(observe::EventNumber::RequestRetried, reason + attemptDetail());
   Context.Counts.add(observe::CounterName::Retries,
                      {.Service = Service,
                       .Version = {},
@@ -269,6 +274,8 @@
 }
 
 void RequestFlow::onFailure(http1::CallFailure failure) {
+  if (Call)
+    FailedCall = Call->progress();
   Current = nullptr;
   Call = nullptr;
   Machine.onFailure(failure, now());
--- a/src/cowslipridge/gateway/RequestFlow.hpp
+++ b/src/cowslipridge/gateway/RequestFlow.hpp
@@ -76,8 +76,9 @@
   void count(const char *outcome);
   /// Returns the progress of the response, for the log.
   [[nodiscard]] std::string progress() const;
-  /// Returns how long ago the current attempt's response began, for the log.
-  [[nodiscard]] std::string responseAge() const;
+  /// Returns how long ago the current attempt's response began, and how far its
+  /// call had come if it failed, for the log.
+  [[nodiscard]] std::string attemptDetail() const;
   [[nodiscard]] std::string modelOf(const Placement &placement) const;
 
   FlowContext &Context;
@@ -90,7 +91,8 @@
   bool Paused = false;
   std::optional<core::Millis> FirstByteAt;
   std::optional<core::Millis> HeadAt; ///< of the current attempt's response
-  core::ServiceId Service;            ///< of the last attempt
+  std::optional<http1::CallProgress> FailedCall; ///< of the current attempt
+  core::ServiceId Service;                       ///< of the last attempt
   core::VersionId Version;
 };
 
--- a/src/cowslipridge/http1/Client.cpp
+++ b/src/cowslipridge/http1/Client.cpp
@@ -42,6 +42,7 @@
   void cancel() override { Events = nullptr; }
   void pause() override {}
   void resume() override {}
+  [[nodiscard]] CallProgress progress() const override { return {}; }
 
 private:
   std::shared_ptr<CallEvents> Events;
--- a/src/cowslipridge/http1/Client.hpp
+++ b/src/cowslipridge/http1/Client.hpp
@@ -58,6 +58,17 @@
   std::size_t MaxConnections = 64;
 };
 
+/// How far a call has come. Tells apart, in a log, the calls that end with the
+/// same CallFailure.
+struct CallProgress {
+  bool Reused = false;    ///< the connection has served a call before
+  bool Connected = false; ///< the connection was established
+  bool Sent = false;      ///< bytes of the request may have left
+  core::Millis Age;       ///< since the start of the call
+
+  friend bool operator==(const CallProgress &, const CallProgress &) = default;
+};
+
 /// The handle of a call in progress. Destroying it does not cancel the call.
 class Call {
 public:
@@ -68,6 +79,8 @@
   /// Stop and resume reading, as back-pressure of a slow receiver.
   virtual void pause() = 0;
   virtual void resume() = 0;
+  /// Valid until the connection takes the next call.
+  [[nodiscard]] virtual CallProgress progress() const = 0;
 };
 
 struct ClientLimits {
--- a/src/cowslipridge/http1/internal/ClientConnection.cpp
+++ b/src/cowslipridge/http1/internal/ClientConnection.cpp
@@ -65,6 +65,9 @@
     if (isCurrent())
       Connection->resume();
   }
+  [[nodiscard]] CallProgress progress() const override {
+    return isCurrent() ? Connection->progress() : CallProgress{};
+  }
 
 private:
   [[nodiscard]] bool isCurrent() const {
@@ -79,7 +82,9 @@
   auto handle = std::make_shared<Handle>(shared_from_this(), ++CallNumber);
   Spec = std::move(spec);
   Events = std::move(events);
-  Deadline = Clock.monotonic() + Spec.Timeout;
+  StartedAt = Clock.monotonic();
+  Deadline = StartedAt + Spec.Timeout;
+  Progress = {};
   Parser.emplace(Spec.HeadRequest);
   Paused = RequestSent = HeadDelivered = Mismatched = false;
   SkippedBytes = 0;
@@ -88,6 +93,7 @@
     return handle;
   }
   State = Phase::Busy;
+  Progress.Reused = Progress.Connected = true;
   armTimer(Spec.Timeout, CallFailure::TimedOut);
   send();
   return handle;
@@ -112,6 +118,12 @@
   read();
 }
 
+CallProgress ClientConnection::progress() const {
+  CallProgress progress = Progress;
+  progress.Age = Clock.monotonic() - StartedAt;
+  return progress;
+}
+
 void ClientConnection::connect() {
   State = Phase::Connecting;
   armTimer(std::min(Limits.ConnectTimeout, Spec.Timeout),
@@ -129,12 +141,14 @@
   }
   configureSocket(Peer, Limits.DeadPeer);
   State = Phase::Busy;
+  Progress.Connected = true;
   armTimer(Deadline - Clock.monotonic(), CallFailure::TimedOut);
   send();
   read();
 }
 
 void ClientConnection::send() {
+  Progress.Sent = true;
   boost::asio::async_write(
       Peer, boost::asio::buffer(Spec.Bytes),
       [self = shared_from_this()](const auto &ec, std::size_t /*n*/) {
--- a/src/cowslipridge/http1/internal/ClientConnection.hpp
+++ b/src/cowslipridge/http1/internal/ClientConnection.hpp
@@ -39,6 +39,7 @@
   void cancel();
   void pause() { Paused = true; }
   void resume();
+  [[nodiscard]] CallProgress progress() const;
   enum class Phase { Unconnected, Connecting, Idle, Busy, Closed };
 
   void connect();
@@ -67,7 +68,9 @@
   std::uint64_t CallNumber = 0;
   CallSpec Spec;
   std::shared_ptr<CallEvents> Events;
+  core::Millis StartedAt; ///< of the call
   core::Millis Deadline;
+  CallProgress Progress; ///< of the call, without its age
   std::optional<ResponseParser> Parser;
   std::string Input;
   std::array<char, 8192> Chunk{};
--- a/src/cowslipridge/sidecar/Sidecar.hpp
+++ b/src/cowslipridge/sidecar/Sidecar.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "cowslipridge/core/PauseDetector.hpp"
 #include "cowslipridge/rollout/RolloutRecord.hpp"
 #include "cowslipridge/rpc/ConfigurationPort.hpp"
 #include "cowslipridge/rpc/EvidenceFeed.hpp"
@@ -7,7 +8,6 @@
 #include "cowslipridge/sidecar/BillReceipts.hpp"
 #include "cowslipridge/sidecar/GradeOutbox.hpp"
 #include "cowslipridge/sidecar/KeyedAnswerCache.hpp"
-#include "cowslipridge/sidecar/PauseDetector.hpp"
 #include "cowslipridge/sidecar/RunFlow.hpp"
 #include "cowslipridge/sidecar/SidecarContext.hpp"
 
@@ -92,7 +92,7 @@
   OpenJournal MakeJournal;
   OpenRunner MakeRunner;
   std::function<void(const rollout::RolloutActions &)> RolloutListener;
-  PauseDetector Pauses;
+  core::PauseDetector Pauses;
   rpc::EvidenceFeed EvidenceToForward;
   KeyedAnswerCache Answers;
   GradeOutbox Grades;
--- a/tests/unit/sidecar/PauseDetectorTest.cpp
+++ b/tests/unit/core/PauseDetectorTest.cpp
@@ -1,9 +1,9 @@
-#include "cowslipridge/sidecar/PauseDetector.hpp"
+#include "cowslipridge/core/PauseDetector.hpp"
 
 #include <gtest/gtest.h>
 
 using cowslipridge::core::Millis;
-using cowslipridge::sidecar::PauseDetector;
+using cowslipridge::core::PauseDetector;
 
 namespace {
 
--- a/tests/unit/gateway/EventDetailsTest.cpp
+++ b/tests/unit/gateway/EventDetailsTest.cpp
@@ -29,6 +29,16 @@
       "runner=r outcome=served ejections=2");
 }
 
+// A call that was reported as not connected, although its request was sent, may
+// have run: the log has to show it.
+TEST(EventDetailsTest, describesHowFarAFailedCallHadCome) {
+  http1::CallProgress call;
+  call.Age = Millis(431);
+  EXPECT_EQ(describe(call), "reused=no connected=no sent=no call_ms=431");
+  call.Connected = call.Sent = true;
+  EXPECT_EQ(describe(call), "reused=no connected=yes sent=yes call_ms=431");
+}
+
 TEST(EventDetailsTest, describesALowConfidenceAnswerWithTheLargerForecast) {
   EXPECT_EQ(describe({12, std::nullopt}), "confidence=12 larger=none");
   EXPECT_EQ(describe({12, route::TierForecast{Millis(900), Millis(250),
--- a/tests/unit/http1/ClientTest.cpp
+++ b/tests/unit/http1/ClientTest.cpp
@@ -193,6 +193,19 @@
   EXPECT_FALSE(events->isFinished());
 }
 
+TEST_F(ClientTest, progressTellsWhetherTheRequestMayHaveLeft) {
+  Scripts = {{response("a", "one")}};
+  const auto first = call("a");
+  EXPECT_FALSE(Handle->progress().Sent);
+  runUntil([&] { return first->isFinished(); });
+  EXPECT_TRUE(Handle->progress().Connected);
+  EXPECT_TRUE(Handle->progress().Sent);
+  EXPECT_FALSE(Handle->progress().Reused);
+  call("b");
+  EXPECT_TRUE(Handle->progress().Reused);
+  EXPECT_TRUE(Handle->progress().Sent);
+}
+
 TEST_F(ClientTest, handleOfCompletedCallDoesNotCancelLaterCall) {
   Scripts = {{response("a", "one")}};
   callAndWait("a");
