Add failing tests of a timeout that expired while the gateway stood still

The tests start a call, let time pass in which the loop handles nothing (longer than the connect timeout, or than the timeout of the call), and then run the loop.

The fixture of ClientTest moves to a header of its own; its tests are unchanged.

--- a/tests/support/LoopFixture.hpp
+++ b/tests/support/LoopFixture.hpp
@@ -2,6 +2,7 @@
 
 #include "support/Loopback.hpp"
 
+#include "cowslipridge/core/Chrono.hpp"
 #include "cowslipridge/core/Clock.hpp"
 #include "cowslipridge/http1/Client.hpp"
 #include "cowslipridge/http1/Server.hpp"
@@ -17,6 +18,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <thread>
 
 namespace cowslipridge::support {
 
@@ -37,6 +39,12 @@
     }
   }
 
+  /// Lets time pass in which the loop handles nothing, as when the process is
+  /// not scheduled. Afterwards all that has happened meanwhile is due at once.
+  static void stall(core::Millis length) {
+    std::this_thread::sleep_for(core::toChrono(length));
+  }
+
   /// Returns an address that no other test process uses.
   static Tcp::endpoint ownAddress() {
     return {boost::asio::ip::make_address(loopbackAddress()), nextPort()};
--- a/tests/unit/http1/ClientTest.cpp
+++ b/tests/unit/http1/ClientTest.cpp
@@ -1,124 +1,12 @@
-#include "support/LoopFixture.hpp"
+#include "unit/http1/ClientFixture.hpp"
 
-#include "cowslipridge/http1/Client.hpp"
 #include "cowslipridge/http1/Fetch.hpp"
 
-#include <deque>
-
 using namespace cowslipridge;
 using namespace cowslipridge::http1;
-using support::CallRecorder;
 
 namespace {
 
-/// Calls a server that writes scripted bytes. Each request, on any connection,
-/// consumes one script.
-class ClientTest : public support::LoopFixture {
-protected:
-  ClientTest()
-      : Acceptor(Loop, anyPort()), Address(Acceptor.local_endpoint()),
-        HttpClient(Loop, Clock, {}) {
-    accept();
-  }
-
-  struct Script {
-    std::string Bytes;
-    bool Close = false;
-    std::string Repeated = {}; ///< written again and again after `Bytes`
-  };
-
-  void accept() {
-    Acceptor.async_accept([this](const auto &ec, Socket socket) {
-      if (ec)
-        return;
-      Peers.push_back(std::make_shared<Socket>(std::move(socket)));
-      serve(Peers.back());
-      accept();
-    });
-  }
-
-  void serve(const std::shared_ptr<Socket> &peer) {
-    const auto input = std::make_shared<std::string>();
-    boost::asio::async_read_until(
-        *peer, boost::asio::dynamic_buffer(*input), "\r\n\r\n",
-        [this, peer, input](const auto &ec, std::size_t) {
-          if (ec)
-            return;
-          ++Requests;
-          if (Scripts.empty())
-            return;
-          const Script script = Scripts.front();
-          Scripts.pop_front();
-          boost::asio::write(*peer, boost::asio::buffer(script.Bytes));
-          if (!script.Repeated.empty())
-            writeWithoutEnd(peer, script.Repeated);
-          else if (script.Close)
-            peer->close();
-          else
-            serve(peer);
-        });
-  }
-
-  void writeWithoutEnd(const std::shared_ptr<Socket> &peer,
-                       const std::string &text) {
-    const auto bytes = std::make_shared<std::string>();
-    while (bytes->size() < 16'384)
-      *bytes += text;
-    boost::asio::async_write(
-        *peer, boost::asio::buffer(*bytes),
-        [this, peer, bytes, text](const auto &ec, std::size_t n) {
-          Written += n;
-          if (!ec)
-            writeWithoutEnd(peer, text);
-        });
-  }
-
-  /// Expects that the client gives up on the endless bytes long before the
-  /// call's timeout, and closes the connection.
-  void expectGivesUp(CallFailure failure) {
-    constexpr std::size_t MaxWritten = 32UL * 1024 * 1024;
-    CallTimeout = core::Millis(60'000);
-    EXPECT_EQ(callAndWait()->Failure, failure);
-    EXPECT_LT(Written, MaxWritten);
-  }
-
-  std::shared_ptr<CallRecorder> call(const std::string &id = "a") {
-    auto events = std::make_shared<CallRecorder>();
-    CallSpec spec;
-    spec.Server = Address;
-    spec.Bytes = "GET / HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\n\r\n";
-    spec.EchoField = "Id";
-    spec.EchoValue = id;
-    spec.Timeout = CallTimeout;
-    spec.MaxConnections = MaxConnections;
-    Handle = HttpClient.call(std::move(spec), events);
-    return events;
-  }
-
-  std::shared_ptr<CallRecorder> callAndWait(const std::string &id = "a") {
-    auto events = call(id);
-    runUntil([&] { return events->isFinished(); });
-    return events;
-  }
-
-  static std::string response(const std::string &id, const std::string &body) {
-    return "HTTP/1.1 200 OK\r\nId: " + id +
-           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-           body;
-  }
-
-  Tcp::acceptor Acceptor;
-  Endpoint Address;
-  Client HttpClient;
-  std::vector<std::shared_ptr<Socket>> Peers;
-  std::deque<Script> Scripts;
-  std::shared_ptr<Call> Handle;
-  core::Millis CallTimeout{5'000};
-  std::size_t MaxConnections = 4;
-  int Requests = 0;
-  std::size_t Written = 0; ///< bytes of endless responses
-};
-
 TEST_F(ClientTest, reusesIdleConnection) {
   Scripts = {{response("a", "one")}, {response("b", "two")}};
   EXPECT_EQ(callAndWait("a")->Body, "one");
