Let no timer act whose wait was cancelled or replaced

Callers saw: a request of a route that is not idempotent ran at two runners.

Cause: a wait of an asio timer that has expired is queued as a success; cancel() and a new expiry time no longer take it back. A gateway that stood still for longer than the connect timeout finds in one turn that the connection is made and that the timeout has expired. The connection's handler runs first and sends the request; then the queued handler of the connect timeout, which carried 'NotConnected' from the time when it was armed, failed the call. NotConnected means that nothing was sent, so that the request went on to another runner. In the same way the timeout of a completed call failed the next one on its connection.

Ruled out: a second call of the same request, or a rejection (both tests fail without any).

Change: http1::LoopTimer, a timer whose cancelled, replaced or destroyed wait never calls its handler, as each wait has a number that the handler compares. ClientConnection uses it, and what a timeout means is derived from the phase of the connection when it fires, not from when it was armed: only a connection that is still connecting can fail as NotConnected, and it has sent nothing.

--- a/src/cowslipridge/http1/internal/ClientConnection.cpp
+++ b/src/cowslipridge/http1/internal/ClientConnection.cpp
@@ -1,7 +1,5 @@
 #include "cowslipridge/http1/internal/ClientConnection.hpp"
 
-#include "cowslipridge/core/Chrono.hpp"
-
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 
@@ -94,7 +92,7 @@
   }
   State = Phase::Busy;
   Progress.Reused = Progress.Connected = true;
-  armTimer(Spec.Timeout, CallFailure::TimedOut);
+  armTimer(Spec.Timeout);
   send();
   return handle;
 }
@@ -126,8 +124,7 @@
 
 void ClientConnection::connect() {
   State = Phase::Connecting;
-  armTimer(std::min(Limits.ConnectTimeout, Spec.Timeout),
-           CallFailure::NotConnected);
+  armTimer(std::min(Limits.ConnectTimeout, Spec.Timeout));
   Peer.async_connect(Spec.Server, [self = shared_from_this()](const auto &ec) {
     if (self->State == Phase::Connecting)
       self->onConnected(ec);
@@ -142,7 +139,7 @@
   configureSocket(Peer, Limits.DeadPeer);
   State = Phase::Busy;
   Progress.Connected = true;
-  armTimer(Deadline - Clock.monotonic(), CallFailure::TimedOut);
+  armTimer(Deadline - Clock.monotonic());
   send();
   read();
 }
@@ -305,14 +302,17 @@
     events->onFailure(failure);
 }
 
-void ClientConnection::armTimer(core::Millis limit, CallFailure failure) {
-  Timer.expires_after(core::toChrono(limit));
-  Timer.async_wait([self = shared_from_this(), failure](const auto &ec) {
-    const bool active =
-        self->State == Phase::Busy || self->State == Phase::Connecting;
-    if (!ec && active)
-      self->fail(failure);
-  });
+void ClientConnection::armTimer(core::Millis limit) {
+  Timer.start(limit, [self = shared_from_this()] { self->onTimeout(); });
+}
+
+// Only the phase tells whether the request may have been sent, not which
+// timeout was armed.
+void ClientConnection::onTimeout() {
+  if (State == Phase::Connecting)
+    fail(CallFailure::NotConnected);
+  else if (State == Phase::Busy)
+    fail(CallFailure::TimedOut);
 }
 
 void ClientConnection::close() {
--- a/src/cowslipridge/http1/internal/ClientConnection.hpp
+++ b/src/cowslipridge/http1/internal/ClientConnection.hpp
@@ -1,10 +1,9 @@
 #pragma once
 
 #include "cowslipridge/http1/Client.hpp"
+#include "cowslipridge/http1/LoopTimer.hpp"
 #include "cowslipridge/http1/ResponseParser.hpp"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <array>
 #include <cstdint>
 #include <functional>
@@ -56,14 +55,15 @@
   void releaseOrClose();
   void fail(CallFailure failure);
   void failBroken();
-  void armTimer(core::Millis limit, CallFailure failure);
+  void armTimer(core::Millis limit);
+  void onTimeout();
   void close();
 
   Socket Peer;
   const core::Clock &Clock;
   const ClientLimits Limits;
   PoolCallbacks Pool;
-  boost::asio::steady_timer Timer;
+  LoopTimer Timer;
   Phase State = Phase::Unconnected;
   std::uint64_t CallNumber = 0;
   CallSpec Spec;
