Write a request when it is sent, and send none whose time is over

Callers saw 504 for requests that a runner began to work on after their deadline: in the users' record a request whose route allows 800 ms reached its runner 833 ms after it was sent.

Cause: a request was written, with the time that is left, when its runner was chosen; if a connection had to be opened first, that time was as old as connecting took, or as the gateway stood still.

Change: CallSpec::Recompose is called when a new connection is established; the gateway writes the request with the time that is left then, or gives up if it is under the least useful time. That is TooLateToSend: nothing was sent, and it does not count against the runner. Where no time is left, the caller gets 503 with a Retry-After in place of a run in vain and a 504.

Ruled out: a shorter connect timeout, as the time passes in the gateway. Tests: two in ClientStallTest, two in RequestStateMachineTest, new with the mechanism.

--- a/src/cowslipridge/gateway/Placement.hpp
+++ b/src/cowslipridge/gateway/Placement.hpp
@@ -30,6 +30,9 @@
 /// Lower bound on the first-byte timeout and the idle timeout of a stream, even
 /// when the forecast is shorter.
 inline constexpr core::Millis MinStreamIdleTimeout{1'500};
+/// No attempt is started with less time than this until the deadline: no runner
+/// would respond in time.
+inline constexpr core::Millis MinUsefulTime{20};
 /// Minimum Retry-After for rejected callers: by then, a runner that was full
 /// may have capacity again.
 inline constexpr core::Millis MinRetryAfter{150};
--- a/src/cowslipridge/gateway/RequestFlow.cpp
+++ b/src/cowslipridge/gateway/RequestFlow.cpp
@@ -108,9 +108,12 @@
   http1::CallSpec spec;
   spec.Server = http1::Endpoint(boost::asio::ip::make_address(placement.Host),
                                 placement.Port);
-  spec.Bytes = http1::writeRequest(
-      Context.Translation.relay(Exchange->head(), attributes),
-      Exchange->body());
+  spec.Bytes = compose(attributes);
+  spec.Recompose = [weak = weak_from_this(),
+                    attributes](core::Millis waited) mutable {
+    const auto flow = weak.lock();
+    return flow ? flow->recompose(attributes, waited) : std::nullopt;
+  };
   spec.HeadRequest = Exchange->head().Method == "HEAD";
   if (!request.Caller.Id.empty()) {
     spec.EchoField = Context.Translation.echoField();
@@ -128,6 +131,22 @@
   Call = Context.Runners.call(std::move(spec), Current);
 }
 
+std::string RequestFlow::compose(const RelayAttributes &attributes) const {
+  return http1::writeRequest(
+      Context.Translation.relay(Exchange->head(), attributes),
+      Exchange->body());
+}
+
+// The runner is told the time that is left when the request leaves, not when it
+// was placed.
+std::optional<std::string> RequestFlow::recompose(RelayAttributes attributes,
+                                                  core::Millis waited) const {
+  attributes.Remaining = attributes.Remaining - waited;
+  if (attributes.Remaining < MinUsefulTime)
+    return std::nullopt;
+  return compose(attributes);
+}
+
 void RequestFlow::reportRouted(const Placement &placement,
                                core::Millis remaining) {
   const CallerRequest &caller = Machine.request().Caller;
--- a/src/cowslipridge/gateway/RequestStateMachine.cpp
+++ b/src/cowslipridge/gateway/RequestStateMachine.cpp
@@ -10,9 +10,6 @@
 
 /// Failed connects that one request may have, in addition to its attempts.
 constexpr unsigned MaxFailedConnects = 3;
-/// No attempt is started with less time than this until the deadline: no runner
-/// would respond in time.
-constexpr core::Millis MinUsefulTime{20};
 /// The gateway responds this much before the deadline, so that the response
 /// reaches the caller in time.
 constexpr core::Millis ResponseMargin{10};
@@ -103,8 +100,7 @@
                                     core::Millis now) {
   if (State == Phase::Done || !Current)
     return;
-  const bool notSent = failure == http1::CallFailure::NotConnected ||
-                       failure == http1::CallFailure::ConnectionLimitReached;
+  const bool notSent = http1::isUnsent(failure);
   if (!notSent && Rejected) {
     onRejected(now);
     return;
@@ -116,9 +112,10 @@
   }
   --AttemptsMade;
   ++FailedConnects;
-  endAttempt(failure == http1::CallFailure::ConnectionLimitReached
-                 ? AttemptOutcome::Cancelled
-                 : AttemptOutcome::Unreachable,
+  // The other failures to send say nothing of the runner.
+  endAttempt(failure == http1::CallFailure::NotConnected
+                 ? AttemptOutcome::Unreachable
+                 : AttemptOutcome::Cancelled,
              now);
   retryOrGiveUp(std::string(toString(failure)), now);
 }
--- a/src/cowslipridge/http1/Client.cpp
+++ b/src/cowslipridge/http1/Client.cpp
@@ -16,6 +16,8 @@
     return "not-connected";
   case CallFailure::ConnectionLimitReached:
     return "no-room";
+  case CallFailure::TooLateToSend:
+    return "too-late-to-send";
   case CallFailure::BrokenBeforeResponse:
     return "broken-early";
   case CallFailure::Broken:
@@ -28,6 +30,12 @@
   return "timed-out";
 }
 
+bool isUnsent(CallFailure failure) {
+  return failure == CallFailure::NotConnected ||
+         failure == CallFailure::ConnectionLimitReached ||
+         failure == CallFailure::TooLateToSend;
+}
+
 namespace {
 
 /// A call that was rejected because the connection limit was reached.
--- a/src/cowslipridge/http1/Client.hpp
+++ b/src/cowslipridge/http1/Client.hpp
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -20,6 +21,8 @@
   NotConnected,
   /// CallSpec::MaxConnections are open already; nothing was sent.
   ConnectionLimitReached,
+  /// Connecting took too long for CallSpec::Recompose; nothing was sent.
+  TooLateToSend,
   /// The connection failed before the response head; the server may have
   /// processed the request.
   BrokenBeforeResponse,
@@ -32,6 +35,8 @@
 };
 
 std::string_view toString(CallFailure failure);
+/// Returns whether no byte of the request was sent.
+bool isUnsent(CallFailure failure);
 
 /// Receives the events of one call. No event follows onEnd or onFailure.
 class CallEvents {
@@ -47,6 +52,10 @@
 struct CallSpec {
   Endpoint Server;
   std::string Bytes; ///< the request, head and body
+  /// Called when a new connection is established, with the time since the start
+  /// of the call: returns the request that replaces `Bytes`, or nothing if it
+  /// is too late to send it. Not set: `Bytes` is sent.
+  std::function<std::optional<std::string>(core::Millis)> Recompose = nullptr;
   bool HeadRequest = false;
   /// Name of a header field that the server copies into its response. A
   /// response with another value than EchoValue belongs to another call and is
--- a/src/cowslipridge/http1/internal/ClientConnection.cpp
+++ b/src/cowslipridge/http1/internal/ClientConnection.cpp
@@ -139,11 +139,26 @@
   configureSocket(Peer, Limits.DeadPeer);
   State = Phase::Busy;
   Progress.Connected = true;
+  if (!recompose()) {
+    fail(CallFailure::TooLateToSend);
+    return;
+  }
   armTimer(Deadline - Clock.monotonic());
   send();
   read();
 }
 
+// Returns false if it is too late to send the request.
+bool ClientConnection::recompose() {
+  if (!Spec.Recompose)
+    return true;
+  auto bytes = Spec.Recompose(Clock.monotonic() - StartedAt);
+  if (!bytes)
+    return false;
+  Spec.Bytes = std::move(*bytes);
+  return true;
+}
+
 void ClientConnection::send() {
   Progress.Sent = true;
   boost::asio::async_write(
@@ -285,6 +300,7 @@
                 std::min(Limits.MaxIdleTime, allowed - KeepAliveMargin);
   State = Phase::Idle;
   Spec.Bytes.clear();
+  Spec.Recompose = nullptr;
   Paused = false;
   read();
   Pool.OnIdle(shared_from_this());
--- a/src/cowslipridge/http1/internal/ClientConnection.hpp
+++ b/src/cowslipridge/http1/internal/ClientConnection.hpp
@@ -43,6 +43,7 @@
 
   void connect();
   void onConnected(const boost::system::error_code &ec);
+  [[nodiscard]] bool recompose();
   void send();
   void onSent(const boost::system::error_code &ec);
   void read();
--- a/tests/unit/gateway/RequestStateMachineTest.cpp
+++ b/tests/unit/gateway/RequestStateMachineTest.cpp
@@ -81,6 +81,29 @@
   EXPECT_EQ(Actions.Status, 200);
 }
 
+// Guards against a runner that is ejected because this gateway stood still
+// while it connected.
+TEST_F(RequestStateMachineTest,
+       requestThatIsTooLateToSendDoesNotCountAgainstTheRunner) {
+  begin(RouteKind::NonIdempotent, 1);
+  Machine->onFailure(CallFailure::TooLateToSend, Millis(20));
+  EXPECT_EQ(Policy.Outcomes.at(1), AttemptOutcome::Cancelled);
+  EXPECT_EQ(Actions.Attempts, 2);
+}
+
+// Guards against callers that are told that a request may have run, although
+// its time was over before it was sent.
+TEST_F(RequestStateMachineTest, requestWhoseTimeIsOverBeforeItIsSentHasNotRun) {
+  begin(RouteKind::NonIdempotent, 1);
+  Machine->onFailure(
+      CallFailure::TooLateToSend,
+      support::requestContext(RouteKind::NonIdempotent, 1).Deadline -
+          Millis(15));
+  EXPECT_EQ(Actions.Attempts, 1);
+  EXPECT_EQ(Actions.Status, 503);
+  EXPECT_TRUE(Actions.RetryAfter.has_value());
+}
+
 // Guards against requests that wait at a runner and crash it although their
 // prompt was found to crash runners meanwhile.
 TEST_F(RequestStateMachineTest, endsAWaitingRequestThatThePolicyRefuses) {
--- a/tests/unit/http1/ClientFixture.hpp
+++ b/tests/unit/http1/ClientFixture.hpp
@@ -92,7 +92,8 @@
   void call(const std::string &id, std::shared_ptr<CallEvents> events) {
     CallSpec spec;
     spec.Server = Address;
-    spec.Bytes = "GET / HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\n\r\n";
+    spec.Bytes = requestBytes(id);
+    spec.Recompose = Recompose;
     spec.EchoField = "Id";
     spec.EchoValue = id;
     spec.Timeout = CallTimeout;
@@ -100,6 +101,10 @@
     Handle = HttpClient.call(std::move(spec), std::move(events));
   }
 
+  static std::string requestBytes(const std::string &id) {
+    return "GET / HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\n\r\n";
+  }
+
   std::shared_ptr<CallRecorder> callAndWait(const std::string &id = "a") {
     auto events = call(id);
     runUntil([&] { return events->isFinished(); });
@@ -121,6 +126,7 @@
   std::shared_ptr<Call> Handle;
   core::Millis CallTimeout{5'000};
   std::size_t MaxConnections = 4;
+  std::function<std::optional<std::string>(core::Millis)> Recompose;
   int Requests = 0;
   std::size_t Written = 0; ///< bytes of endless responses
 };
--- a/tests/unit/http1/ClientStallTest.cpp
+++ b/tests/unit/http1/ClientStallTest.cpp
@@ -54,4 +54,34 @@
   EXPECT_EQ(second->Body, "two");
 }
 
+// Guards against a request that tells its server more time than is left,
+// because it was written before the connection was established.
+TEST_F(ClientStallTest, requestIsWrittenAnewAfterConnecting) {
+  constexpr core::Millis Stall{100};
+  Scripts = {{response("b", "two")}};
+  std::optional<core::Millis> waited;
+  Recompose = [&](core::Millis length) {
+    waited = length;
+    return requestBytes("b");
+  };
+  const auto events = call("b");
+  stall(Stall);
+  runUntil([&] { return events->isFinished(); });
+  ASSERT_TRUE(waited.has_value());
+  EXPECT_GE(*waited, Stall);
+  EXPECT_EQ(events->Body, "two");
+}
+
+// Guards against a request that is sent although its time is over, and ends as
+// one that may have run.
+TEST_F(ClientStallTest, requestWhoseTimeIsOverAfterConnectingIsNotSent) {
+  Recompose = [](core::Millis) { return std::nullopt; };
+  const auto events = call();
+  stall(Excess);
+  runUntil([&] { return events->isFinished(); });
+  EXPECT_EQ(events->Failure, CallFailure::TooLateToSend);
+  EXPECT_FALSE(Handle->progress().Sent);
+  EXPECT_EQ(Requests, 0);
+}
+
 } // namespace
