Say that a request has not run when it waited for its connection until its deadline

Callers saw 504, which promises nothing, for a request that was never sent: at the deadline, and when the policy refused it, every attempt in progress counted as one that may have run. Now the state machine asks whether bytes of the attempt may have been sent. If not, the caller gets 503, which is true, with the time after which to come back: a route's timeout may be shorter than the caller's own deadline.

Test: RequestStateMachineTest.deadlineBeforeTheRequestIsSentMeansNotRun, 504 before.

--- a/src/cowslipridge/gateway/RequestFlow.cpp
+++ b/src/cowslipridge/gateway/RequestFlow.cpp
@@ -174,6 +174,8 @@
                       .Outcome = std::string(toString(placement.Kind))});
 }
 
+bool RequestFlow::mayHaveSent() const { return Call && Call->progress().Sent; }
+
 void RequestFlow::cancelAttempt() {
   if (const auto attempt = std::exchange(Current, nullptr))
     attempt->detach();
--- a/src/cowslipridge/gateway/RequestFlow.hpp
+++ b/src/cowslipridge/gateway/RequestFlow.hpp
@@ -47,6 +47,7 @@
 
   void startAttempt(const Placement &placement, core::Millis remaining,
                     std::optional<std::uint64_t> after) override;
+  [[nodiscard]] bool mayHaveSent() const override;
   void cancelAttempt() override;
   void respond(const http1::ResponseHead &head, std::string_view body) override;
   void begin(const http1::ResponseHead &head) override;
--- a/src/cowslipridge/gateway/RequestStateMachine.cpp
+++ b/src/cowslipridge/gateway/RequestStateMachine.cpp
@@ -147,7 +147,7 @@
   const auto refused = Policy.refusal(Request, now);
   if (!refused)
     return;
-  MayHaveRun = true;
+  noteThatItMayHaveRun();
   Actions.cancelAttempt();
   endAttempt(AttemptOutcome::Cancelled, now);
   giveUp(refused->Reason, refused->RetryAfter);
@@ -168,7 +168,7 @@
 }
 
 void RequestStateMachine::onDeadline(core::Millis now) {
-  MayHaveRun = MayHaveRun || (Current.has_value() && !Rejected);
+  noteThatItMayHaveRun();
   Actions.cancelAttempt();
   endAttempt(ResponseStarted ? AttemptOutcome::Cancelled
                              : AttemptOutcome::TimedOut,
@@ -176,8 +176,16 @@
   finish();
   if (ResponseStarted)
     Actions.abort("deadline");
+  else if (MayHaveRun)
+    Actions.replyWithError({504, "deadline", std::nullopt});
   else
-    Actions.replyWithError({MayHaveRun ? 504 : 503, "deadline", std::nullopt});
+    Actions.replyWithError({503, "deadline", Policy.retryAfter(Request, now)});
+}
+
+// A request that still waits for its connection has reached no runner.
+void RequestStateMachine::noteThatItMayHaveRun() {
+  if (Current && !Rejected && Actions.mayHaveSent())
+    MayHaveRun = true;
 }
 
 // A timeout only moves the request to another runner; without one, the request
--- a/src/cowslipridge/gateway/RequestStateMachine.hpp
+++ b/src/cowslipridge/gateway/RequestStateMachine.hpp
@@ -33,6 +33,8 @@
   /// resumes.
   virtual void startAttempt(const Placement &placement, core::Millis remaining,
                             std::optional<std::uint64_t> after) = 0;
+  /// Returns whether bytes of the current attempt's request may have been sent.
+  [[nodiscard]] virtual bool mayHaveSent() const = 0;
   /// Cancels the current attempt so that its runner stops working on it.
   virtual void cancelAttempt() = 0;
   /// Forwards a runner's complete response.
@@ -111,6 +113,7 @@
   void endStream(core::Millis now);
   void endBuffered(core::Millis now);
   void onRejected(core::Millis now);
+  void noteThatItMayHaveRun();
   void onDeadline(core::Millis now);
   void onAttemptTimeout(core::Millis now);
   void failAttempt(AttemptOutcome outcome, const std::string &reason,
--- a/tests/support/ScriptedPlacementPolicy.hpp
+++ b/tests/support/ScriptedPlacementPolicy.hpp
@@ -88,6 +88,7 @@
     Tier = placement.Tier;
     After = after;
   }
+  [[nodiscard]] bool mayHaveSent() const override { return Sent; }
   void cancelAttempt() override {
     Cancels += Open ? 1 : 0;
     Open = false;
@@ -126,6 +127,7 @@
     AcceptedReason = reason;
   }
 
+  bool Sent = true; ///< what mayHaveSent() returns
   int Attempts = 0;
   int Cancels = 0;
   int Begins = 0;
--- a/tests/unit/gateway/RequestStateMachineTest.cpp
+++ b/tests/unit/gateway/RequestStateMachineTest.cpp
@@ -104,6 +104,16 @@
   EXPECT_TRUE(Actions.RetryAfter.has_value());
 }
 
+// Guards against callers that are told that a request may have run, although it
+// waited for a connection until its deadline.
+TEST_F(RequestStateMachineTest, deadlineBeforeTheRequestIsSentMeansNotRun) {
+  begin(RouteKind::NonIdempotent, 1);
+  Actions.Sent = false;
+  Machine->onTimer(Machine->nextTimer());
+  EXPECT_EQ(Actions.Status, 503);
+  EXPECT_TRUE(Actions.RetryAfter.has_value());
+}
+
 // Guards against requests that wait at a runner and crash it although their
 // prompt was found to crash runners meanwhile.
 TEST_F(RequestStateMachineTest, endsAWaitingRequestThatThePolicyRefuses) {
