Sum up the requests at a runner in one place

Left by earlier work: waiting and running requests at a runner were added in five places, and loads in two. ServerLoad has both now.

--- a/src/cowslipridge/gateway/Dispatcher.cpp
+++ b/src/cowslipridge/gateway/Dispatcher.cpp
@@ -103,7 +103,7 @@
                              std::to_string(candidate.PrefixSource->Port);
   placement.PeerLoadAge = Forecast.maxRemoteLoadAge(now);
   placement.RunnerSlowness = Forecast.slowness(server.Id);
-  placement.RunnerLoad = requestsAt(server.Id);
+  placement.RunnerLoad = Forecast.load(server.Id).requests();
   placement.FirstByteTimeout =
       isStream ? std::max(MinStreamIdleTimeout,
                           candidate.FirstToken * StreamTimeoutFactor)
@@ -173,11 +173,6 @@
   return std::max(MinRetryAfter, Selection.timeUntilAvailable(request, now));
 }
 
-unsigned Dispatcher::requestsAt(const core::RunnerId &runner) const {
-  const route::ServerLoad load = Forecast.load(runner);
-  return load.Waiting + load.Running;
-}
-
 limits::RetryWindow &Dispatcher::budget(const core::ServiceId &service) {
   const auto known = Budgets.find(service);
   if (known != Budgets.end())
--- a/src/cowslipridge/gateway/Dispatcher.hpp
+++ b/src/cowslipridge/gateway/Dispatcher.hpp
@@ -177,8 +177,6 @@
   /// Records how fast a complete stream was.
   void recordInterval(const ActiveAttempt &attempt,
                       rollout::AnswerCounts &counts) const;
-  /// Returns the number of requests at the runner that have not ended.
-  [[nodiscard]] unsigned requestsAt(const core::RunnerId &runner) const;
   void reportNotice(const RunnerNotice &notice);
   /// Records that the runner reads the prompt.
   void recordPrompt(const std::vector<route::CacheBlock> &prompt,
--- a/src/cowslipridge/gateway/DispatcherOutcomes.cpp
+++ b/src/cowslipridge/gateway/DispatcherOutcomes.cpp
@@ -107,7 +107,7 @@
   const auto elapsed =
       static_cast<double>((attempt.LastEventAt - attempt.FirstEventAt).count());
   counts.Intervals.add(
-      std::max(attempt.OtherRequests, requestsAt(attempt.Runner)),
+      std::max(attempt.OtherRequests, Forecast.load(attempt.Runner).requests()),
       elapsed / intervals);
 }
 
--- a/src/cowslipridge/gateway/DispatcherReports.cpp
+++ b/src/cowslipridge/gateway/DispatcherReports.cpp
@@ -68,9 +68,8 @@
     for (const auto &[id, server] : Servers.all()) {
       if (server.Service != service)
         continue;
-      const route::ServerLoad load = Forecast.load(id);
       if (server.Version != target)
-        observation.StableInFlight += load.Waiting + load.Running;
+        observation.StableInFlight += Forecast.load(id).requests();
       else if (!server.Draining)
         observation.TargetHasRunner = true;
     }
--- a/src/cowslipridge/gateway/RunnerSelection.cpp
+++ b/src/cowslipridge/gateway/RunnerSelection.cpp
@@ -209,7 +209,7 @@
                     Rejections.rate(server.Id, now) * target;
   const route::ServerLoad load = Forecast.load(server.Id);
   if (prompt.isEmpty()) {
-    candidate.Score += MillisPerPlainRequest * (load.Waiting + load.Running);
+    candidate.Score += MillisPerPlainRequest * load.requests();
     return candidate;
   }
   // Prefill also evicts another prompt from the runner's cache, and delays
--- a/src/cowslipridge/route/PrefillForecast.cpp
+++ b/src/cowslipridge/route/PrefillForecast.cpp
@@ -74,14 +74,19 @@
   return it == Slowness.end() ? 1 : it->second;
 }
 
+ServerLoad &ServerLoad::operator+=(const ServerLoad &other) {
+  PendingMillis += other.PendingMillis;
+  Waiting += other.Waiting;
+  Running += other.Running;
+  return *this;
+}
+
 ServerLoad PrefillForecast::load(const core::RunnerId &runner) const {
   ServerLoad total;
   if (const auto own = Own.find(runner); own != Own.end())
     total = own->second;
   if (const auto it = RemoteTotals.find(runner); it != RemoteTotals.end()) {
-    total.PendingMillis += it->second.PendingMillis;
-    total.Waiting += it->second.Waiting;
-    total.Running += it->second.Running;
+    total += it->second;
   }
   return total;
 }
@@ -89,10 +94,7 @@
 void PrefillForecast::addRemote(
     const std::map<core::RunnerId, ServerLoad> &loads) {
   for (const auto &[runner, load] : loads) {
-    ServerLoad &total = RemoteTotals[runner];
-    total.PendingMillis += load.PendingMillis;
-    total.Waiting += load.Waiting;
-    total.Running += load.Running;
+    RemoteTotals[runner] += load;
   }
 }
 
@@ -108,7 +110,7 @@
     total.PendingMillis =
         std::max(0.0, total.PendingMillis - load.PendingMillis);
     // Leaves no rounding error behind.
-    if (total.Waiting == 0 && total.Running == 0)
+    if (total.requests() == 0)
       RemoteTotals.erase(it);
   }
 }
@@ -233,7 +235,7 @@
           std::max(0.0, load.PendingMillis - attempt.WorkMillis);
       --load.Waiting;
     }
-    if (load.Waiting == 0 && load.Running == 0)
+    if (load.requests() == 0)
       Own.erase(own);
   }
   Attempts.erase(it);
--- a/src/cowslipridge/route/PrefillForecast.hpp
+++ b/src/cowslipridge/route/PrefillForecast.hpp
@@ -16,6 +16,8 @@
   double PendingMillis = 0; ///< prefill of prompts without a first token
   unsigned Waiting = 0;     ///< requests without a first token
   unsigned Running = 0;     ///< requests whose answers are being generated
+  [[nodiscard]] unsigned requests() const { return Waiting + Running; }
+  ServerLoad &operator+=(const ServerLoad &other);
   friend auto operator<=>(const ServerLoad &, const ServerLoad &) = default;
 };
 
