Let tests of the Consul store wait longer than a busy machine pauses

Cause: the fixture's client gives up after 500 ms, which no test but those of a hanging store means to test. Shown by pausing the test process for 0.7 s (SIGSTOP) at some moment of its first 55 ms: 11 of 40 runs failed, all with this message (6 on this line, 5 on the next write). LostReply is right then.

Ruled out: the stand-in closing the connection before it has read the body; it reads 32 MB. 160 runs at a load average of 33 without pauses all passed, so that load alone rarely does it.

Change: the fixture waits 10 s; the two tests of a hanging store set the 500 ms that they had. What is expected is unchanged.

--- a/tests/standins/ConsulStoreTest.cpp
+++ b/tests/standins/ConsulStoreTest.cpp
@@ -19,7 +19,12 @@
 
   void open(const KeyValueSettings &settings) {
     Base = host(std::make_shared<KeyValueStore>(settings, Timer));
-    StoreClient = makeConsulStore(Base, core::Millis(500));
+    // No test should fail because the machine is busy.
+    setTimeout(core::Millis(10'000));
+  }
+
+  void setTimeout(core::Millis timeout) {
+    StoreClient = makeConsulStore(Base, timeout);
   }
 
   SwapStatus swap(const std::string &key, const std::string &value,
@@ -160,6 +165,7 @@
   EXPECT_EQ(swap("a", "x", 0), SwapStatus::LostReply);
   setFaults(Base, {{"status", 500}});
   EXPECT_EQ(swap("b", "x", 0), SwapStatus::LostReply);
+  setTimeout(core::Millis(500));
   setFaults(Base, {{"outage", "hang"}});
   EXPECT_EQ(swap("c", "x", 0), SwapStatus::LostReply);
 }
@@ -167,6 +173,7 @@
 TEST_F(ConsulStoreTest, reportsOutagesAsUnavailable) {
   setFaults(Base, {{"outage", "refuse"}});
   EXPECT_EQ(get("k").error(), core::Errc::StoreUnavailable);
+  setTimeout(core::Millis(500));
   setFaults(Base, {{"outage", "hang"}});
   EXPECT_EQ(list("k").error(), core::Errc::StoreUnavailable);
   Hosts.clear();
