Let no timeout of the server act while received bytes are unread

What callers saw after the gateway had stood still: 408 for a request whose head or body had arrived in time, and kept connections that were closed with a request in their sockets.

Cause: a timeout expires by the clock, while the bytes it waits for are read turn by turn. A queued handler of the idle timeout acted on the request that had just begun; one turn reads 8 KB of a connection, and starts the next read, whose bytes are then neither in the socket nor parsed; and one turn collects at most 128 events of sockets, but all expired timers.

Change: the timers are LoopTimers. A timeout of a request or an idle connection counts only after a turn of the loop in which the connection read nothing, and while the operating system holds no bytes of it. Each deferral needs bytes, so the limits on the sizes of head and body bound them; a head that is sent byte by byte is still answered 408 (test). The retry of accept() uses a LoopTimer as well.

Ruled out: one more turn for each expired timer, in LoopTimer itself. One turn is too few for a head of several reads or for more sockets than a turn collects, and LoopTimer can't know what its user waits for; a timer that waits for nothing (a tick, a retry) would be late for no use.

--- a/src/cowslipridge/http1/Connection.cpp
+++ b/src/cowslipridge/http1/Connection.cpp
@@ -36,6 +36,11 @@
                     ignored);
 }
 
+bool hasUnreadInput(const Socket &socket) {
+  boost::system::error_code ignored;
+  return socket.available(ignored) > 0;
+}
+
 void reset(Socket &socket) {
   boost::system::error_code ignored;
   socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
--- a/src/cowslipridge/http1/Connection.hpp
+++ b/src/cowslipridge/http1/Connection.hpp
@@ -23,6 +23,10 @@
 /// Sets TCP_NODELAY, keep-alive probes and the timeout for unacknowledged data.
 /// Options that the operating system rejects keep their defaults.
 void configureSocket(Socket &socket, const DeadPeerLimits &limits);
+/// Returns whether the operating system holds received bytes that were not read
+/// yet. A timeout that waits for bytes has not been missed by the peer then,
+/// whichever of their handlers the event loop runs first.
+bool hasUnreadInput(const Socket &socket);
 /// Closes the socket so that the peer receives a TCP reset.
 void reset(Socket &socket);
 void close(Socket &socket);
--- a/src/cowslipridge/http1/Server.cpp
+++ b/src/cowslipridge/http1/Server.cpp
@@ -1,10 +1,8 @@
 #include "cowslipridge/http1/Server.hpp"
 
+#include "cowslipridge/http1/LoopTimer.hpp"
 #include "cowslipridge/http1/internal/ServerConnection.hpp"
 
-#include <boost/asio/steady_timer.hpp>
-
-#include <chrono>
 #include <unordered_map>
 #include <vector>
 
@@ -14,7 +12,7 @@
 
 /// Delay before the next accept after a failed one, for example when the file
 /// descriptors are exhausted.
-constexpr std::chrono::milliseconds AcceptRetryDelay{20};
+constexpr core::Millis AcceptRetryDelay{20};
 
 } // namespace
 
@@ -49,9 +47,8 @@
   }
 
   void scheduleAccept() {
-    AcceptRetryTimer.expires_after(AcceptRetryDelay);
-    AcceptRetryTimer.async_wait([self = shared_from_this()](const auto &ec) {
-      if (!ec && self->Acceptor.is_open())
+    AcceptRetryTimer.start(AcceptRetryDelay, [self = shared_from_this()] {
+      if (self->Acceptor.is_open())
         self->accept();
     });
   }
@@ -88,7 +85,7 @@
 
   boost::asio::io_context &Loop;
   boost::asio::ip::tcp::acceptor Acceptor;
-  boost::asio::steady_timer AcceptRetryTimer;
+  LoopTimer AcceptRetryTimer;
   std::shared_ptr<internal::ServerContext> Context;
   std::unordered_map<internal::ServerConnection *,
                      std::shared_ptr<internal::ServerConnection>>
--- a/src/cowslipridge/http1/internal/ServerConnection.cpp
+++ b/src/cowslipridge/http1/internal/ServerConnection.cpp
@@ -1,7 +1,5 @@
 #include "cowslipridge/http1/internal/ServerConnection.hpp"
 
-#include "cowslipridge/core/Chrono.hpp"
-
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 
@@ -73,6 +71,7 @@
     read();
     return;
   }
+  HasReadSinceCheck = true;
   Input.append(Chunk.data(), n);
   if (State == Phase::Reading)
     parse();
@@ -261,11 +260,7 @@
   State = Phase::Closing;
   boost::system::error_code ignored;
   Peer.shutdown(Socket::shutdown_send, ignored);
-  Timer.expires_after(core::toChrono(LingerTime));
-  Timer.async_wait([self = shared_from_this()](const auto &ec) {
-    if (!ec)
-      self->shutDown();
-  });
+  Timer.start(LingerTime, [self = shared_from_this()] { self->shutDown(); });
   Input.clear();
   read();
 }
@@ -278,34 +273,44 @@
 }
 
 void ServerConnection::armTimer() {
-  const core::Millis limit =
-      isIdle() ? Context->Limits.IdleTimeout : Context->Limits.HeaderTimeout;
-  Timer.expires_after(core::toChrono(limit));
-  Timer.async_wait([self = shared_from_this()](const auto &ec) {
-    if (!ec)
-      self->onTimer();
+  startTimer(RequestBegun ? Context->Limits.HeaderTimeout
+                          : Context->Limits.IdleTimeout,
+             &ServerConnection::onTimer);
+}
+
+void ServerConnection::startTimer(core::Millis limit, TimerHandler handler) {
+  HasReadSinceCheck = true;
+  Timer.start(limit, [self = shared_from_this(), handler] {
+    self->onExpired(handler);
   });
 }
 
-void ServerConnection::onTimer() {
+// The timeout counts once a turn of the loop has read nothing and the socket
+// holds nothing: until then the client is not late, but this process. The
+// limits on the sizes of head and body bound the number of turns.
+void ServerConnection::onExpired(TimerHandler handler) {
   if (State != Phase::Reading)
     return;
-  if (isIdle()) {
-    shutDown();
+  if (!std::exchange(HasReadSinceCheck, false) && !hasUnreadInput(Peer)) {
+    ((*this).*handler)();
     return;
   }
-  if (!Parser->headDone()) {
-    reject(408);
-    return;
-  }
-  // The head was received in time; the idle timeout applies to the body.
-  Timer.expires_after(core::toChrono(Context->Limits.IdleTimeout));
-  Timer.async_wait([self = shared_from_this()](const auto &ec) {
-    if (!ec && self->State == Phase::Reading)
-      self->reject(408);
+  Timer.start(core::Millis(), [self = shared_from_this(), handler] {
+    self->onExpired(handler);
   });
 }
 
+void ServerConnection::onTimer() {
+  if (!RequestBegun)
+    shutDown();
+  else if (!Parser->headDone())
+    onLate();
+  else // The head was received in time; the idle timeout applies to the body.
+    startTimer(Context->Limits.IdleTimeout, &ServerConnection::onLate);
+}
+
+void ServerConnection::onLate() { reject(408); }
+
 void ServerConnection::finishClose() {
   if (State == Phase::Closed)
     return;
--- a/src/cowslipridge/http1/internal/ServerConnection.hpp
+++ b/src/cowslipridge/http1/internal/ServerConnection.hpp
@@ -1,9 +1,8 @@
 #pragma once
 
+#include "cowslipridge/http1/LoopTimer.hpp"
 #include "cowslipridge/http1/Server.hpp"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <array>
 #include <functional>
 #include <memory>
@@ -63,6 +62,11 @@
   void notifyDisconnect();
   void armTimer();
   void onTimer();
+  void onLate();
+  using TimerHandler = void (ServerConnection::*)();
+  /// Calls `handler` if the client sends nothing that ends this wait.
+  void startTimer(core::Millis limit, TimerHandler handler);
+  void onExpired(TimerHandler handler);
   void linger();
   void finishClose();
   void clearInFlight();
@@ -70,12 +74,14 @@
   Socket Peer;
   std::shared_ptr<ServerContext> Context;
   std::function<void(ServerConnection *)> OnClosed;
-  boost::asio::steady_timer Timer;
+  LoopTimer Timer;
   Phase State = Phase::Reading;
   std::optional<RequestParser> Parser;
   std::string Input;
   std::array<char, 8192> Chunk{};
   bool ReadPending = false;
+  bool HasReadSinceCheck = false; ///< bytes may have been read since a timer
+                                  ///< was started or last checked
   bool RequestBegun = false; ///< bytes of the current request were received
   bool ContinueSent = false;
   core::Millis ReadAt;
--- a/tests/unit/http1/ServerStallTest.cpp
+++ b/tests/unit/http1/ServerStallTest.cpp
@@ -82,6 +82,21 @@
   expectRequest();
 }
 
+// The counterpart: waiting for bytes that were received grants no time to those
+// that were not.
+TEST_F(ServerStallTest, headThatIsSentByteByByteIsRejected) {
+  accept(Short, Long);
+  LoopTimer next(Loop);
+  const std::function<void()> writeByte = [&] {
+    boost::system::error_code ignored;
+    boost::asio::write(Peer, boost::asio::buffer(Request, 1), ignored);
+    next.start(core::Millis(1), writeByte);
+  };
+  writeByte();
+  runUntil([&] { return !Received.empty(); });
+  EXPECT_TRUE(Received.starts_with("HTTP/1.1 408 ")) << Received;
+}
+
 // Guards against kept connections that are closed with a request in the socket:
 // one turn of the loop collects the events of a limited number of sockets, but
 // all timers.
