Close no idle connection that has received a request

While a gateway drains, it closes its idle connections at each tick. A caller whose request was in the socket then, or had been sent together with the request before and waited for that one's answer, saw the connection close without an answer.

Cause: a connection counted as idle until the first byte of a request was parsed. It now counts as idle only if no byte is buffered or in the socket; the response then closes the connection, as all do in a drain. A request that leaves the caller after that moment can still meet the closed connection.

Not changed: the drain is over as soon as no request is in flight, and one that is still being read or is in the socket isn't counted as such.

--- a/src/cowslipridge/http1/Server.hpp
+++ b/src/cowslipridge/http1/Server.hpp
@@ -72,7 +72,8 @@
   void setLimits(const ServerLimits &limits);
   /// Makes all further responses carry `Connection: close`.
   void closeAfterResponses();
-  /// Closes connections without a request in progress.
+  /// Closes connections without a request in progress. A request that was
+  /// received but not read yet is in progress.
   void closeIdle();
   /// Stops accepting and closes all connections.
   void stop();
--- a/src/cowslipridge/http1/internal/ServerConnection.cpp
+++ b/src/cowslipridge/http1/internal/ServerConnection.cpp
@@ -34,7 +34,8 @@
 }
 
 bool ServerConnection::isIdle() const {
-  return State == Phase::Reading && !RequestBegun;
+  return State == Phase::Reading && !RequestBegun && Input.empty() &&
+         !hasUnreadInput(Peer);
 }
 
 void ServerConnection::shutDown() {
--- a/src/cowslipridge/http1/internal/ServerConnection.hpp
+++ b/src/cowslipridge/http1/internal/ServerConnection.hpp
@@ -30,6 +30,7 @@
   ~ServerConnection() override;
 
   void start();
+  /// Returns whether no part of a request was received, read or not.
   [[nodiscard]] bool isIdle() const;
   void shutDown();
 
