Take no connection from the pool on which something has arrived

Callers may see: a request of a route that is not idempotent runs at two runners, or is refused with 503 although a runner runs it; and 502 for a request that was sent on a connection that its runner had closed before.

Cause: an idle connection had a read pending. When the next call took the connection before the loop had handled what had arrived on it (the gateway stood still, or handled a request in the same turn), that read ended after the request was sent, and its bytes were taken for the response. A runner may send additional bytes after a complete response; if they read as a rejection, the request went to another runner while the first one ran it.

Ruled out: a check of the response's id alone. It does not help with a connection that was closed.

Change: an idle connection is watched with a wait in place of a read, so that no bytes are read before a call starts, and the socket is looked at when it is taken from the pool: with anything but silence it is closed, and another connection is used.

Bytes that arrive after the request was sent are not covered.

--- a/src/cowslipridge/http1/Connection.cpp
+++ b/src/cowslipridge/http1/Connection.cpp
@@ -2,8 +2,11 @@
 
 #include <boost/asio/socket_base.hpp>
 
+#include <cerrno>
+
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 namespace cowslipridge::http1 {
 
@@ -41,6 +44,13 @@
   return socket.available(ignored) > 0;
 }
 
+bool isQuiet(Socket &socket) {
+  char byte = 0;
+  const auto n =
+      ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 void reset(Socket &socket) {
   boost::system::error_code ignored;
   socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
--- a/src/cowslipridge/http1/Connection.hpp
+++ b/src/cowslipridge/http1/Connection.hpp
@@ -27,6 +27,9 @@
 /// yet. A timeout that waits for bytes has not been missed by the peer then,
 /// whichever of their handlers the event loop runs first.
 bool hasUnreadInput(const Socket &socket);
+/// Returns whether the connection is open and nothing has arrived that was not
+/// read, neither bytes nor the end of the connection.
+bool isQuiet(Socket &socket);
 /// Closes the socket so that the peer receives a TCP reset.
 void reset(Socket &socket);
 void close(Socket &socket);
--- a/src/cowslipridge/http1/internal/ClientConnection.cpp
+++ b/src/cowslipridge/http1/internal/ClientConnection.cpp
@@ -94,11 +94,12 @@
   Progress.Reused = Progress.Connected = true;
   armTimer(Spec.Timeout);
   send();
+  read();
   return handle;
 }
 
-bool ClientConnection::isUsable(core::Millis now) const {
-  return State == Phase::Idle && now < UsableUntil;
+bool ClientConnection::isUsable(core::Millis now) {
+  return State == Phase::Idle && now < UsableUntil && isQuiet(Peer);
 }
 
 void ClientConnection::shutDown() { close(); }
@@ -179,7 +180,7 @@
 }
 
 void ClientConnection::read() {
-  if (ReadPending || Paused || (State != Phase::Busy && State != Phase::Idle))
+  if (ReadPending || Paused || State != Phase::Busy)
     return;
   ReadPending = true;
   Peer.async_read_some(boost::asio::buffer(Chunk),
@@ -191,13 +192,8 @@
 
 void ClientConnection::onRead(const boost::system::error_code &ec,
                               std::size_t n) {
-  if (State == Phase::Closed)
-    return;
-  if (State == Phase::Idle) {
-    // The server closed the connection or sent unsolicited bytes.
-    close();
+  if (State != Phase::Busy)
     return;
-  }
   if (ec == boost::asio::error::eof && Parser->headDone() && !Mismatched &&
       Parser->finish() == ResponseStatus::Complete) {
     complete();
@@ -302,10 +298,20 @@
   Spec.Bytes.clear();
   Spec.Recompose = nullptr;
   Paused = false;
-  read();
+  watch();
   Pool.OnIdle(shared_from_this());
 }
 
+// Closes an idle connection when the server closes it or sends unsolicited
+// bytes. Nothing is read: the bytes can't reach a call that starts meanwhile.
+void ClientConnection::watch() {
+  Peer.async_wait(Socket::wait_read, [self = shared_from_this(),
+                                      number = CallNumber](const auto &) {
+    if (self->State == Phase::Idle && self->CallNumber == number)
+      self->close();
+  });
+}
+
 void ClientConnection::failBroken() {
   fail(HeadDelivered ? CallFailure::Broken : CallFailure::BrokenBeforeResponse);
 }
--- a/src/cowslipridge/http1/internal/ClientConnection.hpp
+++ b/src/cowslipridge/http1/internal/ClientConnection.hpp
@@ -28,8 +28,9 @@
   /// Starts a call and returns its handle, which has no effect on later calls.
   std::shared_ptr<Call> start(CallSpec spec,
                               std::shared_ptr<CallEvents> events);
-  /// Returns whether the connection is idle and may carry another call.
-  [[nodiscard]] bool isUsable(core::Millis now) const;
+  /// Returns whether the connection is idle and may carry another call. It may
+  /// not if anything has arrived on it, even if the loop has not handled that.
+  [[nodiscard]] bool isUsable(core::Millis now);
   void shutDown();
 
 private:
@@ -54,6 +55,7 @@
   void skipMismatched();
   void complete();
   void releaseOrClose();
+  void watch();
   void fail(CallFailure failure);
   void failBroken();
   void armTimer(core::Millis limit);
