Add failing tests of claims of the daemon that no connection bears out

- A GET whose second sending cannot connect counts as never sent, although the server had read the first one.
- A retry that attaches to a running call after a take-over is told not-run.

tests/support/DroppingServer answers the first request of each connection and drops any later one; it may refuse connections from then on.

--- a/tests/unit/http/ClientTest.cpp
+++ b/tests/unit/http/ClientTest.cpp
@@ -2,6 +2,7 @@
 
 #include "cowslipridge/core/Error.hpp"
 
+#include "support/DroppingServer.hpp"
 #include "support/RawSocket.hpp"
 
 #include <atomic>
@@ -9,6 +10,7 @@
 
 using namespace cowslipridge;
 using namespace cowslipridge::http;
+using cowslipridge::support::DroppingServer;
 using cowslipridge::support::RawListener;
 using cowslipridge::support::RawSocket;
 
@@ -222,4 +224,22 @@
   EXPECT_LT(server.Connections, Calls / 2);
 }
 
+// Guards against "nothing was sent" for a read that the server had received:
+// cpprestsdk resends it when the server closes a reused connection, and reports
+// only that the second connection failed.
+TEST_F(ClientTest, reportsMayBeSentWhenTheServerEndsAfterReadingTheRequest) {
+  constexpr int MaxCalls = 50;
+  const DroppingServer server(Port, DroppingServer::After::Refuse);
+  Client client(support::baseUrl(Port), ReplyTimeout);
+  Recorded seen;
+  for (int i = 0; i < MaxCalls && server.dropped() == 0; ++i) {
+    auto recorder = std::make_shared<Recorder>();
+    client.send({"GET", "/", {}, ""}, record(recorder));
+    seen = recorder->Ended.get().value_or(Recorded{});
+  }
+  EXPECT_EQ(server.dropped(), 1);
+  EXPECT_TRUE(seen.Error);
+  EXPECT_EQ(seen.Stage, SendStage::MayBeSent);
+}
+
 } // namespace
--- a/tests/unit/ledger/LedgerTest.cpp
+++ b/tests/unit/ledger/LedgerTest.cpp
@@ -122,6 +122,26 @@
             core::Outcome::Unknown);
 }
 
+// Guards against "not run" for a call that runs: a ledger that stood still
+// while another took its shards over forgot the claim between the retry's claim
+// and its attach.
+TEST_F(LedgerTest, retryIsNotToldThatARunningCallDidNotRun) {
+  const auto suspended = startLedger("a");
+  claimWhenServed(*suspended, "k");
+  EXPECT_TRUE(std::holds_alternative<AlreadyRunning>(claimAt(*suspended, "k")));
+  const auto taker = startLedger("b");
+  const auto ec = await<std::error_code>(
+      [&](auto done) { taker->takeOver(core::InstanceId("a"), done); });
+  EXPECT_FALSE(ec);
+  const ClaimDecision other = claimAt(*suspended, "other"); // finds the seal
+  EXPECT_TRUE(std::holds_alternative<ClaimRefused>(other));
+  const auto outcome = await<ClaimOutcome>([&](auto done) {
+    suspended->attach(claimOf("k").Key, done);
+    recordOutcome(*suspended, "k");
+  });
+  EXPECT_NE(outcome.Result, core::Outcome::NotRun);
+}
+
 TEST_F(LedgerTest, refusesClaimsAndBuffersBillsWhileStoreIsDown) {
   const auto ledger = startLedger("a");
   claimWhenServed(*ledger, "k");
--- a/tests/unit/runner/EngineRunnerTest.cpp
+++ b/tests/unit/runner/EngineRunnerTest.cpp
@@ -2,6 +2,7 @@
 #include "cowslipridge/core/Error.hpp"
 #include "cowslipridge/http/Server.hpp"
 #include "cowslipridge/runner/PlainRunner.hpp"
+#include "support/DroppingServer.hpp"
 #include "support/Loopback.hpp"
 #include "support/Waiting.hpp"
 
@@ -292,4 +293,21 @@
   EXPECT_EQ(received->Result, Outcome::Unknown);
 }
 
+// Guards against a call that runs twice: the HTTP library resends a GET when
+// the server closes a reused connection without a response, and a declared GET
+// may be non-idempotent.
+TEST(PlainRunner, neverSendsANonIdempotentReadTwice) {
+  constexpr int Calls = 20;
+  const std::uint16_t port = support::nextPort();
+  const support::DroppingServer server(port,
+                                       support::DroppingServer::After::Listen);
+  PlainRunner runner(support::baseUrl(port), IdleTimeout);
+  Call call = makeCall(false);
+  call.Message.Method = "GET";
+  call.Message.Body.clear();
+  for (int i = 0; i < Calls; ++i)
+    EXPECT_TRUE(run(runner, call));
+  EXPECT_EQ(server.received(), Calls);
+}
+
 } // namespace
