Say "unknown" of a call whose claim the ledger has forgotten

What callers saw: a retry that arrived while the first attempt was running could be answered with outcome not-run, though the first attempt went on running. A caller that takes the guarantee at its word and sends the request under a new key makes it run twice.

Cause: the retry attaches to the running call in a second step.

Ruled out: a second run under the same key.

Change: an attach that finds no claim answers unknown. A claim that is refused while the retry is attached is still reported as not run. A first attempt that ends as not run between the two steps is now reported as unknown, too; the ledger does not keep what would tell the two apart.

--- a/src/cowslipridge/ledger/JournalStateMachine.cpp
+++ b/src/cowslipridge/ledger/JournalStateMachine.cpp
@@ -114,10 +114,13 @@
   Appender->append({claim, event.Requester}, Now.Monotonic);
 }
 
+// An unknown claim has ended as not run, or a take-over has made this ledger
+// forget it while its call runs. What is left does not tell which.
 void JournalStateMachine::onAttach(const AttachRequested &event) {
   const ClaimEntry *known = ClaimsAndPins.find(event.Key);
   if (known == nullptr)
-    emit(AnswerAttach{event.Requester, notRun(event.Key)});
+    emit(AnswerAttach{event.Requester,
+                      {event.Key, core::Outcome::Unknown, 0, {}}});
   else if (known->State == ClaimState::Completed)
     emit(AnswerAttach{event.Requester, known->Outcome});
   else
--- a/src/cowslipridge/ledger/Ledger.hpp
+++ b/src/cowslipridge/ledger/Ledger.hpp
@@ -45,7 +45,8 @@
   /// Requests the right to run a non-idempotent call.
   void claim(const Claim &claim, std::function<void(ClaimDecision)> done);
   /// Reports the outcome of a call that claim() found to be running. If its
-  /// claim is refused later, the outcome is Outcome::NotRun.
+  /// claim is refused later, the outcome is Outcome::NotRun; if the claim is no
+  /// longer known when this is called, Outcome::Unknown.
   void attach(const IdempotencyKey &key,
               std::function<void(ClaimOutcome)> done);
   /// Records the outcome of a claimed call. Calls `done` when the outcome is
