Let no non-idempotent call use a connection that was used before

What callers saw: a call that is declared with "method = GET" and "idempotent = no" could run twice at one runner.

Cause: the HTTP client keeps connections for GET, HEAD and OPTIONS, by the method alone. When a server closes a kept connection without a response, cpprestsdk sends the request again by itself.

Ruled out: POST, PUT, DELETE and PATCH, which get a connection of their own (ClientTest.neverResendsARequestThatMayHaveBeenExecuted).

Change: the call says whether it is idempotent; one that is not gets a connection of its own, whatever its method. Idempotent reads keep theirs.

--- a/src/cowslipridge/http/Client.cpp
+++ b/src/cowslipridge/http/Client.cpp
@@ -69,10 +69,11 @@
     Config.set_max_redirects(0);
   }
 
-  /// Returns null when the base address is not a valid HTTP URL. Methods that
+  /// Returns null when the base address is not a valid HTTP URL. Requests that
   /// are not safe to repeat get a client of their own.
-  std::shared_ptr<http_client> clientFor(const std::string &method) {
-    if (!isSafeToRepeat(method))
+  std::shared_ptr<http_client> clientFor(const std::string &method,
+                                         Resend resend) {
+    if (resend == Resend::Never || !isSafeToRepeat(method))
       return makeClient();
     const std::lock_guard lock(Guard);
     if (!ReusableClient)
@@ -101,8 +102,9 @@
 Client::~Client() = default;
 
 // NOLINTNEXTLINE(performance-unnecessary-value-param): takes ownership
-std::shared_ptr<Exchange> Client::send(Request request, ResponseEvents events) {
-  auto client = Internals->clientFor(request.Method);
+std::shared_ptr<Exchange> Client::send(Request request, ResponseEvents events,
+                                       Resend resend) {
+  auto client = Internals->clientFor(request.Method, resend);
   if (!client) {
     events.OnEnd(core::Errc::Malformed, SendStage::NotConnected);
     return std::make_shared<internal::ClientExchange>(nullptr,
--- a/src/cowslipridge/http/Client.hpp
+++ b/src/cowslipridge/http/Client.hpp
@@ -18,6 +18,12 @@
   MayBeSent,    ///< the server may have received bytes of the request
 };
 
+/// Whether the client may send a request again by itself.
+enum class Resend {
+  IfSafe, ///< as far as the method is safe to repeat
+  Never,  ///< the server receives the request at most once
+};
+
 /// Callbacks for one streamed response. They run in order, one at a time, on a
 /// pool thread, and must not block.
 struct ResponseEvents {
@@ -46,7 +52,8 @@
   Client &operator=(const Client &) = delete;
 
   /// Sends without blocking and reports progress through `events`.
-  std::shared_ptr<Exchange> send(Request request, ResponseEvents events);
+  std::shared_ptr<Exchange> send(Request request, ResponseEvents events,
+                                 Resend resend = Resend::IfSafe);
   /// Sends without blocking and calls `done` with the complete response or the
   /// error.
   void fetchAsync(Request request,
--- a/src/cowslipridge/runner/GuardedCall.cpp
+++ b/src/cowslipridge/runner/GuardedCall.cpp
@@ -7,7 +7,8 @@
 using core::Errc;
 using core::Outcome;
 
-void GuardedCall::send(http::Client &client, http::Request message) {
+void GuardedCall::send(http::Client &client, http::Request message,
+                       http::Resend resend) {
   const std::shared_ptr<GuardedCall> self = shared_from_this();
   http::ResponseEvents events;
   events.OnHead = [self](int status, const http::Headers &fields) {
@@ -27,7 +28,7 @@
     self->Exchange.reset();
   };
   std::shared_ptr<http::Exchange> exchange =
-      client.send(std::move(message), std::move(events));
+      client.send(std::move(message), std::move(events), resend);
   const std::lock_guard lock(Guard);
   if (!Ended)
     Exchange = std::move(exchange);
--- a/src/cowslipridge/runner/PlainRunner.cpp
+++ b/src/cowslipridge/runner/PlainRunner.cpp
@@ -59,7 +59,8 @@
   message.Fields = withoutHopByHop(call.Message.Fields);
   message.Fields.push_back({"X-Request-Id", call.Request.str()});
   auto running = std::make_shared<PlainCall>(std::move(events));
-  running->send(Backend, std::move(message));
+  running->send(Backend, std::move(message),
+                call.Idempotent ? http::Resend::IfSafe : http::Resend::Never);
   return running;
 }
 
--- a/src/cowslipridge/runner/Runner.hpp
+++ b/src/cowslipridge/runner/Runner.hpp
@@ -20,6 +20,7 @@
   std::string EngineModel; ///< empty for plain services
   http::Request Message;   ///< target and body as the runner expects them
   bool Stream = false;
+  bool Idempotent = false; ///< may reach the runner more than once
   int Priority = 0;        ///< lower values run first
   core::Millis Timeout{0}; ///< idle timeout
 };
--- a/src/cowslipridge/runner/internal/GuardedCall.hpp
+++ b/src/cowslipridge/runner/internal/GuardedCall.hpp
@@ -16,7 +16,8 @@
 public:
   explicit GuardedCall(CallEvents events) : Events(std::move(events)) {}
 
-  void send(http::Client &client, http::Request message);
+  void send(http::Client &client, http::Request message,
+            http::Resend resend = http::Resend::Never);
   void cancel() override;
 
 protected:
--- a/src/cowslipridge/sidecar/RunFlow.cpp
+++ b/src/cowslipridge/sidecar/RunFlow.cpp
@@ -159,6 +159,7 @@
     call.EngineModel = version->EngineModel;
   call.Message = {Request.Method, Request.Target, Request.Fields, Request.Body};
   call.Stream = Request.Stream;
+  call.Idempotent = Request.Idempotent;
   call.Timeout = Deadline - Context.now();
   Call = Context.Backend->start(call, callEvents());
 }
