Use LoopTimer for all timers of the gateway and the store's client

All asio timers in gateway, platform and their stand-ins are now LoopTimers.

What could be seen, timer by timer: - StoreRegistration: after a restore of the store, the renewal that was due in the same turn requested a second lease, and the entry was written under both. Only one is renewed; whether the entry survives the end of the other depends on the order in which the store handled the writes (not tested). - QuarantineRecords: a write that replaces a wait was sent at once, without the delay that spreads the writes of gateways, and again after the delay. - StoreWatcher: a check in the handler kept a second call from starting. Cancelling is now enough, and the check is gone. - RequestFlow: the timer of a request that was done cleared the disconnect and drain handlers of the next request on its caller's connection, if the caller had sent that ahead. By reading the code; no test. - Gateway and the stand-ins: one wait at a time, never replaced; nothing could be seen.

--- a/src/cowslipridge/gateway/Gateway.cpp
+++ b/src/cowslipridge/gateway/Gateway.cpp
@@ -1,6 +1,5 @@
 #include "cowslipridge/gateway/Gateway.hpp"
 
-#include "cowslipridge/core/Chrono.hpp"
 #include "cowslipridge/core/Visit.hpp"
 #include "cowslipridge/gateway/EventDetails.hpp"
 
@@ -185,11 +184,7 @@
 }
 
 void Gateway::scheduleTick() {
-  Ticker.expires_after(core::toChrono(TickInterval));
-  Ticker.async_wait([this](const auto &ec) {
-    if (!ec)
-      tick();
-  });
+  Ticker.start(TickInterval, [this] { tick(); });
 }
 
 void Gateway::tick() {
--- a/src/cowslipridge/gateway/Gateway.hpp
+++ b/src/cowslipridge/gateway/Gateway.hpp
@@ -14,12 +14,12 @@
 #include "cowslipridge/gateway/StartupQueue.hpp"
 #include "cowslipridge/gateway/Translator.hpp"
 #include "cowslipridge/http1/Client.hpp"
+#include "cowslipridge/http1/LoopTimer.hpp"
 #include "cowslipridge/http1/Server.hpp"
 #include "cowslipridge/observe/EventLog.hpp"
 #include "cowslipridge/observe/Metrics.hpp"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <memory>
 #include <variant>
@@ -124,7 +124,7 @@
   ConfigurationLag PeerConfiguration;
   GatewayGauges Gauges;
   StartupQueue Held;
-  boost::asio::steady_timer Ticker;
+  http1::LoopTimer Ticker;
   core::PauseDetector Pauses;
   core::Millis StartedAt;
   core::Millis SyncedAt;
--- a/src/cowslipridge/gateway/RequestFlow.cpp
+++ b/src/cowslipridge/gateway/RequestFlow.cpp
@@ -1,6 +1,5 @@
 #include "cowslipridge/gateway/RequestFlow.hpp"
 
-#include "cowslipridge/core/Chrono.hpp"
 #include "cowslipridge/gateway/EventDetails.hpp"
 
 #include <boost/asio/ip/address.hpp>
@@ -323,10 +322,7 @@
     return;
   TimerAt = at;
   const core::Millis wait = std::max(core::Millis(), at - now());
-  Timer.expires_after(core::toChrono(wait));
-  Timer.async_wait([self = shared_from_this()](const auto &ec) {
-    if (ec)
-      return;
+  Timer.start(wait, [self = shared_from_this()] {
     self->TimerAt.reset();
     self->Machine.onTimer(self->now());
     self->afterEvent();
--- a/src/cowslipridge/gateway/RequestFlow.hpp
+++ b/src/cowslipridge/gateway/RequestFlow.hpp
@@ -5,12 +5,11 @@
 #include "cowslipridge/gateway/RequestStateMachine.hpp"
 #include "cowslipridge/gateway/Translator.hpp"
 #include "cowslipridge/http1/Client.hpp"
+#include "cowslipridge/http1/LoopTimer.hpp"
 #include "cowslipridge/http1/Server.hpp"
 #include "cowslipridge/observe/EventLog.hpp"
 #include "cowslipridge/observe/Metrics.hpp"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <memory>
 #include <optional>
 #include <set>
@@ -91,7 +90,7 @@
   FlowContext &Context;
   std::shared_ptr<http1::Exchange> Exchange;
   RequestStateMachine Machine;
-  boost::asio::steady_timer Timer;
+  http1::LoopTimer Timer;
   std::optional<core::Millis> TimerAt;
   std::shared_ptr<Attempt> Current;
   std::shared_ptr<http1::Call> Call;
--- a/src/cowslipridge/platform/QuarantineRecords.cpp
+++ b/src/cowslipridge/platform/QuarantineRecords.cpp
@@ -1,6 +1,5 @@
 #include "cowslipridge/platform/QuarantineRecords.hpp"
 
-#include "cowslipridge/core/Chrono.hpp"
 #include "cowslipridge/platform/internal/JsonReader.hpp"
 #include "cowslipridge/platform/internal/KeyPrefix.hpp"
 
@@ -103,11 +102,7 @@
 }
 
 void QuarantineRecords::schedule(core::Millis delay) {
-  Timer.expires_after(core::toChrono(delay));
-  Timer.async_wait([this](const auto &ec) {
-    if (!ec)
-      writeMissing();
-  });
+  Timer.start(delay, [this] { writeMissing(); });
 }
 
 void QuarantineRecords::writeMissing() {
--- a/src/cowslipridge/platform/QuarantineRecords.hpp
+++ b/src/cowslipridge/platform/QuarantineRecords.hpp
@@ -1,11 +1,10 @@
 #pragma once
 
 #include "cowslipridge/core/Random.hpp"
+#include "cowslipridge/http1/LoopTimer.hpp"
 #include "cowslipridge/limits/TraitQuarantine.hpp"
 #include "cowslipridge/platform/MonitoredStoreClient.hpp"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <map>
 #include <optional>
 #include <set>
@@ -51,7 +50,7 @@
 
   const core::Clock &Clock;
   MonitoredStoreClient &Store;
-  boost::asio::steady_timer Timer;
+  http1::LoopTimer Timer;
   core::Random JitterRandom;
   std::map<std::string, Record> Own; ///< by key
   std::set<std::string> Stored;      ///< keys that the store holds
--- a/src/cowslipridge/platform/StoreRegistration.cpp
+++ b/src/cowslipridge/platform/StoreRegistration.cpp
@@ -1,7 +1,5 @@
 #include "cowslipridge/platform/StoreRegistration.hpp"
 
-#include "cowslipridge/core/Chrono.hpp"
-
 namespace cowslipridge::platform {
 
 namespace {
@@ -57,11 +55,7 @@
 void StoreRegistration::scheduleRenewal() {
   if (Deregistered)
     return;
-  Timer.expires_after(core::toChrono(RenewInterval));
-  Timer.async_wait([this](const auto &ec) {
-    if (!ec && !Deregistered)
-      renew();
-  });
+  Timer.start(RenewInterval, [this] { renew(); });
 }
 
 void StoreRegistration::renew() {
--- a/src/cowslipridge/platform/StoreRegistration.hpp
+++ b/src/cowslipridge/platform/StoreRegistration.hpp
@@ -1,9 +1,8 @@
 #pragma once
 
+#include "cowslipridge/http1/LoopTimer.hpp"
 #include "cowslipridge/platform/MonitoredStoreClient.hpp"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <string>
 
 namespace cowslipridge::platform {
@@ -32,7 +31,7 @@
             StoreClient::Callback callback);
 
   MonitoredStoreClient &Store;
-  boost::asio::steady_timer Timer;
+  http1::LoopTimer Timer;
   std::string Key;
   std::string Value;
   LeaseId Lease = 0;
--- a/src/cowslipridge/platform/StoreWatcher.cpp
+++ b/src/cowslipridge/platform/StoreWatcher.cpp
@@ -1,7 +1,5 @@
 #include "cowslipridge/platform/StoreWatcher.hpp"
 
-#include "cowslipridge/core/Chrono.hpp"
-
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
@@ -33,7 +31,7 @@
 
 StoreWatcher::StoreWatcher(boost::asio::io_context &loop,
                            MonitoredStoreClient &store, std::uint64_t seed)
-    : Store(store), Timer(loop), JitterRandom(seed) {}
+    : Loop(loop), Store(store), Timer(loop), JitterRandom(seed) {}
 
 void StoreWatcher::start(Listeners listeners) {
   Callbacks = std::move(listeners);
@@ -51,7 +49,7 @@
 // Deferred, because the caller may be handling the response of the pending
 // call.
 void StoreWatcher::onRestored() {
-  boost::asio::post(Timer.get_executor(), [this] { listNewEra(); });
+  boost::asio::post(Loop, [this] { listNewEra(); });
 }
 
 void StoreWatcher::listNewEra() {
@@ -193,7 +191,7 @@
 
 // Deferred, because the caller may be handling the response of this very call.
 void StoreWatcher::reissueCalls(core::Millis startedBefore) {
-  boost::asio::post(Timer.get_executor(), [this, startedBefore] {
+  boost::asio::post(Loop, [this, startedBefore] {
     if (CallStartedAt > startedBefore)
       return;
     if (const auto call = std::exchange(WatchCall, nullptr)) {
@@ -224,11 +222,7 @@
 }
 
 void StoreWatcher::scheduleResume(core::Millis delay) {
-  Timer.expires_after(core::toChrono(delay));
-  Timer.async_wait([this](const auto &ec) {
-    // A snapshot may have been applied since, which starts a watch.
-    if (ec || WatchCall || ListCall)
-      return;
+  Timer.start(delay, [this] {
     if (CurrentStep == Step::Listing)
       list();
     else
--- a/src/cowslipridge/platform/StoreWatcher.hpp
+++ b/src/cowslipridge/platform/StoreWatcher.hpp
@@ -1,10 +1,9 @@
 #pragma once
 
 #include "cowslipridge/core/Random.hpp"
+#include "cowslipridge/http1/LoopTimer.hpp"
 #include "cowslipridge/platform/MonitoredStoreClient.hpp"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -82,8 +81,9 @@
   void scheduleRetry(const StoreReply &reply);
   void scheduleResume(core::Millis delay);
 
+  boost::asio::io_context &Loop;
   MonitoredStoreClient &Store;
-  boost::asio::steady_timer Timer;
+  http1::LoopTimer Timer;
   Listeners Callbacks;
   core::Random JitterRandom;
   Step CurrentStep = Step::Listing;
--- a/src/standins/platform/MetadataServer.cpp
+++ b/src/standins/platform/MetadataServer.cpp
@@ -5,7 +5,6 @@
 #include <nlohmann/json.hpp>
 
 #include <charconv>
-#include <chrono>
 #include <map>
 
 namespace cowslipridge::standins::platform {
@@ -14,7 +13,7 @@
 
 using nlohmann::json;
 
-constexpr std::chrono::milliseconds TickInterval{5};
+constexpr core::Millis TickInterval{5};
 constexpr std::size_t PageSize = 50;
 constexpr core::Millis Second{1'000};
 
@@ -211,11 +210,7 @@
 }
 
 void MetadataServer::scheduleTick() {
-  Ticker.expires_after(TickInterval);
-  Ticker.async_wait([this](const auto &ec) {
-    if (!ec)
-      tick();
-  });
+  Ticker.start(TickInterval, [this] { tick(); });
 }
 
 void MetadataServer::tick() {
--- a/src/standins/platform/MetadataServer.hpp
+++ b/src/standins/platform/MetadataServer.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "cowslipridge/http1/LoopTimer.hpp"
 #include "cowslipridge/http1/Server.hpp"
 #include "standins/platform/MetadataStore.hpp"
 
-#include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json.hpp>
 
 #include <cstddef>
@@ -79,7 +79,7 @@
   std::vector<Watch> Watches;
   std::deque<DelayedCall> DelayedCalls; ///< in order of arrival
   http1::Server Server;
-  boost::asio::steady_timer Ticker;
+  http1::LoopTimer Ticker;
 };
 
 } // namespace cowslipridge::standins::platform
--- a/src/standins/platform/PlatformRunner.cpp
+++ b/src/standins/platform/PlatformRunner.cpp
@@ -3,7 +3,6 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
-#include <chrono>
 #include <utility>
 
 namespace cowslipridge::standins::platform {
@@ -12,7 +11,7 @@
 
 using nlohmann::json;
 
-constexpr std::chrono::milliseconds TickInterval{2};
+constexpr core::Millis TickInterval{2};
 constexpr std::string_view ReportPath = "/v1/report";
 
 std::optional<int> numberOf(const http1::RequestHead &head,
@@ -165,11 +164,7 @@
 }
 
 void PlatformRunner::scheduleTick() {
-  Ticker.expires_after(TickInterval);
-  Ticker.async_wait([this](const auto &ec) {
-    if (!ec)
-      tick();
-  });
+  Ticker.start(TickInterval, [this] { tick(); });
 }
 
 void PlatformRunner::tick() {
--- a/src/standins/platform/PlatformRunner.hpp
+++ b/src/standins/platform/PlatformRunner.hpp
@@ -1,9 +1,8 @@
 #pragma once
 
+#include "cowslipridge/http1/LoopTimer.hpp"
 #include "cowslipridge/http1/Server.hpp"
 
-#include <boost/asio/steady_timer.hpp>
-
 #include <cstddef>
 #include <list>
 #include <map>
@@ -109,7 +108,7 @@
   std::map<std::string, int> RunCounts;
   http1::RequestHead LastHead;
   http1::Server Server;
-  boost::asio::steady_timer Ticker;
+  http1::LoopTimer Ticker;
 };
 
 /// Returns the value of a header field; empty if there is none.
