Believe no response that does not name its request

Callers may see: a request of a route that is not idempotent runs at two runners, or is refused with 503 although a runner runs it.

Cause: a response was skipped as another call's only if it named another request. One without an id was taken for the response to the current request, although each runner copies the id, and additional bytes of a faulty runner belong to no request. If such bytes read as a rejection, the request went to another runner while the first one ran it.

Ruled out: to fail the call at such a response. The true one may follow it; skipping spares that call, and the limits of a call (time, skipped bytes) hold as for other skipped responses.

Change: the check asks for the id to be there. The stand-in runner left it out of its rejections, against the protocol, and copies it now.

--- a/src/cowslipridge/http1/Client.hpp
+++ b/src/cowslipridge/http1/Client.hpp
@@ -58,8 +58,8 @@
   std::function<std::optional<std::string>(core::Millis)> Recompose = nullptr;
   bool HeadRequest = false;
   /// Name of a header field that the server copies into its response. A
-  /// response with another value than EchoValue belongs to another call and is
-  /// skipped. Empty: not checked.
+  /// response without it, or with another value than EchoValue, does not belong
+  /// to this call and is skipped. Empty: not checked.
   std::string EchoField;
   std::string EchoValue;
   core::Millis Timeout; ///< for the entire call, connecting included
--- a/src/cowslipridge/http1/internal/ClientConnection.cpp
+++ b/src/cowslipridge/http1/internal/ClientConnection.cpp
@@ -261,7 +261,7 @@
   if (Spec.EchoField.empty())
     return false;
   const auto echo = Parser->head().Fields.find(Spec.EchoField);
-  return echo && *echo != Spec.EchoValue;
+  return !echo || *echo != Spec.EchoValue;
 }
 
 void ClientConnection::skipMismatched() {
--- a/src/standins/platform/PlatformRunner.cpp
+++ b/src/standins/platform/PlatformRunner.cpp
@@ -26,6 +26,13 @@
                         MillisPerSecond);
 }
 
+// Runners copy the id of a request into each response, rejections included.
+void echoId(const http1::RequestHead &request, http1::ResponseHead &response) {
+  const std::string id = fieldOf(request, "Attempt-Id");
+  if (!id.empty())
+    response.Fields.add("Attempt-Id", id);
+}
+
 } // namespace
 
 std::string fieldOf(const http1::RequestHead &head, std::string_view name) {
@@ -91,6 +98,7 @@
   if (!expected.empty() && expected != Traits.Id) {
     http1::ResponseHead refusal;
     refusal.Status = 421;
+    echoId(exchange->head(), refusal);
     refusal.Fields.add("Instance-Id", Traits.Id);
     announce(refusal);
     exchange->respond(std::move(refusal), {});
@@ -126,6 +134,7 @@
 void PlatformRunner::reject(http1::Exchange &exchange) const {
   http1::ResponseHead refusal;
   refusal.Status = 503;
+  echoId(exchange.head(), refusal);
   refusal.Fields.add("Not-Executed", "1");
   if (Traits.RejectionBackoff)
     refusal.Fields.add("Retry-After", formatSeconds(*Traits.RejectionBackoff));
--- a/tests/unit/http1/ClientTest.cpp
+++ b/tests/unit/http1/ClientTest.cpp
@@ -22,6 +22,16 @@
   EXPECT_EQ(callAndWait("b")->Body, "two");
 }
 
+// Guards against a non-idempotent request that runs at two runners: additional
+// bytes that arrived after it was sent were taken for its rejection.
+TEST_F(ClientTest, skipsResponseWithoutTheEchoField) {
+  Scripts = {{"HTTP/1.1 503 Unavailable\r\nContent-Length: 0\r\n\r\n" +
+              response("a", "one")}};
+  const auto events = callAndWait("a");
+  EXPECT_EQ(events->Status, 200);
+  EXPECT_EQ(events->Body, "one");
+}
+
 TEST_F(ClientTest, closesConnectionAfterUnsolicitedBytes) {
   Scripts = {{response("a", "one") + response("a", "one")},
              {response("b", "two")}};
