Say "never sent" only if there was no connection to reuse

What callers saw: a read of a plain service could be answered with outcome not-run (503, runner-unavailable) although the runner had read it and broken off. The entry also takes not-run as leave to try another runner.

Cause: cpprestsdk sends a GET, HEAD or OPTIONS again by itself when the server closes a reused connection without a response. If the second sending finds no connection (the server's process has ended), or is cancelled before it connects, only its error is reported: "failed to connect".

Ruled out: requests on a connection of their own, which cannot be sent again. There the text of the error proves that nothing was sent.

Change: a failure to connect proves that nothing was sent only as long as no response was received on the client that holds the connections. After such a failure the next request gets a new client, without connections, so that a runner that is down is reported as such again from the second read on.

--- a/src/cowslipridge/http/Client.cpp
+++ b/src/cowslipridge/http/Client.cpp
@@ -4,8 +4,6 @@
 #include "cowslipridge/core/Error.hpp"
 #include "cowslipridge/http/internal/ClientExchange.hpp"
 
-#include <cpprest/http_client.h>
-
 #include <future>
 #include <mutex>
 #include <utility>
@@ -14,7 +12,7 @@
 
 namespace {
 
-using web::http::client::http_client;
+using internal::PooledClient;
 using web::http::client::http_client_config;
 
 /// Maximum size of a response body that fetch() and fetchAsync() accept.
@@ -71,20 +69,20 @@
 
   /// Returns null when the base address is not a valid HTTP URL. Requests that
   /// are not safe to repeat get a client of their own.
-  std::shared_ptr<http_client> clientFor(const std::string &method,
-                                         Resend resend) {
+  std::shared_ptr<PooledClient> clientFor(const std::string &method,
+                                          Resend resend) {
     if (resend == Resend::Never || !isSafeToRepeat(method))
       return makeClient();
     const std::lock_guard lock(Guard);
-    if (!ReusableClient)
+    if (!ReusableClient || ReusableClient->Unreachable)
       ReusableClient = makeClient();
     return ReusableClient;
   }
 
 private:
-  [[nodiscard]] std::shared_ptr<http_client> makeClient() const {
+  [[nodiscard]] std::shared_ptr<PooledClient> makeClient() const {
     try {
-      return std::make_shared<http_client>(web::uri(Base), Config);
+      return std::make_shared<PooledClient>(web::uri(Base), Config);
     } catch (const std::exception &) {
       return nullptr;
     }
@@ -93,7 +91,7 @@
   std::string Base;
   http_client_config Config;
   std::mutex Guard;
-  std::shared_ptr<http_client> ReusableClient; ///< holds the connection pool
+  std::shared_ptr<PooledClient> ReusableClient;
 };
 
 Client::Client(std::string base, core::Millis timeout)
--- a/src/cowslipridge/http/internal/ClientExchange.cpp
+++ b/src/cowslipridge/http/internal/ClientExchange.cpp
@@ -50,9 +50,8 @@
 
 } // namespace
 
-ClientExchange::ClientExchange(
-    std::shared_ptr<web::http::client::http_client> client,
-    ResponseEvents events)
+ClientExchange::ClientExchange(std::shared_ptr<PooledClient> client,
+                               ResponseEvents events)
     : HttpClient(std::move(client)), Events(std::move(events)) {}
 
 void ClientExchange::send(const Request &request) {
@@ -69,7 +68,7 @@
           [self](std::string chunk) { self->Events.chunk(std::move(chunk)); }));
   wire.set_response_stream(sink.create_ostream());
   try {
-    HttpClient->request(wire, Cancellation.get_token())
+    HttpClient->Wire.request(wire, Cancellation.get_token())
         .then([self](const pplx::task<http_response> &head) {
           self->onHead(head);
         });
@@ -87,6 +86,7 @@
   auto self = shared_from_this();
   try {
     const http_response response = head.get();
+    HttpClient->MayReuse = true;
     Headers fields;
     for (const auto &[name, value] : response.headers())
       fields.push_back({name, value});
@@ -109,9 +109,19 @@
   }
 }
 
+// When a server closes a reused connection without a response, cpprestsdk sends
+// the request again on a new one. A failure to connect proves that nothing was
+// sent only if there was no connection to reuse.
+SendStage ClientExchange::stageOf(const std::exception &failure) const {
+  return failedBeforeConnecting(failure) && !HttpClient->MayReuse
+             ? SendStage::NotConnected
+             : SendStage::MayBeSent;
+}
+
 void ClientExchange::fail(const std::exception &failure) {
-  const auto stage = failedBeforeConnecting(failure) ? SendStage::NotConnected
-                                                     : SendStage::MayBeSent;
+  if (failedBeforeConnecting(failure) && !Cancelled)
+    HttpClient->Unreachable = true;
+  const SendStage stage = stageOf(failure);
   if (Cancelled)
     Events.end(core::Errc::Cancelled, stage);
   else if (timedOut(failure))
--- a/src/cowslipridge/http/internal/ClientExchange.hpp
+++ b/src/cowslipridge/http/internal/ClientExchange.hpp
@@ -2,8 +2,7 @@
 
 #include "cowslipridge/http/Client.hpp"
 #include "cowslipridge/http/internal/OrderedEvents.hpp"
-
-#include <cpprest/http_client.h>
+#include "cowslipridge/http/internal/PooledClient.hpp"
 
 #include <atomic>
 #include <memory>
@@ -15,8 +14,7 @@
     : public Exchange,
       public std::enable_shared_from_this<ClientExchange> {
 public:
-  ClientExchange(std::shared_ptr<web::http::client::http_client> client,
-                 ResponseEvents events);
+  ClientExchange(std::shared_ptr<PooledClient> client, ResponseEvents events);
 
   void send(const Request &request);
   void cancel() override;
@@ -25,8 +23,9 @@
   void onHead(const pplx::task<web::http::http_response> &head);
   void onComplete(const pplx::task<web::http::http_response> &body);
   void fail(const std::exception &failure);
+  [[nodiscard]] SendStage stageOf(const std::exception &failure) const;
 
-  std::shared_ptr<web::http::client::http_client> HttpClient;
+  std::shared_ptr<PooledClient> HttpClient;
   OrderedEvents Events;
   pplx::cancellation_token_source Cancellation;
   std::atomic<bool> Cancelled = false;
--- a/tests/unit/runner/EngineRunnerTest.cpp
+++ b/tests/unit/runner/EngineRunnerTest.cpp
@@ -310,4 +310,25 @@
   EXPECT_EQ(server.received(), Calls);
 }
 
+// Guards against "not run" for a read that the server had received before it
+// ended: that claim makes the entry send the call to another runner.
+TEST(PlainRunner, reportsUnknownWhenTheServerEndsAfterReadingTheRequest) {
+  constexpr int MaxCalls = 50;
+  const std::uint16_t port = support::nextPort();
+  const support::DroppingServer server(port,
+                                       support::DroppingServer::After::Refuse);
+  PlainRunner runner(support::baseUrl(port), IdleTimeout);
+  Call call = makeCall(false);
+  call.Idempotent = true;
+  call.Message.Method = "GET";
+  call.Message.Body.clear();
+  std::optional<ReceivedAnswer> received;
+  for (int i = 0; i < MaxCalls && server.dropped() == 0; ++i)
+    received = run(runner, call);
+  EXPECT_GE(server.dropped(), 1); // the pool may have held several
+  ASSERT_TRUE(received);
+  EXPECT_EQ(received->Error, Errc::RunnerFailed);
+  EXPECT_EQ(received->Result, Outcome::Unknown);
+}
+
 } // namespace
