--- a/tests/unit/rpc/RunTest.cpp
+++ b/tests/unit/rpc/RunTest.cpp
@@ -3,6 +3,9 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
+#include <thread>
+
 using namespace cowslipridge;
 using namespace cowslipridge::rpc;
 using core::Errc;
@@ -97,6 +100,66 @@
   EXPECT_EQ(received.Result->Result, Outcome::Unknown);
 }
 
+/// Lets time pass while the caller's loop handles nothing.
+void stall(RpcPair &pair, std::chrono::milliseconds length) {
+  pair.onLoop([length] { std::this_thread::sleep_for(length); });
+}
+
+/// Runs one request and returns how its caller saw it end.
+std::optional<RunResult> runOnce(RpcPair &pair) {
+  support::EventualValue<RunResult> end;
+  std::shared_ptr<RemoteCall> call;
+  pair.onLoop([&] {
+    AnswerEvents events;
+    events.OnHead = [](int, const http::Headers &) {};
+    events.OnFrame = [](const std::string &) {};
+    events.OnEnd = [&](const RunResult &result) { end.set(result); };
+    call = pair.client().run(makeRequest(), std::move(events));
+  });
+  return end.get();
+}
+
+// Guards against "not run" of a run whose deadline expired at the caller while
+// its loop stood still and the answer arrived.
+TEST(Run, stallPastTheDeadlineNeverMakesASentRunNotRun) {
+  std::atomic<int> runs = 0;
+  RpcPair pair(
+      [&](const RunRequest &request, const std::shared_ptr<AnswerSink> &sink) {
+        ++runs;
+        answerInThreeFrames(request, sink);
+      });
+  ASSERT_TRUE(pair.waitConnected());
+  RunRequest request = makeRequest();
+  request.Remaining = core::Millis(50);
+  const auto call = pair.start(request);
+  stall(pair, std::chrono::milliseconds(400));
+  ASSERT_TRUE(pair.waitEnd());
+  EXPECT_EQ(runs, 1);
+  EXPECT_NE(pair.received().Result->Result, Outcome::NotRun);
+}
+
+// Guards against "not run" of a run that was sent on a connection whose connect
+// timeout expired in the same turn in which it was made.
+TEST(Run, stallWhileConnectingNeverMakesASentRunNotRun) {
+  for (const int length : {950, 1'000, 1'100}) {
+    std::atomic<int> runs = 0;
+    RpcPair pair([&](const RunRequest &request,
+                     const std::shared_ptr<AnswerSink> &sink) {
+      ++runs;
+      answerInThreeFrames(request, sink);
+    });
+    stall(pair, std::chrono::milliseconds(length));
+    EXPECT_TRUE(support::eventually([&] {
+      const int before = runs;
+      const auto result = runOnce(pair);
+      if (result && result->Result == Outcome::NotRun) {
+        EXPECT_EQ(runs, before);
+      }
+      return result && result->Result == Outcome::Ran;
+    }));
+  }
+}
+
 TEST(Run, isAbandonedAtThePeerWhenTheCallerCancels) {
   std::shared_ptr<AnswerSink> heldSink;
   RpcPair pair([&](const RunRequest &, const std::shared_ptr<AnswerSink> &it) {
