Record what became of an abandoned call, not what is billed for it

What callers saw: a retry of a non-idempotent call could get the first part of an answer as a complete one, with outcome ran.

Cause: when the entry has gone (its deadline passed, it was stopped, the connection was lost), a claimed call goes on, so that its outcome becomes known.

Ruled out: a second run. The recorded claim kept the call from that.

--- a/src/cowslipridge/sidecar/RunFlow.cpp
+++ b/src/cowslipridge/sidecar/RunFlow.cpp
@@ -204,6 +204,8 @@
 void RunFlow::onRunnerEnd(std::error_code ec, Outcome outcome,
                           runner::Usage usage) {
   Call.reset();
+  // A retry is answered with this, so it must not be an answer that broke off.
+  recordClaimOutcome(outcome);
   // An abandoned answer was generated in part; the received frames are billed.
   if (Abandoned && outcome == Outcome::Unknown && Frames > 0) {
     outcome = Outcome::Ran;
@@ -211,7 +213,6 @@
   }
   if (outcome == Outcome::NotRun)
     Context.Guard->onNotRun(Request.Request);
-  recordClaimOutcome(outcome);
   if (Request.Billable && outcome != Outcome::NotRun)
     bill(outcome, usage);
   releaseSlot(static_cast<bool>(ec));
