--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -7,6 +7,7 @@
 scripts/install-packages.sh
 scripts/check-format.sh
 scripts/check-platform-names.sh
+scripts/check-timers.sh
 cmake --preset "$preset"
 cmake --build --preset "$preset"
 [ "$preset" != release ] || scripts/lint.sh "build/$preset"
