Let the response on a reused connection win over a timeout that expired meanwhile

Callers could see: an idempotent request is sent to another runner, or a call to the store times out, although the response had arrived before the gateway went on.

Cause: the wait that watches an idle connection stays queued when the next call starts, and the read of the response queues behind it. When the response arrives, the wait's handler runs at once and the read's is posted behind the timers of that turn.

Change: the wait is cancelled when a call takes the connection.

--- a/src/cowslipridge/http1/internal/ClientConnection.cpp
+++ b/src/cowslipridge/http1/internal/ClientConnection.cpp
@@ -90,6 +90,10 @@
     connect();
     return handle;
   }
+  // The read of the response must not queue behind the wait of the idle
+  // connection, else it ends after timeouts that expire in the same turn.
+  boost::system::error_code ignored;
+  Peer.cancel(ignored);
   State = Phase::Busy;
   Progress.Reused = Progress.Connected = true;
   armTimer(Spec.Timeout);
--- a/tests/unit/http1/ClientStallTest.cpp
+++ b/tests/unit/http1/ClientStallTest.cpp
@@ -54,6 +54,22 @@
   EXPECT_EQ(second->Body, "two");
 }
 
+// Guards against a call on a reused connection that times out although its
+// response was there before the loop went on.
+TEST_F(ClientStallTest, responseOnAReusedConnectionWinsOverAnExpiredTimeout) {
+  Scripts = {{response("a", "one")}, {""}};
+  CallTimeout = core::Millis(500);
+  callAndWait("a");
+  const auto events = call("b");
+  runUntil([&] { return Requests == 2; });
+  boost::asio::write(*Peers.front(), boost::asio::buffer(response("b", "two")));
+  stall(CallTimeout + Excess);
+  runUntil([&] { return events->isFinished(); });
+  EXPECT_EQ(HttpClient.connectionsOpened(), 1U);
+  EXPECT_EQ(events->Failure, std::nullopt);
+  EXPECT_EQ(events->Body, "two");
+}
+
 // Guards against a request that tells its server more time than is left,
 // because it was written before the connection was established.
 TEST_F(ClientStallTest, requestIsWrittenAnewAfterConnecting) {
