--- a/tests/integration/AtMostOnceTest.cpp
+++ b/tests/integration/AtMostOnceTest.cpp
@@ -11,6 +11,7 @@
 #include <atomic>
 #include <map>
 #include <mutex>
+#include <random>
 #include <thread>
 
 using namespace cowslipridge;
@@ -49,17 +50,20 @@
     }
   }
 
-  static http::Request booking(const std::string &key) {
+  static http::Request booking(const std::string &key,
+                               const std::string &deadlineMs = DeadlineMs) {
     return {
         "POST",
         "/services/desk/bookings",
-        {{"Idempotency-Key", key}, {"Cowslipridge-Deadline-Ms", DeadlineMs}},
+        {{"Idempotency-Key", key}, {"Cowslipridge-Deadline-Ms", deadlineMs}},
         key};
   }
 
   /// Sends one booking and records the reported outcome.
-  void book(Daemon &entry, const std::string &key) {
-    recordOutcome(key, Caller(entry.base(), StewardKey).call(booking(key)));
+  void book(Daemon &entry, const std::string &key,
+            const std::string &deadlineMs = DeadlineMs) {
+    recordOutcome(
+        key, Caller(entry.base(), StewardKey).call(booking(key, deadlineMs)));
   }
 
   void recordOutcome(const std::string &key, const CallResult &result) {
@@ -204,6 +208,58 @@
   EXPECT_GE(countOf(&OutcomeCounts::Ran), 100);
 }
 
+// Invariants 6 and 7: entries and sidecars stand still for longer than most
+// timeouts, one or two at a time, while bookings flow that are never retried,
+// and connections are made anew in between. When a process runs again, its
+// timeouts have expired and the events they waited for have happened, both at
+// once: no expired timeout may say "not run" of a booking that was sent.
+TEST_F(AtMostOnceTest, pausesOfEntriesAndSidecarsRunNothingTwice) {
+  constexpr int Pauses = 6;
+  constexpr std::chrono::milliseconds PauseLength{700};
+  std::minstd_rand random(31);
+  std::atomic<bool> stopping = false;
+  std::atomic<int> ran = 0; ///< calls reported as run
+  std::vector<std::thread> workers;
+  for (std::size_t n = 0; n < 4; ++n)
+    workers.emplace_back([&, n] {
+      const std::string deadlineMs = n < 2 ? "300" : DeadlineMs;
+      for (int round = 0; !stopping; ++round) {
+        const std::string key = std::to_string(n) + "-" + std::to_string(round);
+        book(*Entries[n % 2], key, deadlineMs);
+        const std::lock_guard lock(Mutex);
+        ran += Reported[key].Ran;
+      }
+    });
+  const std::vector<Daemon *> all = {Entries[0], Entries[1], Sidecars[0],
+                                     Sidecars[1]};
+  for (int n = 0; n < Pauses; ++n) {
+    const int wanted = ran + 10;
+    EXPECT_TRUE(eventually([&] { return ran >= wanted; }));
+    Daemon &first = *all[random() % all.size()];
+    Daemon &second = *all[random() % all.size()];
+    // The entries connect to the restarted sidecar while one of them is paused.
+    if (n % 3 == 2) {
+      Sidecars[0]->process().kill();
+      Sidecars[0]->start();
+    }
+    first.process().suspend();
+    second.process().suspend();
+    std::this_thread::sleep_for(PauseLength); // the stimulus
+    first.process().resume();
+    second.process().resume();
+  }
+  stopping = true;
+  for (std::thread &it : workers)
+    it.join();
+  expectReportsMatchRuns();
+  for (const auto &[request, runs] : runsByRequest())
+    EXPECT_LE(runs, 1) << request;
+  RecordProperty("ran", countOf(&OutcomeCounts::Ran));
+  RecordProperty("not_run", countOf(&OutcomeCounts::NotRun));
+  RecordProperty("other", countOf(&OutcomeCounts::Other));
+  EXPECT_GE(countOf(&OutcomeCounts::Ran), 10 * Pauses);
+}
+
 // Invariant 6: during a store outage a booking is rejected immediately as
 // "not-run", with Retry-After; after the outage the same key runs.
 TEST_F(AtMostOnceTest, rejectsBookingsImmediatelyDuringStoreOutage) {
