Close an entry before its configuration is destroyed

Seen: once, under load, an entry of cowslipridged ended with signal 11 after it had drained and logged 103 process-stopped. No caller noticed.

Cause: EntryRole::stop() did nothing, so the entry kept its connections and ticks until its destructor. The configuration service is destroyed before the entry. A tick (or a sidecar's status) on the event loop between the two asked the destroyed Follower for its generation: pthread_mutex_lock < Follower::generation < ConfigurationService::port < Entry::statusFor < Fleet::probe < Fleet::tick The gap is short, unless the main thread loses its processor in it.

Change: Entry::close() and Fleet::close(); the role calls it when it stops. A closed fleet has no connections, no status source, no listeners and no ticks, and ignores an instance list that arrives late.

Looked at and not changed: a sidecar closes its port when it stops.

--- a/programs/cowslipridged/EntryRole.cpp
+++ b/programs/cowslipridged/EntryRole.cpp
@@ -58,7 +58,10 @@
   return Refusing && inFlight == 0;
 }
 
-void EntryRole::stop() {}
+// The configuration that the entry uses is destroyed before the entry.
+void EntryRole::stop() {
+  Process.Loop.call([this] { Entry->close(); });
+}
 
 void EntryRole::configure(std::shared_ptr<const config::Bundle> bundle) {
   Entry->configure(std::move(bundle));
--- a/src/cowslipridge/entry/Entry.cpp
+++ b/src/cowslipridge/entry/Entry.cpp
@@ -79,6 +79,11 @@
 
 void Entry::drain() { IsDraining = true; }
 
+void Entry::close() {
+  drain();
+  Context.Peers->close();
+}
+
 void Entry::handle(http::Request message,
                    std::shared_ptr<http::Responder> responder) {
   const core::Millis arrivedAt = Context.now();
--- a/src/cowslipridge/entry/Entry.hpp
+++ b/src/cowslipridge/entry/Entry.hpp
@@ -35,6 +35,9 @@
   void startTicking();
   /// Refuses new requests; requests in flight continue.
   void drain();
+  /// Drains and closes the connections to the sidecars. Nothing is asked of or
+  /// reported to the configuration any more.
+  void close();
   /// Returns the number of requests in flight.
   [[nodiscard]] std::size_t inFlight() const { return Flows.size(); }
   [[nodiscard]] EntryContext &context() { return Context; }
--- a/src/cowslipridge/entry/Fleet.cpp
+++ b/src/cowslipridge/entry/Fleet.cpp
@@ -38,7 +38,17 @@
 
 void Fleet::startTicking() { tick(); }
 
+void Fleet::close() {
+  Closed = true;
+  OwnStatus = nullptr;
+  Listener = nullptr;
+  SuspectListener = nullptr;
+  Peers.clear();
+}
+
 void Fleet::tick() {
+  if (Closed)
+    return;
   apply(Members.tick(Time.monotonic()));
   Loop.postAfter(Settings.TickInterval, [weak = weak_from_this()] {
     if (const auto self = weak.lock())
@@ -48,6 +58,8 @@
 
 void Fleet::applyInstanceList(
     const std::vector<backing::InstanceRecord> &records) {
+  if (Closed)
+    return;
   std::vector<backing::InstanceRecord> sidecars;
   for (const backing::InstanceRecord &it : records) {
     if (it.Kind == backing::Role::Sidecar)
--- a/src/cowslipridge/entry/Fleet.hpp
+++ b/src/cowslipridge/entry/Fleet.hpp
@@ -48,6 +48,9 @@
   void
   setSuspectListener(std::function<void(const core::InstanceId &)> listener);
   void startTicking();
+  /// Closes all connections and ends the ticks. The status source and the
+  /// listeners are not called any more, and later lists are ignored.
+  void close();
 
   /// Updates the members from a list of instances.
   void applyInstanceList(const std::vector<backing::InstanceRecord> &records);
@@ -91,6 +94,7 @@
   OwnStatusSource OwnStatus;
   StatusListener Listener;
   std::function<void(const core::InstanceId &)> SuspectListener;
+  bool Closed = false;
 };
 
 /// A runner has the same name as its sidecar.
