--- a/tests/unit/http1/ServerStallTest.cpp
+++ b/tests/unit/http1/ServerStallTest.cpp
@@ -14,9 +14,10 @@
   static constexpr core::Millis Short{200};
   static constexpr core::Millis Long{60'000};
   static constexpr core::Millis Excess{50};
-  /// Size of a part that takes several reads and that the buffers of the socket
+  /// Sizes of parts that take several reads and that the buffers of the socket
   /// hold.
   static constexpr std::size_t SeveralReads = 12UL * 1024;
+  static constexpr std::size_t ManyReads = 48UL * 1024;
 
   static inline const std::string Request =
       "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
@@ -72,12 +73,12 @@
 TEST_F(ServerStallTest, expiredBodyTimeoutWaitsForABodyThatWasReceived) {
   accept(Short, Short);
   write("POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: " +
-        std::to_string(SeveralReads) + "\r\n\r\n");
+        std::to_string(ManyReads) + "\r\n\r\n");
   poll();
   // The time for the head ends, that for the body begins.
   stall(Short + Excess);
   poll();
-  write(std::string(SeveralReads, 'x'));
+  write(std::string(ManyReads, 'x'));
   stall(Short + Excess);
   expectRequest();
 }
