Write no entry with a lease that is granted after deregistration

A gateway that was deregistered while its first lease was requested wrote its entry once the lease was granted, so that callers and peers could take a gateway that leaves for a new one until the lease ended (4 s). After a drain the process exits in the next turns of its loop, so this needs an answer in just that time.

Change: the answers to calls sent before the deregistration are ignored, as after a new registration. The lease holds no entry then and ends by itself.

--- a/src/cowslipridge/platform/StoreRegistration.cpp
+++ b/src/cowslipridge/platform/StoreRegistration.cpp
@@ -32,6 +32,7 @@
 
 void StoreRegistration::deregister() {
   Deregistered = true;
+  ++Attempt;
   Timer.cancel();
   // In another era, the id may belong to the lease of another gateway.
   if (Lease == 0 || LeaseEra != Store.era())
--- a/src/cowslipridge/platform/StoreRegistration.hpp
+++ b/src/cowslipridge/platform/StoreRegistration.hpp
@@ -26,7 +26,8 @@
   void requestLease();
   void onGranted(const StoreReply &reply);
   void writeEntry();
-  /// Sends a call whose response is ignored once registerAgain() was called.
+  /// Sends a call whose response is ignored once registerAgain() or
+  /// deregister() was called.
   void send(StoreCallKind kind, const StoreCall &call,
             StoreClient::Callback callback);
 
@@ -36,7 +37,7 @@
   std::string Value;
   LeaseId Lease = 0;
   StoreEra LeaseEra = 0;
-  unsigned Attempt = 0; ///< number of calls to registerAgain()
+  unsigned Attempt = 0; ///< number of calls to registerAgain() and deregister()
   bool Deregistered = false;
 };
 
--- a/tests/unit/platform/StoreTimersTest.cpp
+++ b/tests/unit/platform/StoreTimersTest.cpp
@@ -19,7 +19,7 @@
 protected:
   StoreTimersTest()
       : Address(ownAddress()),
-        Server(Loop, Clock, [this](const auto &it) { onCall(*it); }),
+        Server(Loop, Clock, [this](const auto &it) { onCall(it); }),
         Store(Loop, Clock, {Address.address().to_string(), Address.port()},
               Metrics) {
     Server.listen(Address);
@@ -27,10 +27,14 @@
         {[](const std::string &) {}, [] {}, [](core::Millis) {}, [] {}});
   }
 
-  void onCall(http1::Exchange &exchange) {
-    Calls.push_back(exchange.head().Target);
-    if (!Answers)
-      return;
+  void onCall(const std::shared_ptr<http1::Exchange> &exchange) {
+    Calls.push_back(exchange->head().Target);
+    Last = exchange;
+    if (Answers)
+      answer(*exchange);
+  }
+
+  void answer(http1::Exchange &exchange) const {
     http1::ResponseHead head;
     head.Status = Status;
     exchange.respond(std::move(head), R"({"lease": 7})");
@@ -55,6 +59,7 @@
   http1::Server Server;
   MonitoredStoreClient Store;
   std::vector<std::string> Calls;
+  std::shared_ptr<http1::Exchange> Last;
   bool Answers = true;
   int Status = 200;
 };
@@ -84,6 +89,22 @@
   EXPECT_EQ(Calls.back(), "/v1/kv-lease-end/7");
 }
 
+// Guards against an entry that is written after the gateway has withdrawn it,
+// because the lease was granted only then.
+TEST_F(StoreTimersTest, leaseThatIsGrantedAfterDeregistrationIsNotUsed) {
+  Answers = false;
+  StoreRegistration registration(Loop, Store);
+  registration.start("servers/a", "a");
+  runUntil([&] { return count(Grant) == 1; });
+  registration.deregister();
+  answer(*Last);
+  bool isOver = false;
+  Store.send(StoreCallKind::Renew, renewLeaseCall(1), core::Millis(500),
+             [&](const StoreReply &) { isOver = true; });
+  runUntil([&] { return isOver; });
+  EXPECT_EQ(count(Write), 0);
+}
+
 // Guards against a second watch beside the one that the snapshot of another
 // gateway has started.
 TEST_F(StoreTimersTest, snapshotStartsOneWatchInPlaceOfTheRetry) {
