Let the runners of the state machine's property test run requests unseen

In the property test a runner began to run a request only with its response. Now a request that has been sent may start to run at any time, and one that is cancelled on its way counts as run; attempts are sent at once or later, fail unsent in all three ways, are rejected with 421, 429 or 503 whose body ends, breaks or never ends, a 2xx may claim that the request has not run, and the policy may change. The guarantees are checked as before.

--- a/tests/property/gateway/RequestStateMachineProperty.cpp
+++ b/tests/property/gateway/RequestStateMachineProperty.cpp
@@ -29,20 +29,42 @@
   return text;
 }
 
-/// Simulates runners with random behavior and counts the executions.
+/// Simulates runners with random behavior and counts the executions. A request
+/// that has reached a runner may start to run at any time, also before the
+/// gateway gets to know of it.
 class RandomRunner {
 public:
   RandomRunner(RequestStateMachine &machine, support::RecordedActions &actions,
-               RouteKind kind)
-      : Machine(machine), Actions(actions), Kind(kind) {}
+               support::ScriptedPlacementPolicy &policy, RouteKind kind)
+      : Machine(machine), Actions(actions), Policy(policy), Kind(kind) {}
 
   void step() {
     Now = Now + Millis(*rc::gen::inRange(1, 300));
     detectNewAttempt();
-    switch (*rc::gen::inRange(0, 9)) {
+    const int cancels = Actions.Cancels;
+    switch (*rc::gen::inRange(0, 15)) {
     case 0:
       reject();
       break;
+    case 9:
+      send();
+      break;
+    case 10:
+      beginToRun();
+      break;
+    case 11:
+      beginRejection();
+      break;
+    case 12:
+      endRejection();
+      break;
+    case 13:
+      failUnsent(*rc::gen::element(http1::CallFailure::TooLateToSend,
+                                   http1::CallFailure::ConnectionLimitReached));
+      break;
+    case 14:
+      changePolicy();
+      break;
     case 1:
       fail500();
       break;
@@ -64,6 +86,8 @@
       serve();
       break;
     }
+    if (Actions.Cancels != cancels && Actions.Sent && !Rejecting)
+      run(); // a request under way may run after its cancellation
     detectNewAttempt();
   }
 
@@ -75,14 +99,26 @@
     if (Actions.Attempts == SeenAttempts)
       return;
     SeenAttempts = Actions.Attempts;
-    HeadSent = false;
+    HeadSent = Running = Rejecting = false;
+    Actions.Sent = *rc::gen::arbitrary<bool>();
     NextEvent = Actions.After.value_or(0) + 1;
   }
   [[nodiscard]] bool attemptIsOpen() const {
     return Actions.Open && !Machine.done();
   }
 
+  void send() { Actions.Sent = Actions.Sent || attemptIsOpen(); }
+  void run() {
+    Ran += Running ? 0 : 1;
+    Running = true;
+  }
+  void beginToRun() {
+    if (attemptIsOpen() && Actions.Sent && !Rejecting)
+      run();
+  }
+
   void head(int status, bool authentic, bool notRun) {
+    send();
     http1::ResponseHead it;
     it.Status = status;
     ResponseAttributes attributes;
@@ -95,16 +131,25 @@
     Machine.onHead(it, attributes, Now);
   }
   void reject() {
-    if (!attemptIsOpen() || HeadSent)
+    beginRejection();
+    endRejection();
+  }
+  void beginRejection() {
+    if (!attemptIsOpen() || HeadSent || Running)
+      return;
+    Rejecting = true;
+    head(*rc::gen::element(421, 429, 503), true, true);
+  }
+  void endRejection() {
+    if (!attemptIsOpen() || !Rejecting)
       return;
-    head(503, true, true);
     Actions.Open = false;
     Machine.onEnd(Now);
   }
   void fail500() {
     if (!attemptIsOpen() || HeadSent)
       return;
-    ++Ran;
+    run();
     head(500, true, false);
     Actions.Open = false;
     Machine.onEnd(Now);
@@ -112,25 +157,32 @@
   void breakConnection() {
     if (!attemptIsOpen())
       return;
-    Ran += HeadSent ? 0 : 1;
+    send();
+    if (!Rejecting)
+      run();
     Actions.Open = false;
     Machine.onFailure(HeadSent ? http1::CallFailure::Broken
                                : http1::CallFailure::BrokenBeforeResponse,
                       Now);
   }
-  void failToConnect() {
-    if (!attemptIsOpen() || HeadSent)
+  void failToConnect() { failUnsent(http1::CallFailure::NotConnected); }
+  void failUnsent(http1::CallFailure failure) {
+    if (!attemptIsOpen() || Actions.Sent)
       return;
     Actions.Open = false;
-    Machine.onFailure(http1::CallFailure::NotConnected, Now);
+    Machine.onFailure(failure, Now);
+  }
+  void changePolicy() {
+    Policy.Refusal = NoPlacement{"refused", Millis(300)};
+    Machine.onPolicyChanged(Now);
   }
   void serve() {
     if (!attemptIsOpen())
       return;
     const int attemptsBefore = Actions.Attempts;
     if (!HeadSent) {
-      ++Ran;
-      head(200, *rc::gen::inRange(0, 10) != 0, false);
+      run();
+      head(200, *rc::gen::inRange(0, 10) != 0, *rc::gen::inRange(0, 10) == 0);
       if (Actions.Attempts != attemptsBefore || !attemptIsOpen())
         return;
     }
@@ -162,10 +214,13 @@
 
   RequestStateMachine &Machine;
   support::RecordedActions &Actions;
+  support::ScriptedPlacementPolicy &Policy;
   RouteKind Kind;
   Millis Now;
   int SeenAttempts = 0;
   bool HeadSent = false;
+  bool Running = false;   ///< the current runner has begun to run the request
+  bool Rejecting = false; ///< the current runner rejects the request
   std::uint64_t NextEvent = 1;
 };
 
@@ -184,7 +239,7 @@
     RequestStateMachine machine(support::requestContext(kind, attempts), policy,
                                 actions);
     machine.start(Millis(0));
-    RandomRunner runner(machine, actions, kind);
+    RandomRunner runner(machine, actions, policy, kind);
     const int steps = *rc::gen::inRange(1, 30);
     for (int n = 0; n < steps && !machine.done(); ++n)
       runner.step();
