Send no request after the timeout of its call

A call without Recompose, such as a write to the store, was sent when its connection was made, even if its own timeout had expired while the gateway stood still. It failed in the next turn and may have taken effect: a lease that nobody renews, for example.

Change: a connection that is made after the call's deadline ends as TooLateToSend. The progress of a call that has ended says that it may have been sent, which is the safe answer.

--- a/src/cowslipridge/http1/Client.hpp
+++ b/src/cowslipridge/http1/Client.hpp
@@ -21,7 +21,8 @@
   NotConnected,
   /// CallSpec::MaxConnections are open already; nothing was sent.
   ConnectionLimitReached,
-  /// Connecting took too long for CallSpec::Recompose; nothing was sent.
+  /// The connection was made when CallSpec::Timeout had expired or Recompose
+  /// had nothing to send; nothing was sent.
   TooLateToSend,
   /// The connection failed before the response head; the server may have
   /// processed the request.
--- a/src/cowslipridge/http1/internal/ClientConnection.cpp
+++ b/src/cowslipridge/http1/internal/ClientConnection.cpp
@@ -64,7 +64,9 @@
       Connection->resume();
   }
   [[nodiscard]] CallProgress progress() const override {
-    return isCurrent() ? Connection->progress() : CallProgress{};
+    // Nothing is known any more of a call that ended: it may have been sent.
+    return isCurrent() ? Connection->progress()
+                       : CallProgress{false, false, true, {}};
   }
 
 private:
@@ -144,7 +146,7 @@
   configureSocket(Peer, Limits.DeadPeer);
   State = Phase::Busy;
   Progress.Connected = true;
-  if (!recompose()) {
+  if (Clock.monotonic() >= Deadline || !recompose()) {
     fail(CallFailure::TooLateToSend);
     return;
   }
--- a/tests/unit/http1/ClientStallTest.cpp
+++ b/tests/unit/http1/ClientStallTest.cpp
@@ -88,6 +88,17 @@
   EXPECT_EQ(events->Body, "two");
 }
 
+// Guards against a call that takes effect at its server although it has failed:
+// it was sent after its own timeout had expired.
+TEST_F(ClientStallTest, requestIsNotSentAfterItsTimeout) {
+  CallTimeout = core::Millis(100);
+  const auto events = call();
+  stall(CallTimeout + Excess);
+  runUntil([&] { return events->isFinished(); });
+  EXPECT_EQ(events->Failure, CallFailure::TooLateToSend);
+  EXPECT_EQ(Requests, 0);
+}
+
 // Guards against a request that is sent although its time is over, and ends as
 // one that may have run.
 TEST_F(ClientStallTest, requestWhoseTimeIsOverAfterConnectingIsNotSent) {
