Do not count a request that was never sent against its runner

A request that waited for its connection until its deadline ended as TimedOut: a failure of its runner, which counts for ejection, and a broken answer of its version. Now it ends as cancelled, as one that is too late to be sent does. The attempts that reached no runner are called so; failed connects were only a part of them.

Test: deadlineBeforeTheRequestIsSentMeansNotRun checks the outcome as well; by the code before it is TimedOut (not run there).

--- a/src/cowslipridge/gateway/RequestFlow.cpp
+++ b/src/cowslipridge/gateway/RequestFlow.cpp
@@ -108,8 +108,7 @@
   spec.Server = http1::Endpoint(boost::asio::ip::make_address(placement.Host),
                                 placement.Port);
   spec.Bytes = compose(attributes);
-  spec.Recompose = [weak = weak_from_this(),
-                    attributes](core::Millis waited) mutable {
+  spec.Recompose = [weak = weak_from_this(), attributes](core::Millis waited) {
     const auto flow = weak.lock();
     return flow ? flow->recompose(attributes, waited) : std::nullopt;
   };
--- a/src/cowslipridge/gateway/RequestStateMachine.cpp
+++ b/src/cowslipridge/gateway/RequestStateMachine.cpp
@@ -8,8 +8,9 @@
 
 namespace {
 
-/// Failed connects that one request may have, in addition to its attempts.
-constexpr unsigned MaxFailedConnects = 3;
+/// Attempts that reached no runner which one request may have, in addition to
+/// its attempts.
+constexpr unsigned MaxUnsentAttempts = 3;
 /// The gateway responds this much before the deadline, so that the response
 /// reaches the caller in time.
 constexpr core::Millis ResponseMargin{10};
@@ -33,7 +34,7 @@
 
 bool RequestStateMachine::canRetry() const {
   return AttemptsMade < Request.Route->MaxAttempts &&
-         FailedConnects < MaxFailedConnects &&
+         UnsentAttempts < MaxUnsentAttempts &&
          (!MayHaveRun || catalogue::isRetryable(Request.Route->Kind));
 }
 
@@ -43,7 +44,7 @@
     giveUp(reason + ", too close to the deadline", MinRetryAfter);
     return;
   }
-  const bool isFirst = AttemptsMade == 0 && FailedConnects == 0;
+  const bool isFirst = AttemptsMade == 0 && UnsentAttempts == 0;
   const AttemptKind kind = isFirst            ? AttemptKind::First
                            : AttemptsMade > 0 ? AttemptKind::Retry
                                               : AttemptKind::Failover;
@@ -111,7 +112,7 @@
     return;
   }
   --AttemptsMade;
-  ++FailedConnects;
+  ++UnsentAttempts;
   // The other failures to send say nothing of the runner.
   endAttempt(failure == http1::CallFailure::NotConnected
                  ? AttemptOutcome::Unreachable
@@ -169,9 +170,10 @@
 
 void RequestStateMachine::onDeadline(core::Millis now) {
   noteThatItMayHaveRun();
+  // A runner that never got the request is not late.
+  const bool isLate = !ResponseStarted && Actions.mayHaveSent();
   Actions.cancelAttempt();
-  endAttempt(ResponseStarted ? AttemptOutcome::Cancelled
-                             : AttemptOutcome::TimedOut,
+  endAttempt(isLate ? AttemptOutcome::TimedOut : AttemptOutcome::Cancelled,
              now);
   finish();
   if (ResponseStarted)
--- a/src/cowslipridge/gateway/RequestStateMachineResponses.cpp
+++ b/src/cowslipridge/gateway/RequestStateMachineResponses.cpp
@@ -197,7 +197,7 @@
   // the request.
   if (status == MisdirectedRequest) {
     --AttemptsMade;
-    ++FailedConnects;
+    ++UnsentAttempts;
   }
   endAttempt(status == MisdirectedRequest ? AttemptOutcome::Unreachable
                                           : AttemptOutcome::Rejected,
--- a/tests/unit/gateway/RequestStateMachineTest.cpp
+++ b/tests/unit/gateway/RequestStateMachineTest.cpp
@@ -112,6 +112,7 @@
   Machine->onTimer(Machine->nextTimer());
   EXPECT_EQ(Actions.Status, 503);
   EXPECT_TRUE(Actions.RetryAfter.has_value());
+  EXPECT_EQ(Policy.Outcomes.at(1), AttemptOutcome::Cancelled);
 }
 
 // Guards against requests that wait at a runner and crash it although their
