Find a slower version with fewer streams by the exact bound

Callers see: a version whose streams are a third slower is completed.

Hypothesis: the Chernoff bound on the probability of so few fast streams gives power away. The Poisson tail itself bounds the lower tail of a sum of independent events with the same mean, where the number is below the mean by one or more, which a third of the mean is whenever the test can decide.

Change: the tail in place of the Chernoff bound; the accepted probability stays 0.01.

--- a/src/cowslipridge/rollout/TrialEvidence.cpp
+++ b/src/cowslipridge/rollout/TrialEvidence.cpp
@@ -102,20 +102,25 @@
   return expected;
 }
 
-// Chernoff bound on the probability of at most `hits` independent events when
-// more are expected.
-double lowerTailBound(double hits, double expected) {
-  const double exponent =
-      hits > 0 ? expected - hits + hits * std::log(hits / expected) : expected;
-  return std::exp(-exponent);
+// Returns the probability that a Poisson variable is at most `hits`. It bounds
+// that of a sum of independent events with the same mean, if `hits` is below
+// the mean by one or more.
+double lowerTailBound(std::uint64_t hits, double expected) {
+  double term = std::exp(-expected);
+  double sum = term;
+  for (std::uint64_t n = 1; n <= hits; ++n) {
+    term *= expected / static_cast<double>(n);
+    sum += term;
+  }
+  return sum;
 }
 
 bool hasFewerFastStreams(const IntervalsByLoad &trial,
                          const IntervalsByLoad &stable,
                          std::size_t slowestFast) {
   const double expected = expectedFast(trial, stable, slowestFast);
-  const auto fast = static_cast<double>(trial.sum().countUpTo(slowestFast));
-  return fast < MinFastPart * expected &&
+  const std::uint64_t fast = trial.sum().countUpTo(slowestFast);
+  return static_cast<double>(fast) < MinFastPart * expected &&
          lowerTailBound(fast, expected) < FalseAlarmProbability;
 }
 
