--- a/tests/unit/http1/ServerStallTest.cpp
+++ b/tests/unit/http1/ServerStallTest.cpp
@@ -125,6 +125,16 @@
   EXPECT_EQ(Exchanges.size(), peers.size());
 }
 
+// Guards against a request that is passed on although its client has left while
+// it waited in the socket.
+TEST_F(ServerStallTest, requestWhoseClientHasLeftIsNotPassedOn) {
+  accept(Long, Long);
+  write(Request);
+  Peer.close();
+  runUntil([&] { return HttpServer.connections() == 0; });
+  EXPECT_TRUE(Exchanges.empty());
+}
+
 // Guards against a drain that closes a kept connection without an answer to the
 // request that is in its socket.
 TEST_F(ServerStallTest, drainAnswersARequestThatArrivedBeforeIt) {
