--- a/src/cowslipridge/gateway/RequestStateMachine.cpp
+++ b/src/cowslipridge/gateway/RequestStateMachine.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-/// Attempts that reached no runner which one request may have, in addition to
-/// its attempts.
+/// How many attempts may reach no runner, in addition to the attempts that the
+/// route allows.
 constexpr unsigned MaxUnsentAttempts = 3;
 /// The gateway responds this much before the deadline, so that the response
 /// reaches the caller in time.
--- a/src/cowslipridge/gateway/RequestStateMachine.hpp
+++ b/src/cowslipridge/gateway/RequestStateMachine.hpp
@@ -132,7 +132,7 @@
   AttemptOutcome LastOutcome = AttemptOutcome::Cancelled;
   std::vector<core::RunnerId> Excluded;
   unsigned AttemptsMade = 0;   ///< runners that may have received the request
-  unsigned UnsentAttempts = 0; ///< runners that could not be reached
+  unsigned UnsentAttempts = 0; ///< attempts that reached no runner
   bool MayHaveRun = false;
   bool Rejected = false; ///< the current runner did not execute the request
   bool ResponseStarted = false;
