Look at a socket's next byte in one place

ServerConnection had a copy of the look at a socket that Connection has for idle connections; isClosedByPeer stands beside isQuiet now, on one function. A client's connection kept a deadline that follows from the start and the timeout of its call; age() serves the three places that need it.

Ruled out: one function for a request in place of Bytes and Recompose, which write it twice for a new connection. It would have to fail a call from within start() on a reused connection, against its contract.

--- a/src/cowslipridge/http1/Connection.cpp
+++ b/src/cowslipridge/http1/Connection.cpp
@@ -17,6 +17,12 @@
 template <int Level, int Name>
 using IntOption = boost::asio::detail::socket_option::integer<Level, Name>;
 
+// Receives the next byte and leaves it unread; returns as recv() does.
+ssize_t peek(Socket &socket) {
+  char byte = 0;
+  return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+}
+
 } // namespace
 
 void configureSocket(Socket &socket, const DeadPeerLimits &limits) {
@@ -45,12 +51,11 @@
 }
 
 bool isQuiet(Socket &socket) {
-  char byte = 0;
-  const auto n =
-      ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  return peek(socket) < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool isClosedByPeer(Socket &socket) { return peek(socket) == 0; }
+
 void reset(Socket &socket) {
   boost::system::error_code ignored;
   socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
--- a/src/cowslipridge/http1/Connection.hpp
+++ b/src/cowslipridge/http1/Connection.hpp
@@ -30,6 +30,9 @@
 /// Returns whether the connection is open and nothing has arrived that was not
 /// read, neither bytes nor the end of the connection.
 bool isQuiet(Socket &socket);
+/// Returns whether the end of the connection has arrived and no bytes before it
+/// are left to be read.
+bool isClosedByPeer(Socket &socket);
 /// Closes the socket so that the peer receives a TCP reset.
 void reset(Socket &socket);
 void close(Socket &socket);
--- a/src/cowslipridge/http1/internal/ClientConnection.cpp
+++ b/src/cowslipridge/http1/internal/ClientConnection.cpp
@@ -83,7 +83,6 @@
   Spec = std::move(spec);
   Events = std::move(events);
   StartedAt = Clock.monotonic();
-  Deadline = StartedAt + Spec.Timeout;
   Progress = {};
   Parser.emplace(Spec.HeadRequest);
   Paused = RequestSent = HeadDelivered = Mismatched = false;
@@ -125,10 +124,14 @@
 
 CallProgress ClientConnection::progress() const {
   CallProgress progress = Progress;
-  progress.Age = Clock.monotonic() - StartedAt;
+  progress.Age = age();
   return progress;
 }
 
+core::Millis ClientConnection::age() const {
+  return Clock.monotonic() - StartedAt;
+}
+
 void ClientConnection::connect() {
   State = Phase::Connecting;
   armTimer(std::min(Limits.ConnectTimeout, Spec.Timeout));
@@ -146,11 +149,11 @@
   configureSocket(Peer, Limits.DeadPeer);
   State = Phase::Busy;
   Progress.Connected = true;
-  if (Clock.monotonic() >= Deadline || !recompose()) {
+  if (age() >= Spec.Timeout || !recompose()) {
     fail(CallFailure::TooLateToSend);
     return;
   }
-  armTimer(Deadline - Clock.monotonic());
+  armTimer(Spec.Timeout - age());
   send();
   read();
 }
@@ -159,7 +162,7 @@
 bool ClientConnection::recompose() {
   if (!Spec.Recompose)
     return true;
-  auto bytes = Spec.Recompose(Clock.monotonic() - StartedAt);
+  auto bytes = Spec.Recompose(age());
   if (!bytes)
     return false;
   Spec.Bytes = std::move(*bytes);
--- a/src/cowslipridge/http1/internal/ClientConnection.hpp
+++ b/src/cowslipridge/http1/internal/ClientConnection.hpp
@@ -40,6 +40,8 @@
   void pause() { Paused = true; }
   void resume();
   [[nodiscard]] CallProgress progress() const;
+  /// Returns the time since the start of the call.
+  [[nodiscard]] core::Millis age() const;
   enum class Phase { Unconnected, Connecting, Idle, Busy, Closed };
 
   void connect();
@@ -72,8 +74,7 @@
   CallSpec Spec;
   std::shared_ptr<CallEvents> Events;
   core::Millis StartedAt; ///< of the call
-  core::Millis Deadline;
-  CallProgress Progress; ///< of the call, without its age
+  CallProgress Progress;  ///< of the call, without its age
   std::optional<ResponseParser> Parser;
   std::string Input;
   std::array<char, 8192> Chunk{};
--- a/src/cowslipridge/http1/internal/ServerConnection.cpp
+++ b/src/cowslipridge/http1/internal/ServerConnection.cpp
@@ -5,8 +5,6 @@
 
 #include <utility>
 
-#include <sys/socket.h>
-
 namespace cowslipridge::http1::internal {
 
 namespace {
@@ -19,13 +17,6 @@
 /// response before the client reads it.
 constexpr core::Millis LingerTime{1000};
 
-// Returns whether the end of the connection has arrived and no bytes before it
-// are left to be read.
-bool isClosedByPeer(Socket &socket) {
-  char byte = 0;
-  return ::recv(socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
-}
-
 } // namespace
 
 ServerConnection::ServerConnection(
