--- a/src/cowslipridge/platform/StoreRegistration.cpp
+++ b/src/cowslipridge/platform/StoreRegistration.cpp
@@ -54,8 +54,6 @@
 }
 
 void StoreRegistration::scheduleRenewal() {
-  if (Deregistered)
-    return;
   Timer.start(RenewInterval, [this] { renew(); });
 }
 
