Build the catalogues of tests, and the reads of a plain runner, in one place

Two catalogues ended with the same lines, and two tests changed the same call in the same way. singleRouteCatalogue() and makeRead() serve both.

--- a/tests/support/ModelCatalogue.hpp
+++ b/tests/support/ModelCatalogue.hpp
@@ -1,8 +1,6 @@
 #pragma once
 
-#include "cowslipridge/catalogue/CatalogueIndex.hpp"
-
-#include <memory>
+#include "support/SingleRouteCatalogue.hpp"
 
 namespace cowslipridge::support {
 
@@ -11,7 +9,6 @@
 /// Returns a configuration with one route of resumable streams, to a service
 /// with a small and a large model.
 inline catalogue::CataloguePtr modelCatalogue() {
-  catalogue::Catalogue declared;
   catalogue::Route route;
   route.Name = "chat";
   route.Kind = catalogue::RouteKind::ResumableStream;
@@ -19,8 +16,6 @@
   route.TargetLatency = core::Millis(4'000);
   route.MaxAttempts = 3;
   route.Models = {"small", "large"};
-  route.Services = {{ModelService, 1}};
-  declared.Routes = {route};
   catalogue::Service service;
   service.Name = ModelService;
   service.Inference =
@@ -28,8 +23,7 @@
                         .CacheTokens = 500'000,
                         .TokensPerEvent = 6,
                         .Models = {{"small", 0.01}, {"large", 0.1}}};
-  declared.Services = {service};
-  return std::make_shared<const catalogue::CatalogueIndex>(declared);
+  return singleRouteCatalogue(route, service);
 }
 
 } // namespace cowslipridge::support
--- a/tests/unit/runner/EngineRunnerTest.cpp
+++ b/tests/unit/runner/EngineRunnerTest.cpp
@@ -293,6 +293,14 @@
   EXPECT_EQ(received->Result, Outcome::Unknown);
 }
 
+Call makeRead(bool idempotent) {
+  Call call = makeCall(false);
+  call.Idempotent = idempotent;
+  call.Message.Method = "GET";
+  call.Message.Body.clear();
+  return call;
+}
+
 // Guards against a call that runs twice: the HTTP library resends a GET when
 // the server closes a reused connection without a response, and a declared GET
 // may be non-idempotent.
@@ -302,9 +310,7 @@
   const support::DroppingServer server(port,
                                        support::DroppingServer::After::Listen);
   PlainRunner runner(support::baseUrl(port), IdleTimeout);
-  Call call = makeCall(false);
-  call.Message.Method = "GET";
-  call.Message.Body.clear();
+  const Call call = makeRead(false);
   for (int i = 0; i < Calls; ++i)
     EXPECT_TRUE(run(runner, call));
   EXPECT_EQ(server.received(), Calls);
@@ -318,10 +324,7 @@
   const support::DroppingServer server(port,
                                        support::DroppingServer::After::Refuse);
   PlainRunner runner(support::baseUrl(port), IdleTimeout);
-  Call call = makeCall(false);
-  call.Idempotent = true;
-  call.Message.Method = "GET";
-  call.Message.Body.clear();
+  const Call call = makeRead(true);
   std::optional<ReceivedAnswer> received;
   for (int i = 0; i < MaxCalls && server.dropped() == 0; ++i)
     received = run(runner, call);
