Look up a runner's cold phase only while it is suspected

Cause: each event of a stream looked up the runner's service. Change: the suspicion is checked first.

--- a/src/cowslipridge/gateway/DispatcherColdRunners.cpp
+++ b/src/cowslipridge/gateway/DispatcherColdRunners.cpp
@@ -93,16 +93,16 @@
 }
 
 void Dispatcher::onResponsive(const ActiveAttempt &attempt, core::Millis now) {
-  const core::Millis coldStart = coldStartOf(attempt.Runner);
-  if (coldStart == core::Millis() ||
-      !Cold.onResponse(attempt.Runner, attempt.RunnerStartedAt, attempt.SentAt,
-                       coldStart, now))
-    return;
-  UrgentReport = true;
   const auto *server = Servers.find(attempt.Runner);
-  if (server == nullptr)
+  if (server == nullptr || !Cold.isSuspected(attempt.Runner))
     return;
+  const core::Millis coldStart = coldStartOf(attempt.Runner);
+  const bool isCold = Cold.onResponse(attempt.Runner, attempt.RunnerStartedAt,
+                                      attempt.SentAt, coldStart, now);
+  UrgentReport = true;
   limitByWarmth(*server, now);
+  if (!isCold)
+    return;
   reportNotice(RunnerCold{attempt.Runner, coldStart,
                           declaredServiceOf(*server)->ColdPerSecond});
 }
--- a/src/cowslipridge/membership/ColdRunners.cpp
+++ b/src/cowslipridge/membership/ColdRunners.cpp
@@ -89,6 +89,11 @@
   record.ReportedAt = now;
 }
 
+bool ColdRunners::isSuspected(const core::RunnerId &runner) const {
+  const auto it = Records.find(runner);
+  return it != Records.end() && it->second.SuspectedSince;
+}
+
 WarmUpStep ColdRunners::step(const core::RunnerId &runner,
                              core::Millis now) const {
   const auto it = Records.find(runner);
--- a/src/cowslipridge/membership/ColdRunners.hpp
+++ b/src/cowslipridge/membership/ColdRunners.hpp
@@ -66,6 +66,7 @@
   void onPeerReport(const ColdReport &report, core::Millis now);
   void removeRunner(const core::RunnerId &runner) { Records.erase(runner); }
 
+  [[nodiscard]] bool isSuspected(const core::RunnerId &runner) const;
   [[nodiscard]] WarmUpStep step(const core::RunnerId &runner,
                                 core::Millis now) const;
   /// Returns the cold and the suspected runners.
