Evacuate failure domains and keep requests in their home regions

Cause: the operators' command to evacuate a failure domain was read by nobody, and neither were the home regions of routes and organisations. Ruled out: marking the runners as draining (a return would need their entries again); a check beside each kind of attempt. Change: membership/Evacuations tracks the commands through listings, restores from an older copy and outages for some gateways; RunnerEligibility, parted from RunnerSelection, is the only place that decides which runners may get work. A domain that returns counts as cold. Settings name the region of each domain.

--- a/src/cowslipridge/catalogue/Catalogue.hpp
+++ b/src/cowslipridge/catalogue/Catalogue.hpp
@@ -51,6 +51,8 @@
   /// Models that may answer, smallest first; empty when the caller names one.
   std::vector<std::string> Models;
   std::vector<WeightedService> Services;
+  /// Regions in which its requests may run; empty: any.
+  std::vector<std::string> HomeRegions;
   friend auto operator<=>(const Route &, const Route &) = default;
 };
 
@@ -87,6 +89,9 @@
   core::OrganisationId Name;
   std::vector<std::string> ApiKeys;
   std::optional<int> Priority; ///< takes precedence over the route's
+  /// Regions in which its requests may run, beside those of the route; empty:
+  /// any.
+  std::vector<std::string> HomeRegions = {};
   friend auto operator<=>(const Organisation &, const Organisation &) = default;
 };
 
--- a/src/cowslipridge/config/GatewaySettings.cpp
+++ b/src/cowslipridge/config/GatewaySettings.cpp
@@ -13,8 +13,8 @@
 
 using internal::SectionReader;
 
-constexpr std::array<std::string_view, 4> SectionNames = {"process", "listen",
-                                                          "store", "promises"};
+constexpr std::array<std::string_view, 5> SectionNames = {
+    "process", "listen", "regions", "store", "promises"};
 constexpr std::uint64_t MaxPort = 65'535;
 constexpr double MaxAllowance = 1e6;
 constexpr double MaxColdOvershoot = 100;
@@ -51,6 +51,12 @@
     settings.Metrics = readAddress(listen, "metrics");
   listen.finish();
 
+  SectionReader regions = document.open("regions");
+  for (const std::string &it : regions.keys())
+    settings.Regions.emplace(core::FailureDomainId(it),
+                             regions.requireName(it, "kerala"));
+  regions.finish();
+
   SectionReader store = document.open("store");
   settings.Store = readAddress(store, "address");
   store.finish();
@@ -68,8 +74,8 @@
       "exposure_allowance", settings.Exposure.Fixed, 0, MaxAllowance);
   settings.Cold.Overshoot = promises.decimal(
       "cold_overshoot", settings.Cold.Overshoot, 1, MaxColdOvershoot);
-  settings.Cold.Fixed = promises.decimal("cold_allowance", settings.Cold.Fixed,
-                                         0, MaxAllowance);
+  settings.Cold.Fixed =
+      promises.decimal("cold_allowance", settings.Cold.Fixed, 0, MaxAllowance);
   settings.SessionLifetime = promises.duration(
       "session_lifetime", settings.SessionLifetime, core::Millis(0), MaxWindow);
   settings.ConfigurationDeadline = promises.duration(
--- a/src/cowslipridge/config/GatewaySettings.hpp
+++ b/src/cowslipridge/config/GatewaySettings.hpp
@@ -5,6 +5,7 @@
 #include "cowslipridge/core/Ids.hpp"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -54,6 +55,9 @@
   SocketAddress Readiness; ///< `readiness`
   SocketAddress Peers;     ///< `peers`: datagrams from other gateways
   std::optional<SocketAddress> Metrics; ///< `metrics`; optional
+  // [regions]
+  /// Region of each failure domain: `DOMAIN = REGION`.
+  std::map<core::FailureDomainId, std::string> Regions;
   // [store]
   SocketAddress Store; ///< `address`
   // [promises]
--- a/src/cowslipridge/config/internal/SectionReader.cpp
+++ b/src/cowslipridge/config/internal/SectionReader.cpp
@@ -67,6 +67,13 @@
 
 bool SectionReader::has(std::string_view key) { return find(key) != nullptr; }
 
+std::set<std::string> SectionReader::keys() const {
+  std::set<std::string> names;
+  for (const IniEntry &it : Section.Entries)
+    names.insert(it.Key);
+  return names;
+}
+
 std::string SectionReader::requireText(std::string_view key,
                                        const std::string &example) {
   const IniEntry *it = find(key);
--- a/src/cowslipridge/config/internal/SectionReader.hpp
+++ b/src/cowslipridge/config/internal/SectionReader.hpp
@@ -30,6 +30,8 @@
   /// Returns the line number of the section's title.
   [[nodiscard]] int line() const { return Section.Line; }
   [[nodiscard]] bool has(std::string_view key);
+  /// Returns the keys of a section whose keys are names, each once.
+  [[nodiscard]] std::set<std::string> keys() const;
   /// Returns the text of a required key; `example` is suggested when it is
   /// missing.
   std::string requireText(std::string_view key, const std::string &example);
--- a/src/cowslipridge/gateway/ControlPlane.hpp
+++ b/src/cowslipridge/gateway/ControlPlane.hpp
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -50,6 +51,19 @@
   /// have not registered again yet, and hold entries that were replaced since.
   bool AfterRestore = false;
 };
+/// An operator evacuates a failure domain: its runners get nothing new.
+struct EvacuationChanged {
+  core::FailureDomainId Domain;
+};
+struct EvacuationWithdrawn {
+  core::FailureDomainId Domain;
+};
+/// The complete list of evacuated failure domains, sent after individual
+/// changes were missed.
+struct EvacuationsListed {
+  std::set<core::FailureDomainId> Domains;
+  bool AfterRestore = false; ///< the store was restored from an older copy
+};
 struct RolloutCommandChanged {
   rollout::RolloutCommand Command;
 };
@@ -87,11 +101,12 @@
 
 using ControlEvent =
     std::variant<CatalogueChanged, CatalogueRefused, EntryRefused,
-                 ServerChanged, ServerRemoved, ServersListed,
-                 RolloutCommandChanged, RolloutWithdrawn, RolloutStatusChanged,
-                 RolloutProgressChanged, RolloutsListed, PeerChanged,
-                 PeerRemoved, QuarantineReported, ControlPlaneUnavailable,
-                 ControlPlaneAvailable, ControlPlaneRestored>;
+                 ServerChanged, ServerRemoved, ServersListed, EvacuationChanged,
+                 EvacuationWithdrawn, EvacuationsListed, RolloutCommandChanged,
+                 RolloutWithdrawn, RolloutStatusChanged, RolloutProgressChanged,
+                 RolloutsListed, PeerChanged, PeerRemoved, QuarantineReported,
+                 ControlPlaneUnavailable, ControlPlaneAvailable,
+                 ControlPlaneRestored>;
 
 /// Interface to the store that operators and runners write to.
 class ControlPlane {
--- a/src/cowslipridge/gateway/Dispatcher.cpp
+++ b/src/cowslipridge/gateway/Dispatcher.cpp
@@ -28,8 +28,9 @@
 Dispatcher::Dispatcher(const config::GatewaySettings &settings)
     : Settings(settings), Trials(settings.Exposure.Fraction),
       Cache(MaxCacheBlocks),
-      Selection(settings, {Servers, Trials, Ejections, RateLimits, Backoff,
-                           Rejections, Forecast, Cache}),
+      Eligibility(settings,
+                  {Servers, Evacuated, Trials, Ejections, RateLimits, Backoff}),
+      Selection(settings, {Eligibility, Rejections, Forecast, Cache}),
       Escalations(Selection) {}
 
 void Dispatcher::setCatalogue(catalogue::CataloguePtr catalogue) {
@@ -131,6 +132,7 @@
                  request.Caller);
   RateLimits.onSent(placement.Runner, now);
   Selection.onSelected(request, tier, candidate, now);
+  Eligibility.onSelected(request, *candidate.Server, now);
   ++OwnEvidence[{placement.Service, placement.Version, request.Route->Name}]
         .Sent;
 
@@ -170,7 +172,7 @@
 
 core::Millis Dispatcher::retryAfter(const RequestContext &request,
                                     core::Millis now) const {
-  return std::max(MinRetryAfter, Selection.timeUntilAvailable(request, now));
+  return std::max(MinRetryAfter, Eligibility.timeUntilAvailable(request, now));
 }
 
 limits::RetryWindow &Dispatcher::budget(const core::ServiceId &service) {
@@ -225,7 +227,7 @@
 }
 
 void Dispatcher::tick(core::Millis now) {
-  Selection.tick(now);
+  Eligibility.tick(now);
   Crashes.tick(now);
   Backoff.tick(now);
   RateLimits.tick(now);
--- a/src/cowslipridge/gateway/Dispatcher.hpp
+++ b/src/cowslipridge/gateway/Dispatcher.hpp
@@ -4,6 +4,7 @@
 #include "cowslipridge/gateway/CrashWatch.hpp"
 #include "cowslipridge/gateway/EscalationPolicy.hpp"
 #include "cowslipridge/gateway/Placement.hpp"
+#include "cowslipridge/gateway/RunnerEligibility.hpp"
 #include "cowslipridge/gateway/RunnerSelection.hpp"
 #include "cowslipridge/limits/Ejections.hpp"
 #include "cowslipridge/limits/RejectionRates.hpp"
@@ -11,6 +12,7 @@
 #include "cowslipridge/limits/RunnerBackoff.hpp"
 #include "cowslipridge/limits/RunnerRateLimits.hpp"
 #include "cowslipridge/membership/ColdRunners.hpp"
+#include "cowslipridge/membership/Evacuations.hpp"
 #include "cowslipridge/membership/ServerRegistry.hpp"
 #include "cowslipridge/rollout/TrialControl.hpp"
 #include "cowslipridge/route/PrefillForecast.hpp"
@@ -49,6 +51,8 @@
   CrashReport Crashes;
   std::vector<limits::ReportedRateLimit> RateLimits;
   membership::ColdReport Cold;
+  /// Failure domains that operators have evacuated, as the store shows.
+  std::set<core::FailureDomainId> Evacuated;
 };
 
 /// Receives an ejection or readmission, with the outcome of the attempt that
@@ -95,14 +99,16 @@
   membership::ServerRegistry &servers() { return Servers; }
   rollout::TrialControl &trials() { return Trials; }
   CrashWatch &crashes() { return Crashes; }
+  membership::Evacuations &evacuations() { return Evacuated; }
   [[nodiscard]] const rollout::TrialControl &trials() const { return Trials; }
   /// Handles the entry of a runner, new or changed.
   void onServerEntry(const membership::BackendServer &server, core::Millis now);
   /// Handles the first listing of a gateway that has just started beside
   /// others: it does not know which runners were out of reach.
   void onStartedBesidePeers(core::Millis now);
-  /// The runners of a failure domain may have turned cold.
-  void onDomainReturned(const core::FailureDomainId &domain, core::Millis now);
+  /// Applies changes of the evacuations that are due and returns the failure
+  /// domains that are in service again. Their runners may be cold.
+  std::vector<core::FailureDomainId> updateEvacuations(core::Millis now);
   /// Returns whether peers should learn of a change before the next report is
   /// due.
   [[nodiscard]] bool hasUrgentReport() const { return UrgentReport; }
@@ -194,6 +200,7 @@
   void onUnresponsive(const ActiveAttempt &attempt, core::Millis now);
   /// Handles a response: the runner is within reach.
   void onResponsive(const ActiveAttempt &attempt, core::Millis now);
+  void onDomainReturned(const core::FailureDomainId &domain, core::Millis now);
   /// Limits the runner's load according to how far it has warmed up.
   void limitByWarmth(const membership::BackendServer &server, core::Millis now);
   [[nodiscard]] const catalogue::Service *
@@ -219,6 +226,7 @@
   RunnerNoticeListener OnRunnerNotice;
   membership::ServerRegistry Servers;
   membership::ColdRunners Cold;
+  membership::Evacuations Evacuated;
   rollout::TrialControl Trials;
   limits::Ejections Ejections;
   limits::RunnerBackoff Backoff;
@@ -227,6 +235,7 @@
   CrashWatch Crashes;
   route::PrefillForecast Forecast;
   route::PromptCache Cache;
+  RunnerEligibility Eligibility;
   RunnerSelection Selection;
   EscalationPolicy Escalations;
   std::map<core::ServiceId, limits::RetryWindow> Budgets;
--- a/src/cowslipridge/gateway/DispatcherColdRunners.cpp
+++ b/src/cowslipridge/gateway/DispatcherColdRunners.cpp
@@ -70,6 +70,14 @@
   }
 }
 
+std::vector<core::FailureDomainId>
+Dispatcher::updateEvacuations(core::Millis now) {
+  auto returned = Evacuated.update(now);
+  for (const core::FailureDomainId &it : returned)
+    onDomainReturned(it, now);
+  return returned;
+}
+
 void Dispatcher::onDomainReturned(const core::FailureDomainId &domain,
                                   core::Millis now) {
   for (const auto &[id, server] : Servers.all()) {
--- a/src/cowslipridge/gateway/DispatcherReports.cpp
+++ b/src/cowslipridge/gateway/DispatcherReports.cpp
@@ -5,7 +5,7 @@
 namespace cowslipridge::gateway {
 
 void Dispatcher::onPeerReport(const PeerReport &report, core::Millis now) {
-  Selection.addRemotePins(report.PinnedSessions, now);
+  Eligibility.addRemotePins(report.PinnedSessions, now);
   Forecast.setRemoteLoads(report.Gateway, report.Loads, now);
   PeerEvidence.insert_or_assign(report.Gateway, report.Evidence);
   Trials.onPeerKnowledge(report.Rollouts, now);
@@ -14,6 +14,7 @@
     if (Servers.find(it.Statement.Runner) != nullptr)
       onStatement(it.Statement, now - it.Age, now);
   }
+  Evacuated.onPeerReport(report.Evacuated, now);
   Cold.onPeerReport(report.Cold, now);
   for (const membership::ColdRunner &it : report.Cold.Runners) {
     if (const auto *server = Servers.find(it.Runner))
@@ -32,13 +33,14 @@
   PeerReport report;
   report.Gateway = Settings.Instance;
   report.Loads = Forecast.ownLoads();
-  report.PinnedSessions = Selection.pinnedSessions(now);
+  report.PinnedSessions = Eligibility.pinnedSessions(now);
   report.Configuration = generation();
   report.Rollouts = Trials.knowledge(now);
   report.Prompts = NewPrompts;
   report.Crashes = Crashes.report(now);
   report.RateLimits = RateLimits.report(now);
   report.Cold = Cold.report(now);
+  report.Evacuated = Evacuated.commanded();
   for (const core::ServiceId &service : Trials.activeRollouts()) {
     for (const auto &[key, counts] : OwnEvidence) {
       if (key.Service == service)
--- a/src/cowslipridge/gateway/Gateway.cpp
+++ b/src/cowslipridge/gateway/Gateway.cpp
@@ -195,6 +195,7 @@
   const core::Millis now = Clock.monotonic();
   reportPause(now);
   updateServers(now);
+  updateEvacuations(now);
   releaseHeld(now);
   for (const core::ServiceId &it : RequestDispatcher.trials().tick(now))
     report(EventNumber::RolloutAdvanced,
@@ -228,6 +229,12 @@
     registerServer(it);
 }
 
+void Gateway::updateEvacuations(core::Millis now) {
+  for (const core::FailureDomainId &it :
+       RequestDispatcher.updateEvacuations(now))
+    report(EventNumber::EvacuationEnded, "domain=" + it.str());
+}
+
 void Gateway::driveRollouts(core::Millis now) {
   // The reports of peers show first how far the roll-outs are.
   if (!Synced || now - SyncedAt < PeerReportWait ||
--- a/src/cowslipridge/gateway/Gateway.hpp
+++ b/src/cowslipridge/gateway/Gateway.hpp
@@ -49,6 +49,9 @@
   void on(const ServerChanged &event);
   void on(const ServerRemoved &event);
   void on(const ServersListed &event);
+  void on(const EvacuationChanged &event);
+  void on(const EvacuationWithdrawn &event);
+  void on(const EvacuationsListed &event);
   void on(const RolloutCommandChanged &event);
   void on(const RolloutWithdrawn &event);
   void on(const RolloutStatusChanged &event);
@@ -93,6 +96,8 @@
   /// Removes and adds runners whose deferred changes are due.
   void updateServers(core::Millis now);
   void removeServer(const core::RunnerId &runner);
+  /// Reports the failure domains whose evacuation has ended.
+  void updateEvacuations(core::Millis now);
   void scheduleTick();
   void tick();
   void reportPause(core::Millis now);
--- a/src/cowslipridge/gateway/GatewayControl.cpp
+++ b/src/cowslipridge/gateway/GatewayControl.cpp
@@ -79,6 +79,27 @@
   report(EventNumber::RunnerRemoved, "runner=" + runner.str());
 }
 
+void Gateway::on(const EvacuationChanged &event) {
+  RequestDispatcher.evacuations().onCommand(event.Domain);
+  updateEvacuations(Clock.monotonic());
+  report(EventNumber::EvacuationOrdered, "domain=" + event.Domain.str());
+}
+
+void Gateway::on(const EvacuationWithdrawn &event) {
+  const core::Millis now = Clock.monotonic();
+  RequestDispatcher.evacuations().onWithdrawn(event.Domain, now);
+  updateEvacuations(now);
+}
+
+void Gateway::on(const EvacuationsListed &event) {
+  const core::Millis now = Clock.monotonic();
+  RequestDispatcher.evacuations().onListed(event.Domains, event.AfterRestore,
+                                           now);
+  updateEvacuations(now);
+  for (const core::FailureDomainId &it : event.Domains)
+    report(EventNumber::EvacuationOrdered, "listed, domain=" + it.str());
+}
+
 void Gateway::on(const RolloutCommandChanged &event) {
   RequestDispatcher.trials().onCommand(event.Command, Clock.monotonic());
   report(EventNumber::RolloutAdvanced, "ordered " + describe(event.Command));
@@ -128,12 +149,14 @@
 
 void Gateway::on(const ControlPlaneUnavailable &event) {
   RequestDispatcher.servers().onStoreUnavailable();
+  RequestDispatcher.evacuations().onStoreUnavailable();
   StoreUnavailableSince = Clock.monotonic();
   report(EventNumber::StoreUnavailable, event.Reason);
 }
 
 void Gateway::on(const ControlPlaneAvailable & /*event*/) {
   RequestDispatcher.servers().onStoreAvailable(Clock.monotonic());
+  RequestDispatcher.evacuations().onStoreAvailable();
   StoreUnavailableSince.reset();
   report(EventNumber::StoreAvailable, "");
 }
--- a/src/cowslipridge/gateway/GatewayGauges.cpp
+++ b/src/cowslipridge/gateway/GatewayGauges.cpp
@@ -42,6 +42,8 @@
   set(GaugeName::ContentsQuarantined, quarantined(limits::TraitKind::Content));
   set(GaugeName::RunnersRateLimited,
       static_cast<double>(dispatcher.rateLimited()));
+  set(GaugeName::DomainsEvacuated,
+      static_cast<double>(dispatcher.evacuations().commanded().size()));
   set(GaugeName::RunnersCold, static_cast<double>(dispatcher.coldRunners()));
   if (dispatcher.catalogue())
     set(GaugeName::ConfigurationGeneration,
--- a/src/cowslipridge/gateway/PeerReportCodec.cpp
+++ b/src/cowslipridge/gateway/PeerReportCodec.cpp
@@ -20,6 +20,7 @@
 constexpr std::size_t CrashesIndex = 9;
 constexpr std::size_t RateLimitsIndex = 10;
 constexpr std::size_t ColdRunnersIndex = 11;
+constexpr std::size_t EvacuatedIndex = 12;
 constexpr std::size_t EvidenceIntervalsIndex = 9;
 // Positions in the entries on crashes.
 constexpr std::size_t BreakContentIndex = 5;
@@ -158,6 +159,13 @@
   return report;
 }
 
+json encode(const std::set<core::FailureDomainId> &domains) {
+  json names = json::array();
+  for (const core::FailureDomainId &it : domains)
+    names.push_back(it.str());
+  return names;
+}
+
 /// The decoded report was sent at time zero: earlier times are negative.
 CrashReport decodeCrashes(const json &message) {
   const auto traitOf = [](const json &it) {
@@ -254,6 +262,10 @@
     decodeRateLimits(message.at(RateLimitsIndex), report);
   if (message.size() > ColdRunnersIndex)
     report.Cold = decodeColdRunners(message.at(ColdRunnersIndex));
+  if (message.size() > EvacuatedIndex) {
+    for (const json &it : message.at(EvacuatedIndex))
+      report.Evacuated.insert(core::FailureDomainId(it.get<std::string>()));
+  }
   return report;
 }
 
@@ -272,7 +284,8 @@
                         encodePrompts(report),
                         encodeCrashes(report.Crashes),
                         encodeRateLimits(report),
-                        encode(report.Cold)};
+                        encode(report.Cold),
+                        encode(report.Evacuated)};
   std::string bytes;
   json::to_msgpack(message, bytes);
   return bytes;
--- a/src/cowslipridge/gateway/RunnerSelection.cpp
+++ b/src/cowslipridge/gateway/RunnerSelection.cpp
@@ -30,24 +30,19 @@
 /// Time that the transfer of a cached prefix takes whatever its size.
 constexpr double TransferSetupMillis = 10;
 
-/// Bounds the number of sessions in one report, so that it fits a datagram.
-constexpr std::size_t MaxReportedPins = 60;
-
 } // namespace
 
 RunnerSelection::RunnerSelection(const config::GatewaySettings &settings,
                                  const SelectionInputs &inputs)
-    : Domain(settings.Domain), SessionLifetime(settings.SessionLifetime),
-      Servers(inputs.Servers), Trials(inputs.Trials),
-      Ejections(inputs.Ejections), RateLimits(inputs.RateLimits),
-      Backoff(inputs.Backoff), Rejections(inputs.Rejections),
-      Forecast(inputs.Forecast), Cache(inputs.Cache) {}
+    : Domain(settings.Domain), Eligibility(inputs.Eligibility),
+      Rejections(inputs.Rejections), Forecast(inputs.Forecast),
+      Cache(inputs.Cache) {}
 
 std::optional<RunnerSelection::Candidate>
 RunnerSelection::choose(const RequestContext &request, ModelTier tier,
                         const std::vector<core::RunnerId> &excluded,
                         core::Millis now) const {
-  return bestOfPool(eligible(request, serviceOf(request), excluded, now),
+  return bestOfPool(Eligibility.eligible(request, excluded, now),
                     modelOf(request, tier), tier, request, now);
 }
 
@@ -62,126 +57,6 @@
                                                       candidate.UncachedTokens)
                                 .count()),
         now);
-  if (!request.Caller.Session.empty())
-    Pins.insert_or_assign(
-        request.Caller.Session.str(),
-        Pin{serviceOf(request), candidate.Server->Version, now});
-}
-
-std::vector<std::uint64_t>
-RunnerSelection::pinnedSessions(core::Millis now) const {
-  std::vector<std::uint64_t> hashes;
-  for (const auto &[session, pin] : Pins) {
-    const auto target = Trials.activeTarget(pin.Service);
-    const std::uint64_t hash = hashOf(session);
-    const bool isPinned = target && pin.Version != *target &&
-                          now - pin.UsedAt <= SessionLifetime &&
-                          Trials.hasStickySessions(pin.Service, now) &&
-                          Trials.isAssignedToTarget(pin.Service, hash);
-    if (isPinned && hashes.size() < MaxReportedPins)
-      hashes.push_back(hash);
-  }
-  return hashes;
-}
-
-void RunnerSelection::addRemotePins(const std::vector<std::uint64_t> &hashes,
-                                    core::Millis now) {
-  for (const std::uint64_t it : hashes)
-    RemotePins.insert_or_assign(it, now);
-}
-
-void RunnerSelection::tick(core::Millis now) {
-  std::erase_if(RemotePins, [&](const auto &it) {
-    return now - it.second > SessionLifetime;
-  });
-  std::erase_if(Pins, [&](const auto &pin) {
-    return now - pin.second.UsedAt > SessionLifetime * 2;
-  });
-}
-
-ServerList RunnerSelection::serving(const RequestContext &request,
-                                    const core::ServiceId &service,
-                                    core::Millis now) const {
-  ServerList servers;
-  for (const auto &[id, server] : Servers.all()) {
-    const bool usable = server.Service == service && !server.Draining &&
-                        !Trials.isBanned(service, server.Version);
-    if (usable)
-      servers.push_back(&server);
-  }
-  filterByVersion(request, service, servers, now);
-  return servers;
-}
-
-core::Millis
-RunnerSelection::unavailableFor(const membership::BackendServer &server,
-                                core::Millis now) const {
-  return std::max(Backoff.remaining(server.Id, server.StartedAt, now),
-                  RateLimits.remaining(server.Id, now));
-}
-
-core::Millis RunnerSelection::timeUntilAvailable(const RequestContext &request,
-                                                 core::Millis now) const {
-  std::optional<core::Millis> shortest;
-  for (const auto *server : serving(request, serviceOf(request), now)) {
-    const core::Millis remaining = unavailableFor(*server, now);
-    shortest = std::min(shortest.value_or(remaining), remaining);
-  }
-  return shortest.value_or(core::Millis());
-}
-
-ServerList RunnerSelection::eligible(
-    const RequestContext &request, const core::ServiceId &service,
-    const std::vector<core::RunnerId> &excluded, core::Millis now) const {
-  ServerList servers = serving(request, service, now);
-  std::erase_if(servers, [&](const auto *it) {
-    return std::find(excluded.begin(), excluded.end(), it->Id) !=
-               excluded.end() ||
-           unavailableFor(*it, now) > core::Millis();
-  });
-  // Ejected runners are used when there is no healthy one.
-  const auto healthy = std::stable_partition(
-      servers.begin(), servers.end(),
-      [&](const auto *it) { return !Ejections.isEjected(it->Id, now); });
-  if (healthy != servers.begin())
-    servers.erase(healthy, servers.end());
-  return servers;
-}
-
-void RunnerSelection::filterByVersion(const RequestContext &request,
-                                      const core::ServiceId &service,
-                                      ServerList &servers,
-                                      core::Millis now) const {
-  using Choice = rollout::TrialControl::Choice;
-  auto choice = Trials.choose(service, sessionHashOf(request), now);
-  if (choice.Versions == Choice::Any)
-    return;
-  const auto isTarget = [&](const auto *it) {
-    return it->Version == choice.Target;
-  };
-  const auto pin = Pins.find(request.Caller.Session.str());
-  const bool pinned = !request.Caller.Session.empty() && pin != Pins.end() &&
-                      now - pin->second.UsedAt <= SessionLifetime;
-  if (pinned && Trials.hasStickySessions(service, now))
-    choice.Versions =
-        pin->second.Version == choice.Target ? Choice::Target : Choice::Stable;
-  const bool pinnedElsewhere = !pinned &&
-                               RemotePins.contains(sessionHashOf(request)) &&
-                               Trials.hasStickySessions(service, now);
-  if (pinnedElsewhere)
-    choice.Versions = Choice::Stable;
-  // New sessions start on the stable version until the target has runners.
-  const auto &all = Servers.all();
-  const bool targetServes =
-      std::any_of(all.begin(), all.end(), [&](const auto &it) {
-        return it.second.Service == service && !it.second.Draining &&
-               isTarget(&it.second);
-      });
-  if (choice.Versions == Choice::Target && !targetServes && !pinned)
-    choice.Versions = Choice::Stable;
-  std::erase_if(servers, [&](const auto *it) {
-    return isTarget(it) != (choice.Versions == Choice::Target);
-  });
 }
 
 double RunnerSelection::congestionOf(const ServerList &servers) const {
@@ -316,7 +191,7 @@
                           core::Millis now) const {
   const core::ServiceId service = serviceOf(request);
   const auto servers =
-      poolOf(eligible(request, service, {}, now), request, tier);
+      poolOf(Eligibility.eligible(request, {}, now), request, tier);
   const auto candidate = best(servers, modelOf(request, tier), request, now);
   if (!candidate)
     return std::nullopt;
--- a/src/cowslipridge/gateway/RunnerSelection.hpp
+++ b/src/cowslipridge/gateway/RunnerSelection.hpp
@@ -3,12 +3,8 @@
 #include "cowslipridge/config/GatewaySettings.hpp"
 #include "cowslipridge/gateway/Placement.hpp"
 #include "cowslipridge/gateway/PromptLocation.hpp"
-#include "cowslipridge/limits/Ejections.hpp"
+#include "cowslipridge/gateway/RunnerEligibility.hpp"
 #include "cowslipridge/limits/RejectionRates.hpp"
-#include "cowslipridge/limits/RunnerBackoff.hpp"
-#include "cowslipridge/limits/RunnerRateLimits.hpp"
-#include "cowslipridge/membership/ServerRegistry.hpp"
-#include "cowslipridge/rollout/TrialControl.hpp"
 #include "cowslipridge/route/ModelCascade.hpp"
 #include "cowslipridge/route/ModelPools.hpp"
 #include "cowslipridge/route/PrefillForecast.hpp"
@@ -16,18 +12,13 @@
 
 #include <optional>
 #include <string>
-#include <unordered_map>
 #include <vector>
 
 namespace cowslipridge::gateway {
 
 /// The state that a selection reads; must outlive it.
 struct SelectionInputs {
-  const membership::ServerRegistry &Servers;
-  const rollout::TrialControl &Trials;
-  const limits::Ejections &Ejections;
-  const limits::RunnerRateLimits &RateLimits;
-  const limits::RunnerBackoff &Backoff;
+  const RunnerEligibility &Eligibility;
   const limits::RejectionRates &Rejections;
   const route::PrefillForecast &Forecast;
   const route::PromptCache &Cache;
@@ -55,11 +46,6 @@
   [[nodiscard]] std::optional<Candidate>
   choose(const RequestContext &request, ModelTier tier,
          const std::vector<core::RunnerId> &excluded, core::Millis now) const;
-  /// Returns the time until the first runner that serves the request takes
-  /// requests again; zero unless all of them asked for a backoff or reached
-  /// their rate limit.
-  [[nodiscard]] core::Millis timeUntilAvailable(const RequestContext &request,
-                                                core::Millis now) const;
   /// Forecasts the latency of the request in the tier's pool. Returns nothing
   /// when no runner serves it.
   [[nodiscard]] std::optional<route::TierForecast>
@@ -68,39 +54,8 @@
   /// Records that the request is sent to the candidate.
   void onSelected(const RequestContext &request, ModelTier tier,
                   const Candidate &candidate, core::Millis now);
-  /// Returns the hashes of the ids of active sessions that a roll-out targets,
-  /// but which stay on their version through its first half. Other gateways
-  /// need them.
-  [[nodiscard]] std::vector<std::uint64_t>
-  pinnedSessions(core::Millis now) const;
-  /// Adds the sessions that another gateway has pinned.
-  void addRemotePins(const std::vector<std::uint64_t> &hashes,
-                     core::Millis now);
-  /// Erases expired sessions.
-  void tick(core::Millis now);
 
 private:
-  struct Pin {
-    core::ServiceId Service;
-    core::VersionId Version;
-    core::Millis UsedAt;
-  };
-
-  /// Returns the time until the runner takes a request of this gateway.
-  [[nodiscard]] core::Millis
-  unavailableFor(const membership::BackendServer &server,
-                 core::Millis now) const;
-  /// Returns the runners that serve the request.
-  ServerList serving(const RequestContext &request,
-                     const core::ServiceId &service, core::Millis now) const;
-  /// Returns those that take requests now, other than `excluded`.
-  ServerList eligible(const RequestContext &request,
-                      const core::ServiceId &service,
-                      const std::vector<core::RunnerId> &excluded,
-                      core::Millis now) const;
-  void filterByVersion(const RequestContext &request,
-                       const core::ServiceId &service, ServerList &servers,
-                       core::Millis now) const;
   /// Returns the mean number of requests that a prefill delays at a server.
   [[nodiscard]] double congestionOf(const ServerList &servers) const;
   Candidate evaluate(const membership::BackendServer &server,
@@ -127,20 +82,11 @@
                                       core::Millis now) const;
 
   const core::FailureDomainId Domain;
-  const core::Millis SessionLifetime;
-  const membership::ServerRegistry &Servers;
-  const rollout::TrialControl &Trials;
-  const limits::Ejections &Ejections;
-  const limits::RunnerRateLimits &RateLimits;
-  const limits::RunnerBackoff &Backoff;
+  const RunnerEligibility &Eligibility;
   const limits::RejectionRates &Rejections;
   const route::PrefillForecast &Forecast;
   const route::PromptCache &Cache;
   route::ModelPools Pools;
-  std::unordered_map<std::string, Pin> Pins; ///< by session id
-  /// Hashes of sessions that other gateways keep on the stable version, with
-  /// the time of the last report.
-  std::unordered_map<std::uint64_t, core::Millis> RemotePins;
 };
 
 } // namespace cowslipridge::gateway
--- a/src/cowslipridge/observe/EventCatalogue.cpp
+++ b/src/cowslipridge/observe/EventCatalogue.cpp
@@ -86,6 +86,11 @@
                    "is limited until more is known."},
     CatalogueEntry{RunnerCold, Info, "runner-cold",
                    "A runner is cold, or may be; its load is limited."},
+    CatalogueEntry{EvacuationOrdered, Warning, "evacuation-ordered",
+                   "A failure domain is evacuated; its runners get nothing "
+                   "new."},
+    CatalogueEntry{EvacuationEnded, Info, "evacuation-ended",
+                   "A failure domain is in service again."},
     CatalogueEntry{RequestReceived, Info, "request-received",
                    "A caller's request arrived."},
     CatalogueEntry{RequestRouted, Info, "request-routed",
--- a/src/cowslipridge/observe/EventCatalogue.hpp
+++ b/src/cowslipridge/observe/EventCatalogue.hpp
@@ -43,6 +43,8 @@
   ContentQuarantined = 320,
   RunnerSuspected = 321,
   RunnerCold = 322,
+  EvacuationOrdered = 324,
+  EvacuationEnded = 325,
 
   RequestReceived = 400,
   RequestRouted = 401,
--- a/src/cowslipridge/observe/Metrics.cpp
+++ b/src/cowslipridge/observe/Metrics.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 constexpr std::size_t CounterCount = 11;
-constexpr std::size_t GaugeCount = 17;
+constexpr std::size_t GaugeCount = 18;
 constexpr std::size_t HistogramCount = 4;
 constexpr double MillisPerSecond = 1'000;
 
@@ -61,6 +61,8 @@
          "Runners that named the rate of requests that they take."},
         {"cowslipridge_contents_quarantined",
          "Requests that crash runners and are rejected."},
+        {"cowslipridge_domains_evacuated",
+         "Failure domains that operators have evacuated."},
         {"cowslipridge_runners_cold",
          "Runners whose load is limited because they are cold."},
         {"cowslipridge_request_seconds",
--- a/src/cowslipridge/observe/Metrics.hpp
+++ b/src/cowslipridge/observe/Metrics.hpp
@@ -44,6 +44,7 @@
   SegmentsQuarantined, ///< prompt segments that are kept from runners
   RunnersRateLimited,  ///< runners that named a rate limit
   ContentsQuarantined, ///< requests that are kept from runners
+  DomainsEvacuated,    ///< failure domains whose runners get nothing new
   RunnersCold,         ///< runners whose load is limited as they are cold
 };
 
--- a/src/cowslipridge/platform/Documents.cpp
+++ b/src/cowslipridge/platform/Documents.cpp
@@ -40,6 +40,15 @@
              : catalogue::RouteKind::Stream;
 }
 
+std::vector<std::string> parseRegions(const Json &object) {
+  std::vector<std::string> regions;
+  for (const Json &it : arrayAt(object, "allowedRegions")) {
+    if (it.is_string())
+      regions.push_back(it.get<std::string>());
+  }
+  return regions;
+}
+
 std::vector<catalogue::WeightedService> parseRouteServices(const Json &route) {
   std::vector<catalogue::WeightedService> services;
   for (const Json &it : arrayAt(route, "trafficSplit")) {
@@ -80,6 +89,7 @@
     if (it.is_string())
       route.Models.push_back(it.get<std::string>());
   }
+  route.HomeRegions = parseRegions(json);
   route.Services = std::move(services);
   return route;
 }
@@ -130,6 +140,7 @@
     if (it.is_string())
       organisation.ApiKeys.push_back(it.get<std::string>());
   }
+  organisation.HomeRegions = parseRegions(json);
   if (const auto priority = integerAt(json, "priority"))
     organisation.Priority = static_cast<int>(*priority);
   return organisation;
--- a/src/cowslipridge/platform/StoreControlPlane.cpp
+++ b/src/cowslipridge/platform/StoreControlPlane.cpp
@@ -18,6 +18,7 @@
 
 constexpr std::string_view ConfigurationKey = "op/config";
 constexpr std::string_view RolloutPrefix = "op/rollout/";
+constexpr std::string_view EvacuationPrefix = "op/evacuate/";
 constexpr std::string_view ServerPrefix = "servers/";
 /// Written by gateways only.
 constexpr std::string_view PeerPrefix = "cowslipridge/peers/";
@@ -84,6 +85,7 @@
     report(gateway::ControlPlaneRestored{});
   }
   reportRemovedPeers(listing);
+  reportEvacuations(listing);
   reportServers(listing);
   reportRollouts(listing);
   for (const StoreItem &it : listing.Items)
@@ -116,6 +118,17 @@
   report(servers);
 }
 
+// The key alone is the command, whatever its value.
+void StoreControlPlane::reportEvacuations(const StoreListing &listing) {
+  gateway::EvacuationsListed list;
+  list.AfterRestore = listing.AfterRestore;
+  for (const StoreItem &it : listing.Items) {
+    if (const auto domain = stripPrefix(EvacuationPrefix, it.Key))
+      list.Domains.insert(core::FailureDomainId(*domain));
+  }
+  report(list);
+}
+
 void StoreControlPlane::reportRollouts(const StoreListing &listing) {
   Records.clear();
   for (const StoreItem &it : listing.Items)
@@ -148,6 +161,8 @@
     applyServer(*server, item);
   else if (const auto rolloutService = stripPrefix(RolloutPrefix, item.Key))
     applyOrder(*rolloutService, item);
+  else if (const auto domain = stripPrefix(EvacuationPrefix, item.Key))
+    applyEvacuation(*domain, item);
   else
     applyRecord(item);
   apply(item);
@@ -200,6 +215,15 @@
   report(gateway::ServerRemoved{core::RunnerId(id)});
 }
 
+void StoreControlPlane::applyEvacuation(const std::string &domain,
+                                        const StoreItem &item) {
+  const core::FailureDomainId name(domain);
+  if (item.Deleted)
+    report(gateway::EvacuationWithdrawn{name});
+  else
+    report(gateway::EvacuationChanged{name});
+}
+
 void StoreControlPlane::applyOrder(const std::string &service,
                                    const StoreItem &item) {
   const auto order = parseRolloutOrder(item.Value);
--- a/src/cowslipridge/platform/StoreControlPlane.hpp
+++ b/src/cowslipridge/platform/StoreControlPlane.hpp
@@ -46,12 +46,14 @@
   void applyListing(const StoreListing &listing);
   void reportRemovedPeers(const StoreListing &listing);
   void reportServers(const StoreListing &listing);
+  void reportEvacuations(const StoreListing &listing);
   void reportRollouts(const StoreListing &listing);
   void applyChange(const StoreItem &item);
   /// Applies an item of a kind of which a listing reports each item separately.
   void apply(const StoreItem &item);
   void applyConfiguration(const StoreItem &item);
   void applyServer(const std::string &id, const StoreItem &item);
+  void applyEvacuation(const std::string &domain, const StoreItem &item);
   void applyOrder(const std::string &service, const StoreItem &item);
   void applyRecord(const StoreItem &item);
   void applyQuarantine(const StoreItem &item);
--- a/tests/unit/config/GatewaySettingsTest.cpp
+++ b/tests/unit/config/GatewaySettingsTest.cpp
@@ -13,6 +13,7 @@
                              "readiness = 10.1.0.40:8220\n"
                              "peers = 10.1.0.40:7340\n"
                              "metrics = 10.1.0.40:9464\n"
+                             "[regions]\nkochi-a = kerala\ntvm-a = kerala\n"
                              "[store]\naddress = 10.200.1.7:8223\n"
                              "[promises]\nretry_ratio = 0.9\n"
                              "retry_window = 10s\nretry_allowance = 54\n"
@@ -35,6 +36,8 @@
   EXPECT_EQ(settings->SessionLifetime, core::Millis(5'000));
   EXPECT_EQ(settings->ConfigurationDeadline, core::Millis(4'000));
   EXPECT_EQ(settings->DrainDeadline, core::Millis(3'000));
+  EXPECT_EQ(settings->Regions.size(), 2U);
+  EXPECT_EQ(settings->Regions.at(core::FailureDomainId("tvm-a")), "kerala");
 }
 
 TEST(GatewaySettingsTest, reportsAllFindingsTogether) {
@@ -58,7 +61,8 @@
   const std::string addresses = "[listen]\ncallers = 10.1.0.40:8227\n"
                                 "readiness = 10.1.0.40:8220\n"
                                 "peers = 10.1.0.40:7340\n"
-                                "[store]\naddress = 10.200.1.7:8223\n";
+                                "[regions]\nkochi-a = kerala\ntvm-a = kerala\n"
+                             "[store]\naddress = 10.200.1.7:8223\n";
   core::Findings findings;
   const auto settings = parseGatewaySettings(
       "[process]\ninstance = a\nfailure_domain = b\ngrace_period = 8.25s\n" +
