--- a/tests/unit/config/GatewaySettingsTest.cpp
+++ b/tests/unit/config/GatewaySettingsTest.cpp
@@ -62,7 +62,7 @@
                                 "readiness = 10.1.0.40:8220\n"
                                 "peers = 10.1.0.40:7340\n"
                                 "[regions]\nkochi-a = kerala\ntvm-a = kerala\n"
-                             "[store]\naddress = 10.200.1.7:8223\n";
+                                "[store]\naddress = 10.200.1.7:8223\n";
   core::Findings findings;
   const auto settings = parseGatewaySettings(
       "[process]\ninstance = a\nfailure_domain = b\ngrace_period = 8.25s\n" +
