Do not reject callers on account of an assumed cold phase

Ruled out: no assumption at all (a gateway that starts beside others sees a cold runner idle); larger shares (their sum would meet the bound). Change: a limit that is only assumed gives way when nothing else is left.

--- a/src/cowslipridge/gateway/DispatcherColdRunners.cpp
+++ b/src/cowslipridge/gateway/DispatcherColdRunners.cpp
@@ -35,7 +35,7 @@
                             double factor) {
   const double spare = (allowance.Overshoot - 1) * perSecond + allowance.Fixed;
   const double gateways = std::max(1.0, std::floor(SavedShare * spare));
-  return {perSecond * factor, static_cast<unsigned>(gateways * factor)};
+  return {perSecond * factor, static_cast<unsigned>(gateways * factor), false};
 }
 
 } // namespace
@@ -124,6 +124,8 @@
   std::optional<limits::ColdLimit> limit;
   if (isLimited)
     limit = makeLimit(service->ColdPerSecond, Settings.Cold, factorOf(step));
+  if (limit)
+    limit->IsAssumed = Cold.isAssumed(server.Id, now);
   RateLimits.setColdLimit(server.Id, limit, now);
 }
 
--- a/src/cowslipridge/gateway/RunnerEligibility.cpp
+++ b/src/cowslipridge/gateway/RunnerEligibility.cpp
@@ -111,6 +111,23 @@
   return isEvacuated ? EvacuationRetryAfter : core::Millis();
 }
 
+// After the loss of all gateways, all runners are assumed to be cold. Their
+// limits would leave requests without a runner although each can take them: as
+// all look alike, none gets more than its part.
+ServerList RunnerEligibility::available(const ServerList &servers,
+                                        core::Millis now) const {
+  ServerList available;
+  ServerList assumed;
+  for (const auto *it : servers) {
+    if (unavailableFor(*it, now) <= core::Millis())
+      available.push_back(it);
+    else if (RateLimits.mayExceed(it->Id) &&
+             Backoff.remaining(it->Id, it->StartedAt, now) <= core::Millis())
+      assumed.push_back(it);
+  }
+  return available.empty() ? assumed : available;
+}
+
 ServerList
 RunnerEligibility::eligible(const RequestContext &request,
                             const std::vector<core::RunnerId> &excluded,
@@ -118,9 +135,9 @@
   ServerList servers = serving(request, now);
   std::erase_if(servers, [&](const auto *it) {
     return std::find(excluded.begin(), excluded.end(), it->Id) !=
-               excluded.end() ||
-           unavailableFor(*it, now) > core::Millis();
+           excluded.end();
   });
+  servers = available(servers, now);
   // Ejected runners are used when there is no healthy one.
   const auto healthy = std::stable_partition(
       servers.begin(), servers.end(),
--- a/src/cowslipridge/gateway/RunnerEligibility.hpp
+++ b/src/cowslipridge/gateway/RunnerEligibility.hpp
@@ -69,6 +69,10 @@
   [[nodiscard]] core::Millis
   unavailableFor(const membership::BackendServer &server,
                  core::Millis now) const;
+  /// Returns those of `servers` that take requests of this gateway now. When
+  /// the limits of all are used up, those with a limit that is only assumed.
+  [[nodiscard]] ServerList available(const ServerList &servers,
+                                     core::Millis now) const;
   /// Returns the runners that serve the request.
   [[nodiscard]] ServerList serving(const RequestContext &request,
                                    core::Millis now) const;
--- a/src/cowslipridge/limits/RunnerRateLimits.cpp
+++ b/src/cowslipridge/limits/RunnerRateLimits.cpp
@@ -155,6 +155,12 @@
   return missing <= 0 ? core::Millis() : toMillis(missing / limit.Share);
 }
 
+bool RunnerRateLimits::mayExceed(const core::RunnerId &runner) const {
+  const auto it = Limits.find(runner);
+  return it != Limits.end() && it->second.Cold && it->second.Cold->IsAssumed &&
+         !it->second.Stated;
+}
+
 std::vector<ReportedRateLimit>
 RunnerRateLimits::report(core::Millis now) const {
   std::vector<ReportedRateLimit> reported;
--- a/src/cowslipridge/limits/RunnerRateLimits.hpp
+++ b/src/cowslipridge/limits/RunnerRateLimits.hpp
@@ -35,6 +35,8 @@
   /// Gateways that may use the runner: each of them may have saved up one
   /// request when the runner turns cold.
   unsigned MaxGateways = 1;
+  /// The runner is only assumed to be cold, as this gateway has just started.
+  bool IsAssumed = false;
   friend auto operator<=>(const ColdLimit &, const ColdLimit &) = default;
 };
 
@@ -66,6 +68,9 @@
   /// it may now.
   [[nodiscard]] core::Millis remaining(const core::RunnerId &runner,
                                        core::Millis now) const;
+  /// Returns whether the runner may be sent requests over its limit if all
+  /// others are used up: the limit rests on an assumption alone.
+  [[nodiscard]] bool mayExceed(const core::RunnerId &runner) const;
   /// Returns the limits, and those that ended a short time ago.
   [[nodiscard]] std::vector<ReportedRateLimit> report(core::Millis now) const;
   /// Returns the number of runners that state a limit.
--- a/src/cowslipridge/membership/ColdRunners.cpp
+++ b/src/cowslipridge/membership/ColdRunners.cpp
@@ -94,6 +94,17 @@
   return it != Records.end() && it->second.SuspectedSince;
 }
 
+bool ColdRunners::isAssumed(const core::RunnerId &runner,
+                            core::Millis now) const {
+  const auto it = Records.find(runner);
+  if (it == Records.end() || now >= it->second.AssumedUntil)
+    return false;
+  const Record &record = it->second;
+  const bool isKnown =
+      record.SuspectedSince || (record.ColdUntil && now < *record.ColdUntil);
+  return !isKnown;
+}
+
 WarmUpStep ColdRunners::step(const core::RunnerId &runner,
                              core::Millis now) const {
   const auto it = Records.find(runner);
--- a/src/cowslipridge/membership/ColdRunners.hpp
+++ b/src/cowslipridge/membership/ColdRunners.hpp
@@ -67,6 +67,10 @@
   void removeRunner(const core::RunnerId &runner) { Records.erase(runner); }
 
   [[nodiscard]] bool isSuspected(const core::RunnerId &runner) const;
+  /// Returns whether the runner counts as cold only because this gateway has
+  /// just started.
+  [[nodiscard]] bool isAssumed(const core::RunnerId &runner,
+                               core::Millis now) const;
   [[nodiscard]] WarmUpStep step(const core::RunnerId &runner,
                                 core::Millis now) const;
   /// Returns the cold and the suspected runners.
--- a/tests/unit/gateway/RunnerEligibilityTest.cpp
+++ b/tests/unit/gateway/RunnerEligibilityTest.cpp
@@ -130,6 +130,20 @@
   EXPECT_EQ(Gateway->coldRunners(), 4U);
 }
 
+// Guards against rejected callers after the loss of all gateways: each assumes
+// that all runners are cold.
+TEST_F(RunnerEligibilityTest, aLimitThatIsOnlyAssumedRejectsNoCaller) {
+  catalogue::Catalogue declared = Declared->catalogue();
+  declared.Services.front().ColdStart = Millis(3'000);
+  declared.Services.front().ColdPerSecond = 1;
+  Declared = std::make_shared<catalogue::CatalogueIndex>(declared);
+  Gateway->setCatalogue(Declared);
+  Gateway->onStartedBesidePeers(Now);
+  EXPECT_EQ(Gateway->coldRunners(), 8U);
+  for (int n = 0; n < RequestCount; ++n)
+    EXPECT_TRUE(std::holds_alternative<Placement>(place()));
+}
+
 TEST_F(RunnerEligibilityTest, homesOfRouteAndOrganisationBothApply) {
   setHomes({"kerala"}, {});
   EXPECT_EQ(domainsInUse(), Domains{North});
