Suspect a runner of a restart only when it cannot be reached

Cause: timeouts and broken connections counted as signs of a restart. Ruled out: the assumption at the start of a gateway (it rejected callers, mended before; the losses began long before the first restart). Change: only an attempt without a connection raises the suspicion.

--- a/src/cowslipridge/gateway/Dispatcher.hpp
+++ b/src/cowslipridge/gateway/Dispatcher.hpp
@@ -171,7 +171,6 @@
     bool IsStream = false;
     core::Millis SentAt;
     core::Millis Predicted;
-    bool Responded = false; ///< a response began, of whatever status
     bool Answered = false;
     // Of a stream: its events, how many came with the first of them, and the
     // other requests at the runner when it was sent.
@@ -196,8 +195,8 @@
                    const ResponseAttributes &response, core::Millis now);
   void onStatement(const limits::RateLimitStatement &statement, core::Millis at,
                    core::Millis now);
-  /// Handles an attempt that ended without any response.
-  void onUnresponsive(const ActiveAttempt &attempt, core::Millis now);
+  /// Handles an attempt that did not reach its runner.
+  void onUnreachable(const ActiveAttempt &attempt, core::Millis now);
   /// Handles a response: the runner is within reach.
   void onResponsive(const ActiveAttempt &attempt, core::Millis now);
   void onDomainReturned(const core::FailureDomainId &domain, core::Millis now);
--- a/src/cowslipridge/gateway/DispatcherColdRunners.cpp
+++ b/src/cowslipridge/gateway/DispatcherColdRunners.cpp
@@ -88,11 +88,10 @@
   }
 }
 
-void Dispatcher::onUnresponsive(const ActiveAttempt &attempt,
-                                core::Millis now) {
+void Dispatcher::onUnreachable(const ActiveAttempt &attempt, core::Millis now) {
   if (coldStartOf(attempt.Runner) == core::Millis())
     return;
-  if (!Cold.onUnresponsive(attempt.Runner, attempt.RunnerStartedAt, now))
+  if (!Cold.onUnreachable(attempt.Runner, attempt.RunnerStartedAt, now))
     return;
   UrgentReport = true;
   if (const auto *server = Servers.find(attempt.Runner))
--- a/src/cowslipridge/gateway/DispatcherOutcomes.cpp
+++ b/src/cowslipridge/gateway/DispatcherOutcomes.cpp
@@ -21,10 +21,8 @@
   if (it == ActiveAttempts.end())
     return;
   onNotices(it->second, response, now);
-  if (response.Status != MisdirectedRequest) {
-    it->second.Responded = true;
+  if (response.Status != MisdirectedRequest)
     onResponsive(it->second, now);
-  }
   // A rejection or a failure says nothing about the time to the first token.
   const bool hasAnswer = !response.NotRun && response.Status < FirstErrorStatus;
   if (!hasAnswer)
@@ -126,11 +124,10 @@
     return;
   const ActiveAttempt attempt = it->second;
   ActiveAttempts.erase(it);
-  const bool hasNoResponse = outcome == AttemptOutcome::Unreachable ||
-                             outcome == AttemptOutcome::TimedOut ||
-                             outcome == AttemptOutcome::Broken;
-  if (hasNoResponse && !attempt.Responded)
-    onUnresponsive(attempt, now);
+  // A timeout or a broken connection alone shows no restart: under load, slow
+  // runners would lose their load to others, which would then be slow.
+  if (outcome == AttemptOutcome::Unreachable)
+    onUnreachable(attempt, now);
   rollout::AnswerCounts &counts =
       OwnEvidence[{attempt.Service, attempt.Version, attempt.Route}];
   switch (outcome) {
--- a/src/cowslipridge/gateway/Placement.hpp
+++ b/src/cowslipridge/gateway/Placement.hpp
@@ -111,7 +111,7 @@
                           const LeavingAnnounced &) = default;
 };
 
-/// A runner does not respond and may have restarted: until more is known, it
+/// A runner is out of reach and may have restarted: until more is known, it
 /// counts as cold.
 struct RunnerSuspected {
   core::RunnerId Runner;
--- a/src/cowslipridge/membership/ColdRunners.cpp
+++ b/src/cowslipridge/membership/ColdRunners.cpp
@@ -38,8 +38,8 @@
     record->AssumedUntil = now + coldStart;
 }
 
-bool ColdRunners::onUnresponsive(const core::RunnerId &runner,
-                                 core::Millis startedAt, core::Millis now) {
+bool ColdRunners::onUnreachable(const core::RunnerId &runner,
+                                core::Millis startedAt, core::Millis now) {
   Record *record = recordOf(runner, startedAt);
   if (record == nullptr)
     return false;
--- a/src/cowslipridge/membership/ColdRunners.hpp
+++ b/src/cowslipridge/membership/ColdRunners.hpp
@@ -52,10 +52,10 @@
   /// counts it as cold for `coldStart`, or until a peer knows more.
   void assumeCold(const BackendServer &server, core::Millis coldStart,
                   core::Millis now);
-  /// Handles an attempt without any response. Returns whether the runner is
-  /// suspected from now on.
-  bool onUnresponsive(const core::RunnerId &runner, core::Millis startedAt,
-                      core::Millis now);
+  /// Handles an attempt that did not reach the runner. Returns whether the
+  /// runner is suspected from now on.
+  bool onUnreachable(const core::RunnerId &runner, core::Millis startedAt,
+                     core::Millis now);
   /// Handles a response to a request that was sent at `sentAt`. A runner that
   /// answers what it got before it was suspected has not restarted; any other
   /// one is cold from now on, for `coldStart`. Returns whether that is new.
@@ -84,7 +84,7 @@
     core::Millis StartedAt;
     std::optional<core::Millis> ColdUntil;
     core::Millis AssumedUntil; ///< not reported: nothing is known
-    /// Time of the first attempt without a response; none unless suspected.
+    /// Time of the first attempt that did not reach it; none unless suspected.
     std::optional<core::Millis> SuspectedSince;
     /// Last report of a peer, if only peers suspect the runner.
     std::optional<core::Millis> ReportedAt;
--- a/src/cowslipridge/observe/EventCatalogue.cpp
+++ b/src/cowslipridge/observe/EventCatalogue.cpp
@@ -82,7 +82,7 @@
                    "A request that crashes runners is rejected, whatever its "
                    "id."},
     CatalogueEntry{RunnerSuspected, Warning, "runner-suspected",
-                   "A runner does not respond and may have restarted; its load "
+                   "A runner is out of reach and may have restarted; its load "
                    "is limited until more is known."},
     CatalogueEntry{RunnerCold, Info, "runner-cold",
                    "A runner is cold, or may be; its load is limited."},
--- a/tests/unit/membership/ColdRunnersTest.cpp
+++ b/tests/unit/membership/ColdRunnersTest.cpp
@@ -40,8 +40,8 @@
 // whole load at once when it is back.
 TEST(ColdRunnersTest, aRunnerThatWasOutOfReachIsColdWhenItIsBack) {
   ColdRunners runners = warmRunner();
-  EXPECT_TRUE(runners.onUnresponsive(Runner, FirstStart, Millis(1'000)));
-  EXPECT_FALSE(runners.onUnresponsive(Runner, FirstStart, Millis(1'100)));
+  EXPECT_TRUE(runners.onUnreachable(Runner, FirstStart, Millis(1'000)));
+  EXPECT_FALSE(runners.onUnreachable(Runner, FirstStart, Millis(1'100)));
   EXPECT_EQ(runners.step(Runner, Millis(60'000)), WarmUpStep::Cold);
   EXPECT_TRUE(runners.onResponse(Runner, FirstStart, Millis(59'900), ColdStart,
                                  Millis(60'000)));
@@ -52,7 +52,7 @@
 // Guards against runners that lose their load after a single lost connection.
 TEST(ColdRunnersTest, anAnswerToAnEarlierRequestShowsThatItHasNotRestarted) {
   ColdRunners runners = warmRunner();
-  runners.onUnresponsive(Runner, FirstStart, Millis(1'000));
+  runners.onUnreachable(Runner, FirstStart, Millis(1'000));
   EXPECT_FALSE(runners.onResponse(Runner, FirstStart, Millis(900), ColdStart,
                                   Millis(1'200)));
   EXPECT_EQ(runners.step(Runner, Millis(1'200)), WarmUpStep::Warm);
@@ -60,18 +60,18 @@
 
 TEST(ColdRunnersTest, aLaterIncarnationEndsWhatWasKnown) {
   ColdRunners runners = warmRunner();
-  runners.onUnresponsive(Runner, FirstStart, Millis(1'000));
+  runners.onUnreachable(Runner, FirstStart, Millis(1'000));
   runners.onEntry(entry(SecondStart), Millis(1'100));
   EXPECT_EQ(runners.step(Runner, Millis(1'100)), WarmUpStep::Warm);
   // An attempt at the earlier incarnation ends late.
-  EXPECT_FALSE(runners.onUnresponsive(Runner, FirstStart, Millis(1'200)));
+  EXPECT_FALSE(runners.onUnreachable(Runner, FirstStart, Millis(1'200)));
   EXPECT_EQ(runners.step(Runner, Millis(1'200)), WarmUpStep::Warm);
 }
 
 TEST(ColdRunnersTest, peersShareWhatTheyKnow) {
   ColdRunners observer = warmRunner();
   ColdRunners other = warmRunner();
-  observer.onUnresponsive(Runner, FirstStart, Millis(1'000));
+  observer.onUnreachable(Runner, FirstStart, Millis(1'000));
   other.onPeerReport(observer.report(Millis(1'000)), Millis(1'010));
   EXPECT_EQ(other.step(Runner, Millis(1'010)), WarmUpStep::Cold);
   // What rests on reports is not reported on.
