End suspicions of cold runners, and keep commands through a second listing

Cause: a gateway that suspected a runner, and is none of those that use it while it is cold, never got a response and limited the runner for ever. An entry that was listed again prolonged the cold phase. A suspicion was lost when the entry expired meanwhile. A listing that followed the one after a restore ended the periods in which missing commands hold and old ones are deferred. Ruled out: sending requests of such a gateway as a trial, which exceeds the rate. Change: a peer's cold phase that began after the suspicion ends it; an entry counts once; what is known of a removed runner is kept for two minutes; later listings leave the periods of a restore as they are, and a deferred command that is missing again is dropped.

--- a/src/cowslipridge/gateway/DispatcherReports.cpp
+++ b/src/cowslipridge/gateway/DispatcherReports.cpp
@@ -15,7 +15,9 @@
       onStatement(it.Statement, now - it.Age, now);
   }
   Evacuated.onPeerReport(report.Evacuated, now);
-  Cold.onPeerReport(report.Cold, now);
+  Cold.onPeerReport(
+      report.Cold, [this](const core::RunnerId &it) { return coldStartOf(it); },
+      now);
   for (const membership::ColdRunner &it : report.Cold.Runners) {
     if (const auto *server = Servers.find(it.Runner))
       limitByWarmth(*server, now);
--- a/src/cowslipridge/membership/ColdRunners.cpp
+++ b/src/cowslipridge/membership/ColdRunners.cpp
@@ -4,15 +4,20 @@
 
 namespace cowslipridge::membership {
 
+ColdRunners::Record ColdRunners::makeRecord(core::Millis startedAt) {
+  Record record;
+  record.StartedAt = startedAt;
+  return record;
+}
+
 ColdRunners::Record *ColdRunners::recordOf(const core::RunnerId &runner,
                                            core::Millis startedAt) {
   Record &record =
-      Records.try_emplace(runner, Record{startedAt, {}, {}, {}, {}})
-          .first->second;
+      Records.try_emplace(runner, makeRecord(startedAt)).first->second;
   if (startedAt < record.StartedAt)
     return nullptr;
   if (startedAt > record.StartedAt)
-    record = Record{startedAt, {}, {}, {}, {}};
+    record = makeRecord(startedAt);
   return &record;
 }
 
@@ -20,9 +25,30 @@
   record.ColdUntil = std::max(record.ColdUntil.value_or(until), until);
 }
 
+// A runner is listed again after its entry was gone.
+void ColdRunners::restore(const BackendServer &server, core::Millis now) {
+  const auto it = Records.find(server.Id);
+  if (it == Records.end() || !it->second.Removed)
+    return;
+  Record &record = it->second;
+  if (record.StartedAt != server.StartedAt)
+    record = makeRecord(server.StartedAt);
+  record.Removed = false;
+  record.RemovedAt.reset();
+  // Nobody reports on a runner that is not listed.
+  if (record.ReportedAt)
+    record.ReportedAt = now;
+}
+
 void ColdRunners::onEntry(const BackendServer &server, core::Millis now) {
+  restore(server, now);
   Record *record = recordOf(server.Id, server.StartedAt);
-  if (record != nullptr && server.ColdRemaining > core::Millis())
+  if (record == nullptr)
+    return;
+  const bool isKnown =
+      server.Sequence != 0 && server.Sequence <= record->Sequence;
+  record->Sequence = server.Sequence;
+  if (!isKnown && server.ColdRemaining > core::Millis())
     setColdUntil(*record, now + server.ColdRemaining);
 }
 
@@ -64,22 +90,32 @@
   return hasRestarted;
 }
 
-void ColdRunners::onPeerReport(const ColdReport &report, core::Millis now) {
+void ColdRunners::onPeerReport(const ColdReport &report, const ColdStartOf &of,
+                               core::Millis now) {
   for (const ColdRunner &it : report.Runners)
-    apply(it, now);
+    apply(it, of, now);
   if (!report.Settled)
     return;
   for (auto &[runner, record] : Records)
     record.AssumedUntil = core::Millis();
 }
 
-void ColdRunners::apply(const ColdRunner &reported, core::Millis now) {
+void ColdRunners::apply(const ColdRunner &reported, const ColdStartOf &of,
+                        core::Millis now) {
   const auto known = Records.find(reported.Runner);
   if (known == Records.end() || known->second.StartedAt != reported.StartedAt)
     return;
   Record &record = known->second;
   if (reported.Remaining) {
-    setColdUntil(record, now + *reported.Remaining);
+    const core::Millis until = now + *reported.Remaining;
+    setColdUntil(record, until);
+    // The cold phase began after the suspicion: the peer had a response.
+    const bool isLater = record.SuspectedSince &&
+                         until >= *record.SuspectedSince + of(reported.Runner);
+    if (isLater) {
+      record.SuspectedSince.reset();
+      record.ReportedAt.reset();
+    }
     return;
   }
   const bool isOwnSuspicion = record.SuspectedSince && !record.ReportedAt;
@@ -110,6 +146,30 @@
                                                 : WarmUpStep::SecondStep;
 }
 
+void ColdRunners::removeRunner(const core::RunnerId &runner) {
+  const auto it = Records.find(runner);
+  if (it != Records.end())
+    it->second.Removed = true;
+}
+
+void ColdRunners::tick(const ColdStartOf &of, core::Millis now) {
+  for (auto &[runner, record] : Records) {
+    if (record.Removed) {
+      record.RemovedAt = record.RemovedAt.value_or(now);
+      continue;
+    }
+    if (!record.ReportedAt || now - *record.ReportedAt <= ReportLifetime)
+      continue;
+    setColdUntil(record, *record.ReportedAt + of(runner));
+    record.ReportedAt.reset();
+    record.SuspectedSince.reset();
+  }
+  std::erase_if(Records, [&](const auto &it) {
+    const auto &removedAt = it.second.RemovedAt;
+    return removedAt && now - *removedAt >= RemovedRetention;
+  });
+}
+
 // A suspicion that rests on reports is not reported on: two gateways would keep
 // it up for ever.
 ColdReport ColdRunners::report(core::Millis now) const {
--- a/src/cowslipridge/membership/ColdRunners.hpp
+++ b/src/cowslipridge/membership/ColdRunners.hpp
@@ -4,6 +4,8 @@
 
 #include <compare>
 #include <cstddef>
+#include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <vector>
@@ -42,6 +44,11 @@
   static constexpr core::Millis StepDuration{500};
   /// Time after which a suspicion that no peer reports any more counts as over.
   static constexpr core::Millis ReportLifetime{2'000};
+  /// Time for which removed runners are remembered: outages of a domain are
+  /// shorter.
+  static constexpr core::Millis RemovedRetention{120'000};
+  /// Returns the cold phase of a runner's service.
+  using ColdStartOf = std::function<core::Millis(const core::RunnerId &)>;
 
   /// Handles an entry that the store sent. It names the rest of the cold phase.
   void onEntry(const BackendServer &server, core::Millis now);
@@ -62,9 +69,13 @@
   bool onResponse(const core::RunnerId &runner, core::Millis startedAt,
                   core::Millis sentAt, core::Millis coldStart,
                   core::Millis now);
-  /// Handles the report of a peer. Unknown incarnations are ignored.
-  void onPeerReport(const ColdReport &report, core::Millis now);
-  void removeRunner(const core::RunnerId &runner) { Records.erase(runner); }
+  /// Handles the report of a peer. Unknown incarnations are ignored. One that
+  /// has reached the runner since this gateway suspected it ends the suspicion.
+  void onPeerReport(const ColdReport &report, const ColdStartOf &of,
+                    core::Millis now);
+  /// Handles that the entry of the runner is gone. What is known of the
+  /// incarnation holds on for a while: the entry may only have expired.
+  void removeRunner(const core::RunnerId &runner);
 
   [[nodiscard]] bool isSuspected(const core::RunnerId &runner) const;
   [[nodiscard]] WarmUpStep step(const core::RunnerId &runner,
@@ -73,7 +84,7 @@
   [[nodiscard]] ColdReport report(core::Millis now) const;
   /// Ends the suspicions of peers that are gone: their runners count as cold
   /// for `coldStart` of their service.
-  template <typename ColdStartOf> void tick(ColdStartOf of, core::Millis now);
+  void tick(const ColdStartOf &of, core::Millis now);
 
 private:
   struct Record {
@@ -84,25 +95,20 @@
     std::optional<core::Millis> SuspectedSince;
     /// Last report of a peer, if only peers suspect the runner.
     std::optional<core::Millis> ReportedAt;
+    std::uint64_t Sequence = 0; ///< of the last entry
+    bool Removed = false;
+    std::optional<core::Millis> RemovedAt; ///< set by the next tick
   };
 
-  void apply(const ColdRunner &reported, core::Millis now);
+  void apply(const ColdRunner &reported, const ColdStartOf &of,
+             core::Millis now);
   static void setColdUntil(Record &record, core::Millis until);
+  void restore(const BackendServer &server, core::Millis now);
+  static Record makeRecord(core::Millis startedAt);
   /// Returns the record of the incarnation, or null if a later one is known.
   Record *recordOf(const core::RunnerId &runner, core::Millis startedAt);
 
   std::map<core::RunnerId, Record> Records;
 };
 
-template <typename ColdStartOf>
-void ColdRunners::tick(ColdStartOf of, core::Millis now) {
-  for (auto &[runner, record] : Records) {
-    if (!record.ReportedAt || now - *record.ReportedAt <= ReportLifetime)
-      continue;
-    setColdUntil(record, *record.ReportedAt + of(runner));
-    record.ReportedAt.reset();
-    record.SuspectedSince.reset();
-  }
-}
-
 } // namespace cowslipridge::membership
--- a/src/cowslipridge/membership/Evacuations.cpp
+++ b/src/cowslipridge/membership/Evacuations.cpp
@@ -24,19 +24,27 @@
 void Evacuations::onListed(const std::set<core::FailureDomainId> &domains,
                            bool afterRestore, core::Millis now) {
   for (const core::FailureDomainId &it : domains) {
+    const auto known = Commands.find(it);
+    const bool isDeferred = known != Commands.end() && known->second.AppliesAt;
     const bool isOld = afterRestore && WithdrawnAt.contains(it);
-    if (!isOld)
+    if (!isOld && !isDeferred)
       onCommand(it);
-    else if (!Commands.contains(it))
+    else if (known == Commands.end())
       Commands.emplace(it, Command{now + OldCommandDelay, {}});
   }
   for (auto it = Commands.begin(); it != Commands.end();) {
     auto &[domain, command] = *it++;
     if (domains.contains(domain))
       continue;
-    if (!afterRestore)
+    // Listings that follow the one after a restore don't show either whether
+    // the operator has written again what is missing.
+    if (command.EndsAt)
+      continue;
+    if (command.AppliesAt)
+      Commands.erase(core::FailureDomainId(domain));
+    else if (!afterRestore)
       onWithdrawn(core::FailureDomainId(domain), now);
-    else if (!command.EndsAt)
+    else
       command.EndsAt = now + MissingCommandPeriod;
   }
 }
--- a/tests/unit/membership/ColdRunnersTest.cpp
+++ b/tests/unit/membership/ColdRunnersTest.cpp
@@ -21,6 +21,8 @@
   return server;
 }
 
+Millis coldStart(const core::RunnerId & /*runner*/) { return ColdStart; }
+
 ColdRunners warmRunner() {
   ColdRunners runners;
   runners.onEntry(entry(FirstStart), Millis(0));
@@ -68,11 +70,65 @@
   EXPECT_EQ(runners.step(Runner, Millis(1'200)), WarmUpStep::Warm);
 }
 
+// Guards against a runner that a gateway limits for ever: it suspected the
+// runner, and is none of those that use it while it is cold.
+TEST(ColdRunnersTest, aSuspicionEndsWhenAPeerHasReachedTheRunnerSince) {
+  ColdRunners runners = warmRunner();
+  runners.onUnresponsive(Runner, FirstStart, Millis(1'000));
+  // What the peer knows is older than the suspicion.
+  runners.onPeerReport({true, {{Runner, FirstStart, Millis(2'900)}}}, coldStart,
+                       Millis(1'000));
+  EXPECT_TRUE(runners.isSuspected(Runner));
+  runners.onPeerReport({true, {{Runner, FirstStart, ColdStart}}}, coldStart,
+                       Millis(2'000));
+  EXPECT_FALSE(runners.isSuspected(Runner));
+  EXPECT_EQ(runners.step(Runner, Millis(4'999)), WarmUpStep::Cold);
+  EXPECT_EQ(runners.step(Runner, Millis(6'000)), WarmUpStep::Warm);
+}
+
+// Guards against a runner that turns cold again with each listing of the same
+// entry.
+TEST(ColdRunnersTest, anEntryThatIsListedAgainProlongsNothing) {
+  ColdRunners runners;
+  BackendServer server = entry(FirstStart, Millis(2'000));
+  server.Sequence = 4;
+  runners.onEntry(server, Millis(100));
+  runners.onEntry(server, Millis(2'000));
+  EXPECT_EQ(runners.step(Runner, Millis(3'100)), WarmUpStep::Warm);
+  server.Sequence = 5; // cold again
+  runners.onEntry(server, Millis(4'000));
+  EXPECT_EQ(runners.step(Runner, Millis(5'999)), WarmUpStep::Cold);
+}
+
+// Guards against a runner that is out of reach for so long that its entry
+// expires, and gets its whole load at once when it is listed again.
+TEST(ColdRunnersTest, aSuspicionOutlivesTheEntry) {
+  ColdRunners runners = warmRunner();
+  runners.onUnresponsive(Runner, FirstStart, Millis(1'000));
+  runners.removeRunner(Runner);
+  runners.tick(coldStart, Millis(4'000));
+  runners.onEntry(entry(FirstStart), Millis(20'000));
+  EXPECT_EQ(runners.step(Runner, Millis(20'000)), WarmUpStep::Cold);
+  // Another incarnation decides for itself, also one with an earlier time.
+  runners.removeRunner(Runner);
+  runners.onEntry(entry(Millis(500'000)), Millis(21'000));
+  EXPECT_EQ(runners.step(Runner, Millis(21'000)), WarmUpStep::Warm);
+}
+
+TEST(ColdRunnersTest, whatIsKnownOfARemovedRunnerIsForgottenInTheEnd) {
+  ColdRunners runners = warmRunner();
+  runners.onUnresponsive(Runner, FirstStart, Millis(1'000));
+  runners.removeRunner(Runner);
+  runners.tick(coldStart, Millis(4'000));
+  runners.tick(coldStart, Millis(4'000) + ColdRunners::RemovedRetention);
+  EXPECT_TRUE(runners.report(Millis(200'000)).Runners.empty());
+}
+
 TEST(ColdRunnersTest, peersShareWhatTheyKnow) {
   ColdRunners observer = warmRunner();
   ColdRunners other = warmRunner();
   observer.onUnresponsive(Runner, FirstStart, Millis(1'000));
-  other.onPeerReport(observer.report(Millis(1'000)), Millis(1'010));
+  other.onPeerReport(observer.report(Millis(1'000)), coldStart, Millis(1'010));
   EXPECT_EQ(other.step(Runner, Millis(1'010)), WarmUpStep::Cold);
   // What rests on reports is not reported on.
   EXPECT_TRUE(other.report(Millis(1'010)).Runners.empty());
@@ -88,9 +144,8 @@
 // it has stopped.
 TEST(ColdRunnersTest, aSuspicionOfAPeerThatIsGoneEnds) {
   ColdRunners runners = warmRunner();
-  runners.onPeerReport({true, {{Runner, FirstStart, std::nullopt}}},
+  runners.onPeerReport({true, {{Runner, FirstStart, std::nullopt}}}, coldStart,
                        Millis(1'000));
-  const auto coldStart = [](const core::RunnerId &) { return ColdStart; };
   runners.tick(coldStart, Millis(2'900));
   EXPECT_EQ(runners.step(Runner, Millis(2'900)), WarmUpStep::Cold);
   runners.tick(coldStart, Millis(3'100));
@@ -107,18 +162,18 @@
   EXPECT_FALSE(runners.report(Millis(600)).Settled);
   EXPECT_TRUE(runners.report(Millis(600)).Runners.empty());
   // Another one that has just started knows no more.
-  runners.onPeerReport({false, {}}, Millis(700));
+  runners.onPeerReport({false, {}}, coldStart, Millis(700));
   EXPECT_EQ(runners.step(Runner, Millis(700)), WarmUpStep::Cold);
-  runners.onPeerReport({true, {}}, Millis(800));
+  runners.onPeerReport({true, {}}, coldStart, Millis(800));
   EXPECT_EQ(runners.step(Runner, Millis(800)), WarmUpStep::Warm);
 }
 
 TEST(ColdRunnersTest, reportsOfUnknownIncarnationsAreIgnored) {
   ColdRunners runners = warmRunner();
   runners.onPeerReport({true, {{Runner, SecondStart, Millis(5'000)}}},
-                       Millis(1'000));
+                       coldStart, Millis(1'000));
   runners.onPeerReport(
-      {true, {{core::RunnerId("other"), FirstStart, Millis(5'000)}}},
+      {true, {{core::RunnerId("other"), FirstStart, Millis(5'000)}}}, coldStart,
       Millis(1'000));
   EXPECT_EQ(runners.step(Runner, Millis(1'000)), WarmUpStep::Warm);
   EXPECT_TRUE(runners.report(Millis(1'000)).Runners.empty());
--- a/tests/unit/membership/EvacuationsTest.cpp
+++ b/tests/unit/membership/EvacuationsTest.cpp
@@ -70,6 +70,35 @@
   EXPECT_FALSE(evacuations.isEvacuated(North, Millis(60'000)));
 }
 
+// Guards against a second listing, for lack of history, that cuts short what
+// the restore before it demands.
+TEST(EvacuationsTest, anotherListingAfterARestoreShortensNoPeriod) {
+  Evacuations evacuations;
+  evacuations.onCommand(North);
+  evacuations.onCommand(South);
+  evacuations.onWithdrawn(South, Millis(500));
+  evacuations.onListed({South}, true, Millis(1'000));
+  evacuations.onListed({South}, false, Millis(2'000));
+  evacuations.update(Millis(5'900));
+  EXPECT_TRUE(evacuations.isEvacuated(North, Millis(5'900)));
+  EXPECT_FALSE(evacuations.isEvacuated(South, Millis(5'900)));
+  evacuations.update(Millis(6'000));
+  EXPECT_TRUE(evacuations.isEvacuated(South, Millis(6'000)));
+  EXPECT_EQ(evacuations.update(Millis(11'000)), Domains{North});
+}
+
+// Guards against a domain that is evacuated by a command that the store has
+// neither before nor after a second restore.
+TEST(EvacuationsTest, anOldCommandThatIsMissingAgainNeverApplies) {
+  Evacuations evacuations;
+  evacuations.onCommand(North);
+  evacuations.onWithdrawn(North, Millis(500));
+  evacuations.onListed({North}, true, Millis(1'000));
+  evacuations.onListed({}, true, Millis(2'000));
+  evacuations.update(Millis(6'500));
+  EXPECT_FALSE(evacuations.isEvacuated(North, Millis(6'500)));
+}
+
 // Guards against a gateway that the store turns away and that goes on sending
 // requests to a domain that the others have left.
 TEST(EvacuationsTest, reportsOfPeersCountWhileTheStoreIsUnavailable) {
