Serve with the stable version while a target is evacuated, and know cold phases late

Cause: the version that a roll-out targets counted as serving while all its runners were evacuated, so that callers were rejected beside idle runners of the stable version. A gateway whose configuration came after its first listing assumed no runner to be cold, and reported that it knew them all. Ruled out: counting runners that asked for a backoff as absent: that ends soon. Change: only runners that may get work count as those of the target; the cold phases are assumed once the configuration is known.

--- a/src/cowslipridge/gateway/Dispatcher.cpp
+++ b/src/cowslipridge/gateway/Dispatcher.cpp
@@ -34,7 +34,11 @@
       Escalations(Selection) {}
 
 void Dispatcher::setCatalogue(catalogue::CataloguePtr catalogue) {
+  const bool isFirst = Catalogue == nullptr;
   Catalogue = std::move(catalogue);
+  // The cold phases were unknown at the first listing.
+  if (isFirst && StartedBesidePeersAt)
+    assumeAllCold(*StartedBesidePeersAt);
   for (const catalogue::Service &service : Catalogue->catalogue().Services) {
     if (!service.Inference)
       continue;
--- a/src/cowslipridge/gateway/Dispatcher.hpp
+++ b/src/cowslipridge/gateway/Dispatcher.hpp
@@ -201,6 +201,7 @@
   /// Handles a response: the runner is within reach.
   void onResponsive(const ActiveAttempt &attempt, core::Millis now);
   void onDomainReturned(const core::FailureDomainId &domain, core::Millis now);
+  void assumeAllCold(core::Millis now);
   /// Limits the runner's load according to how far it has warmed up.
   void limitByWarmth(const membership::BackendServer &server, core::Millis now);
   [[nodiscard]] const catalogue::Service *
@@ -245,6 +246,7 @@
   std::map<core::InstanceId, rollout::RouteEvidenceTable> PeerEvidence;
   std::size_t Gateways = 1;
   bool UrgentReport = false;
+  std::optional<core::Millis> StartedBesidePeersAt;
   std::uint64_t NextTicket = 1;
 };
 
--- a/src/cowslipridge/gateway/DispatcherColdRunners.cpp
+++ b/src/cowslipridge/gateway/DispatcherColdRunners.cpp
@@ -64,6 +64,11 @@
 }
 
 void Dispatcher::onStartedBesidePeers(core::Millis now) {
+  StartedBesidePeersAt = now;
+  assumeAllCold(now);
+}
+
+void Dispatcher::assumeAllCold(core::Millis now) {
   for (const auto &[id, server] : Servers.all()) {
     Cold.assumeCold(server, coldStartOf(id), now);
     limitByWarmth(server, now);
--- a/src/cowslipridge/gateway/DispatcherReports.cpp
+++ b/src/cowslipridge/gateway/DispatcherReports.cpp
@@ -42,6 +42,7 @@
   report.Crashes = Crashes.report(now);
   report.RateLimits = RateLimits.report(now);
   report.Cold = Cold.report(now);
+  report.Cold.Settled = report.Cold.Settled && Catalogue != nullptr;
   report.Evacuated = Evacuated.commanded();
   for (const core::ServiceId &service : Trials.activeRollouts()) {
     for (const auto &[key, counts] : OwnEvidence) {
--- a/src/cowslipridge/gateway/RunnerEligibility.cpp
+++ b/src/cowslipridge/gateway/RunnerEligibility.cpp
@@ -153,12 +153,8 @@
   if (pinnedElsewhere)
     choice.Versions = Choice::Stable;
   // New sessions start on the stable version until the target has runners.
-  const auto &all = Servers.all();
   const bool targetServes =
-      std::any_of(all.begin(), all.end(), [&](const auto &it) {
-        return it.second.Service == service && !it.second.Draining &&
-               isTarget(&it.second);
-      });
+      std::any_of(servers.begin(), servers.end(), isTarget);
   if (choice.Versions == Choice::Target && !targetServes && !pinned)
     choice.Versions = Choice::Stable;
   std::erase_if(servers, [&](const auto *it) {
--- a/tests/unit/gateway/RunnerEligibilityTest.cpp
+++ b/tests/unit/gateway/RunnerEligibilityTest.cpp
@@ -23,14 +23,15 @@
 protected:
   RunnerEligibilityTest() { start(); }
 
-  void start() {
+  void start(bool isConfigured = true) {
     config::GatewaySettings settings;
     settings.Instance = core::InstanceId("gateway-1");
     settings.Domain = North;
     settings.Retries = {1, 1'000, Millis(10'000)};
     settings.Regions = {{North, "kerala"}, {South, "gh-south"}};
     Gateway = std::make_unique<Dispatcher>(settings);
-    setHomes({}, {});
+    if (isConfigured)
+      setHomes({}, {});
     for (int n = 0; n < 8; ++n) {
       membership::BackendServer server;
       server.Id = core::RunnerId("runner-" + std::to_string(n));
@@ -130,6 +131,44 @@
   EXPECT_EQ(Gateway->coldRunners(), 4U);
 }
 
+// Guards against callers that are rejected although the version before the
+// roll-out has runners, as those of the target are all evacuated.
+TEST_F(RunnerEligibilityTest,
+       anEvacuatedTargetOfARolloutLeavesTheStableVersion) {
+  for (int n = 1; n < 8; n += 2) {
+    membership::BackendServer server =
+        *Gateway->servers().find(core::RunnerId("runner-" + std::to_string(n)));
+    server.Version = core::VersionId("v2");
+    Gateway->servers().put(server);
+  }
+  Gateway->trials().onCommand(
+      {support::ModelService, core::VersionId("v2"), Millis(20'000)}, Now);
+  Gateway->trials().onStatus({support::ModelService, core::VersionId("v2"),
+                              rollout::RolloutPhase::Completed},
+                             Now);
+  EXPECT_EQ(domainsInUse(), Domains{South});
+  Gateway->evacuations().onCommand(South);
+  EXPECT_EQ(domainsInUse(), Domains{North});
+}
+
+// Guards against a gateway that starts before the configuration is written, and
+// then takes all runners for warm.
+TEST_F(RunnerEligibilityTest, theConfigurationMayComeAfterTheFirstListing) {
+  catalogue::Catalogue declared = Declared->catalogue();
+  declared.Services.front().ColdStart = Millis(3'000);
+  declared.Services.front().ColdPerSecond = 6;
+  const auto cold = std::make_shared<catalogue::CatalogueIndex>(declared);
+  start(false);
+  Gateway->onStartedBesidePeers(Now);
+  EXPECT_FALSE(Gateway->report(Now).Cold.Settled);
+  Gateway->setCatalogue(cold);
+  Gateway->tick(Now + Millis(500));
+  EXPECT_EQ(Gateway->coldRunners(), 8U);
+  EXPECT_FALSE(Gateway->report(Now + Millis(2'999)).Cold.Settled);
+  Gateway->tick(Now + Millis(3'000));
+  EXPECT_EQ(Gateway->coldRunners(), 0U);
+}
+
 TEST_F(RunnerEligibilityTest, homesOfRouteAndOrganisationBothApply) {
   setHomes({"kerala"}, {});
   EXPECT_EQ(domainsInUse(), Domains{North});
