Keep commands that a restored store lacks through an outage after it

Cause: a command that a restored store lacks ended after 10 s, also at gateways that the store was out of reach for, which cannot learn that the operator has written it again. Ruled out: relying on the reports of peers, which may all be in the same outage. Change: the period counts from the end of the outage.

--- a/src/cowslipridge/membership/Evacuations.cpp
+++ b/src/cowslipridge/membership/Evacuations.cpp
@@ -56,6 +56,11 @@
 }
 
 std::vector<core::FailureDomainId> Evacuations::update(core::Millis now) {
+  // What the operator writes again can't arrive during an outage.
+  for (auto &[domain, command] : Commands) {
+    if (StoreUnavailable && command.EndsAt)
+      command.EndsAt = now + MissingCommandPeriod;
+  }
   std::erase_if(Commands, [&](const auto &it) {
     return it.second.EndsAt && now >= *it.second.EndsAt;
   });
--- a/src/cowslipridge/membership/Evacuations.hpp
+++ b/src/cowslipridge/membership/Evacuations.hpp
@@ -19,7 +19,8 @@
 /// again.
 class Evacuations {
 public:
-  /// Time for which a command stays in force that a restored store lacks.
+  /// Time for which a command stays in force that a restored store lacks, not
+  /// counting outages.
   static constexpr core::Millis MissingCommandPeriod{10'000};
   /// Time after which a command applies that a restored store shows although it
   /// was withdrawn.
--- a/tests/unit/membership/EvacuationsTest.cpp
+++ b/tests/unit/membership/EvacuationsTest.cpp
@@ -87,6 +87,22 @@
   EXPECT_EQ(evacuations.update(Millis(11'000)), Domains{North});
 }
 
+// Guards against a command that times out while the store that was restored is
+// out of reach, so that nobody could write it again.
+TEST(EvacuationsTest, anOutageAfterARestoreEndsNoCommand) {
+  Evacuations evacuations;
+  evacuations.onCommand(North);
+  evacuations.onListed({}, true, Millis(1'000));
+  evacuations.onStoreUnavailable();
+  evacuations.update(Millis(10'900));
+  EXPECT_EQ(evacuations.update(Millis(30'000)), Domains{});
+  EXPECT_TRUE(evacuations.isEvacuated(North, Millis(30'000)));
+  evacuations.onStoreAvailable();
+  evacuations.onListed({}, false, Millis(30'000));
+  EXPECT_EQ(evacuations.update(Millis(39'900)), Domains{});
+  EXPECT_EQ(evacuations.update(Millis(40'000)), Domains{North});
+}
+
 // Guards against a domain that is evacuated by a command that the store has
 // neither before nor after a second restore.
 TEST(EvacuationsTest, anOldCommandThatIsMissingAgainNeverApplies) {
