--- a/src/standins/platform/PlainRunner.hpp
+++ b/src/standins/platform/PlainRunner.hpp
@@ -17,6 +17,7 @@
 protected:
   void startRequest(RunnerCall call) override;
   void process(core::Millis now) override;
+  void crash() override;
 
 private:
   struct ActiveRequest {
@@ -26,7 +27,6 @@
 
   void respond(const RunnerCall &call);
   [[nodiscard]] bool isCrashing(const RunnerCall &call) const;
-  void crash();
 
   std::list<ActiveRequest> Active;
 };
--- a/src/standins/platform/PlatformRunner.cpp
+++ b/src/standins/platform/PlatformRunner.cpp
@@ -44,6 +44,7 @@
     : Clock(clock), StartedAt(clock.wall()), Traits(std::move(traits)),
       Server(loop, clock, [this](const auto &it) { onRequest(it); }),
       Ticker(loop) {
+  Cold.start(Traits.Cold, now());
   scheduleTick();
 }
 
@@ -60,7 +61,7 @@
               {"version", Traits.Version},
               {"slots", Traits.Slots},
               {"state", state},
-              {"coldRemainingMs", 0},
+              {"coldRemainingMs", Cold.remaining(now()).count()},
               {"sequenceNumber", ++Entries},
               {"born", StartedAt.count()}}
       .dump();
@@ -104,6 +105,11 @@
     exchange->respond(std::move(refusal), {});
     return;
   }
+  Overloaded = !Cold.onRequest(now()) || Overloaded;
+  if (Overloaded) {
+    exchange->abort();
+    return;
+  }
   RunnerCall call;
   call.Exchange = exchange;
   call.Id = fieldOf(LastHead, "Attempt-Id");
@@ -119,6 +125,8 @@
 void PlatformRunner::report(http1::Exchange &exchange) const {
   http1::ResponseHead head;
   head.Fields.add("Content-Type", "application/json");
+  head.Fields.add("Cold-Remaining",
+                  std::to_string(Cold.remaining(now()).count()));
   exchange.respond(std::move(head), json{{"stage", "prefill_and_decode"},
                                          {"models", json::array()},
                                          {"busy", false},
@@ -176,7 +184,19 @@
   Ticker.start(TickInterval, [this] { tick(); });
 }
 
+void PlatformRunner::stop() {
+  crash();
+  for (const RunnerCall &it : Queue)
+    it.Exchange->abort();
+  Queue.clear();
+  Server.stop();
+}
+
 void PlatformRunner::tick() {
+  if (Overloaded) {
+    stop();
+    return;
+  }
   process(now());
   admitWaiting(now());
   scheduleTick();
--- a/src/standins/platform/PlatformRunner.hpp
+++ b/src/standins/platform/PlatformRunner.hpp
@@ -2,6 +2,7 @@
 
 #include "cowslipridge/http1/LoopTimer.hpp"
 #include "cowslipridge/http1/Server.hpp"
+#include "standins/platform/ColdPhase.hpp"
 
 #include <cstddef>
 #include <list>
@@ -42,6 +43,9 @@
   /// Crashes instead of answering a plain request for this target: aborts all
   /// its connections.
   std::optional<std::string> CrashingTarget;
+  /// The phase after its start in which it crashes under too many requests:
+  /// aborts all its connections and stops.
+  ColdTraits Cold;
 };
 
 /// One request at a runner.
@@ -72,6 +76,9 @@
   [[nodiscard]] const std::map<std::string, int> &runs() const {
     return RunCounts;
   }
+  /// Returns whether it has crashed because of too many requests while cold.
+  [[nodiscard]] bool hasStopped() const { return Overloaded; }
+  [[nodiscard]] const ColdPhase &cold() const { return Cold; }
   [[nodiscard]] std::size_t queued() const { return Queue.size(); }
   [[nodiscard]] virtual std::size_t active() const = 0;
   /// Returns the head of the last request.
@@ -82,6 +89,8 @@
   virtual void startRequest(RunnerCall call) = 0;
   /// Continues the active calls; called on every tick.
   virtual void process(core::Millis now) = 0;
+  /// Aborts the connections of all active calls.
+  virtual void crash() = 0;
   /// Returns the number of cached tokens that can't be evicted.
   [[nodiscard]] virtual std::uint64_t cacheTokensUsed() const { return 0; }
 
@@ -93,6 +102,8 @@
   void onRequest(const std::shared_ptr<http1::Exchange> &exchange);
   void report(http1::Exchange &exchange) const;
   void admit(RunnerCall call);
+  /// Crashes and accepts nothing any more.
+  void stop();
   void reject(http1::Exchange &exchange) const;
   void announce(http1::ResponseHead &head) const;
   void admitWaiting(core::Millis now);
@@ -102,7 +113,9 @@
   const core::Clock &Clock;
   const core::Millis StartedAt; ///< Unix time
   RunnerTraits Traits;
-  unsigned Entries = 0; ///< number of entries written
+  ColdPhase Cold;
+  bool Overloaded = false; ///< more requests than it survives while cold
+  unsigned Entries = 0;    ///< number of entries written
   http1::Endpoint Address;
   std::list<RunnerCall> Queue; ///< by priority, then by arrival
   std::map<std::string, int> RunCounts;
--- a/src/standins/platform/StreamingRunner.cpp
+++ b/src/standins/platform/StreamingRunner.cpp
@@ -74,10 +74,9 @@
 }
 
 void StreamingRunner::crash() {
-  for (ActiveRequest &it : Active) {
+  for (const ActiveRequest &it : Active)
     it.Call.Exchange->abort();
-    it.HasEnded = true;
-  }
+  Active.clear();
 }
 
 void StreamingRunner::process(core::Millis now) {
--- a/src/standins/platform/StreamingRunner.hpp
+++ b/src/standins/platform/StreamingRunner.hpp
@@ -21,6 +21,7 @@
 protected:
   void startRequest(RunnerCall call) override;
   void process(core::Millis now) override;
+  void crash() override;
   [[nodiscard]] std::uint64_t cacheTokensUsed() const override;
 
 private:
@@ -40,8 +41,6 @@
   void sendEvent(ActiveRequest &run);
   /// Returns whether the request makes this runner crash now.
   [[nodiscard]] bool isCrashing(const ActiveRequest &run) const;
-  /// Aborts the connections of all requests.
-  void crash();
 
   std::list<ActiveRequest> Active;
   std::set<std::string> CachedPrefixes;
--- a/tests/integration/platform/PlatformRunnerTest.cpp
+++ b/tests/integration/platform/PlatformRunnerTest.cpp
@@ -38,6 +38,12 @@
     return nlohmann::json::parse(awaitResponse(send("/v1/report"))->Body);
   }
 
+  int coldRemaining() {
+    const auto field =
+        awaitResponse(send("/v1/report"))->Head.Fields.find("Cold-Remaining");
+    return std::stoi(std::string(field.value_or("-1")));
+  }
+
   http1::Client Client;
   http1::Endpoint Address;
   std::vector<std::shared_ptr<http1::Call>> PendingCalls;
@@ -79,6 +85,61 @@
   EXPECT_FALSE(runner.runs().contains("a2"));
 }
 
+TEST_F(PlatformRunnerTest, namesItsColdPhase) {
+  RunnerTraits traits;
+  traits.Cold.Time = Millis(400);
+  traits.Cold.PerSecond = 6;
+  PlainRunner runner(Loop, Clock, traits);
+  runner.listen(Address);
+  const auto remaining = [&] {
+    return nlohmann::json::parse(runner.entry("available"))
+        .at("coldRemainingMs")
+        .get<int>();
+  };
+  EXPECT_GT(remaining(), 0);
+  EXPECT_GT(coldRemaining(), 0);
+  runUntil([&] { return remaining() == 0; });
+  EXPECT_EQ(coldRemaining(), 0);
+}
+
+// Guards against a stand-in that survives a load under which real runners
+// crash.
+TEST_F(PlatformRunnerTest, crashesUnderTooManyRequestsWhileCold) {
+  RunnerTraits traits;
+  traits.Cold.Time = Millis(20'000);
+  traits.Cold.PerSecond = 2;
+  traits.Cold.Allowance = 1;
+  StreamingRunner runner(Loop, Clock, traits);
+  runner.listen(Address);
+  for (std::size_t n = 0; n < traits.Cold.bound(); ++n)
+    EXPECT_EQ(awaitResponse(send("/x", "Prompt-Prefix: a:1\r\n"))->Status, 200);
+  EXPECT_FALSE(runner.hasStopped());
+  // None of them is counted any more after a second.
+  stall(Millis(1'100));
+  for (std::size_t n = 0; n < traits.Cold.bound(); ++n)
+    send("/x", "Prompt-Prefix: a:1\r\n");
+  runUntil([&] { return runner.active() == traits.Cold.bound(); });
+  EXPECT_FALSE(runner.hasStopped());
+  const Reply oneMore = awaitResponse(send("/x", "Prompt-Prefix: a:1\r\n"));
+  EXPECT_TRUE(oneMore->Failure);
+  EXPECT_TRUE(runner.hasStopped());
+  runUntil([&] { return runner.active() == 0; });
+  EXPECT_EQ(awaitResponse(send("/x"))->Failure,
+            http1::CallFailure::NotConnected);
+}
+
+TEST_F(PlatformRunnerTest, acceptsAnyLoadAfterItsColdPhase) {
+  RunnerTraits traits;
+  traits.Cold.Time = Millis(50);
+  traits.Cold.PerSecond = 1;
+  traits.Cold.Allowance = 1;
+  PlainRunner runner(Loop, Clock, traits);
+  runner.listen(Address);
+  stall(Millis(60));
+  for (int n = 0; n < 10; ++n)
+    EXPECT_EQ(awaitResponse(send("/x"))->Status, 200);
+}
+
 TEST_F(PlatformRunnerTest, reportsItsLoad) {
   RunnerTraits traits;
   traits.Slots = 1;
--- a/tests/integration/support/Process.cpp
+++ b/tests/integration/support/Process.cpp
@@ -43,6 +43,9 @@
   ::posix_spawn_file_actions_addopen(&files, STDOUT_FILENO, LogPath.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, 0600);
   ::posix_spawn_file_actions_adddup2(&files, STDOUT_FILENO, STDERR_FILENO);
+  // A process that inherits the test's listening sockets keeps their addresses
+  // in use after the test has closed them.
+  ::posix_spawn_file_actions_addclosefrom_np(&files, STDERR_FILENO + 1);
   const int rc = ::posix_spawn(&Pid, program.c_str(), &files, nullptr,
                                pointersTo(texts).data(), environ);
   ::posix_spawn_file_actions_destroy(&files);
