--- a/src/cowslipridge/gateway/DispatcherReports.cpp
+++ b/src/cowslipridge/gateway/DispatcherReports.cpp
@@ -15,7 +15,9 @@
       onStatement(it.Statement, now - it.Age, now);
   }
   Evacuated.onPeerReport(report.Evacuated, now);
-  Cold.onPeerReport(report.Cold, now);
+  Cold.onPeerReport(
+      report.Cold, [this](const core::RunnerId &it) { return coldStartOf(it); },
+      now);
   for (const membership::ColdRunner &it : report.Cold.Runners) {
     if (const auto *server = Servers.find(it.Runner))
       limitByWarmth(*server, now);
@@ -40,6 +42,7 @@
   report.Crashes = Crashes.report(now);
   report.RateLimits = RateLimits.report(now);
   report.Cold = Cold.report(now);
+  report.Cold.Settled = report.Cold.Settled && Catalogue != nullptr;
   report.Evacuated = Evacuated.commanded();
   for (const core::ServiceId &service : Trials.activeRollouts()) {
     for (const auto &[key, counts] : OwnEvidence) {
