Send reports to other failure domains through relays

A gateway registers its failure domain and protocol version in the store; builds that do not know these fields ignore them. Peers without them get plain reports directly, as before. A relayed report has the effect of a direct one; the configuration is fetched from the gateway that has it, not from the relay. A gateway without failure_domain does not use relays.

Datagrams that can't be decoded are counted.

--- a/src/cowslipridge/gateway/ControlPlane.hpp
+++ b/src/cowslipridge/gateway/ControlPlane.hpp
@@ -22,6 +22,9 @@
   core::InstanceId Name;
   std::string Host; ///< numeric IP address that receives peer reports
   std::uint16_t Port = 0;
+  core::FailureDomainId Domain{}; ///< empty: not announced
+  /// Version of the datagrams that it understands; 0: plain reports only.
+  unsigned Protocol = 0;
   friend auto operator<=>(const Peer &, const Peer &) = default;
 };
 
--- a/src/cowslipridge/gateway/Gateway.cpp
+++ b/src/cowslipridge/gateway/Gateway.cpp
@@ -90,6 +90,10 @@
   Callers.listen(toEndpoint(Settings.Callers));
   if (Settings.Metrics)
     Scrapes.listen(toEndpoint(*Settings.Metrics));
+  const Peer self{Settings.Instance, Settings.Peers.Host, Settings.Peers.Port,
+                  Settings.Domain, peers::ProtocolVersion};
+  Peers.enableRelays(self, core::Incarnation(static_cast<std::uint64_t>(
+                               Clock.wall().count())));
   Peers.listen(Settings.Peers);
   Snapshots.listen(toEndpoint(Settings.Peers));
   Peers.setPresenceListener([this](const core::InstanceId &peer,
@@ -111,8 +115,7 @@
       });
   StartedAt = Clock.monotonic();
   Control.start(
-      {Settings.Instance, Settings.Peers.Host, Settings.Peers.Port},
-      [this](const ControlEvent &it) { onControl(it); },
+      self, [this](const ControlEvent &it) { onControl(it); },
       [this] { onSynced(); });
   scheduleTick();
 }
--- a/src/cowslipridge/gateway/PeerExchange.hpp
+++ b/src/cowslipridge/gateway/PeerExchange.hpp
@@ -5,6 +5,7 @@
 #include "cowslipridge/gateway/ControlPlane.hpp"
 #include "cowslipridge/gateway/Dispatcher.hpp"
 #include "cowslipridge/gateway/RetryAfterEstimator.hpp"
+#include "cowslipridge/peers/PeerRelays.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/udp.hpp>
@@ -12,13 +13,16 @@
 #include <array>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace cowslipridge::gateway {
 
 /// Exchanges reports with the other gateways by UDP datagrams. Each report is
-/// complete, so that the next one makes up for a lost one.
+/// complete, so that the next one makes up for a lost one. Reports to other
+/// failure domains go through relays if they are enabled.
 class PeerExchange {
 public:
   PeerExchange(boost::asio::io_context &loop, const core::Clock &clock,
@@ -26,6 +30,9 @@
 
   /// Throws boost::system::system_error when the address can't be bound.
   void listen(const config::SocketAddress &address);
+  /// Lets reports go through relays to peers that announce their failure domain
+  /// and protocol version, as `self` does. Call before the first put().
+  void enableRelays(const Peer &self, core::Incarnation incarnation);
   void put(const Peer &peer);
   /// Handles the end of a peer's registration. A peer that still reports is
   /// kept, because the registrations of all gateways may expire together while
@@ -63,6 +70,12 @@
   [[nodiscard]] std::size_t countReporting() const {
     return LastReportAt.size();
   }
+  /// Returns whether this gateway relays the reports of its failure domain.
+  [[nodiscard]] bool isRelay(core::Millis now) const {
+    return Relays && Relays->isRelay(now);
+  }
+  /// Returns the number of datagrams that could not be decoded.
+  [[nodiscard]] std::uint64_t countMalformed() const { return Malformed; }
   /// Discards the reports of peers that no longer send any.
   void expire(core::Millis now);
   [[nodiscard]] const std::map<core::InstanceId, Peer> &peers() const {
@@ -72,6 +85,12 @@
 private:
   void receive();
   void onDatagram(std::string_view bytes);
+  void onBundle(std::string_view bytes);
+  void onReport(const PeerReport &report,
+                const boost::asio::ip::udp::endpoint &address);
+  /// A datagram that can't be sent now is treated as lost.
+  void sendTo(const core::InstanceId &name, const std::string &bytes);
+  void send(const std::vector<peers::Delivery> &deliveries);
   void drop(const core::InstanceId &name);
   /// Tells the dispatcher with which gateways it shares limits.
   void shareLimits();
@@ -84,6 +103,8 @@
   std::map<core::InstanceId, Peer> Peers;
   std::map<core::InstanceId, core::Millis> LastReportAt;
   RetryAfterEstimator RetryAfter;
+  std::optional<peers::PeerRelays> Relays;
+  std::uint64_t Malformed = 0;
   std::function<void(const boost::asio::ip::udp::endpoint &)>
       UnknownPeerListener;
   std::function<void(const core::InstanceId &, bool isReporting)>
--- a/src/cowslipridge/gateway/PeerReportCodec.cpp
+++ b/src/cowslipridge/gateway/PeerReportCodec.cpp
@@ -1,8 +1,7 @@
 #include "cowslipridge/gateway/PeerReportCodec.hpp"
 
 #include "cowslipridge/core/Error.hpp"
-
-#include <nlohmann/json.hpp>
+#include "cowslipridge/peers/MessagePack.hpp"
 
 namespace cowslipridge::gateway {
 
@@ -292,11 +291,13 @@
 }
 
 core::Result<PeerReport> decodePeerReport(std::string_view bytes) {
+  const auto message = peers::parseMessagePack(bytes);
+  if (!message)
+    return core::Errc::Malformed;
   try {
-    const json message = json::from_msgpack(bytes);
-    if (message.at(0) != FormatVersion)
+    if (message->at(0) != FormatVersion)
       return core::Errc::Malformed;
-    return decode(message);
+    return decode(*message);
   } catch (const json::exception &) {
     return core::Errc::Malformed;
   }
--- a/src/cowslipridge/peers/MessagePack.hpp
+++ b/src/cowslipridge/peers/MessagePack.hpp
@@ -10,8 +10,7 @@
 namespace cowslipridge::peers {
 
 /// Deepest nesting of arrays and objects in a datagram. The library's parser
-/// recurses for each level, so that 64 kB of array headers would exhaust the
-/// stack.
+/// recurses for each level: 64 kB of array headers overflow a stack of 2 MB.
 inline constexpr std::size_t MaxNesting = 16;
 
 /// Parses a datagram of another gateway. Returns Errc::Malformed if it is no
--- a/src/cowslipridge/platform/StoreControlPlane.cpp
+++ b/src/cowslipridge/platform/StoreControlPlane.cpp
@@ -24,9 +24,17 @@
 constexpr std::string_view PeerPrefix = "cowslipridge/peers/";
 
 constexpr core::Millis AdvanceTimeout{800};
+/// Larger protocol versions in a gateway's entry are taken for errors.
+constexpr std::int64_t MaxProtocol = 1'000;
 
 std::string writePeer(const gateway::Peer &peer) {
-  return internal::Json{{"host", peer.Host}, {"port", peer.Port}}.dump();
+  internal::Json json{{"host", peer.Host}, {"port", peer.Port}};
+  // Builds that do not know these fields ignore them.
+  if (!peer.Domain.empty() && peer.Protocol > 0) {
+    json["domain"] = peer.Domain.str();
+    json["protocol"] = peer.Protocol;
+  }
+  return json.dump();
 }
 
 core::Result<gateway::Peer> parsePeer(const std::string &name,
@@ -36,8 +44,16 @@
   const auto port = internal::integerAt(json, "port");
   if (!host || !port || *port <= 0 || *port > 65'535)
     return core::Errc::Malformed;
-  return gateway::Peer{core::InstanceId(name), *host,
-                       static_cast<std::uint16_t>(*port)};
+  gateway::Peer peer{core::InstanceId(name), *host,
+                     static_cast<std::uint16_t>(*port), core::FailureDomainId(),
+                     0};
+  const auto protocol = internal::integerAt(json, "protocol").value_or(0);
+  if (protocol > 0 && protocol <= MaxProtocol) {
+    peer.Protocol = static_cast<unsigned>(protocol);
+    peer.Domain =
+        core::FailureDomainId(internal::stringAt(json, "domain").value_or(""));
+  }
+  return peer;
 }
 
 } // namespace
--- a/tests/unit/gateway/PeerReportCodecTest.cpp
+++ b/tests/unit/gateway/PeerReportCodecTest.cpp
@@ -113,4 +113,10 @@
             limits::TraitKind::PromptSegment);
 }
 
+// Guards against a stack overflow: the library's parser recurses.
+TEST(PeerReportCodecTest, rejectsDeepNesting) {
+  EXPECT_FALSE(decodePeerReport(std::string(65'507, '\x91')).ok());
+  EXPECT_FALSE(decodePeerReport(std::string(65'507, '\x81')).ok());
+}
+
 } // namespace
