--- a/src/cowslipridge/gateway/Gateway.cpp
+++ b/src/cowslipridge/gateway/Gateway.cpp
@@ -17,6 +17,9 @@
 constexpr core::Millis ReportInterval{200};
 /// Longest gap between two ticks that is not logged as a pause.
 constexpr core::Millis PauseLimit{200};
+/// Shortest time between two warnings of malformed datagrams, which a faulty
+/// peer may send many of.
+constexpr core::Millis WarningGap{1'000};
 /// Time between two attempts to write a roll-out's next record, so that the
 /// watch can deliver the first write.
 constexpr core::Millis AdvanceInterval{500};
@@ -205,6 +208,7 @@
            "ordered, as a restored store still shows, service=" + it.str());
   RequestDispatcher.tick(now);
   Peers.expire(now);
+  reportRelays(now);
   if (now - ReportedAt >= ReportInterval ||
       RequestDispatcher.hasUrgentReport()) {
     ReportedAt = now;
@@ -224,6 +228,20 @@
   report(EventNumber::PauseDetected, std::to_string(pause->count()) + " ms");
 }
 
+void Gateway::reportRelays(core::Millis now) {
+  // A gateway without a view of its domain acts as the relay until it has one.
+  const bool isRelay = Synced && Peers.isRelay(now);
+  if (std::exchange(WasRelay, isRelay) != isRelay)
+    report(isRelay ? EventNumber::RelayStarted : EventNumber::RelayEnded, {});
+  const std::uint64_t malformed = Peers.countMalformed();
+  if (malformed == MalformedReported || now - MalformedReportedAt < WarningGap)
+    return;
+  MalformedReportedAt = now;
+  report(EventNumber::PeerDatagramsRefused,
+         "count=" + std::to_string(malformed - std::exchange(MalformedReported,
+                                                             malformed)));
+}
+
 void Gateway::updateServers(core::Millis now) {
   membership::ServerRegistry &servers = RequestDispatcher.servers();
   for (const core::RunnerId &it : servers.tick(now))
--- a/src/cowslipridge/gateway/Gateway.hpp
+++ b/src/cowslipridge/gateway/Gateway.hpp
@@ -101,6 +101,7 @@
   void scheduleTick();
   void tick();
   void reportPause(core::Millis now);
+  void reportRelays(core::Millis now);
   void driveRollouts(core::Millis now);
   void drainStep(core::Millis now);
   [[nodiscard]] bool isReady() const;
@@ -138,6 +139,9 @@
   DrainPolicy Drain;
   std::optional<core::Millis> StoreUnavailableSince;
   core::Millis ReportedAt;
+  bool WasRelay = false;
+  std::uint64_t MalformedReported = 0;
+  core::Millis MalformedReportedAt;
   core::Millis AdvancedAt;
 };
 
--- a/src/cowslipridge/observe/EventCatalogue.cpp
+++ b/src/cowslipridge/observe/EventCatalogue.cpp
@@ -91,6 +91,13 @@
                    "new."},
     CatalogueEntry{EvacuationEnded, Info, "evacuation-ended",
                    "A failure domain is in service again."},
+    CatalogueEntry{RelayStarted, Info, "relay-started",
+                   "This gateway relays its failure domain's reports."},
+    CatalogueEntry{RelayEnded, Info, "relay-ended",
+                   "Another gateway relays its failure domain's reports."},
+    CatalogueEntry{PeerDatagramsRefused, Warning, "peer-datagrams-refused",
+                   "Datagrams of peers could not be decoded; they are "
+                   "ignored."},
     CatalogueEntry{RequestReceived, Info, "request-received",
                    "A caller's request arrived."},
     CatalogueEntry{RequestRouted, Info, "request-routed",
--- a/src/cowslipridge/observe/EventCatalogue.hpp
+++ b/src/cowslipridge/observe/EventCatalogue.hpp
@@ -45,6 +45,9 @@
   RunnerCold = 322,
   EvacuationOrdered = 324,
   EvacuationEnded = 325,
+  RelayStarted = 327,
+  RelayEnded = 328,
+  PeerDatagramsRefused = 329,
 
   RequestReceived = 400,
   RequestRouted = 401,
