Let a drain wait for requests that are being received

Cause: Gateway::drainStep ended the process once no complete request was in flight. A request that was half read or still in the socket, a connection in the listen queue or just accepted, and a response behind which its client had sent more were then cut off by Server::stop(), without a response. Ruled out: closeIdle() alone; it left connections with a request open, but the stop that followed in the same turn of the loop closed them. Change: Server::unfinished() counts the connections that closeIdle() leaves open, acceptWaiting() takes those in the listen queue, and a connection counts as waiting for its first request for 1 s. The grace period still ends all. Conclusion: within the grace period a planned stop answers what it accepted.

--- a/src/cowslipridge/gateway/DrainPolicy.cpp
+++ b/src/cowslipridge/gateway/DrainPolicy.cpp
@@ -42,8 +42,8 @@
   return BeganAt && now - *BeganAt >= BalancerReactionTime;
 }
 
-bool DrainPolicy::isOver(std::size_t inFlight, core::Millis now) const {
-  return closesIdle(now) && (inFlight == 0 || now >= end());
+bool DrainPolicy::isOver(std::size_t unfinished, core::Millis now) const {
+  return closesIdle(now) && (unfinished == 0 || now >= end());
 }
 
 } // namespace cowslipridge::gateway
--- a/src/cowslipridge/gateway/DrainPolicy.hpp
+++ b/src/cowslipridge/gateway/DrainPolicy.hpp
@@ -26,9 +26,9 @@
                              core::Millis now) const;
   /// Returns whether connections without a request in flight are closed.
   [[nodiscard]] bool closesIdle(core::Millis now) const;
-  /// Returns whether the process exits now, given the number of requests in
-  /// flight.
-  [[nodiscard]] bool isOver(std::size_t inFlight, core::Millis now) const;
+  /// Returns whether the process exits now, given the number of connections
+  /// with an unfinished request or response.
+  [[nodiscard]] bool isOver(std::size_t unfinished, core::Millis now) const;
 
   /// Returns the time after which the process exits at the latest; nothing
   /// before draining begins.
--- a/src/cowslipridge/gateway/Gateway.cpp
+++ b/src/cowslipridge/gateway/Gateway.cpp
@@ -266,9 +266,11 @@
 }
 
 void Gateway::drainStep(core::Millis now) {
-  if (Drain.closesIdle(now))
-    Callers.closeIdle();
-  if (!Drain.isOver(Callers.inFlight(), now))
+  if (!Drain.closesIdle(now))
+    return;
+  Callers.acceptWaiting();
+  Callers.closeIdle();
+  if (!Drain.isOver(Callers.unfinished(), now))
     return;
   Control.deregister();
   Callers.stop();
--- a/src/cowslipridge/http1/Server.cpp
+++ b/src/cowslipridge/http1/Server.cpp
@@ -3,6 +3,7 @@
 #include "cowslipridge/http1/LoopTimer.hpp"
 #include "cowslipridge/http1/internal/ServerConnection.hpp"
 
+#include <algorithm>
 #include <unordered_map>
 #include <vector>
 
@@ -46,6 +47,18 @@
         });
   }
 
+  void acceptWaiting() {
+    boost::system::error_code ec;
+    Acceptor.non_blocking(true, ec);
+    for (int i = 0; i < boost::asio::socket_base::max_listen_connections; ++i) {
+      Socket socket(Loop);
+      Acceptor.accept(socket, ec);
+      if (ec)
+        return;
+      open(std::move(socket));
+    }
+  }
+
   void scheduleAccept() {
     AcceptRetryTimer.start(AcceptRetryDelay, [self = shared_from_this()] {
       if (self->Acceptor.is_open())
@@ -76,6 +89,11 @@
       it->shutDown();
   }
 
+  [[nodiscard]] std::size_t unfinished() const {
+    return static_cast<std::size_t>(std::ranges::count_if(
+        Open, [](const auto &it) { return !it.second->isIdle(); }));
+  }
+
   void stop() {
     boost::system::error_code ignored;
     Acceptor.close(ignored);
@@ -104,9 +122,11 @@
 void Server::closeAfterResponses() {
   Internals->Context->CloseAfterResponses = true;
 }
+void Server::acceptWaiting() { Internals->acceptWaiting(); }
 void Server::closeIdle() { Internals->shutDownConnections(true); }
 void Server::stop() { Internals->stop(); }
 std::size_t Server::connections() const { return Internals->Open.size(); }
+std::size_t Server::unfinished() const { return Internals->unfinished(); }
 std::size_t Server::inFlight() const { return Internals->Context->InFlight; }
 
 } // namespace cowslipridge::http1
--- a/src/cowslipridge/http1/Server.hpp
+++ b/src/cowslipridge/http1/Server.hpp
@@ -51,6 +51,9 @@
   core::Millis HeaderTimeout{3000}; ///< for receiving one request head
   /// Time between requests; also the time for a body, after HeaderTimeout.
   core::Millis IdleTimeout{15000};
+  /// Time after it is accepted for which a connection without a request does
+  /// not count as idle: its client has connected in order to send one.
+  core::Millis FirstRequestTime{1000};
 };
 
 /// Accepts connections and passes each complete request to a handler.
@@ -72,6 +75,9 @@
   void setLimits(const ServerLimits &limits);
   /// Makes all further responses carry `Connection: close`.
   void closeAfterResponses();
+  /// Accepts the connections that wait in the listen queue. stop() would reset
+  /// them.
+  void acceptWaiting();
   /// Closes connections without a request in progress. A request that was
   /// received but not read yet is in progress.
   void closeIdle();
@@ -81,6 +87,9 @@
   /// Returns the number of requests received whose response is not completely
   /// written to the socket.
   [[nodiscard]] std::size_t inFlight() const;
+  /// Returns the number of connections on which stop() may cut off a request or
+  /// a response: those that closeIdle() leaves open.
+  [[nodiscard]] std::size_t unfinished() const;
 
 private:
   class Impl;
--- a/src/cowslipridge/http1/internal/ServerConnection.cpp
+++ b/src/cowslipridge/http1/internal/ServerConnection.cpp
@@ -29,13 +29,19 @@
 
 void ServerConnection::start() {
   Parser.emplace(Context->Limits.Request);
+  FirstRequestUntil =
+      Context->Clock.monotonic() + Context->Limits.FirstRequestTime;
   armTimer();
   read();
 }
 
 bool ServerConnection::isIdle() const {
   return State == Phase::Reading && !RequestBegun && Input.empty() &&
-         !hasUnreadInput(Peer);
+         !expectsFirstRequest() && !hasUnreadInput(Peer);
+}
+
+bool ServerConnection::expectsFirstRequest() const {
+  return FirstRequestUntil && Context->Clock.monotonic() < *FirstRequestUntil;
 }
 
 void ServerConnection::shutDown() {
@@ -80,6 +86,7 @@
 }
 
 void ServerConnection::parse() {
+  FirstRequestUntil.reset();
   if (!std::exchange(RequestBegun, true))
     armTimer();
   onParseStatus(Parser->parse(Input));
--- a/src/cowslipridge/http1/internal/ServerConnection.hpp
+++ b/src/cowslipridge/http1/internal/ServerConnection.hpp
@@ -30,7 +30,8 @@
   ~ServerConnection() override;
 
   void start();
-  /// Returns whether no part of a request was received, read or not.
+  /// Returns whether no part of a request was received, read or not, and no
+  /// response is being sent.
   [[nodiscard]] bool isIdle() const;
   void shutDown();
 
@@ -49,6 +50,7 @@
 private:
   enum class Phase { Reading, Responding, Closing, Closed };
 
+  [[nodiscard]] bool expectsFirstRequest() const;
   void read();
   void onRead(const boost::system::error_code &ec, std::size_t n);
   void parse();
@@ -84,6 +86,7 @@
   bool HasReadSinceCheck = false; ///< bytes may have been read since a timer
                                   ///< was started or last checked
   bool RequestBegun = false; ///< bytes of the current request were received
+  std::optional<core::Millis> FirstRequestUntil; ///< until a request begins
   bool ContinueSent = false;
   core::Millis ReadAt;
   Framing ResponseFraming = Framing::None;
