Judge a stream by its pace over a window

Cause: a stream that may resume was judged by the time since its last event only. An event now and then kept it at a stalled runner; and once a stall had found no other runner, the stream was not judged again until its deadline. Ruled out: a limit below the route's targetGapMs, which would move slow but healthy streams. A stalled stream that stays is judged anew. Only a stream that can resume is moved; others end at the deadline as before.

--- a/src/cowslipridge/gateway/RequestStateMachine.cpp
+++ b/src/cowslipridge/gateway/RequestStateMachine.cpp
@@ -64,6 +64,7 @@
   State = Phase::Waiting;
   Rejected = false;
   TimeoutAt.reset();
+  Progress.reset();
   // A request that may not be retried has nothing to gain from a timeout.
   if (catalogue::isRetryable(Request.Route->Kind))
     TimeoutAt = now + placement.FirstByteTimeout;
@@ -194,6 +195,7 @@
 // waits on.
 void RequestStateMachine::onAttemptTimeout(core::Millis now) {
   TimeoutAt.reset();
+  Progress.reset();
   if (AttemptsMade >= Request.Route->MaxAttempts)
     return;
   auto excluded = Excluded;
@@ -202,6 +204,9 @@
       Policy.place(Request, Tier, excluded, AttemptKind::Retry, now);
   if (const auto *none = std::get_if<NoPlacement>(&result)) {
     Actions.onKeepWaiting(none->Reason);
+    // Another runner may have room when the stream stalls again.
+    if (State == Phase::Streaming)
+      startProgress(now);
     return;
   }
   MayHaveRun = true;
--- a/src/cowslipridge/gateway/RequestStateMachine.hpp
+++ b/src/cowslipridge/gateway/RequestStateMachine.hpp
@@ -2,6 +2,7 @@
 
 #include "cowslipridge/gateway/EventSplitter.hpp"
 #include "cowslipridge/gateway/Placement.hpp"
+#include "cowslipridge/gateway/StreamProgress.hpp"
 #include "cowslipridge/http1/Client.hpp"
 #include "cowslipridge/http1/Message.hpp"
 
@@ -116,6 +117,8 @@
   void noteThatItMayHaveRun();
   void onDeadline(core::Millis now);
   void onAttemptTimeout(core::Millis now);
+  /// Judges the progress of the stream from now on.
+  void startProgress(core::Millis now);
   void failAttempt(AttemptOutcome outcome, const std::string &reason,
                    core::Millis now);
   void endAttempt(AttemptOutcome outcome, core::Millis now);
@@ -146,6 +149,8 @@
   std::size_t EventsForwarded = 0;
   std::optional<std::uint64_t> LastEventId; ///< that the caller has received
   std::optional<core::Millis> TimeoutAt;    ///< of the current attempt
+  /// Of the current stream, if it may move to another runner.
+  std::optional<StreamProgress> Progress;
 };
 
 } // namespace cowslipridge::gateway
--- a/src/cowslipridge/gateway/RequestStateMachineResponses.cpp
+++ b/src/cowslipridge/gateway/RequestStateMachineResponses.cpp
@@ -56,7 +56,7 @@
   Events.clear();
   TimeoutAt.reset();
   if (catalogue::isRetryable(Request.Route->Kind))
-    TimeoutAt = now + std::max(MinStreamIdleTimeout, Request.Route->TargetGap);
+    startProgress(now);
   if (ResponseStarted)
     return;
   ResponseStarted = true;
@@ -141,9 +141,15 @@
     failAttempt(AttemptOutcome::Broken, "the error response does not end", now);
 }
 
+void RequestStateMachine::startProgress(core::Millis now) {
+  Progress.emplace(Request.Route->TargetGap, now);
+  TimeoutAt = Progress->stallsAt();
+}
+
 void RequestStateMachine::forwardEvents(std::string_view bytes,
                                         core::Millis now) {
   std::string complete;
+  const std::size_t forwardedBefore = EventsForwarded;
   const std::vector<StreamEvent> events = Events.push(bytes);
   Policy.onEvents(Current->Ticket, static_cast<unsigned>(events.size()), now);
   for (const StreamEvent &it : events) {
@@ -155,8 +161,10 @@
   if (complete.empty())
     return;
   // Only events show that the stream goes on, not any bytes.
-  if (TimeoutAt)
-    TimeoutAt = now + std::max(MinStreamIdleTimeout, Request.Route->TargetGap);
+  if (Progress) {
+    Progress->onEvents(EventsForwarded - forwardedBefore, now);
+    TimeoutAt = Progress->stallsAt();
+  }
   Actions.data(complete);
 }
 
