Let no late call of an exchange reach the next request of its connection

Cause: the exchange that a handler got was the connection itself. A response, a reset or data from a handler that had already answered went to the next request of the connection, or behind the end of its own response. Ruled out: the client; seven new cases of a second copy (before, while and after the next request is sent, in two pieces, without the id, behind the own response) held before the change. Change: each request gets a ServerExchange that acts only while the connection carries its request; send() after end() is ignored. Conclusion: a connection carries one response for each request.

--- a/src/cowslipridge/http1/internal/ServerConnection.cpp
+++ b/src/cowslipridge/http1/internal/ServerConnection.cpp
@@ -1,5 +1,7 @@
 #include "cowslipridge/http1/internal/ServerConnection.hpp"
 
+#include "cowslipridge/http1/internal/ServerExchange.hpp"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 
@@ -141,7 +143,8 @@
   InFlight = true;
   ++Context->InFlight;
   Timer.cancel();
-  Context->Handler(shared_from_this());
+  Context->Handler(
+      std::make_shared<ServerExchange>(shared_from_this(), Number));
 }
 
 void ServerConnection::respond(ResponseHead head, std::string_view body) {
@@ -169,7 +172,8 @@
 }
 
 void ServerConnection::send(std::string_view data) {
-  if (State != Phase::Responding || !ResponseBegun || data.empty())
+  if (State != Phase::Responding || !ResponseBegun || ResponseEnded ||
+      data.empty())
     return;
   const bool isHead = Parser->headDone() && Parser->head().Method == "HEAD";
   if (isHead)
@@ -250,6 +254,7 @@
 }
 
 void ServerConnection::finishResponse() {
+  ++Number;
   clearInFlight();
   DrainHandler = nullptr;
   if (!KeepAlive) {
--- a/src/cowslipridge/http1/internal/ServerConnection.hpp
+++ b/src/cowslipridge/http1/internal/ServerConnection.hpp
@@ -4,6 +4,7 @@
 #include "cowslipridge/http1/Server.hpp"
 
 #include <array>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -22,12 +23,13 @@
 /// A connection from a client. Reads requests one after the other and writes
 /// their responses.
 class ServerConnection final
-    : public Exchange,
-      public std::enable_shared_from_this<ServerConnection> {
+    : public std::enable_shared_from_this<ServerConnection> {
 public:
   ServerConnection(Socket socket, std::shared_ptr<ServerContext> context,
                    std::function<void(ServerConnection *)> onClosed);
-  ~ServerConnection() override;
+  ~ServerConnection();
+  ServerConnection(const ServerConnection &) = delete;
+  ServerConnection &operator=(const ServerConnection &) = delete;
 
   void start();
   /// Returns whether no part of a request was received, read or not, and no
@@ -35,17 +37,21 @@
   [[nodiscard]] bool isIdle() const;
   void shutDown();
 
-  [[nodiscard]] const RequestHead &head() const override;
-  [[nodiscard]] const std::string &body() const override;
-  [[nodiscard]] core::Millis readAt() const override { return ReadAt; }
-  void respond(ResponseHead head, std::string_view body) override;
-  void begin(ResponseHead head) override;
-  void send(std::string_view data) override;
-  void end() override;
-  void abort() override;
-  [[nodiscard]] std::size_t backlog() const override;
-  void onDrained(std::function<void()> handler) override;
-  void onClientDisconnect(std::function<void()> handler) override;
+  /// Returns the number of the current request. It changes once the response
+  /// is written.
+  [[nodiscard]] std::uint64_t exchangeNumber() const { return Number; }
+  // The functions of the current request's Exchange.
+  [[nodiscard]] const RequestHead &head() const;
+  [[nodiscard]] const std::string &body() const;
+  [[nodiscard]] core::Millis readAt() const { return ReadAt; }
+  void respond(ResponseHead head, std::string_view body);
+  void begin(ResponseHead head);
+  void send(std::string_view data);
+  void end();
+  void abort();
+  [[nodiscard]] std::size_t backlog() const;
+  void onDrained(std::function<void()> handler);
+  void onClientDisconnect(std::function<void()> handler);
 
 private:
   enum class Phase { Reading, Responding, Closing, Closed };
@@ -82,6 +88,7 @@
   std::optional<RequestParser> Parser;
   std::string Input;
   std::array<char, 8192> Chunk{};
+  std::uint64_t Number = 0;
   bool ReadPending = false;
   bool HasReadSinceCheck = false; ///< bytes may have been read since a timer
                                   ///< was started or last checked
--- /dev/null
+++ b/src/cowslipridge/http1/internal/ServerExchange.hpp
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "cowslipridge/http1/internal/ServerConnection.hpp"
+
+#include <cstdint>
+#include <memory>
+
+namespace cowslipridge::http1::internal {
+
+/// One exchange of a connection. Acts only while the connection carries its
+/// request: a late call can't reach the response to the next request.
+class ServerExchange final : public Exchange {
+public:
+  ServerExchange(std::shared_ptr<ServerConnection> connection,
+                 std::uint64_t number)
+      : Connection(std::move(connection)), Number(number) {}
+
+  [[nodiscard]] const RequestHead &head() const override;
+  [[nodiscard]] const std::string &body() const override;
+  [[nodiscard]] core::Millis readAt() const override { return ReadAt; }
+  void respond(ResponseHead head, std::string_view body) override;
+  void begin(ResponseHead head) override;
+  void send(std::string_view data) override;
+  void end() override;
+  void abort() override;
+  [[nodiscard]] std::size_t backlog() const override;
+  void onDrained(std::function<void()> handler) override;
+  void onClientDisconnect(std::function<void()> handler) override;
+
+private:
+  [[nodiscard]] bool isCurrent() const;
+
+  std::shared_ptr<ServerConnection> Connection;
+  std::uint64_t Number;
+  core::Millis ReadAt = Connection->readAt();
+};
+
+} // namespace cowslipridge::http1::internal
