Reject store entries whose address is not numeric

Cause: an entry such as "localhost:8080" was accepted. RequestFlow passes the host to make_address, which throws for it out of the handler that places a request. Durations were converted from any number, so that 1e300 overflowed. Conclusion: one entry can't stop a gateway when a request is placed on it.

--- a/src/cowslipridge/platform/Documents.cpp
+++ b/src/cowslipridge/platform/Documents.cpp
@@ -3,6 +3,8 @@
 #include "cowslipridge/core/Error.hpp"
 #include "cowslipridge/platform/internal/JsonReader.hpp"
 
+#include <boost/asio/ip/address.hpp>
+
 #include <algorithm>
 #include <charconv>
 
@@ -20,11 +22,19 @@
 
 constexpr std::int64_t MillisPerSecond = 1000;
 constexpr std::int64_t DefaultTimeoutMs = 30'000;
+/// Longest duration that is taken from a document: longer ones would overflow
+/// when they are added to a time.
+constexpr std::int64_t MaxDurationMs = 86'400'000;
+
+core::Millis toMillis(double count) {
+  return core::Millis(static_cast<std::int64_t>(
+      std::clamp(count, 0.0, static_cast<double>(MaxDurationMs))));
+}
 
 core::Millis millisAt(const Json &object, const char *key,
                       std::int64_t fallback) {
   const auto value = numberAt(object, key);
-  return core::Millis(value ? static_cast<std::int64_t>(*value) : fallback);
+  return value ? toMillis(*value) : core::Millis(fallback);
 }
 
 std::optional<catalogue::RouteKind> parseRouteKind(const Json &route) {
@@ -120,9 +130,8 @@
   service.Name = core::ServiceId(*name);
   service.ConnectionLimit = static_cast<unsigned>(std::max<std::int64_t>(
       0, integerAt(json, "connectionLimit").value_or(0)));
-  service.ColdStart = core::Millis(static_cast<std::int64_t>(
-      std::max(0.0, numberAt(json, "coldStartS").value_or(0)) *
-      MillisPerSecond));
+  service.ColdStart =
+      toMillis(numberAt(json, "coldStartS").value_or(0) * MillisPerSecond);
   service.ColdPerSecond = std::max(0.0, numberAt(json, "coldPerS").value_or(0));
   const auto engine = json.find("inferenceEngine");
   if (engine != json.end() && engine->is_object())
@@ -181,7 +190,8 @@
 }
 
 /// Parses an address such as `10.128.0.9:8080` into `server`. Returns false if
-/// the text is malformed.
+/// the text is malformed or the host is not numeric: requests are sent to it
+/// without a look-up.
 bool parseAddress(const std::string &text, membership::BackendServer &server) {
   const std::size_t colon = text.rfind(':');
   if (colon == std::string::npos || colon == 0)
@@ -193,6 +203,10 @@
       port > 65'535)
     return false;
   server.Host = text.substr(0, colon);
+  boost::system::error_code ec;
+  boost::asio::ip::make_address(server.Host, ec);
+  if (ec)
+    return false;
   server.Port = static_cast<std::uint16_t>(port);
   return true;
 }
@@ -261,8 +275,9 @@
   server.Slots = static_cast<unsigned>(*slots);
   server.Draining = state == "draining";
   server.StartedAt = core::Millis(integerAt(json, "born").value_or(0));
-  server.ColdRemaining = core::Millis(std::max(
-      std::int64_t{0}, integerAt(json, "coldRemainingMs").value_or(0)));
+  server.ColdRemaining =
+      core::Millis(std::clamp(integerAt(json, "coldRemainingMs").value_or(0),
+                              std::int64_t{0}, MaxDurationMs));
   server.Sequence = static_cast<std::uint64_t>(
       std::max(std::int64_t{0}, integerAt(json, "sequenceNumber").value_or(0)));
   return server;
@@ -276,9 +291,9 @@
   const auto seconds = numberAt(json, "durationS");
   if (!service || !target || !seconds || *seconds <= 0)
     return core::Errc::Malformed;
-  return rollout::RolloutCommand{
-      core::ServiceId(*service), core::VersionId(*target),
-      core::Millis(static_cast<std::int64_t>(*seconds * MillisPerSecond))};
+  return rollout::RolloutCommand{core::ServiceId(*service),
+                                 core::VersionId(*target),
+                                 toMillis(*seconds * MillisPerSecond)};
 }
 
 core::Result<rollout::RolloutStatus>
--- a/tests/unit/platform/DocumentsTest.cpp
+++ b/tests/unit/platform/DocumentsTest.cpp
@@ -98,6 +98,33 @@
     EXPECT_FALSE(parseBackendServer("i", text).ok()) << text;
 }
 
+// Guards against an entry that stops every gateway: an address that is not
+// numeric was only found out when a request was to be sent to it, where it
+// ended the process.
+TEST(DocumentsTest, rejectsAddressesThatAreNotNumeric) {
+  for (const char *host :
+       {"localhost", "10.0.0", "10.0.0.256", "runner.example", " 10.0.0.9"}) {
+    const std::string text = R"({"service":"s","zone":"z","version":"v1",
+        "slots":64,"state":"available","address":")" +
+                             std::string(host) + R"(:8080"})";
+    EXPECT_FALSE(parseBackendServer("i", text).ok()) << host;
+  }
+}
+
+// Guards against durations that overflow when they are added to a time.
+TEST(DocumentsTest, limitsDurationsThatNoClockCanCount) {
+  std::string problems;
+  const auto parsed = parseCatalogue(
+      R"({"version":1,"routes":[{"host":"h","pathPrefix":"/","service":"s",
+          "routeKind":"idempotent","timeoutMs":1e300,"targetGapMs":-1e300}]})",
+      problems);
+  ASSERT_TRUE(parsed.ok());
+  ASSERT_EQ(parsed->Routes.size(), 1U);
+  EXPECT_GT(parsed->Routes.front().Timeout, core::Millis());
+  EXPECT_LE(parsed->Routes.front().Timeout, core::Millis(86'400'000));
+  EXPECT_EQ(parsed->Routes.front().TargetGap, core::Millis());
+}
+
 TEST(DocumentsTest, parsesRolloutOrdersAndRoundTripsStatuses) {
   const auto order =
       parseRolloutOrder(R"({"service":"s","target":"v2","durationS":1.5})");
