Keep the gateway running when a handler throws

Cause: an exception out of any handler left io_context::run() and ended the process with all its requests; the request of a server's handler that threw was not answered. Ruled out: catching in each handler, which would miss new ones. Change: the gateway runs its loop by runGuarded(), which logs event 108 (unexpected-error) and goes on. The server answers 500, or resets a response that has begun. The next tick is armed before the work of the present one. Conclusion: an unexpected error ends one request, not a process.

--- a/programs/cowslipridge-gateway/main.cpp
+++ b/programs/cowslipridge-gateway/main.cpp
@@ -1,6 +1,7 @@
 #include "cowslipridge/config/GatewaySettings.hpp"
 #include "cowslipridge/core/Clock.hpp"
 #include "cowslipridge/gateway/Gateway.hpp"
+#include "cowslipridge/http1/GuardedLoop.hpp"
 #include "cowslipridge/observe/EventLog.hpp"
 #include "cowslipridge/observe/LogBudget.hpp"
 #include "cowslipridge/observe/LogPipe.hpp"
@@ -170,7 +171,11 @@
                            metrics);
   gateway.start();
   const SignalHandler signals(loop, gateway, log);
-  loop.run();
+  http1::runGuarded(loop, [&](const std::exception &error) {
+    log.report(
+        observe::EventNumber::UnexpectedError,
+        {.Request = {}, .Version = {}, .Cause = {}, .Detail = error.what()});
+  });
   log.report(observe::EventNumber::ProcessStopped, {});
   return EXIT_SUCCESS;
 }
--- a/src/cowslipridge/gateway/Gateway.cpp
+++ b/src/cowslipridge/gateway/Gateway.cpp
@@ -192,6 +192,8 @@
 }
 
 void Gateway::tick() {
+  // First, so that an exception below does not end the ticks.
+  scheduleTick();
   const core::Millis now = Clock.monotonic();
   reportPause(now);
   updateServers(now);
@@ -211,7 +213,6 @@
   if (isReady() && !std::exchange(ReadyReported, true))
     Log.report(EventNumber::ProcessReady, {});
   drainStep(now);
-  scheduleTick();
 }
 
 void Gateway::reportPause(core::Millis now) {
--- a/src/cowslipridge/http1/internal/ServerConnection.cpp
+++ b/src/cowslipridge/http1/internal/ServerConnection.cpp
@@ -143,8 +143,7 @@
   InFlight = true;
   ++Context->InFlight;
   Timer.cancel();
-  Context->Handler(
-      std::make_shared<ServerExchange>(shared_from_this(), Number));
+  ServerExchange::handOver(shared_from_this(), Number, Context->Handler);
 }
 
 void ServerConnection::respond(ResponseHead head, std::string_view body) {
--- a/src/cowslipridge/http1/internal/ServerConnection.hpp
+++ b/src/cowslipridge/http1/internal/ServerConnection.hpp
@@ -40,6 +40,10 @@
   /// Returns the number of the current request. It changes once the response
   /// is written.
   [[nodiscard]] std::uint64_t exchangeNumber() const { return Number; }
+  /// Returns whether a response was started that is not complete.
+  [[nodiscard]] bool hasOpenResponse() const {
+    return ResponseBegun && !ResponseEnded;
+  }
   // The functions of the current request's Exchange.
   [[nodiscard]] const RequestHead &head() const;
   [[nodiscard]] const std::string &body() const;
--- a/src/cowslipridge/http1/internal/ServerExchange.cpp
+++ b/src/cowslipridge/http1/internal/ServerExchange.cpp
@@ -4,6 +4,36 @@
 
 namespace cowslipridge::http1::internal {
 
+namespace {
+
+constexpr int InternalServerError = 500;
+
+} // namespace
+
+void ServerExchange::handOver(
+    const std::shared_ptr<ServerConnection> &connection, std::uint64_t number,
+    const Server::Handler &handler) {
+  const auto exchange = std::make_shared<ServerExchange>(connection, number);
+  try {
+    handler(exchange);
+  } catch (...) {
+    exchange->fail();
+    throw;
+  }
+}
+
+// A runner may have got the request, so that the status must not be one of a
+// request that did not run.
+void ServerExchange::fail() {
+  if (isCurrent() && Connection->hasOpenResponse()) {
+    abort();
+    return;
+  }
+  ResponseHead head;
+  head.Status = InternalServerError;
+  respond(std::move(head), {});
+}
+
 bool ServerExchange::isCurrent() const {
   return Connection->exchangeNumber() == Number;
 }
--- a/src/cowslipridge/http1/internal/ServerExchange.hpp
+++ b/src/cowslipridge/http1/internal/ServerExchange.hpp
@@ -15,6 +15,11 @@
                  std::uint64_t number)
       : Connection(std::move(connection)), Number(number) {}
 
+  /// Passes the current request of `connection` to `handler`. If the handler
+  /// throws, the request gets an error response before the exception goes on.
+  static void handOver(const std::shared_ptr<ServerConnection> &connection,
+                       std::uint64_t number, const Server::Handler &handler);
+
   [[nodiscard]] const RequestHead &head() const override;
   [[nodiscard]] const std::string &body() const override;
   [[nodiscard]] core::Millis readAt() const override { return ReadAt; }
@@ -29,6 +34,7 @@
 
 private:
   [[nodiscard]] bool isCurrent() const;
+  void fail();
 
   std::shared_ptr<ServerConnection> Connection;
   std::uint64_t Number;
--- a/src/cowslipridge/observe/EventCatalogue.cpp
+++ b/src/cowslipridge/observe/EventCatalogue.cpp
@@ -28,6 +28,8 @@
     CatalogueEntry{
         LogSuppressed, Warning, "log-suppressed",
         "Log lines were suppressed to keep the log within its limits."},
+    CatalogueEntry{UnexpectedError, Error, "unexpected-error",
+                   "A handler threw an exception; the process goes on."},
     CatalogueEntry{ConfigurationInForce, Info, "configuration-in-force",
                    "A newer configuration generation took effect here."},
     CatalogueEntry{ConfigurationStale, Warning, "configuration-stale",
--- a/src/cowslipridge/observe/EventCatalogue.hpp
+++ b/src/cowslipridge/observe/EventCatalogue.hpp
@@ -16,6 +16,7 @@
   PauseDetected = 105,
   SettingsChecked = 106,
   LogSuppressed = 107,
+  UnexpectedError = 108,
 
   ConfigurationInForce = 200,
   ConfigurationStale = 201,
