Write records with names that are not valid text

Cause: calls of the store and the records of a roll-out were written by dump(), which throws for invalid UTF-8. Names in peers' MessagePack reports are not checked, so that one could end the handler that writes a record. Ruled out: listings, whose keys were parsed from JSON and are valid. Change: writeJson() replaces invalid bytes. The result names no existing service, so that a record of it has no effect. RolloutRecords is changed in the same way without a test.

--- a/src/cowslipridge/platform/Documents.cpp
+++ b/src/cowslipridge/platform/Documents.cpp
@@ -308,10 +308,9 @@
 }
 
 std::string writeRolloutStatus(const rollout::RolloutStatus &status) {
-  return Json{{"service", status.Service.str()},
-              {"target", status.Target.str()},
-              {"state", toString(status.Phase)}}
-      .dump();
+  return internal::writeJson({{"service", status.Service.str()},
+                              {"target", status.Target.str()},
+                              {"state", toString(status.Phase)}});
 }
 
 } // namespace cowslipridge::platform
--- a/src/cowslipridge/platform/RolloutRecords.cpp
+++ b/src/cowslipridge/platform/RolloutRecords.cpp
@@ -83,10 +83,9 @@
 }
 
 std::string writeProgress(const rollout::RolloutProgress &progress) {
-  return internal::Json{{"target", progress.Target.str()},
-                        {"step", progress.Step},
-                        {"elapsed_ms", progress.Elapsed.count()}}
-      .dump();
+  return internal::writeJson({{"target", progress.Target.str()},
+                              {"step", progress.Step},
+                              {"elapsed_ms", progress.Elapsed.count()}});
 }
 
 core::Result<rollout::RolloutProgress> parseProgress(const std::string &service,
--- a/src/cowslipridge/platform/StoreProtocol.cpp
+++ b/src/cowslipridge/platform/StoreProtocol.cpp
@@ -27,7 +27,8 @@
 }
 
 StoreCall makeJsonCall(std::string target, const Json &body) {
-  StoreCall call{makeHead("POST", std::move(target)), body.dump()};
+  StoreCall call{makeHead("POST", std::move(target)),
+                 internal::writeJson(body)};
   call.Head.Fields.add("Content-Type", "application/json");
   return call;
 }
--- a/src/cowslipridge/platform/internal/JsonReader.cpp
+++ b/src/cowslipridge/platform/internal/JsonReader.cpp
@@ -17,6 +17,10 @@
   return Json::parse(text, nullptr, false);
 }
 
+std::string writeJson(const Json &value) {
+  return value.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
 std::optional<std::string> stringAt(const Json &object, const char *key) {
   const Json *value = valueAt(object, key);
   if (value == nullptr || !value->is_string())
--- a/src/cowslipridge/platform/internal/JsonReader.hpp
+++ b/src/cowslipridge/platform/internal/JsonReader.hpp
@@ -12,6 +12,9 @@
 
 /// Returns the parsed value; a discarded value if `text` is no valid JSON.
 Json parseJson(const std::string &text);
+/// Returns the text of `value`. Bytes that are no valid UTF-8 are replaced:
+/// names in peers' reports may have any bytes.
+std::string writeJson(const Json &value);
 
 // Each function returns an empty value, or false, if the field is missing or
 // has another type.
--- a/tests/unit/platform/StoreProtocolTest.cpp
+++ b/tests/unit/platform/StoreProtocolTest.cpp
@@ -1,5 +1,7 @@
 #include "cowslipridge/platform/StoreProtocol.hpp"
 
+#include "cowslipridge/platform/Documents.hpp"
+
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
@@ -81,4 +83,16 @@
   EXPECT_FALSE(read->HasMore);
 }
 
+// Guards against a record that stops the process: peers' reports may carry
+// names that are no valid UTF-8, and writing those as JSON threw.
+TEST(StoreProtocolTest, writesNamesThatAreNotValidText) {
+  StoreTransaction transaction;
+  transaction.Writes.push_back({"\xff\xfe", "value", 0});
+  EXPECT_NO_THROW((void)transactionCall(transaction));
+  const rollout::RolloutStatus status{core::ServiceId("s"),
+                                      core::VersionId("\xff"),
+                                      rollout::RolloutPhase::Completed};
+  EXPECT_NO_THROW((void)writeRolloutStatus(status));
+}
+
 } // namespace
