--- a/src/cowslipridge/gateway/Gateway.cpp
+++ b/src/cowslipridge/gateway/Gateway.cpp
@@ -198,6 +198,8 @@
 }
 
 void Gateway::tick() {
+  // First, so that an exception below does not end the ticks.
+  scheduleTick();
   const core::Millis now = Clock.monotonic();
   reportPause(now);
   updateServers(now);
@@ -218,7 +220,6 @@
   if (isReady() && !std::exchange(ReadyReported, true))
     Log.report(EventNumber::ProcessReady, {});
   drainStep(now);
-  scheduleTick();
 }
 
 void Gateway::reportPause(core::Millis now) {
@@ -287,9 +288,11 @@
 }
 
 void Gateway::drainStep(core::Millis now) {
-  if (Drain.closesIdle(now))
-    Callers.closeIdle();
-  if (!Drain.isOver(Callers.inFlight(), now))
+  if (!Drain.closesIdle(now))
+    return;
+  Callers.acceptWaiting();
+  Callers.closeIdle();
+  if (!Drain.isOver(Callers.unfinished(), now))
     return;
   Control.deregister();
   Callers.stop();
--- a/src/cowslipridge/http1/internal/ServerConnection.cpp
+++ b/src/cowslipridge/http1/internal/ServerConnection.cpp
@@ -1,5 +1,7 @@
 #include "cowslipridge/http1/internal/ServerConnection.hpp"
 
+#include "cowslipridge/http1/internal/ServerExchange.hpp"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 
@@ -29,13 +31,19 @@
 
 void ServerConnection::start() {
   Parser.emplace(Context->Limits.Request);
+  FirstRequestUntil =
+      Context->Clock.monotonic() + Context->Limits.FirstRequestTime;
   armTimer();
   read();
 }
 
 bool ServerConnection::isIdle() const {
   return State == Phase::Reading && !RequestBegun && Input.empty() &&
-         !hasUnreadInput(Peer);
+         !expectsFirstRequest() && !hasUnreadInput(Peer);
+}
+
+bool ServerConnection::expectsFirstRequest() const {
+  return FirstRequestUntil && Context->Clock.monotonic() < *FirstRequestUntil;
 }
 
 void ServerConnection::shutDown() {
@@ -80,6 +88,7 @@
 }
 
 void ServerConnection::parse() {
+  FirstRequestUntil.reset();
   if (!std::exchange(RequestBegun, true))
     armTimer();
   onParseStatus(Parser->parse(Input));
@@ -134,7 +143,7 @@
   InFlight = true;
   ++Context->InFlight;
   Timer.cancel();
-  Context->Handler(shared_from_this());
+  ServerExchange::handOver(shared_from_this(), Number, Context->Handler);
 }
 
 void ServerConnection::respond(ResponseHead head, std::string_view body) {
@@ -162,7 +171,8 @@
 }
 
 void ServerConnection::send(std::string_view data) {
-  if (State != Phase::Responding || !ResponseBegun || data.empty())
+  if (State != Phase::Responding || !ResponseBegun || ResponseEnded ||
+      data.empty())
     return;
   const bool isHead = Parser->headDone() && Parser->head().Method == "HEAD";
   if (isHead)
@@ -243,6 +253,7 @@
 }
 
 void ServerConnection::finishResponse() {
+  ++Number;
   clearInFlight();
   DrainHandler = nullptr;
   if (!KeepAlive) {
