Order requests by admission under scarcity

Cause: the engine is sent the plain rank, so that under scarcity all requests of a rank wait in the order of their arrival. Ruled out: counting all waiting work as ahead of a request. The engine takes more urgent ones first; the part ahead is estimated from the priorities of this gateway's own requests, as callers are spread over gateways by a hash. Nothing is held yet, Retry-After is unchanged, and ServedShares is not wired.

--- a/src/cowslipridge/config/GatewaySettings.cpp
+++ b/src/cowslipridge/config/GatewaySettings.cpp
@@ -13,8 +13,9 @@
 
 using internal::SectionReader;
 
-constexpr std::array<std::string_view, 5> SectionNames = {
-    "process", "listen", "regions", "store", "promises"};
+constexpr std::array<std::string_view, 6> SectionNames = {
+    "process", "listen", "regions", "store", "admission", "promises"};
+constexpr internal::Choice<bool> Switch[] = {{"on", true}, {"off", false}};
 constexpr std::uint64_t MaxPort = 65'535;
 constexpr double MaxAllowance = 1e6;
 constexpr double MaxColdOvershoot = 100;
@@ -61,6 +62,11 @@
   settings.Store = readAddress(store, "address");
   store.finish();
 
+  SectionReader admission = document.open("admission");
+  settings.AdmissionOrder =
+      admission.choice("order", settings.AdmissionOrder, Switch);
+  admission.finish();
+
   SectionReader promises = document.open("promises");
   settings.Retries.PerRequest =
       promises.decimal("retry_ratio", settings.Retries.PerRequest, 0, 100);
--- a/src/cowslipridge/config/GatewaySettings.hpp
+++ b/src/cowslipridge/config/GatewaySettings.hpp
@@ -60,6 +60,9 @@
   std::map<core::FailureDomainId, std::string> Regions;
   // [store]
   SocketAddress Store; ///< `address`
+  // [admission]
+  /// `order`: under scarcity, requests are ordered by more than their rank.
+  bool AdmissionOrder = false;
   // [promises]
   RetryAllowance Retries;
   ExposureAllowance Exposure;
--- a/src/cowslipridge/gateway/Dispatcher.cpp
+++ b/src/cowslipridge/gateway/Dispatcher.cpp
@@ -71,11 +71,26 @@
       kind == AttemptKind::Retry || kind == AttemptKind::Escalate;
   if (isRetry && !retries.tryAcquire(now))
     return NoPlacement{"the retry budget is exhausted", MinRetryAfter};
+  OrderedAttempt ordered{kind, candidate->FirstToken, {}, {}};
+  if (Settings.AdmissionOrder)
+    ordered.Waiting = waitAt(*candidate, modelOf(request, tier));
   Placement placement = commit(*candidate, tier, request, now);
   placement.Kind = kind;
+  placement.Urgency = rankOf(request);
+  if (Settings.AdmissionOrder) {
+    ordered.LoadAge = placement.PeerLoadAge;
+    placement.Urgency = Order.onSent(placement.Ticket, request, ordered, now);
+  }
   return placement;
 }
 
+core::Millis Dispatcher::waitAt(const RunnerSelection::Candidate &candidate,
+                                const std::string &model) const {
+  const core::RunnerId &runner = candidate.Server->Id;
+  return Forecast.timeToFirstToken(runner, model, candidate.UncachedTokens) -
+         Forecast.idleTimeToFirstToken(runner, model, candidate.UncachedTokens);
+}
+
 std::optional<NoPlacement> Dispatcher::refusal(const RequestContext &request,
                                                core::Millis now) const {
   return Crashes.refusal(request.Caller, serviceOf(request), AttemptKind::First,
@@ -231,6 +246,7 @@
   Crashes.tick(now);
   Backoff.tick(now);
   RateLimits.tick(now);
+  Order.tick(now);
   Cold.tick([this](const core::RunnerId &it) { return coldStartOf(it); }, now);
   for (const auto &[id, server] : Servers.all())
     limitByWarmth(server, now);
--- a/src/cowslipridge/gateway/Dispatcher.hpp
+++ b/src/cowslipridge/gateway/Dispatcher.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cowslipridge/config/GatewaySettings.hpp"
+#include "cowslipridge/gateway/AdmissionOrder.hpp"
 #include "cowslipridge/gateway/CrashWatch.hpp"
 #include "cowslipridge/gateway/EscalationPolicy.hpp"
 #include "cowslipridge/gateway/Placement.hpp"
@@ -186,6 +187,9 @@
   Placement makePlacement(const RunnerSelection::Candidate &candidate,
                           ModelTier tier, const RequestContext &request,
                           core::Millis now);
+  /// Returns the part of the forecast that is due to other requests.
+  [[nodiscard]] core::Millis waitAt(const RunnerSelection::Candidate &candidate,
+                                    const std::string &model) const;
   /// Builds the placement and records the attempt.
   Placement commit(const RunnerSelection::Candidate &candidate, ModelTier tier,
                    const RequestContext &request, core::Millis now);
@@ -238,6 +242,7 @@
   RunnerEligibility Eligibility;
   RunnerSelection Selection;
   EscalationPolicy Escalations;
+  AdmissionOrder Order;
   std::map<core::ServiceId, limits::RetryWindow> Budgets;
   std::unordered_map<std::uint64_t, ActiveAttempt> ActiveAttempts;
   std::vector<PromptPlacement> NewPrompts; ///< not yet reported to peers
--- a/src/cowslipridge/gateway/DispatcherOutcomes.cpp
+++ b/src/cowslipridge/gateway/DispatcherOutcomes.cpp
@@ -75,6 +75,7 @@
 void Dispatcher::onFirstByte(std::uint64_t ticket, ActiveAttempt &attempt,
                              core::Millis now) {
   Forecast.onFirstToken(ticket, now);
+  Order.onAnsweredOrEnded(ticket);
   if (attempt.Answered)
     return;
   attempt.Answered = true;
@@ -120,6 +121,7 @@
 void Dispatcher::onEnded(std::uint64_t ticket, AttemptOutcome outcome,
                          core::Millis now) {
   Forecast.onAttemptEnded(ticket);
+  Order.onAnsweredOrEnded(ticket);
   Crashes.onEnded(ticket, outcome, now);
   const auto it = ActiveAttempts.find(ticket);
   if (it == ActiveAttempts.end())
--- a/src/cowslipridge/gateway/Placement.hpp
+++ b/src/cowslipridge/gateway/Placement.hpp
@@ -65,6 +65,7 @@
   /// within this time.
   core::Millis FirstByteTimeout;
   core::Millis PredictedFirstByte;
+  int Urgency = 0; ///< for the engine: 0 is served first, 9 last
   // The reasons for the decision, for the log.
   AttemptKind Kind = AttemptKind::First;
   std::uint64_t UncachedTokens = 0; ///< of the prompt, forecast
--- a/src/cowslipridge/gateway/RequestFlow.cpp
+++ b/src/cowslipridge/gateway/RequestFlow.cpp
@@ -16,17 +16,6 @@
 constexpr std::size_t MaxBacklog = 64UL * 1024;
 constexpr int FirstFailureStatus = 400;
 constexpr int ServiceUnavailable = 503;
-constexpr int MostUrgent = 0;
-constexpr int LeastUrgent = 9;
-
-// The priority of an organisation takes precedence over that of the route.
-int urgencyOf(const RequestContext &request) {
-  const catalogue::Organisation *organisation = request.Organisation;
-  const int priority = organisation != nullptr && organisation->Priority
-                           ? *organisation->Priority
-                           : request.Route->Priority;
-  return std::clamp(priority, MostUrgent, LeastUrgent);
-}
 
 } // namespace
 
@@ -102,7 +91,7 @@
     attributes.Model = modelOf(placement);
   attributes.LastEventId = after;
   attributes.PrefixSource = placement.PrefixSource;
-  attributes.Urgency = urgencyOf(request);
+  attributes.Urgency = placement.Urgency;
 
   http1::CallSpec spec;
   spec.Server = http1::Endpoint(boost::asio::ip::make_address(placement.Host),
--- a/src/cowslipridge/gateway/RequestTraits.cpp
+++ b/src/cowslipridge/gateway/RequestTraits.cpp
@@ -12,6 +12,8 @@
 /// estimate.
 constexpr double DefaultOutputFraction = 0.35;
 constexpr std::size_t MaxSharedSegments = 16;
+constexpr int MostUrgent = 0;
+constexpr int LeastUrgent = 9;
 
 } // namespace
 
@@ -29,6 +31,14 @@
   return tier + 1 == request.Route->Models.size();
 }
 
+int rankOf(const RequestContext &request) {
+  const catalogue::Organisation *organisation = request.Organisation;
+  const int priority = organisation != nullptr && organisation->Priority
+                           ? *organisation->Priority
+                           : request.Route->Priority;
+  return std::clamp(priority, MostUrgent, LeastUrgent);
+}
+
 bool isResumed(const RequestContext &request) {
   return request.Caller.LastEventId.value_or(0) > 0;
 }
--- a/tests/unit/config/GatewaySettingsTest.cpp
+++ b/tests/unit/config/GatewaySettingsTest.cpp
@@ -80,6 +80,18 @@
                            "g.ini", findings));
 }
 
+TEST(GatewaySettingsTest, admissionOrderIsOffUnlessSwitchedOn) {
+  core::Findings findings;
+  const auto without = parseGatewaySettings(Good, "g.ini", findings);
+  ASSERT_TRUE(without);
+  EXPECT_FALSE(without->AdmissionOrder);
+  const std::string section = "[admission]\norder = ";
+  const auto on = parseGatewaySettings(Good + section + "on\n", "g", findings);
+  ASSERT_TRUE(on);
+  EXPECT_TRUE(on->AdmissionOrder);
+  EXPECT_FALSE(parseGatewaySettings(Good + section + "maybe\n", "g", findings));
+}
+
 TEST(GatewaySettingsTest, metricsAddressIsOptional) {
   std::string text = Good;
   text.erase(text.find("metrics"), text.find("[store]") - text.find("metrics"));
