--- a/src/cowslipridge/gateway/RequestTraits.hpp
+++ b/src/cowslipridge/gateway/RequestTraits.hpp
@@ -22,8 +22,8 @@
 std::string modelOf(const RequestContext &request, ModelTier tier);
 /// Returns whether the tier is the route's largest model.
 bool isLargestModel(const RequestContext &request, std::size_t tier);
-/// Returns the rank of the request, 0 to 9, 0 being the most urgent: that of its
-/// organisation, or else of its route.
+/// Returns the rank of the request, 0 to 9, 0 being the most urgent: that of
+/// its organisation, or else of its route.
 int rankOf(const RequestContext &request);
 /// Returns whether the caller continues a stream of which it has events.
 bool isResumed(const RequestContext &request);
