--- a/src/cowslipridge/gateway/PeerExchange.hpp
+++ b/src/cowslipridge/gateway/PeerExchange.hpp
@@ -61,7 +61,8 @@
   /// Sends a report to each peer. `exitsWithin` is set while this gateway
   /// drains: the time until its process exits.
   void sendReports(std::optional<core::Millis> exitsWithin);
-  /// Passes on the reports of this failure domain, if this gateway is its relay.
+  /// Passes on the reports of this failure domain, if this gateway is its
+  /// relay.
   void relayReports();
   /// Returns the time until callers that this gateway rejects find one that
   /// serves.
