--- a/tests/property/peers/RelayProperties.cpp
+++ b/tests/property/peers/RelayProperties.cpp
@@ -94,7 +94,7 @@
   support::expectHolds(300, [] {
     PeerFleet fleet(*rc::gen::inRange<std::size_t>(2, 13), Domains, SmallReport,
                     *rc::gen::arbitrary<std::uint64_t>());
-    fleet.run(Millis(1'500));
+    fleet.run(Millis(1'000));
     const int faults = *rc::gen::inRange(1, 12);
     for (int n = 0; n < faults; ++n) {
       injectFault(fleet);
