Report only the cold phases that a gateway has found itself

Cause: reports listed every runner whose entry names a cold phase. Change: the entry's cold phase is not reported; suspicions and cold phases found by a response are.

--- a/src/cowslipridge/membership/ColdRunners.cpp
+++ b/src/cowslipridge/membership/ColdRunners.cpp
@@ -85,8 +85,10 @@
   const bool hasRestarted = sentAt >= *record->SuspectedSince;
   record->SuspectedSince.reset();
   record->ReportedAt.reset();
-  if (hasRestarted)
+  if (hasRestarted) {
+    record->IsOwnFinding = true;
     setColdUntil(*record, now + coldStart);
+  }
   return hasRestarted;
 }
 
@@ -190,7 +192,7 @@
     const bool isOwnSuspicion = record.SuspectedSince && !record.ReportedAt;
     if (isOwnSuspicion)
       report.Runners.push_back({runner, record.StartedAt, std::nullopt});
-    else if (record.ColdUntil && *record.ColdUntil > now)
+    else if (record.IsOwnFinding && record.ColdUntil && *record.ColdUntil > now)
       report.Runners.push_back(
           {runner, record.StartedAt, *record.ColdUntil - now});
   }
--- a/src/cowslipridge/membership/ColdRunners.hpp
+++ b/src/cowslipridge/membership/ColdRunners.hpp
@@ -84,7 +84,9 @@
                                core::Millis now) const;
   [[nodiscard]] WarmUpStep step(const core::RunnerId &runner,
                                 core::Millis now) const;
-  /// Returns the cold and the suspected runners.
+  /// Returns the runners that this gateway suspects, and those that it has
+  /// found cold. Peers know the others from their entries: in a roll-out these
+  /// are as many as the runners of a service.
   [[nodiscard]] ColdReport report(core::Millis now) const;
   /// Ends the suspicions of peers that are gone: their runners count as cold
   /// for `coldStart` of their service.
@@ -94,6 +96,8 @@
   struct Record {
     core::Millis StartedAt;
     std::optional<core::Millis> ColdUntil;
+    /// The cold phase follows from a response here, not from the entry.
+    bool IsOwnFinding = false;
     core::Millis AssumedUntil; ///< not reported: nothing is known
     /// Time of the first attempt that did not reach it; none unless suspected.
     std::optional<core::Millis> SuspectedSince;
--- a/tests/unit/membership/ColdRunnersTest.cpp
+++ b/tests/unit/membership/ColdRunnersTest.cpp
@@ -140,6 +140,15 @@
             (ColdRunner{Runner, FirstStart, ColdStart}));
 }
 
+// Guards against reports that grow with the runners of a roll-out, which all
+// start cold.
+TEST(ColdRunnersTest, aColdPhaseThatTheEntryNamesIsNotReported) {
+  ColdRunners runners;
+  runners.onEntry(entry(FirstStart, Millis(2'000)), Millis(100));
+  EXPECT_EQ(runners.step(Runner, Millis(200)), WarmUpStep::Cold);
+  EXPECT_TRUE(runners.report(Millis(200)).Runners.empty());
+}
+
 // Guards against a runner that stays limited because the gateway that suspected
 // it has stopped.
 TEST(ColdRunnersTest, aSuspicionOfAPeerThatIsGoneEnds) {
