Review case 3: a roll-out that is replaced leaves its version in use

Cause: a new order replaces the trial of the service; the version that was on trial then counts as a stable one and is neither judged nor banned.

--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -1,159 +1,162 @@
-// Twelve clients upload bodies of the size that the configuration allows. The
-// bodies together are less than half of the machine's memory.
+// A roll-out is replaced by another one before it is decided. How many requests
+// does the version of the first one get?
 #include "../lib/standins.h"
 
 namespace {
 
 using namespace review;
 
-constexpr long long ContactMs = 3'000;       ///< contactMs of the sheet
-constexpr long long MemoryLimitKb = 110'000; ///< memoryMb of an edge machine
-constexpr int KeptClients = 8;
-constexpr int Uploads = 12;
-constexpr std::size_t LargestBody = 4'194'304; ///< maxBodyBytes
-constexpr std::size_t SmallBody = 4'096;
-constexpr int DeadlineMs = 1'500;
-constexpr long long WorkMs = 200;
-constexpr std::size_t Tolerated = 3; ///< broken connections that LOST allows
+constexpr long long ContactMs = 3'000;      ///< contactMs of the sheet
+constexpr double ExposureFraction = 0.15;   ///< of the sheet
+constexpr double ExposureAllowance = 30;    ///< of the sheet
+constexpr long long RollbackMs = 5'000;     ///< rollbackMs of the sheet
+constexpr std::size_t CountedAnswers = 50;  ///< bad answers until RollbackMs
+constexpr long long DurationS = 24;         ///< of each roll-out
+constexpr long long ReplacedAfterMs = 1'000;
+constexpr int RunnersOfAVersion = 4;
+constexpr int FailedPart = 50; ///< of 100 answers of the bad version
+constexpr int ClientThreads = 12;
+constexpr long long PauseMs = 180; ///< between two requests of a client
+constexpr int DeadlineMs = 1'000;
 
-/// The resident memory of a process; 0 if it has ended.
-long long residentKb(pid_t pid) {
-  std::ifstream status("/proc/" + std::to_string(pid) + "/status");
-  std::string line;
-  while (std::getline(status, line)) {
-    if (line.rfind("VmRSS:", 0) == 0)
-      return std::atoll(line.c_str() + 6);
-  }
-  return 0;
-}
-
-/// The platform: ends a process that exceeds its memory.
-class MemoryWatch {
-public:
-  MemoryWatch(Record &log, Gateway &gateway)
-      : Watcher([this, &log, &gateway, pid = gateway.pid()] {
-          while (!Stopped && !Killed) {
-            const long long used = residentKb(pid);
-            Peak = std::max<long long>(Peak, used);
-            if (used > MemoryLimitKb) {
-              log.line("platform: the gateway uses " + std::to_string(used) +
-                       " kB, more than " + std::to_string(MemoryLimitKb) +
-                       " kB: killed");
-              Killed = true;
-              gateway.signal(SIGKILL);
-            }
-            sleepMs(2);
-          }
-        }) {}
-  ~MemoryWatch() {
-    Stopped = true;
-    Watcher.join();
-  }
-  [[nodiscard]] bool hasKilled() const { return Killed; }
-  [[nodiscard]] long long peak() const { return Peak; }
-
-private:
-  std::atomic<bool> Stopped{false};
-  std::atomic<bool> Killed{false};
-  std::atomic<long long> Peak{0};
-  std::thread Watcher;
-};
-
-/// Requests on kept connections that ended without an answer.
-struct Unanswered {
+/// The bad answers of all runners of the bad version.
+struct BadAnswers {
   std::mutex Guard;
-  std::vector<std::string> Ids;
+  std::vector<long long> At;
 };
 
-/// Sends unsafe requests on one connection until it ends.
-void runKeptClient(Record &log, int number, int port, Unanswered &unanswered,
-                   const std::atomic<bool> &stopped) {
-  const int fd = connectTo(port);
-  Reader reader(fd);
+/// Sends unsafe requests, one after the other, each on a new connection.
+void runClient(Record &log, int number, int port,
+               const std::atomic<bool> &stopped) {
   for (int n = 1; !stopped; ++n) {
     const std::string id =
-        "kept" + std::to_string(number) + "-" + std::to_string(n);
-    log.line("client: sends " + id);
-    sendAll(fd, requestBytes("POST", "/post/x", id, DeadlineMs, "booking"));
-    Message answer;
-    const bool whole = reader.read(answer, false, DeadlineMs + 1'000);
-    log.line("client: " + id + " gets " +
-             (whole ? answer.First
-                    : std::string(reader.ended() ? "a closed connection"
-                                                 : "no answer in time")));
-    if (!whole) {
-      const std::lock_guard lock(unanswered.Guard);
-      if (n > 1 && reader.ended())
-        unanswered.Ids.push_back(id);
-      break;
+        "client" + std::to_string(number) + "-" + std::to_string(n);
+    const int fd = connectTo(port);
+    if (fd >= 0) {
+      log.line("client: sends " + id);
+      sendAll(fd, requestBytes("POST", "/post/" + id, id, DeadlineMs, id));
+      Reader reader(fd);
+      Message answer;
+      const bool whole = reader.read(answer, false, DeadlineMs + 500);
+      log.line("client: " + id + " gets " +
+               (whole ? answer.First : std::string("no whole answer")));
+      close(fd);
     }
+    sleepMs(PauseMs);
+  }
+}
+
+/// Fails a part of the requests after it has worked on them.
+bool failOrAnswer(Record &log, BadAnswers &bad, Runner &runner,
+                  const Message &head, Reader &reader, int fd) {
+  static std::atomic<unsigned> count{0};
+  Message request = head;
+  if (!reader.readBody(request, true, 10'000))
+    return false;
+  runner.countRun(request);
+  sleepMs(runner.WorkMs);
+  const bool fails = (++count * 37) % 100 < FailedPart;
+  if (!fails)
+    return sendAll(fd, response(200, runner.answerHead(request), "done"));
+  log.line("runner " + runner.id() + ": fails " + request.field("Attempt-Id"));
+  {
+    const std::lock_guard lock(bad.Guard);
+    bad.At.push_back(nowMs());
   }
-  close(fd);
+  return sendAll(fd, response(500, runner.answerHead(request), "failed"));
 }
 
-void upload(Record &log, int number, int port, std::size_t size) {
-  const std::string id = "upload-" + std::to_string(number);
-  const int fd = connectTo(port);
-  if (fd < 0)
-    return;
-  log.line("client: sends " + id + " with " + std::to_string(size) + " bytes");
-  sendAll(fd, requestBytes("POST", "/post/x", id, DeadlineMs,
-                           std::string(size, 'x')));
-  Reader reader(fd);
-  Message answer;
-  const bool whole = reader.read(answer, false, DeadlineMs + 1'000);
-  log.line("client: " + id + " gets " +
-           (whole ? answer.First : std::string("no whole answer")));
-  close(fd);
+using Runners = std::vector<std::unique_ptr<Runner>>;
+
+Runners makeRunners(Record &log, Store &store, const std::string &version) {
+  Runners made;
+  for (int n = 0; n < RunnersOfAVersion; ++n)
+    made.push_back(std::make_unique<Runner>(
+        log, store, "i-desk-" + version + "-" + std::to_string(n), "clubdesk",
+        version));
+  return made;
+}
+
+void order(Store &store, const std::string &version) {
+  store.put("op/rollout/clubdesk", Json{{"service", "clubdesk"},
+                                        {"target", version},
+                                        {"durationS", DurationS}}
+                                       .dump());
+}
+
+std::size_t countArrivals(const Runners &runners, long long from,
+                          long long until) {
+  std::size_t count = 0;
+  for (const auto &runner : runners) {
+    for (const auto &[id, at] : runner->runs())
+      count += at >= from && at <= until ? 1 : 0;
+  }
+  return count;
 }
 
 int play(Record &log) {
   const TempFolder folder;
   Store store(log);
   store.put("op/config", configuration().dump());
-  Runner first(log, store, "i-desk-1", "clubdesk");
-  Runner second(log, store, "i-desk-2", "clubdesk");
-  for (Runner *it : {&first, &second}) {
-    it->WorkMs = WorkMs;
+  BadAnswers bad;
+  const Runners old = makeRunners(log, store, "v1");
+  const Runners worse = makeRunners(log, store, "v2");
+  const Runners good = makeRunners(log, store, "v3");
+  for (const auto &it : worse)
+    it->Respond = [&](Runner &runner, const Message &head, Reader &reader,
+                      int fd) {
+      return failOrAnswer(log, bad, runner, head, reader, fd);
+    };
+  for (const auto &it : old)
     it->enter();
-  }
-  Gateway gateway(log, "edge-1", {}, store.port(), folder.path());
-  gateway.start();
-  const int port = gateway.ports().Callers;
+  Gateway first(log, "edge-1", {}, store.port(), folder.path());
+  Gateway second(log, "edge-2", {}, store.port(), folder.path());
+  first.start();
+  second.start();
 
-  MemoryWatch memory(log, gateway);
-  Unanswered unanswered;
   std::atomic<bool> stopped{false};
   std::vector<std::thread> clients;
-  for (int n = 0; n < KeptClients; ++n)
-    clients.emplace_back(
-        [&, n] { runKeptClient(log, n, port, unanswered, stopped); });
-  sleepMs(ContactMs + 1'500);
-  if (memory.hasKilled())
-    giveUp("the gateway was killed before the uploads");
-
-  const std::size_t size = withTrouble() ? LargestBody : SmallBody;
-  std::vector<std::thread> uploads;
-  for (int n = 0; n < Uploads; ++n)
-    uploads.emplace_back([&, n] { upload(log, n, port, size); });
-  for (std::thread &it : uploads)
-    it.join();
-  sleepMs(500);
+  for (int n = 0; n < ClientThreads; ++n) {
+    const int port = (n % 2 == 0 ? first : second).ports().Callers;
+    clients.emplace_back([&, n, port] { runClient(log, n, port, stopped); });
+  }
+  sleepMs(ContactMs + 1'000);
+  const long long orderedAt = nowMs();
+  order(store, "v2");
+  for (const auto &it : worse)
+    it->enter();
+  sleepMs(ReplacedAfterMs);
+  if (withTrouble()) {
+    order(store, "v3");
+    for (const auto &it : good)
+      it->enter();
+  }
+  const long long deadline = orderedAt + DurationS * 1'000;
+  sleepMs(deadline - nowMs());
   stopped = true;
   for (std::thread &it : clients)
     it.join();
 
-  std::size_t lost = 0;
-  for (const std::string &id : unanswered.Ids) {
-    const bool ran = first.runs().contains(id) || second.runs().contains(id);
-    lost += ran ? 1 : 0;
-    log.line(id + (ran ? " was passed on to a runner" : " was not passed on") +
-             std::string(" and got no answer"));
-  }
-  log.line("most memory seen: " + std::to_string(memory.peak()) + " kB");
-  log.line("requests of kept connections, passed on and not answered: " +
-           std::to_string(lost));
-  return lost > Tolerated ? RuleBroken : RuleHeld;
+  const std::size_t exposed = countArrivals(worse, orderedAt, deadline);
+  const std::size_t all = exposed + countArrivals(old, orderedAt, deadline) +
+                          countArrivals(good, orderedAt, deadline);
+  const double allowed =
+      ExposureFraction * static_cast<double>(all) + ExposureAllowance;
+  std::size_t late = 0;
+  if (bad.At.size() >= CountedAnswers)
+    late = countArrivals(worse, bad.At[CountedAnswers - 1] + RollbackMs,
+                         deadline);
+  log.line("requests that reached clubdesk from the first order to its "
+           "deadline: " +
+           std::to_string(all) + "; v2 got " + std::to_string(exposed) +
+           ", allowed are " + std::to_string(allowed));
+  log.line("bad answers of v2: " + std::to_string(bad.At.size()) +
+           "; requests that it got later than rollbackMs after the 50th: " +
+           std::to_string(late));
+  log.line("status/rollout/clubdesk at the end: " +
+           store.get("status/rollout/clubdesk").value_or("none"));
+  return static_cast<double>(exposed) > allowed || late > 0 ? RuleBroken
+                                                            : RuleHeld;
 }
 
 } // namespace
@@ -165,8 +168,8 @@
   try {
     Record log(argv[1]);
     const int result = play(log);
-    log.line(result == RuleBroken ? "result: LOST is broken"
-                                  : "result: LOST held");
+    log.line(result == RuleBroken ? "result: EXPOSURE is broken"
+                                  : "result: EXPOSURE held");
     return result;
   } catch (const std::exception &) {
     return CouldNotRun;
