Compare a version on trial in spans of time, and let it on by evidence

Cause, as a class: what is not shown to be bad counted as sound. - Plain answers had no times, so that slowness was no evidence. - Counts ran from the start of the process, and the limit was a multiple of the stable version's share: failures of all runners hid a bad version long after their end, and a sound past hid a version that turns bad. - Steps followed the clock; nothing asked whether anything was known. - A gateway that restarted took its evidence with it.

Ruled out: a gateway that uses a version without knowing of its order.

Change: rollout/VersionEvidence owns the counts of all gateways under the command in force (cut out of the dispatcher); what a restarted peer had reported stays. rollout/TrialAssessment compares both versions on the same route within half a second by a log-likelihood ratio, for failures, breaks and slow plain answers, as a sequential test that a sound past doesn't delay, and calls a version sound only on evidence of its own. rollout/ExposureBudget lets an unproved version on only as far as the permitted exposure suffices. First tokens are compared without what was learnt of single runners, so that a good version on new runners isn't sent back.

New ones name the failures.

Conclusion: the bound is kept by design now, not by a threshold.

--- a/src/cowslipridge/gateway/Dispatcher.cpp
+++ b/src/cowslipridge/gateway/Dispatcher.cpp
@@ -26,7 +26,8 @@
 } // namespace
 
 Dispatcher::Dispatcher(const config::GatewaySettings &settings)
-    : Settings(settings), Trials(settings.Exposure.Fraction),
+    : Settings(settings),
+      Trials({settings.Exposure.Fraction, settings.Exposure.Fixed}),
       Cache(MaxCacheBlocks),
       Eligibility(settings,
                   {Servers, Evacuated, Trials, Ejections, RateLimits, Backoff}),
@@ -152,8 +153,6 @@
   RateLimits.onSent(placement.Runner, now);
   Selection.onSelected(request, tier, candidate, now);
   Eligibility.onSelected(request, *candidate.Server, now);
-  ++OwnEvidence[{placement.Service, placement.Version, request.Route->Name}]
-        .Sent;
 
   ActiveAttempt attempt;
   attempt.Service = placement.Service;
@@ -163,8 +162,15 @@
   attempt.Route = request.Route->Name;
   attempt.IsStream = catalogue::isStream(request.Route->Kind);
   attempt.SentAt = now;
-  attempt.Predicted = candidate.FirstToken;
+  // What is learnt of a runner is left out: of a version on trial, less is
+  // known.
+  attempt.Predicted = core::Millis(
+      std::llround(static_cast<double>(candidate.FirstToken.count()) /
+                   std::max(1.0, placement.RunnerSlowness)));
   attempt.OtherRequests = placement.RunnerLoad;
+  rollout::AnswerCounts sent;
+  sent.Sent = 1;
+  Evidence.record(attempt.evidenceKey(), sent, now);
   ActiveAttempts.emplace(placement.Ticket, std::move(attempt));
   return placement;
 }
@@ -246,6 +252,7 @@
 }
 
 void Dispatcher::tick(core::Millis now) {
+  Evidence.setTrials(Trials.activeCommands(), now);
   Eligibility.tick(now);
   Crashes.tick(now);
   Backoff.tick(now);
--- a/src/cowslipridge/gateway/Dispatcher.hpp
+++ b/src/cowslipridge/gateway/Dispatcher.hpp
@@ -16,6 +16,7 @@
 #include "cowslipridge/membership/Evacuations.hpp"
 #include "cowslipridge/membership/ServerRegistry.hpp"
 #include "cowslipridge/rollout/TrialControl.hpp"
+#include "cowslipridge/rollout/VersionEvidence.hpp"
 #include "cowslipridge/route/PrefillForecast.hpp"
 #include "cowslipridge/route/PromptCache.hpp"
 
@@ -159,7 +160,9 @@
   [[nodiscard]] std::map<core::ServiceId, double>
   remainingRetries(core::Millis now);
   /// Returns the sum of the evidence of this gateway and of its peers' reports.
-  [[nodiscard]] rollout::RouteEvidenceTable pooledEvidence() const;
+  [[nodiscard]] rollout::RouteEvidenceTable pooledEvidence() const {
+    return Evidence.pooled();
+  }
 
 private:
   /// An attempt that has not ended.
@@ -171,7 +174,7 @@
     std::string Route;
     bool IsStream = false;
     core::Millis SentAt;
-    core::Millis Predicted;
+    core::Millis Predicted; ///< for a runner of usual speed
     bool Answered = false;
     // Of a stream: its events, how many came with the first of them, and the
     // other requests at the runner when it was sent.
@@ -180,6 +183,10 @@
     unsigned OtherRequests = 0;
     core::Millis FirstEventAt;
     core::Millis LastEventAt;
+
+    [[nodiscard]] rollout::RouteEvidenceKey evidenceKey() const {
+      return {Service, Version, Route};
+    }
   };
 
   /// Builds the placement, with its limits and timeouts.
@@ -213,6 +220,10 @@
   [[nodiscard]] core::Millis coldStartOf(const core::RunnerId &runner) const;
   void onFirstByte(std::uint64_t ticket, ActiveAttempt &attempt,
                    core::Millis now);
+  /// Returns what the end of an attempt shows about its version.
+  [[nodiscard]] rollout::AnswerCounts countsOf(const ActiveAttempt &attempt,
+                                               AttemptOutcome outcome,
+                                               core::Millis now) const;
   /// Records how fast a complete stream was.
   void recordInterval(const ActiveAttempt &attempt,
                       rollout::AnswerCounts &counts) const;
@@ -246,8 +257,7 @@
   std::map<core::ServiceId, limits::RetryWindow> Budgets;
   std::unordered_map<std::uint64_t, ActiveAttempt> ActiveAttempts;
   std::vector<PromptPlacement> NewPrompts; ///< not yet reported to peers
-  rollout::RouteEvidenceTable OwnEvidence;
-  std::map<core::InstanceId, rollout::RouteEvidenceTable> PeerEvidence;
+  rollout::VersionEvidence Evidence;
   std::size_t Gateways = 1;
   bool UrgentReport = false;
   std::optional<core::Millis> StartedBesidePeersAt;
--- a/src/cowslipridge/gateway/DispatcherOutcomes.cpp
+++ b/src/cowslipridge/gateway/DispatcherOutcomes.cpp
@@ -79,12 +79,12 @@
   attempt.Answered = true;
   if (!attempt.IsStream)
     return;
-  rollout::AnswerCounts &counts =
-      OwnEvidence[{attempt.Service, attempt.Version, attempt.Route}];
-  ++counts.Timed;
+  rollout::AnswerCounts counts;
+  counts.Timed = 1;
   const auto elapsed = static_cast<double>((now - attempt.SentAt).count()) + 1;
   const auto predicted = static_cast<double>(attempt.Predicted.count()) + 1;
-  counts.LogSlowness += std::log(elapsed / predicted);
+  counts.LogSlowness = std::log(elapsed / predicted);
+  Evidence.record(attempt.evidenceKey(), counts, now);
 }
 
 void Dispatcher::onEvents(std::uint64_t ticket, unsigned events,
@@ -130,27 +130,18 @@
   // runners would lose their load to others, which would then be slow.
   if (outcome == AttemptOutcome::Unreachable)
     onUnreachable(attempt, now);
-  rollout::AnswerCounts &counts =
-      OwnEvidence[{attempt.Service, attempt.Version, attempt.Route}];
+  Evidence.record(attempt.evidenceKey(), countsOf(attempt, outcome, now), now);
   switch (outcome) {
   case AttemptOutcome::Served:
     reportEjection(Ejections.onSuccess(attempt.Runner), outcome);
-    ++counts.Judged;
-    recordInterval(attempt, counts);
     break;
   case AttemptOutcome::Unreachable:
     reportEjection(Ejections.onUnreachable(attempt.Runner, now), outcome);
     break;
   case AttemptOutcome::ErrorResponse:
-    reportEjection(Ejections.onFailure(attempt.Runner, now), outcome);
-    ++counts.Judged;
-    ++counts.Failed;
-    break;
   case AttemptOutcome::Broken:
   case AttemptOutcome::TimedOut:
     reportEjection(Ejections.onFailure(attempt.Runner, now), outcome);
-    ++counts.Judged;
-    ++counts.Broken;
     break;
   case AttemptOutcome::Rejected:
     reportEjection(Ejections.onFailure(attempt.Runner, now), outcome);
@@ -161,6 +152,23 @@
   }
 }
 
+rollout::AnswerCounts Dispatcher::countsOf(const ActiveAttempt &attempt,
+                                           AttemptOutcome outcome,
+                                           core::Millis now) const {
+  rollout::AnswerCounts counts;
+  const bool isServed = outcome == AttemptOutcome::Served;
+  const bool isTimedOut = outcome == AttemptOutcome::TimedOut;
+  counts.Failed = outcome == AttemptOutcome::ErrorResponse ? 1 : 0;
+  counts.Broken = outcome == AttemptOutcome::Broken || isTimedOut ? 1 : 0;
+  counts.Judged = isServed ? 1 : counts.Failed + counts.Broken;
+  if (attempt.IsStream && isServed)
+    recordInterval(attempt, counts);
+  if (!attempt.IsStream && (isServed || isTimedOut))
+    counts.Durations.add(attempt.OtherRequests,
+                         static_cast<double>((now - attempt.SentAt).count()));
+  return counts;
+}
+
 void Dispatcher::reportEjection(
     const std::optional<limits::EjectionChange> &change,
     AttemptOutcome outcome) {
--- a/src/cowslipridge/gateway/DispatcherReports.cpp
+++ b/src/cowslipridge/gateway/DispatcherReports.cpp
@@ -7,7 +7,7 @@
 void Dispatcher::onPeerReport(const PeerReport &report, core::Millis now) {
   Eligibility.addRemotePins(report.PinnedSessions, now);
   Forecast.setRemoteLoads(report.Gateway, report.Loads, now);
-  PeerEvidence.insert_or_assign(report.Gateway, report.Evidence);
+  Evidence.onPeerReport(report.Gateway, report.Evidence, report.Rollouts, now);
   Trials.onPeerKnowledge(report.Rollouts, now);
   Crashes.onPeerReport(report.Crashes, now);
   for (const limits::ReportedRateLimit &it : report.RateLimits) {
@@ -44,24 +44,10 @@
   report.Cold = Cold.report(now);
   report.Cold.Settled = report.Cold.Settled && Catalogue != nullptr;
   report.Evacuated = Evacuated.commanded();
-  for (const core::ServiceId &service : Trials.activeRollouts()) {
-    for (const auto &[key, counts] : OwnEvidence) {
-      if (key.Service == service)
-        report.Evidence.emplace(key, counts);
-    }
-  }
+  report.Evidence = Evidence.report();
   return report;
 }
 
-rollout::RouteEvidenceTable Dispatcher::pooledEvidence() const {
-  rollout::RouteEvidenceTable pooled = OwnEvidence;
-  for (const auto &[peer, evidence] : PeerEvidence) {
-    for (const auto &[key, counts] : evidence)
-      pooled[key] += counts;
-  }
-  return pooled;
-}
-
 std::vector<rollout::TrialDecision>
 Dispatcher::dueDecisions(std::size_t rank, core::Millis now) const {
   std::vector<rollout::TrialDecision> decisions;
@@ -69,11 +55,11 @@
   if (services.empty())
     return decisions;
   rollout::TrialControl::Observation observation;
-  observation.Evidence = pooledEvidence();
   observation.Rank = rank;
   for (const core::ServiceId &service : services) {
     const core::VersionId target =
         Trials.activeTarget(service).value_or(core::VersionId());
+    observation.Evidence = Evidence.assessment(service);
     observation.StableInFlight = 0;
     observation.TargetHasRunner = false;
     for (const auto &[id, server] : Servers.all()) {
--- a/src/cowslipridge/gateway/PeerReportCodec.cpp
+++ b/src/cowslipridge/gateway/PeerReportCodec.cpp
@@ -21,6 +21,7 @@
 constexpr std::size_t ColdRunnersIndex = 11;
 constexpr std::size_t EvacuatedIndex = 12;
 constexpr std::size_t EvidenceIntervalsIndex = 9;
+constexpr std::size_t EvidenceDurationsIndex = 10;
 // Positions in the entries on crashes.
 constexpr std::size_t BreakContentIndex = 5;
 constexpr std::size_t TraitKindIndex = 3;
@@ -64,7 +65,7 @@
     evidence.push_back({key.Service.str(), key.Version.str(), key.Route,
                         counts.Sent, counts.Judged, counts.Failed,
                         counts.Broken, counts.Timed, counts.LogSlowness,
-                        encode(counts.Intervals)});
+                        encode(counts.Intervals), encode(counts.Durations)});
   return evidence;
 }
 
@@ -225,6 +226,8 @@
   counts.LogSlowness = entry.at(8).get<double>();
   if (entry.size() > EvidenceIntervalsIndex)
     decode(entry.at(EvidenceIntervalsIndex), counts.Intervals);
+  if (entry.size() > EvidenceDurationsIndex)
+    decode(entry.at(EvidenceDurationsIndex), counts.Durations);
   return {
       rollout::RouteEvidenceKey{core::ServiceId(entry.at(0).get<std::string>()),
                                 core::VersionId(entry.at(1).get<std::string>()),
--- a/src/cowslipridge/rollout/TrialEvidence.hpp
+++ b/src/cowslipridge/rollout/AnswerCounts.hpp
@@ -19,15 +19,18 @@
                           const RouteEvidenceKey &) = default;
 };
 
-/// Counts of attempts and answers. They never decrease while a process runs.
+/// Counts of attempts and answers. They never decrease while a process runs and
+/// a roll-out lasts.
 struct AnswerCounts {
   std::uint64_t Sent = 0;    ///< attempts on runners of the version
   std::uint64_t Judged = 0;  ///< of these, with an outcome due to the runner
   std::uint64_t Failed = 0;  ///< the runner answered with an error
   std::uint64_t Broken = 0;  ///< broken off or timed out, as by a runner crash
-  std::uint64_t Timed = 0;   ///< answers with a forecast to compare with
-  double LogSlowness = 0;    ///< sum of log(observed / forecast)
+  std::uint64_t Timed = 0;   ///< streams with a forecast to compare with
+  double LogSlowness = 0;    ///< of these, sum of log(observed / forecast)
   IntervalsByLoad Intervals; ///< between the events of complete streams
+  /// Of plain answers: the time until they were complete, or timed out.
+  IntervalsByLoad Durations;
 
   AnswerCounts &operator+=(const AnswerCounts &other);
   friend auto operator<=>(const AnswerCounts &, const AnswerCounts &) = default;
@@ -35,14 +38,14 @@
 
 using RouteEvidenceTable = std::map<RouteEvidenceKey, AnswerCounts>;
 
+/// Returns what has been counted since `before`. When a count is lower than
+/// before, the process has restarted: all of `after` is new.
+AnswerCounts countedSince(const AnswerCounts &before,
+                          const AnswerCounts &after);
+
 /// Returns the counts of each version of a service, summed over all its routes.
 std::map<core::VersionId, AnswerCounts>
 sumByVersion(const RouteEvidenceTable &evidence,
              const core::ServiceId &service);
 
-/// Returns whether a version on trial answers worse than the stable version: it
-/// fails more often, breaks off more often, begins its answers later or streams
-/// them more slowly.
-bool isWorse(const AnswerCounts &trial, const AnswerCounts &stable);
-
 } // namespace cowslipridge::rollout
--- a/src/cowslipridge/rollout/TrialEvidence.cpp
+++ b/src/cowslipridge/rollout/AnswerSpeed.cpp
@@ -1,4 +1,4 @@
-#include "cowslipridge/rollout/TrialEvidence.hpp"
+#include "cowslipridge/rollout/AnswerSpeed.hpp"
 
 #include <algorithm>
 #include <array>
@@ -9,23 +9,6 @@
 
 namespace {
 
-/// Minimum number of failures for a comparison; fewer may be due to isolated
-/// faults of a runner.
-constexpr std::uint64_t MinFailures = 3;
-/// A version on trial fails too often if its share of failures exceeds the
-/// share of the stable version times this factor plus this difference.
-constexpr double FailureFactor = 2;
-constexpr double FailureDifference = 0.1;
-/// The same for answers that are broken off, as happens when runners crash.
-constexpr std::uint64_t MinBroken = 8;
-constexpr double BrokenFactor = 3;
-constexpr double BrokenDifference = 0.3;
-/// Minimum number of timed answers for a comparison.
-constexpr std::uint64_t MinTimed = 6;
-/// Mean slowdown relative to the stable version that load does not explain, as
-/// a factor.
-constexpr double SlownessFactor = 2.2;
-
 // Other requests make a stream slower, never faster. So the fastest streams of
 // a version show its speed whatever the load, and a version of the same speed
 // has as many of them at the same load.
@@ -43,46 +26,35 @@
 constexpr double MinFastPart = 0.3;
 /// Accepted probability that a version of the same speed has so few.
 constexpr double FalseAlarmProbability = 1e-2;
+/// A version is as fast if it has at least this part of the expected fast
+/// streams, and this many are expected.
+constexpr double AsFastPart = 0.5;
+constexpr double MinExpectedFast = 3;
+/// Margin in buckets with which a version is called as fast.
+constexpr std::size_t AsFastMargin = FastMargins[1];
+
+/// Minimum number of plain answers of the stable version for a comparison.
+constexpr std::uint64_t MinStableAnswers = 12;
+/// Plain answers are slow if they take twice the median of the stable
+/// version's, which a disturbance of some of its runners hardly changes.
+constexpr double Median = 0.5;
+constexpr std::size_t SlowMargin = IntervalHistogram::BucketsPerDoubling;
 
 double share(std::uint64_t part, std::uint64_t total) {
   return total == 0 ? 0
                     : static_cast<double>(part) / static_cast<double>(total);
 }
 
-double meanLog(const AnswerCounts &counts) {
-  return counts.Timed == 0
-             ? 0
-             : counts.LogSlowness / static_cast<double>(counts.Timed);
-}
-
-bool failsMore(const AnswerCounts &trial, const AnswerCounts &stable) {
-  return trial.Failed >= MinFailures &&
-         share(trial.Failed, trial.Judged) >
-             FailureFactor * share(stable.Failed, stable.Judged) +
-                 FailureDifference;
-}
-
-bool breaksOffMore(const AnswerCounts &trial, const AnswerCounts &stable) {
-  return trial.Broken >= MinBroken &&
-         share(trial.Broken, trial.Judged) >
-             BrokenFactor * share(stable.Broken, stable.Judged) +
-                 BrokenDifference;
-}
-
-bool isSlower(const AnswerCounts &trial, const AnswerCounts &stable) {
-  return trial.Timed >= MinTimed &&
-         meanLog(trial) - meanLog(stable) > std::log(SlownessFactor);
-}
-
-// Returns the streams of the stable version at the load of this class, and at
+// Returns the answers of the stable version at the load of this class, and at
 // more load if there are too few of them; nothing if there are too few still.
 std::optional<IntervalHistogram> comparableTo(const IntervalsByLoad &stable,
-                                              std::size_t loadClass) {
-  IntervalHistogram streams;
+                                              std::size_t loadClass,
+                                              std::uint64_t minimum) {
+  IntervalHistogram answers;
   for (std::size_t n = loadClass; n < IntervalsByLoad::ClassCount; ++n) {
-    streams += stable.ofClass(n);
-    if (streams.total() >= MinStableStreams)
-      return streams;
+    answers += stable.ofClass(n);
+    if (answers.total() >= minimum)
+      return answers;
   }
   return std::nullopt;
 }
@@ -93,7 +65,7 @@
                     std::size_t slowestFast) {
   double expected = 0;
   for (std::size_t n = 0; n < IntervalsByLoad::ClassCount; ++n) {
-    const auto comparable = comparableTo(stable, n);
+    const auto comparable = comparableTo(stable, n, MinStableStreams);
     if (!comparable)
       break;
     expected += static_cast<double>(trial.ofClass(n).total()) *
@@ -124,46 +96,49 @@
          lowerTailBound(fast, expected) < FalseAlarmProbability;
 }
 
+} // namespace
+
+bool hasComparableStreams(const IntervalsByLoad &stable) {
+  return stable.sum().total() >= MinStableStreams;
+}
+
 bool streamsSlower(const IntervalsByLoad &trial,
                    const IntervalsByLoad &stable) {
-  const IntervalHistogram allStable = stable.sum();
-  if (allStable.total() < MinStableStreams)
+  if (!hasComparableStreams(stable))
     return false;
-  const std::size_t fastest = allStable.quantileBucket(FastestShare);
+  const std::size_t fastest = stable.sum().quantileBucket(FastestShare);
   return std::any_of(FastMargins.begin(), FastMargins.end(),
                      [&](std::size_t it) {
                        return hasFewerFastStreams(trial, stable, fastest + it);
                      });
 }
 
-} // namespace
-
-AnswerCounts &AnswerCounts::operator+=(const AnswerCounts &other) {
-  Sent += other.Sent;
-  Judged += other.Judged;
-  Failed += other.Failed;
-  Broken += other.Broken;
-  Timed += other.Timed;
-  LogSlowness += other.LogSlowness;
-  Intervals += other.Intervals;
-  return *this;
-}
-
-bool isWorse(const AnswerCounts &trial, const AnswerCounts &stable) {
-  return failsMore(trial, stable) || breaksOffMore(trial, stable) ||
-         isSlower(trial, stable) ||
-         streamsSlower(trial.Intervals, stable.Intervals);
+bool streamsAsFast(const IntervalsByLoad &trial,
+                   const IntervalsByLoad &stable) {
+  if (!hasComparableStreams(stable))
+    return false;
+  const std::size_t slowestFast =
+      stable.sum().quantileBucket(FastestShare) + AsFastMargin;
+  const double expected = expectedFast(trial, stable, slowestFast);
+  const auto fast = static_cast<double>(trial.sum().countUpTo(slowestFast));
+  return expected >= MinExpectedFast && fast >= AsFastPart * expected;
 }
 
-std::map<core::VersionId, AnswerCounts>
-sumByVersion(const RouteEvidenceTable &evidence,
-             const core::ServiceId &service) {
-  std::map<core::VersionId, AnswerCounts> sums;
-  for (const auto &[key, counts] : evidence) {
-    if (key.Service == service)
-      sums[key.Version] += counts;
+RatedAnswers rate(const IntervalsByLoad &answers,
+                  const IntervalsByLoad &stable) {
+  RatedAnswers rated;
+  for (std::size_t n = 0; n < IntervalsByLoad::ClassCount; ++n) {
+    const std::uint64_t total = answers.ofClass(n).total();
+    if (total == 0)
+      continue;
+    const auto comparable = comparableTo(stable, n, MinStableAnswers);
+    if (!comparable)
+      break;
+    const std::size_t usual = comparable->quantileBucket(Median) + SlowMargin;
+    rated.Rated += total;
+    rated.Slow += total - answers.ofClass(n).countUpTo(usual);
   }
-  return sums;
+  return rated;
 }
 
 } // namespace cowslipridge::rollout
--- a/src/cowslipridge/rollout/IntervalHistogram.cpp
+++ b/src/cowslipridge/rollout/IntervalHistogram.cpp
@@ -10,7 +10,6 @@
 namespace {
 
 constexpr double LowestMillis = 4;
-constexpr double BucketsPerDoubling = 8;
 /// The fewest other requests of each class of load.
 constexpr std::array<std::size_t, IntervalsByLoad::ClassCount> FirstOfClass = {
     0, 2, 4, 8};
@@ -20,7 +19,8 @@
 void IntervalHistogram::add(double intervalMillis) {
   const double doublings =
       std::log2(std::max(intervalMillis, LowestMillis) / LowestMillis);
-  const auto bucket = static_cast<std::size_t>(doublings * BucketsPerDoubling);
+  const auto bucket = static_cast<std::size_t>(
+      doublings * static_cast<double>(BucketsPerDoubling));
   ++Buckets.at(std::min(bucket, BucketCount - 1));
 }
 
@@ -36,6 +36,18 @@
   return *this;
 }
 
+IntervalHistogram &
+IntervalHistogram::operator-=(const IntervalHistogram &other) {
+  std::transform(Buckets.begin(), Buckets.end(), other.Buckets.begin(),
+                 Buckets.begin(), std::minus<>());
+  return *this;
+}
+
+bool IntervalHistogram::includes(const IntervalHistogram &other) const {
+  return std::equal(Buckets.begin(), Buckets.end(), other.Buckets.begin(),
+                    std::greater_equal<>());
+}
+
 std::uint64_t IntervalHistogram::total() const {
   return std::accumulate(Buckets.begin(), Buckets.end(), std::uint64_t{0});
 }
@@ -69,6 +81,18 @@
   return *this;
 }
 
+IntervalsByLoad &IntervalsByLoad::operator-=(const IntervalsByLoad &other) {
+  for (std::size_t n = 0; n < ClassCount; ++n)
+    Classes.at(n) -= other.Classes.at(n);
+  return *this;
+}
+
+bool IntervalsByLoad::includes(const IntervalsByLoad &other) const {
+  return std::equal(
+      Classes.begin(), Classes.end(), other.Classes.begin(),
+      [](const auto &all, const auto &part) { return all.includes(part); });
+}
+
 IntervalHistogram IntervalsByLoad::sum() const {
   return std::accumulate(Classes.begin(), Classes.end(), IntervalHistogram(),
                          [](IntervalHistogram sum, const auto &it) {
--- a/src/cowslipridge/rollout/TrialControl.cpp
+++ b/src/cowslipridge/rollout/TrialControl.cpp
@@ -27,6 +27,9 @@
 /// Minimum fraction of the duration that all sessions are on the target before
 /// completion, so that the last requests on other versions are seen.
 constexpr double MinLastStepFraction = 0.04;
+/// Minimum fraction of the duration between two steps, in which a version that
+/// turns bad shows it.
+constexpr double MinStepFraction = 0.04;
 /// Fraction of the duration at which the roll-out is completed even if requests
 /// still run on old runners, which are stopped then.
 constexpr double ForcedCompletionFraction = 0.93;
@@ -42,37 +45,6 @@
          static_cast<double>(total.count());
 }
 
-AnswerCounts sumOf(const RouteEvidenceTable &evidence,
-                   const RolloutCommand &command, bool target,
-                   const std::string *route) {
-  AnswerCounts sum;
-  for (const auto &[key, counts] : evidence) {
-    const bool matches = key.Service == command.Service &&
-                         (key.Version == command.Target) == target &&
-                         (route == nullptr || key.Route == *route);
-    if (matches)
-      sum += counts;
-  }
-  return sum;
-}
-
-// Compares the target with the stable versions over all routes and on each
-// route, since a version may be bad on a single route. Returns the reason if it
-// is worse.
-std::optional<std::string> findRegression(const RouteEvidenceTable &evidence,
-                                          const RolloutCommand &command) {
-  if (isWorse(sumOf(evidence, command, true, nullptr),
-              sumOf(evidence, command, false, nullptr)))
-    return "worse than the stable version";
-  for (const auto &[key, counts] : evidence) {
-    if (key.Service != command.Service || key.Version != command.Target)
-      continue;
-    if (isWorse(counts, sumOf(evidence, command, false, &key.Route)))
-      return "worse than the stable version on route " + key.Route;
-  }
-  return std::nullopt;
-}
-
 } // namespace
 
 void TrialControl::onCommand(const RolloutCommand &command, core::Millis now) {
@@ -120,8 +92,11 @@
     Reverted.emplace(trial.Command.Service, trial.Command.Target);
 }
 
-void TrialControl::recordStep(Trial &trial, unsigned step) {
-  trial.Step = std::max(trial.Step.value_or(0), step);
+void TrialControl::recordStep(Trial &trial, unsigned step, core::Millis now) {
+  if (trial.Step && step <= *trial.Step)
+    return;
+  trial.Step = step;
+  trial.StepStartedAt = now;
 }
 
 void TrialControl::onStatus(const RolloutStatus &status, core::Millis now) {
@@ -136,7 +111,7 @@
                               core::Millis now) {
   Progresses.insert_or_assign(progress.Service, std::pair(progress, now));
   if (Trial *trial = findTo(progress.Service, progress.Target))
-    recordStep(*trial, progress.Step);
+    recordStep(*trial, progress.Step, now);
 }
 
 void TrialControl::onListed(const RolloutList &list, core::Millis now) {
@@ -192,7 +167,7 @@
     if (trial == nullptr || trial->Command != it.Command)
       continue;
     recordPhase(*trial, it.Phase, now);
-    recordStep(*trial, it.Step);
+    recordStep(*trial, it.Step, now);
     trial->StartedAt = std::min(trial->StartedAt, now - it.Elapsed);
   }
 }
@@ -264,10 +239,12 @@
   const Trial *trial = find(service);
   if (trial == nullptr || !trial->Recorded)
     return 0;
-  const std::size_t step =
-      std::min<std::size_t>(trial->Step.value_or(0), Steps.size() - 1);
-  const double share = Steps.at(step).Share;
-  return step == 0 ? std::min(share, FirstStepExposureShare * ExposureFraction)
+  return shareOfStep(trial->Step.value_or(0));
+}
+
+double TrialControl::shareOfStep(std::size_t step) const {
+  const double share = Steps.at(std::min(step, Steps.size() - 1)).Share;
+  return step == 0 ? std::min(share, FirstStepExposureShare * Exposure.Fraction)
                    : share;
 }
 
@@ -302,6 +279,64 @@
   return services;
 }
 
+std::vector<RolloutCommand> TrialControl::activeCommands() const {
+  std::vector<RolloutCommand> commands;
+  for (const auto &[service, trial] : Trials) {
+    if (trial.Phase == RolloutPhase::InProgress)
+      commands.push_back(trial.Command);
+  }
+  return commands;
+}
+
+TrialControl::Review TrialControl::review(const Trial &trial,
+                                          const Observation &observation,
+                                          core::Millis now) const {
+  const core::Millis elapsed = now - trial.StartedAt;
+  const core::Millis rankDelay =
+      RankDelay * static_cast<std::int64_t>(observation.Rank);
+  Review review{trial, observation, {}, {}, elapsed - rankDelay};
+  review.Progress = {
+      {}, targetShare(trial.Command.Service), elapsed, trial.Command.Duration};
+  if (observation.Evidence != nullptr) {
+    review.Verdict = observation.Evidence->verdict();
+    review.Progress.Exposed = observation.Evidence->exposure(now);
+  }
+  return review;
+}
+
+std::optional<std::string>
+TrialControl::reasonToRevert(const Review &review) const {
+  const auto &[finding, reason] = review.Verdict;
+  if (finding == TrialFinding::Worse)
+    return reason + " than the stable version";
+  const bool isUnproved =
+      finding != TrialFinding::Sound && review.Subject.Step.value_or(0) > 0;
+  if (isUnproved && isNearlyUsedUp(Exposure, review.Progress))
+    return "the exposure limit is reached: " + reason;
+  return std::nullopt;
+}
+
+std::optional<std::string>
+TrialControl::reasonToAdvance(const Review &review, core::Millis now) const {
+  const unsigned next = review.Subject.Step.value_or(0) + 1;
+  if (next >= Steps.size() || !review.Seen.TargetHasRunner)
+    return std::nullopt;
+  const core::Millis duration = review.Subject.Command.Duration;
+  const TrialStep &step = Steps.at(next);
+  const bool isDue =
+      fractionOf(review.ElapsedForRank, duration) >= step.StartFraction &&
+      fractionOf(now - review.Subject.StepStartedAt, duration) >=
+          MinStepFraction;
+  if (!isDue)
+    return std::nullopt;
+  if (review.Verdict.Finding == TrialFinding::Sound)
+    return "step is due, " + review.Verdict.Reason;
+  if (review.Verdict.Finding == TrialFinding::Unknown &&
+      staysWithin(Exposure, review.Progress, shareOfStep(next)))
+    return "step is due, few requests";
+  return std::nullopt;
+}
+
 std::optional<TrialDecision> TrialControl::next(const core::ServiceId &service,
                                                 const Observation &observation,
                                                 core::Millis now) const {
@@ -309,17 +344,17 @@
   if (trial == nullptr)
     return std::nullopt;
   const RolloutCommand &command = trial->Command;
-  const core::Millis elapsed = now - trial->StartedAt;
+  const Review look = review(*trial, observation, now);
   const unsigned step = trial->Step.value_or(0);
-  const core::Millis rankDelay =
-      RankDelay * static_cast<std::int64_t>(observation.Rank);
   const auto decide = [&](RolloutPhase phase, unsigned to, std::string reason) {
+    if (observation.Evidence != nullptr)
+      reason += ", " + observation.Evidence->describe();
     return TrialDecision{{service, command.Target, phase},
-                         {service, command.Target, to, elapsed},
+                         {service, command.Target, to, look.Progress.Elapsed},
                          std::move(reason)};
   };
   if (isRecordLost(*trial)) {
-    if (now - *RestoredAt < rankDelay)
+    if (now - *RestoredAt < look.Progress.Elapsed - look.ElapsedForRank)
       return std::nullopt;
     return decide(trial->Phase, step, "the store has lost the record");
   }
@@ -327,28 +362,30 @@
       !RestoredAt || now - *RestoredAt >= RecordRewritePeriod;
   if (trial->Phase != RolloutPhase::InProgress || !mayDecide)
     return std::nullopt;
-  if (const auto regression = findRegression(observation.Evidence, command))
-    return decide(RolloutPhase::Reverted, step, *regression);
-  const core::Millis elapsedForRank = elapsed - rankDelay;
-  if (elapsedForRank < core::Millis())
+  if (const auto reason = reasonToRevert(look))
+    return decide(RolloutPhase::Reverted, step, *reason);
+  if (look.ElapsedForRank < core::Millis())
     return std::nullopt;
   if (!trial->Recorded)
     return decide(RolloutPhase::InProgress, 0, "ordered");
-  const double fraction = fractionOf(elapsedForRank, command.Duration);
+  if (const auto reason = reasonToAdvance(look, now))
+    return decide(RolloutPhase::InProgress, step + 1, *reason);
+  const double fraction = fractionOf(look.ElapsedForRank, command.Duration);
   const bool last = step + 1 >= Steps.size();
-  if (!last && fraction >= Steps.at(step + 1).StartFraction &&
-      observation.TargetHasRunner)
-    return decide(RolloutPhase::InProgress, step + 1, "step is due");
   const bool drained =
       fraction >= Steps.back().StartFraction + MinLastStepFraction &&
       observation.StableInFlight == 0;
-  if (last && observation.TargetHasRunner &&
+  const bool mayComplete = look.Verdict.Finding == TrialFinding::Sound ||
+                           (look.Verdict.Finding == TrialFinding::Unknown &&
+                            isQuiet(Exposure, look.Progress));
+  if (last && mayComplete && observation.TargetHasRunner &&
       (drained || fraction >= ForcedCompletionFraction))
     return decide(RolloutPhase::Completed, step,
                   drained ? "no request is left on the stable version"
                           : "the deadline is near");
   if (fraction >= 1)
-    return decide(RolloutPhase::Reverted, step, "not done in time");
+    return decide(RolloutPhase::Reverted, step,
+                  "not done in time: " + look.Verdict.Reason);
   return std::nullopt;
 }
 
--- a/src/cowslipridge/rollout/TrialControl.hpp
+++ b/src/cowslipridge/rollout/TrialControl.hpp
@@ -1,8 +1,9 @@
 #pragma once
 
 #include "cowslipridge/core/Clock.hpp"
+#include "cowslipridge/rollout/ExposureBudget.hpp"
 #include "cowslipridge/rollout/RolloutCommand.hpp"
-#include "cowslipridge/rollout/TrialEvidence.hpp"
+#include "cowslipridge/rollout/TrialAssessment.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -24,8 +25,10 @@
 /// Controls the roll-outs that operators command, jointly with the other
 /// gateways.
 ///
-/// The steps follow the time since the command: a small share of the sessions
-/// goes to the target through the first half, then more, then all. Each gateway
+/// A small share of the sessions goes to the target through the first half of
+/// the time, then more, then all. The target gets more only once it is shown to
+/// serve as well as the stable versions, or if the permitted exposure suffices
+/// for an unproved version. Each gateway
 /// derives the version of a session from the session id, so that gateways agree
 /// without communicating. Any gateway may write the next record; the store
 /// accepts one of them.
@@ -35,10 +38,9 @@
 /// the gateways write the lost record again.
 class TrialControl {
 public:
-  /// `exposureFraction` is the share of the requests of a service that a new
-  /// version may get in the first step, before there is enough evidence on it.
-  explicit TrialControl(double exposureFraction)
-      : ExposureFraction(exposureFraction) {}
+  /// `exposure` bounds the requests of a service that a new version may get
+  /// until there is enough evidence on it.
+  explicit TrialControl(const ExposureLimit &exposure) : Exposure(exposure) {}
 
   /// Time for operators to write their commands again after a restore. Until
   /// then, another command of the copy does not replace the one in force.
@@ -92,9 +94,10 @@
   [[nodiscard]] bool hasStickySessions(const core::ServiceId &service,
                                        core::Millis now) const;
 
-  /// Input of next() for one service. The evidence is that of all gateways.
+  /// Input of next() for one service.
   struct Observation {
-    RouteEvidenceTable Evidence;
+    /// The evidence of all gateways; null if there is none.
+    const TrialAssessment *Evidence = nullptr;
     /// Number of requests that run on versions other than the target.
     std::size_t StableInFlight = 0;
     bool TargetHasRunner = false; ///< a runner of the target is registered
@@ -110,6 +113,8 @@
   [[nodiscard]] std::vector<core::ServiceId> undecidedRollouts() const;
   /// Returns the services with a roll-out in progress.
   [[nodiscard]] std::vector<core::ServiceId> activeRollouts() const;
+  /// Returns the commands of the roll-outs in progress.
+  [[nodiscard]] std::vector<RolloutCommand> activeCommands() const;
   /// Returns the share of sessions that the roll-out assigns to its target.
   [[nodiscard]] double targetShare(const core::ServiceId &service) const;
 
@@ -118,6 +123,7 @@
     RolloutCommand Command;
     core::Millis StartedAt; ///< monotonic; estimated time of the command
     std::optional<unsigned> Step;
+    core::Millis StepStartedAt;
     RolloutPhase Phase = RolloutPhase::InProgress;
     bool Recorded = false;   ///< the store held a record of it
     core::Millis SwitchesAt; ///< when sessions start to go to the target
@@ -133,12 +139,30 @@
   /// Returns the roll-out of a service if it is to this target.
   Trial *findTo(const core::ServiceId &service, const core::VersionId &target);
   void recordPhase(Trial &trial, RolloutPhase phase, core::Millis now);
-  static void recordStep(Trial &trial, unsigned step);
+  static void recordStep(Trial &trial, unsigned step, core::Millis now);
   void onListedCommand(const RolloutCommand &command, core::Millis now);
+  /// One look at a roll-out, by next().
+  struct Review {
+    const Trial &Subject;
+    const Observation &Seen;
+    TrialVerdict Verdict;
+    TrialProgress Progress;
+    core::Millis ElapsedForRank; ///< less by the delay of this gateway's rank
+  };
+  [[nodiscard]] Review review(const Trial &trial,
+                              const Observation &observation,
+                              core::Millis now) const;
+  /// Returns why the trial must end before its time, if it must.
+  [[nodiscard]] std::optional<std::string>
+  reasonToRevert(const Review &review) const;
+  /// Returns why the next step is taken, if it is due.
+  [[nodiscard]] std::optional<std::string>
+  reasonToAdvance(const Review &review, core::Millis now) const;
+  [[nodiscard]] double shareOfStep(std::size_t step) const;
   /// Returns whether the store has lost the record of a roll-out.
   [[nodiscard]] bool isRecordLost(const Trial &trial) const;
 
-  double ExposureFraction;
+  ExposureLimit Exposure;
   std::map<core::ServiceId, Trial> Trials;
   /// Stored status and progress of each service, also if received before its
   /// command.
--- a/tests/property/platform/RestoreSimulation.cpp
+++ b/tests/property/platform/RestoreSimulation.cpp
@@ -16,7 +16,7 @@
 constexpr const char *CommandValue =
     R"({"service":"llm","target":"v2","durationS":8})";
 const core::ServiceId Service("llm");
-constexpr double Exposure = 0.15;
+constexpr rollout::ExposureLimit Exposure{0.15, 0};
 constexpr std::size_t MaxCopies = 4;
 constexpr int SettlingRounds = 400;
 constexpr Millis SettlingInterval{100};
--- a/tests/unit/gateway/DispatcherOutcomesTest.cpp
+++ b/tests/unit/gateway/DispatcherOutcomesTest.cpp
@@ -1,4 +1,5 @@
 #include "DispatcherFixture.hpp"
+#include "support/PlainCatalogue.hpp"
 
 #include <set>
 
@@ -40,6 +41,40 @@
             expected);
 }
 
+// Guards against a version of a plain service that is slow without evidence.
+TEST(PlainDispatcherTest, recordsTheDurationOfPlainAnswersAndTimeouts) {
+  const auto declared = support::plainCatalogue();
+  Dispatcher dispatcher{config::GatewaySettings{}};
+  dispatcher.setCatalogue(declared);
+  membership::BackendServer server;
+  server.Id = core::RunnerId("runner");
+  server.Service = support::PlainService;
+  server.Version = core::VersionId("v1");
+  dispatcher.servers().put(server);
+  RequestContext context;
+  context.Catalogue = declared;
+  context.Route = &declared->catalogue().Routes.front();
+  context.Deadline = Millis(10'000);
+  Millis now{1'000};
+  const auto run = [&](Millis duration, AttemptOutcome outcome) {
+    context.Caller.Id = core::RequestId(std::to_string(now.count()));
+    const auto result =
+        dispatcher.place(context, {}, {}, AttemptKind::First, now);
+    const auto ticket = std::get<Placement>(result).Ticket;
+    now = now + duration;
+    dispatcher.onEnded(ticket, outcome, now);
+  };
+  run(Millis(30), AttemptOutcome::Served);
+  run(Millis(240), AttemptOutcome::TimedOut);
+  run(Millis(20), AttemptOutcome::ErrorResponse);
+  rollout::IntervalsByLoad expected;
+  expected.add(0, 30);
+  expected.add(0, 240);
+  const auto pooled = dispatcher.pooledEvidence();
+  ASSERT_EQ(pooled.size(), 1U);
+  EXPECT_EQ(pooled.begin()->second.Durations, expected);
+}
+
 // Pattern: half of the runners reject most of what they get. Two rejections end
 // a request whose route allows few attempts.
 TEST_F(DispatcherTest, prefersRunnersThatDoNotReject) {
--- a/tests/unit/gateway/GatewayGaugesTest.cpp
+++ b/tests/unit/gateway/GatewayGaugesTest.cpp
@@ -50,14 +50,16 @@
 }
 
 TEST_F(GatewayGaugesTest, reportsTrialEvidenceUntilTheRollOutEnds) {
+  RequestDispatcher.trials().onCommand({Service, Target, Millis(20'000)}, Now);
+  RequestDispatcher.trials().onStatus(
+      {Service, Target, rollout::RolloutPhase::InProgress}, Now);
+  RequestDispatcher.tick(Now);
   PeerReport report;
   report.Gateway = core::InstanceId("peer");
+  report.Rollouts = RequestDispatcher.trials().knowledge(Now);
   report.Evidence[{Service, Target, "chat"}].Judged = 41;
   report.Evidence[{Service, Target, "chat"}].Failed = 5;
   RequestDispatcher.onPeerReport(report, Now);
-  RequestDispatcher.trials().onCommand({Service, Target, Millis(20'000)}, Now);
-  RequestDispatcher.trials().onStatus(
-      {Service, Target, rollout::RolloutPhase::InProgress}, Now);
   const std::string text = scrape();
   EXPECT_NE(valueOf(text, "cowslipridge_trial_share"), "0");
   EXPECT_THAT(text, HasSubstr("outcome=\"judged\",service=\"llm\",version="
--- a/tests/unit/gateway/PeerReportCodecTest.cpp
+++ b/tests/unit/gateway/PeerReportCodecTest.cpp
@@ -12,10 +12,11 @@
   PeerReport report;
   report.Gateway = core::InstanceId("g");
   report.Loads = {{core::RunnerId("r"), {12.5, 2, 3}}};
-  rollout::AnswerCounts counts{9, 8, 2, 1, 7, 0.25, {}};
+  rollout::AnswerCounts counts{9, 8, 2, 1, 7, 0.25, {}, {}};
   counts.Intervals.add(0, 20);
   counts.Intervals.add(0, 20);
   counts.Intervals.add(9, 900);
+  counts.Durations.add(3, 120);
   report.Evidence = {
       {{core::ServiceId("s"), core::VersionId("v2"), "route"}, counts}};
   report.PinnedSessions = {1, 1ULL << 63};
--- a/tests/unit/rollout/TrialControlTest.cpp
+++ b/tests/unit/rollout/TrialControlTest.cpp
@@ -14,7 +14,7 @@
 const core::ServiceId Service("s");
 const core::VersionId Target("v2");
 constexpr Millis Duration{24'000};
-constexpr double Exposure = 0.15;
+constexpr ExposureLimit Exposure{0.15, 0};
 
 class TrialControlTest : public testing::Test {
 protected:
@@ -55,11 +55,12 @@
     AnswerCounts counts;
     counts.Judged = judged;
     counts.Failed = failed;
-    Input.Evidence[{Service, Target, route}] = counts;
+    Evidence.add({Service, Target, route}, counts, Now);
   }
 
   TrialControl Control{Exposure};
-  TrialControl::Observation Input{{}, 0, true, 0};
+  TrialAssessment Evidence{Target};
+  TrialControl::Observation Input{&Evidence, 0, true, 0};
   Millis Now;
 };
 
@@ -82,7 +83,7 @@
 }
 
 TEST_F(TrialControlTest, respectsSmallerExposureFraction) {
-  Control = TrialControl(0.02);
+  Control = TrialControl({0.02, 0});
   command();
   drive(Duration / 2);
   EXPECT_GT(share(), 0);
@@ -113,6 +114,44 @@
   EXPECT_EQ(drive(Millis(2'200)), RolloutPhase::Reverted);
 }
 
+/// A service with many requests.
+class BusyTrialTest : public TrialControlTest {
+protected:
+  /// Drives the roll-out while each version answers this often a second.
+  RolloutPhase driveBusy(Millis until, std::uint64_t target) {
+    while (Now < until) {
+      add(core::VersionId("v1"), 30);
+      add(Target, target);
+      drive(Now + Millis(1'000));
+    }
+    return phase();
+  }
+
+private:
+  void add(const core::VersionId &version, std::uint64_t answers) {
+    AnswerCounts counts;
+    counts.Sent = answers;
+    counts.Judged = answers;
+    Evidence.add({Service, version, "r"}, counts, Now);
+  }
+};
+
+// Guards against steps that follow the clock although nothing is known of the
+// version.
+TEST_F(BusyTrialTest, versionWithoutAnswersIsNotCompleted) {
+  command();
+  driveBusy(Duration * 7 / 10, 0);
+  EXPECT_LE(share(), 0.25) << "what the permitted exposure suffices for";
+  EXPECT_EQ(driveBusy(Duration * 2, 0), RolloutPhase::Reverted);
+}
+
+TEST_F(BusyTrialTest, versionThatIsShownToBeSoundLateStillCompletes) {
+  command();
+  driveBusy(Duration * 7 / 10, 0);
+  EXPECT_LE(share(), 0.25);
+  EXPECT_EQ(driveBusy(Duration, 8), RolloutPhase::Completed);
+}
+
 TEST_F(TrialControlTest, versionWithoutRunnersIsRevertedAtDeadline) {
   command();
   Input.TargetHasRunner = false;
--- a/tests/unit/rollout/TrialSpeedTest.cpp
+++ b/tests/unit/rollout/TrialSpeedTest.cpp
@@ -1,5 +1,5 @@
 #include "cowslipridge/core/Random.hpp"
-#include "cowslipridge/rollout/TrialEvidence.hpp"
+#include "cowslipridge/rollout/TrialAssessment.hpp"
 
 #include <gtest/gtest.h>
 
@@ -31,7 +31,13 @@
     for (int n = 0; n < streams; ++n)
       add(Trial, 5 + core::uniformIndex(Random, 30), factor);
   }
-  [[nodiscard]] bool isTrialWorse() const { return isWorse(Trial, Stable); }
+  [[nodiscard]] bool isTrialWorse() const {
+    TrialAssessment assessment{core::VersionId("v2")};
+    const core::ServiceId service("s");
+    assessment.add({service, core::VersionId("v1"), "r"}, Stable, {});
+    assessment.add({service, core::VersionId("v2"), "r"}, Trial, {});
+    return assessment.verdict().Finding == TrialFinding::Worse;
+  }
 
 private:
   void add(AnswerCounts &counts, std::size_t others, double factor) {
