Stop sending sessions to a version that is found worse, before its record

Cause: a gateway that finds the version worse waits for the store to accept the record; until then it goes on with up to all sessions. Ruled out: late evidence; all gateways had proposed the end within 0.25 s. Change: TrialControl::suspend(), called with the decision. Also: a roll-out without any evidence object follows the clock again as one without requests: RestoreProperties.revisionsAloneLetTransactionsReplaceOtherRecords had found no violation since, as its roll-outs no longer advanced. Tests: versionFoundWorseGetsNoSessionsBeforeItsRecord; the counterpart above.

--- a/src/cowslipridge/gateway/Gateway.cpp
+++ b/src/cowslipridge/gateway/Gateway.cpp
@@ -275,6 +275,8 @@
     report(EventNumber::RolloutAdvanced,
            "proposed " + describe(it.Status) + " step=" +
                std::to_string(it.Progress.Step) + " reason=" + it.Reason);
+    if (it.Status.Phase == rollout::RolloutPhase::Reverted)
+      RequestDispatcher.trials().suspend(it.Status.Service);
     Control.advance(it.Status, it.Progress);
   }
 }
--- a/src/cowslipridge/rollout/TrialControl.cpp
+++ b/src/cowslipridge/rollout/TrialControl.cpp
@@ -212,7 +212,8 @@
   if (trial->Phase == RolloutPhase::Completed)
     return {Choice::Target, target};
   const bool hasSwitched = trial->Recorded && now >= trial->SwitchesAt;
-  if (trial->Phase == RolloutPhase::Reverted || !hasSwitched)
+  if (trial->Phase == RolloutPhase::Reverted || trial->Suspended ||
+      !hasSwitched)
     return {Choice::Stable, target};
   return {isAssignedToTarget(service, sessionHash) ? Choice::Target
                                                    : Choice::Stable,
@@ -288,6 +289,12 @@
   return commands;
 }
 
+void TrialControl::suspend(const core::ServiceId &service) {
+  const auto trial = Trials.find(service);
+  if (trial != Trials.end())
+    trial->second.Suspended = true;
+}
+
 TrialControl::Review TrialControl::review(const Trial &trial,
                                           const Observation &observation,
                                           core::Millis now) const {
@@ -297,10 +304,12 @@
   Review review{trial, observation, {}, {}, elapsed - rankDelay};
   review.Progress = {
       {}, targetShare(trial.Command.Service), elapsed, trial.Command.Duration};
-  if (observation.Evidence != nullptr) {
-    review.Verdict = observation.Evidence->verdict();
-    review.Progress.Exposed = observation.Evidence->exposure(now);
+  if (observation.Evidence == nullptr) {
+    review.Progress.Exposed.Observed = elapsed;
+    return review;
   }
+  review.Verdict = observation.Evidence->verdict();
+  review.Progress.Exposed = observation.Evidence->exposure(now);
   return review;
 }
 
--- a/src/cowslipridge/rollout/TrialControl.hpp
+++ b/src/cowslipridge/rollout/TrialControl.hpp
@@ -96,7 +96,7 @@
 
   /// Input of next() for one service.
   struct Observation {
-    /// The evidence of all gateways; null if there is none.
+    /// The evidence of all gateways; null if the service has no requests.
     const TrialAssessment *Evidence = nullptr;
     /// Number of requests that run on versions other than the target.
     std::size_t StableInFlight = 0;
@@ -104,6 +104,10 @@
     /// Rank of this gateway among the live gateways; a higher rank acts later.
     std::size_t Rank = 0;
   };
+  /// Stops this gateway from sending sessions to the target until the roll-out
+  /// is completed, as the target is to be reverted. The record may take a
+  /// while.
+  void suspend(const core::ServiceId &service);
   /// Returns the next record of the roll-out of a service if it is due.
   std::optional<TrialDecision> next(const core::ServiceId &service,
                                     const Observation &observation,
@@ -126,6 +130,7 @@
     core::Millis StepStartedAt;
     RolloutPhase Phase = RolloutPhase::InProgress;
     bool Recorded = false;   ///< the store held a record of it
+    bool Suspended = false;  ///< found worse here, not yet reverted
     core::Millis SwitchesAt; ///< when sessions start to go to the target
   };
 
--- a/tests/unit/rollout/TrialControlTest.cpp
+++ b/tests/unit/rollout/TrialControlTest.cpp
@@ -106,6 +106,18 @@
   EXPECT_TRUE(Control.isBanned(Service, Target));
 }
 
+// Guards against requests that a version gets while the store accepts its end.
+TEST_F(TrialControlTest, versionFoundWorseGetsNoSessionsBeforeItsRecord) {
+  command();
+  drive(Millis(2'000));
+  setCounts(6, 3);
+  ASSERT_TRUE(Control.next(Service, Input, Now));
+  Control.suspend(Service);
+  EXPECT_EQ(share(), 0);
+  EXPECT_EQ(Control.activeTarget(Service), Target);
+  EXPECT_TRUE(Control.next(Service, Input, Now)) << "until it is recorded";
+}
+
 TEST_F(TrialControlTest, versionThatIsBadOnSingleRouteIsReverted) {
   command();
   drive(Millis(2'000));
