Refuse entries with numbers out of range or nested too deeply

Reported by another operator: an odd entry ended the machines that read the list. Here: integers beyond 63 bits wrapped, a start near the largest integer overflowed when times were added (review), slots beyond 32 bits were cut; depth had no bound. Ports were checked already. Tests: DocumentsTest.rejectsEntriesWithNumbersOutOfRange failed before, rejectsDeeplyNestedEntries.

--- a/src/cowslipridge/platform/Documents.cpp
+++ b/src/cowslipridge/platform/Documents.cpp
@@ -26,6 +26,11 @@
 /// when they are added to a time.
 constexpr std::int64_t MaxDurationMs = 86'400'000;
 
+/// Latest start of a runner, in Unix time: later ones are no time of a clock.
+constexpr std::int64_t MaxUnixMs = 32'503'680'000'000;
+constexpr std::int64_t MaxSlots = 1'000'000;
+constexpr std::int64_t MaxWeight = 1'000'000;
+
 core::Millis toMillis(double count) {
   return core::Millis(static_cast<std::int64_t>(
       std::clamp(count, 0.0, static_cast<double>(MaxDurationMs))));
@@ -64,7 +69,7 @@
   for (const Json &it : arrayAt(route, "trafficSplit")) {
     const auto service = stringAt(it, "service");
     const auto weight = integerAt(it, "weight");
-    if (service && weight && *weight > 0)
+    if (service && weight && *weight > 0 && *weight <= MaxWeight)
       services.push_back(
           {core::ServiceId(*service), static_cast<unsigned>(*weight)});
   }
@@ -252,6 +257,21 @@
   return parsed;
 }
 
+namespace {
+
+/// Returns the start of a runner, zero if it isn't stated, and nothing if it is
+/// no time.
+std::optional<core::Millis> parseStart(const Json &entry) {
+  if (!entry.contains("born"))
+    return core::Millis();
+  const auto born = integerAt(entry, "born");
+  if (!born || *born < 0 || *born > MaxUnixMs)
+    return std::nullopt;
+  return core::Millis(*born);
+}
+
+} // namespace
+
 core::Result<membership::BackendServer>
 parseBackendServer(std::string_view id, const std::string &text) {
   const Json json = parseJson(text);
@@ -264,7 +284,10 @@
   membership::BackendServer server;
   if (!service || !address || !parseAddress(*address, server))
     return core::Errc::Malformed;
-  if (!domain || !version || !slots || *slots < 1)
+  if (!domain || !version || !slots || *slots < 1 || *slots > MaxSlots)
+    return core::Errc::Malformed;
+  const auto startedAt = parseStart(json);
+  if (!startedAt)
     return core::Errc::Malformed;
   if (state != "available" && state != "draining")
     return core::Errc::Malformed;
@@ -274,7 +297,7 @@
   server.Version = core::VersionId(*version);
   server.Slots = static_cast<unsigned>(*slots);
   server.Draining = state == "draining";
-  server.StartedAt = core::Millis(integerAt(json, "born").value_or(0));
+  server.StartedAt = *startedAt;
   server.ColdRemaining =
       core::Millis(std::clamp(integerAt(json, "coldRemainingMs").value_or(0),
                               std::int64_t{0}, MaxDurationMs));
--- a/tests/unit/platform/DocumentsTest.cpp
+++ b/tests/unit/platform/DocumentsTest.cpp
@@ -111,6 +111,40 @@
   }
 }
 
+// Guards against an odd entry of another writer that ends every gateway that
+// reads the list, or makes its times overflow.
+TEST(DocumentsTest, rejectsEntriesWithNumbersOutOfRange) {
+  const auto parse = [](const std::string &slots, const std::string &born) {
+    return parseBackendServer(
+               "i", R"({"service":"s","address":"10.0.0.9:8080","zone":"z",
+                        "version":"v1","state":"available","slots":)" +
+                        slots + R"(,"born":)" + born + "}")
+        .ok();
+  };
+  EXPECT_TRUE(parse("64", "1700000000000"));
+  for (const char *slots :
+       {"0", "-1", "4294967297", "18446744073709551615", "1e400", "64.5"})
+    EXPECT_FALSE(parse(slots, "1700000000000")) << slots;
+  for (const char *born :
+       {"-1", "9223372036854775807", "18446744073709551615", "1e30", "1.5",
+        "\"now\"", "99999999999999999999999999999999"})
+    EXPECT_FALSE(parse("64", born)) << born;
+}
+
+TEST(DocumentsTest, rejectsDeeplyNestedEntries) {
+  constexpr std::size_t Depth = 100'000;
+  const std::string nested = std::string(Depth, '[') + std::string(Depth, ']');
+  EXPECT_FALSE(parseBackendServer("i", nested).ok());
+  EXPECT_FALSE(parseBackendServer(
+                   "i", R"({"service":"s","address":"10.0.0.9:8080","zone":"z",
+                   "version":"v1","slots":64,"state":"available","more":)" +
+                            nested + "}")
+                   .ok());
+  EXPECT_FALSE(parseRolloutOrder(nested).ok());
+  std::string problems;
+  EXPECT_FALSE(parseCatalogue(nested, problems).ok());
+}
+
 // Guards against durations that overflow when they are added to a time.
 TEST(DocumentsTest, limitsDurationsThatNoClockCanCount) {
   std::string problems;
