Show that a second copy of a rejection answers no other request

Reported by another operator: clients were told 'not run' because of an earlier refusal that a runner wrote once more on a kept connection. Here it can't happen: the client skips what doesn't echo the id of the request, whatever its status. Only suspected: the same request sent twice to one runner on one connection, after an escalation; it isn't unsafe then.

--- a/tests/unit/http1/SecondCopyTest.cpp
+++ b/tests/unit/http1/SecondCopyTest.cpp
@@ -77,6 +77,31 @@
   expectOwnResponse(call("b"));
 }
 
+/// Returns a rejection with this line of its head, which says that the request
+/// did not run.
+std::string rejection(const std::string &idLine) {
+  return "HTTP/1.1 503 Service Unavailable\r\n" + idLine +
+         "Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+}
+
+// Guards against a caller that is told that its request did not run, because of
+// an earlier rejection that the server writes once more.
+TEST_F(SecondCopyTest, ofARejectionWhileTheNextRequestIsSent) {
+  for (const char *idLine : {"Id: a\r\n", ""}) {
+    Scripts = {{Own}};
+    const auto events = call("b");
+    send(rejection(idLine));
+    expectOwnResponse(events);
+  }
+}
+
+TEST_F(SecondCopyTest, ofARejectionAfterTheNextRequest) {
+  for (const char *idLine : {"Id: a\r\n", ""}) {
+    Scripts = {{rejection(idLine) + Own}};
+    expectOwnResponse(call("b"));
+  }
+}
+
 // Behind its own response there is nothing to wait for: the connection is not
 // used again.
 TEST_F(SecondCopyTest, behindTheNextResponse) {
