Take a service back to a version that serves without a trial

Cause: stable meant all versions except the target. Change: a version that was the only one of its service is known to serve; an order for it applies to all sessions at once, is recorded with the last step, so that gateways which restart follow it, and is never reverted. The target of a roll-out that is replaced or withdrawn undecided is abandoned: it counts as stable no longer, but for sessions that began on it. Not done: the set of serving versions isn't kept in the store's record. After a restart a gateway doesn't know that a version was abandoned when a third one is ordered. Tests: orderForAServingVersionAppliesAtOnceAndCompletes, orderForTheOnlyServingVersionRefusesNothing, versionOfAReplacedRolloutIsNotStable.

--- a/src/cowslipridge/gateway/Dispatcher.cpp
+++ b/src/cowslipridge/gateway/Dispatcher.cpp
@@ -251,7 +251,18 @@
   return retries;
 }
 
+void Dispatcher::recordServingVersions() {
+  std::map<core::ServiceId, std::set<core::VersionId>> versions;
+  for (const auto &[id, server] : Servers.all())
+    versions[server.Service].insert(server.Version);
+  for (const auto &[service, registered] : versions) {
+    if (registered.size() == 1)
+      Trials.onOnlyVersion(service, *registered.begin());
+  }
+}
+
 void Dispatcher::tick(core::Millis now) {
+  recordServingVersions();
   Evidence.setTrials(Trials.activeCommands(), now);
   Eligibility.tick(now);
   Crashes.tick(now);
--- a/src/cowslipridge/gateway/Dispatcher.hpp
+++ b/src/cowslipridge/gateway/Dispatcher.hpp
@@ -227,6 +227,8 @@
   /// Records how fast a complete stream was.
   void recordInterval(const ActiveAttempt &attempt,
                       rollout::AnswerCounts &counts) const;
+  /// Records which versions serve, by the runners that are registered.
+  void recordServingVersions();
   void reportNotice(const RunnerNotice &notice);
   /// Records that the runner reads the prompt.
   void recordPrompt(const std::vector<route::CacheBlock> &prompt,
--- a/src/cowslipridge/gateway/RunnerEligibility.cpp
+++ b/src/cowslipridge/gateway/RunnerEligibility.cpp
@@ -177,6 +177,15 @@
   std::erase_if(servers, [&](const auto *it) {
     return isTarget(it) != (choice.Versions == Choice::Target);
   });
+  // A session may stay on an abandoned version that it began on.
+  if (choice.Versions != Choice::Stable || pinned)
+    return;
+  const auto serving = std::stable_partition(
+      servers.begin(), servers.end(), [&](const auto *it) {
+        return !Trials.isAbandoned(service, it->Version);
+      });
+  if (serving != servers.begin())
+    servers.erase(serving, servers.end());
 }
 
 bool RunnerEligibility::isAtHome(
--- a/src/cowslipridge/platform/internal/JsonReader.cpp
+++ b/src/cowslipridge/platform/internal/JsonReader.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-/// Bounds the nesting of documents, as copies and comparisons of values recurse.
+/// Bounds the nesting of documents, as copies and comparisons of values
+/// recurse.
 constexpr int MaxNesting = 64;
 
 const Json *valueAt(const Json &object, const char *key) {
--- a/src/cowslipridge/rollout/TrialControl.cpp
+++ b/src/cowslipridge/rollout/TrialControl.cpp
@@ -52,8 +52,11 @@
   const auto known = Trials.find(command.Service);
   if (known != Trials.end() && known->second.Command == command)
     return;
+  abandon(command.Service);
+  Abandoned.erase({command.Service, command.Target});
   Trial trial;
   trial.Command = command;
+  trial.TargetServes = Serving.contains({command.Service, command.Target});
   trial.StartedAt = now;
   const auto status = Statuses.find(command.Service);
   if (status != Statuses.end() && status->second.Target == command.Target) {
@@ -71,9 +74,30 @@
 
 void TrialControl::onWithdrawn(const core::ServiceId &service) {
   HeldCommands.erase(service);
+  abandon(service);
   Trials.erase(service);
 }
 
+void TrialControl::abandon(const core::ServiceId &service) {
+  const Trial *trial = find(service);
+  const bool isUndecided = trial != nullptr && !trial->TargetServes &&
+                           trial->Phase == RolloutPhase::InProgress;
+  if (isUndecided)
+    Abandoned.emplace(service, trial->Command.Target);
+}
+
+void TrialControl::onOnlyVersion(const core::ServiceId &service,
+                                 const core::VersionId &version) {
+  const bool isOnTrial = activeTarget(service) == version;
+  if (!isOnTrial && !Abandoned.contains({service, version}))
+    Serving.emplace(service, version);
+}
+
+bool TrialControl::isAbandoned(const core::ServiceId &service,
+                               const core::VersionId &version) const {
+  return Abandoned.contains({service, version});
+}
+
 TrialControl::Trial *TrialControl::findTo(const core::ServiceId &service,
                                           const core::VersionId &target) {
   const auto it = Trials.find(service);
@@ -209,7 +233,7 @@
   if (trial == nullptr)
     return {};
   const core::VersionId &target = trial->Command.Target;
-  if (trial->Phase == RolloutPhase::Completed)
+  if (trial->Phase == RolloutPhase::Completed || trial->TargetServes)
     return {Choice::Target, target};
   const bool hasSwitched = trial->Recorded && now >= trial->SwitchesAt;
   if (trial->Phase == RolloutPhase::Reverted || trial->Suspended ||
@@ -315,6 +339,8 @@
 
 std::optional<std::string>
 TrialControl::reasonToRevert(const Review &review) const {
+  if (review.Subject.TargetServes)
+    return std::nullopt;
   const auto &[finding, reason] = review.Verdict;
   if (finding == TrialFinding::Worse)
     return reason + " than the stable version";
@@ -375,16 +401,20 @@
     return decide(RolloutPhase::Reverted, step, *reason);
   if (look.ElapsedForRank < core::Millis())
     return std::nullopt;
+  constexpr unsigned LastStep = Steps.size() - 1;
+  if (trial->TargetServes && (!trial->Recorded || step < LastStep))
+    return decide(RolloutPhase::InProgress, LastStep, "the target serves");
   if (!trial->Recorded)
     return decide(RolloutPhase::InProgress, 0, "ordered");
   if (const auto reason = reasonToAdvance(look, now))
     return decide(RolloutPhase::InProgress, step + 1, *reason);
   const double fraction = fractionOf(look.ElapsedForRank, command.Duration);
-  const bool last = step + 1 >= Steps.size();
+  const bool last = step >= LastStep;
   const bool drained =
       fraction >= Steps.back().StartFraction + MinLastStepFraction &&
       observation.StableInFlight == 0;
-  const bool mayComplete = look.Verdict.Finding == TrialFinding::Sound ||
+  const bool mayComplete = trial->TargetServes ||
+                           look.Verdict.Finding == TrialFinding::Sound ||
                            (look.Verdict.Finding == TrialFinding::Unknown &&
                             isQuiet(Exposure, look.Progress));
   if (last && mayComplete && observation.TargetHasRunner &&
@@ -392,7 +422,7 @@
     return decide(RolloutPhase::Completed, step,
                   drained ? "no request is left on the stable version"
                           : "the deadline is near");
-  if (fraction >= 1)
+  if (fraction >= 1 && !trial->TargetServes)
     return decide(RolloutPhase::Reverted, step,
                   "not done in time: " + look.Verdict.Reason);
   return std::nullopt;
--- a/src/cowslipridge/rollout/TrialControl.hpp
+++ b/src/cowslipridge/rollout/TrialControl.hpp
@@ -51,6 +51,11 @@
 
   void onCommand(const RolloutCommand &command, core::Millis now);
   void onWithdrawn(const core::ServiceId &service);
+  /// Handles that all runners of a service have the same version. One that
+  /// isn't on trial then is known to serve: a command to go to it takes the
+  /// service back, and needs no trial.
+  void onOnlyVersion(const core::ServiceId &service,
+                     const core::VersionId &version);
   void onStatus(const RolloutStatus &status, core::Millis now);
   void onProgress(const RolloutProgress &progress, core::Millis now);
   /// Handles the complete list of the store's commands and records.
@@ -67,7 +72,7 @@
   /// Versions of a service that a request may be sent to.
   enum class Choice {
     Any,    ///< all versions, since there is no roll-out
-    Stable, ///< all versions except the target
+    Stable, ///< all versions except the target and abandoned ones
     Target, ///< only the target
   };
   struct Selection {
@@ -89,6 +94,10 @@
   /// version must not run.
   [[nodiscard]] bool isBanned(const core::ServiceId &service,
                               const core::VersionId &version) const;
+  /// Returns whether a roll-out to this version was replaced or withdrawn
+  /// before it ended, so that the version is no stable one.
+  [[nodiscard]] bool isAbandoned(const core::ServiceId &service,
+                                 const core::VersionId &version) const;
   /// Returns whether a roll-out is in its first half, in which sessions stay on
   /// the target or on the stable versions.
   [[nodiscard]] bool hasStickySessions(const core::ServiceId &service,
@@ -129,9 +138,10 @@
     std::optional<unsigned> Step;
     core::Millis StepStartedAt;
     RolloutPhase Phase = RolloutPhase::InProgress;
-    bool Recorded = false;   ///< the store held a record of it
-    bool Suspended = false;  ///< found worse here, not yet reverted
-    core::Millis SwitchesAt; ///< when sessions start to go to the target
+    bool Recorded = false;     ///< the store held a record of it
+    bool Suspended = false;    ///< found worse here, not yet reverted
+    bool TargetServes = false; ///< the command goes back to a serving version
+    core::Millis SwitchesAt;   ///< when sessions start to go to the target
   };
 
   /// A command of a restored copy, which may be older than the one in force.
@@ -145,6 +155,8 @@
   Trial *findTo(const core::ServiceId &service, const core::VersionId &target);
   void recordPhase(Trial &trial, RolloutPhase phase, core::Millis now);
   static void recordStep(Trial &trial, unsigned step, core::Millis now);
+  /// Records that the roll-out in force, if there is one, ends undecided.
+  void abandon(const core::ServiceId &service);
   void onListedCommand(const RolloutCommand &command, core::Millis now);
   /// One look at a roll-out, by next().
   struct Review {
@@ -174,7 +186,10 @@
   std::map<core::ServiceId, RolloutStatus> Statuses;
   std::map<core::ServiceId, std::pair<RolloutProgress, core::Millis>>
       Progresses;
-  std::set<std::pair<core::ServiceId, core::VersionId>> Reverted;
+  using ServiceVersions = std::set<std::pair<core::ServiceId, core::VersionId>>;
+  ServiceVersions Reverted;
+  ServiceVersions Abandoned; ///< targets of roll-outs that didn't end
+  ServiceVersions Serving;   ///< known to serve without a trial
   std::map<core::ServiceId, HeldCommand> HeldCommands;
   std::optional<core::Millis> RestoredAt;
 };
--- a/tests/unit/rollout/TrialControlTest.cpp
+++ b/tests/unit/rollout/TrialControlTest.cpp
@@ -118,6 +118,41 @@
   EXPECT_TRUE(Control.next(Service, Input, Now)) << "until it is recorded";
 }
 
+// Guards against an order for the old version that sends its traffic to the bad
+// version that is to be taken back.
+TEST_F(TrialControlTest, orderForAServingVersionAppliesAtOnceAndCompletes) {
+  const core::VersionId old("v1");
+  Control.onOnlyVersion(Service, old);
+  command();
+  drive(Millis(2'000));
+  Control.onOnlyVersion(Service, Target); // the others have crashed
+  Control.onCommand({Service, old, Duration}, Now);
+  EXPECT_EQ(share(), 1);
+  EXPECT_EQ(Control.choose(Service, 0, Now).Target, old);
+  EXPECT_TRUE(Control.isAbandoned(Service, Target));
+  const auto first = Control.next(Service, Input, Now);
+  ASSERT_TRUE(first);
+  EXPECT_EQ(first->Progress.Step, 3U) << "known to gateways that restart";
+  EXPECT_EQ(drive(Now + Duration), RolloutPhase::Completed);
+}
+
+TEST_F(TrialControlTest, orderForTheOnlyServingVersionRefusesNothing) {
+  Control.onOnlyVersion(Service, Target);
+  command();
+  EXPECT_EQ(share(), 1);
+}
+
+TEST_F(TrialControlTest, versionOfAReplacedRolloutIsNotStable) {
+  command();
+  drive(Millis(2'000));
+  const core::VersionId third("v3");
+  Control.onCommand({Service, third, Duration}, Now);
+  EXPECT_TRUE(Control.isAbandoned(Service, Target));
+  EXPECT_EQ(share(), 0);
+  command();
+  EXPECT_FALSE(Control.isAbandoned(Service, Target)) << "it is on trial again";
+}
+
 TEST_F(TrialControlTest, versionThatIsBadOnSingleRouteIsReverted) {
   command();
   drive(Millis(2'000));
