Name the share in TrialProgress after what it holds

Name and comment follow the code, behaviour is unchanged. Checked: unit_rollout, 66 of 66; format. The other programs were not rebuilt.

--- a/src/cowslipridge/rollout/ExposureBudget.cpp
+++ b/src/cowslipridge/rollout/ExposureBudget.cpp
@@ -30,7 +30,7 @@
   const double uncounted =
       millis(progress.Elapsed) - millis(progress.Exposed.Observed);
   return static_cast<double>(progress.Exposed.Target) +
-         progress.FirstShare * requestsPerMilli(progress) *
+         progress.PresentShare * requestsPerMilli(progress) *
              std::max(uncounted, 0.0);
 }
 
--- a/src/cowslipridge/rollout/ExposureBudget.hpp
+++ b/src/cowslipridge/rollout/ExposureBudget.hpp
@@ -16,8 +16,8 @@
 /// then the requests were counted for a shorter time than has elapsed.
 struct TrialProgress {
   TrialExposure Exposed;
-  double FirstShare = 0; ///< of the sessions, exposed in the first step
-  core::Millis Elapsed;  ///< since the command
+  double PresentShare = 0; ///< of the sessions, on the version on trial
+  core::Millis Elapsed;    ///< since the command
   core::Millis Duration;
 };
 
