Tell a broken connection to the store from an outage

Cause: any failed call meant that the store was unavailable, so that the removal was deferred as one that an outage may have caused, for 2.2 s after the next answered call, and anew with each further cut.

Change: StoreAvailability.

--- a/src/cowslipridge/platform/MonitoredStoreClient.cpp
+++ b/src/cowslipridge/platform/MonitoredStoreClient.cpp
@@ -7,11 +7,6 @@
 
 namespace {
 
-/// Number of consecutive 429 responses after which the store counts as
-/// unavailable. A single one only means that the store limits the rate; with
-/// several in a row it no longer serves this gateway.
-constexpr unsigned RateLimitsUntilUnavailable = 4;
-
 std::string_view toString(StoreCallKind kind) {
   switch (kind) {
   case StoreCallKind::List:
@@ -41,6 +36,14 @@
   return std::string(toString(kind)) + ": " + result;
 }
 
+CallOutcome outcomeOf(const StoreReply &reply) {
+  if (isProcessed(reply))
+    return CallOutcome::Processed;
+  if (isRateLimited(reply))
+    return CallOutcome::RateLimited;
+  return reply.Status == 0 ? CallOutcome::Unanswered : CallOutcome::Rejected;
+}
+
 } // namespace
 
 bool isProcessed(const StoreReply &reply) {
@@ -95,18 +98,11 @@
     Metrics.observe(observe::HistogramName::StoreCallSeconds, labels,
                     reply.Duration);
   HasReplied = HasReplied || reply.Status != 0;
-  ConsecutiveRateLimits = isRateLimited(reply) ? ConsecutiveRateLimits + 1 : 0;
-  const bool isUnavailable =
-      !processed && (!isRateLimited(reply) ||
-                     ConsecutiveRateLimits >= RateLimitsUntilUnavailable);
-  if (isUnavailable && !IsUnavailable) {
-    IsUnavailable = true;
+  const auto changes = Availability.record(outcomeOf(reply), now());
+  if (changes.BecameUnavailable)
     Callbacks.OnUnavailable(describe(kind, reply));
-  }
-  if (processed && IsUnavailable) {
-    IsUnavailable = false;
+  if (changes.BecameAvailable)
     Callbacks.OnAvailable();
-  }
   const auto lastFailureAt = std::exchange(
       LastFailureAt, processed ? std::nullopt : std::optional(now()));
   if (processed && lastFailureAt)
--- a/src/cowslipridge/platform/MonitoredStoreClient.hpp
+++ b/src/cowslipridge/platform/MonitoredStoreClient.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cowslipridge/observe/Metrics.hpp"
+#include "cowslipridge/platform/StoreAvailability.hpp"
 #include "cowslipridge/platform/StoreClient.hpp"
 
 #include <functional>
@@ -70,9 +71,8 @@
   Listeners Callbacks;
   StoreEra Era = 0;
   bool HasReplied = false;
-  bool IsUnavailable = false;
+  StoreAvailability Availability;
   std::optional<core::Millis> LastFailureAt; ///< unset after a success
-  unsigned ConsecutiveRateLimits = 0;
 };
 
 } // namespace cowslipridge::platform
--- a/src/standins/platform/MetadataServer.cpp
+++ b/src/standins/platform/MetadataServer.cpp
@@ -6,6 +6,7 @@
 
 #include <charconv>
 #include <map>
+#include <utility>
 
 namespace cowslipridge::standins::platform {
 
@@ -90,6 +91,13 @@
   Server.listen(address);
 }
 
+std::size_t MetadataServer::cutWatches() {
+  const auto cut = std::exchange(Watches, {});
+  for (const Watch &it : cut)
+    it.Exchange->abort();
+  return cut.size();
+}
+
 void MetadataServer::respondJson(http1::Exchange &exchange, int status,
                                  const json &body) const {
   http1::ResponseHead head;
--- a/src/standins/platform/MetadataServer.hpp
+++ b/src/standins/platform/MetadataServer.hpp
@@ -32,6 +32,8 @@
   void listen(const http1::Endpoint &address);
   MetadataStore &store() { return Store; }
   void setFaults(const StoreFaults &faults) { Faults = faults; }
+  /// Resets the connections of all waiting watches and returns their number.
+  std::size_t cutWatches();
   /// Sets whether responses name the era of the store.
   void setSendsEra(bool sends) { SendsEra = sends; }
   /// Returns the number of calls received since the start.
--- a/tests/integration/platform/GatewayOutageTest.cpp
+++ b/tests/integration/platform/GatewayOutageTest.cpp
@@ -30,6 +30,39 @@
       200);
 }
 
+// Guards against requests to a removed runner after drainMs (2 s), because a
+// cut watch was taken for an outage in which entries may have expired.
+TEST_F(GatewayTest, removedRunnerGetsNoRequestsAfterItsWatchWasCut) {
+  PlainRunner &leaving = addPlainRunner("desk-1");
+  addPlainRunner("desk-2");
+  configure();
+  startAndAwaitReady();
+  runUntil([&] { return Store.cutWatches() == 1; });
+  Store.store().remove("servers/desk-1");
+  const core::Millis drained = Clock.monotonic() + core::Millis(2'000);
+  runUntil([&] { return Clock.monotonic() > drained; });
+  const std::size_t runsBefore = leaving.runs().size();
+  for (int n = 0; n < 10; ++n)
+    awaitResponse(sendRequest(Callers, request("POST", "/post/a")));
+  EXPECT_EQ(leaving.runs().size(), runsBefore);
+}
+
+// Each cut used to defer the removal anew.
+TEST_F(GatewayTest, repeatedCutsOfTheWatchDoNotDelayRemovals) {
+  addPlainRunner("desk-1");
+  addPlainRunner("desk-2");
+  configure();
+  startAndAwaitReady();
+  runUntil([&] { return Store.cutWatches() == 1; });
+  Store.store().remove("servers/desk-1");
+  const core::Millis end = Clock.monotonic() + core::Millis(2'000);
+  runUntil([&] {
+    Store.cutWatches();
+    return Clock.monotonic() > end;
+  });
+  EXPECT_NE(Gateway->log().find("runner-removed"), std::string::npos);
+}
+
 // Callers retry while the first listing of the store is on its way.
 TEST_F(GatewayTest, holdsRequestsUntilItsFirstListingIsComplete) {
   addPlainRunner("desk-1");
