Keep the versions that serve in the record of a roll-out

Cause: 'stable' was inferred in each gateway's memory and lost at its end; the record named only its target. Ruled out: late records, sticky sessions.

Change: KnownVersions owns what is known of the versions; the record names those that serve; an undecided record that another order replaced shows an abandoned target; a gateway that knows of none leaves the first record to others for 1 s. isAbandoned() is now isUnproved(), as it also covers versions that the record doesn't name; the tests' assertions are unchanged but for the name.

--- a/src/cowslipridge/gateway/Dispatcher.cpp
+++ b/src/cowslipridge/gateway/Dispatcher.cpp
@@ -251,18 +251,16 @@
   return retries;
 }
 
-void Dispatcher::recordServingVersions() {
+void Dispatcher::recordServingVersions(core::Millis now) {
   std::map<core::ServiceId, std::set<core::VersionId>> versions;
   for (const auto &[id, server] : Servers.all())
     versions[server.Service].insert(server.Version);
-  for (const auto &[service, registered] : versions) {
-    if (registered.size() == 1)
-      Trials.onOnlyVersion(service, *registered.begin());
-  }
+  for (const auto &[service, registered] : versions)
+    Trials.onRegistered(service, registered, now);
 }
 
 void Dispatcher::tick(core::Millis now) {
-  recordServingVersions();
+  recordServingVersions(now);
   Evidence.setTrials(Trials.activeCommands(), now);
   Eligibility.tick(now);
   Crashes.tick(now);
--- a/src/cowslipridge/gateway/Dispatcher.hpp
+++ b/src/cowslipridge/gateway/Dispatcher.hpp
@@ -228,7 +228,7 @@
   void recordInterval(const ActiveAttempt &attempt,
                       rollout::AnswerCounts &counts) const;
   /// Records which versions serve, by the runners that are registered.
-  void recordServingVersions();
+  void recordServingVersions(core::Millis now);
   void reportNotice(const RunnerNotice &notice);
   /// Records that the runner reads the prompt.
   void recordPrompt(const std::vector<route::CacheBlock> &prompt,
--- a/src/cowslipridge/gateway/DispatcherReports.cpp
+++ b/src/cowslipridge/gateway/DispatcherReports.cpp
@@ -62,9 +62,11 @@
     observation.Evidence = Evidence.assessment(service);
     observation.StableInFlight = 0;
     observation.TargetHasRunner = false;
+    observation.Registered.clear();
     for (const auto &[id, server] : Servers.all()) {
       if (server.Service != service)
         continue;
+      observation.Registered.insert(server.Version);
       if (server.Version != target)
         observation.StableInFlight += Forecast.load(id).requests();
       else if (!server.Draining)
--- a/src/cowslipridge/gateway/RunnerEligibility.cpp
+++ b/src/cowslipridge/gateway/RunnerEligibility.cpp
@@ -181,9 +181,8 @@
   if (choice.Versions != Choice::Stable || pinned)
     return;
   const auto serving = std::stable_partition(
-      servers.begin(), servers.end(), [&](const auto *it) {
-        return !Trials.isAbandoned(service, it->Version);
-      });
+      servers.begin(), servers.end(),
+      [&](const auto *it) { return !Trials.isUnproved(service, it->Version); });
   if (serving != servers.begin())
     servers.erase(serving, servers.end());
 }
--- a/src/cowslipridge/platform/RolloutRecords.cpp
+++ b/src/cowslipridge/platform/RolloutRecords.cpp
@@ -5,6 +5,9 @@
 #include "cowslipridge/platform/internal/JsonReader.hpp"
 #include "cowslipridge/platform/internal/KeyPrefix.hpp"
 
+#include <set>
+#include <utility>
+
 namespace cowslipridge::platform {
 
 namespace {
@@ -82,10 +85,31 @@
   return transaction;
 }
 
+namespace {
+
+// Records of earlier builds don't name the versions that serve.
+std::set<core::VersionId> parseServing(const internal::Json &json) {
+  std::set<core::VersionId> versions;
+  const auto it = json.find("serving");
+  if (it == json.end() || !it->is_array())
+    return versions;
+  for (const internal::Json &version : *it) {
+    if (version.is_string())
+      versions.insert(core::VersionId(version.get<std::string>()));
+  }
+  return versions;
+}
+
+} // namespace
+
 std::string writeProgress(const rollout::RolloutProgress &progress) {
+  internal::Json serving = internal::Json::array();
+  for (const core::VersionId &it : progress.Serving)
+    serving.push_back(it.str());
   return internal::writeJson({{"target", progress.Target.str()},
                               {"step", progress.Step},
-                              {"elapsed_ms", progress.Elapsed.count()}});
+                              {"elapsed_ms", progress.Elapsed.count()},
+                              {"serving", std::move(serving)}});
 }
 
 core::Result<rollout::RolloutProgress> parseProgress(const std::string &service,
@@ -98,7 +122,7 @@
     return core::Errc::Malformed;
   return rollout::RolloutProgress{
       core::ServiceId(service), core::VersionId(*target),
-      static_cast<unsigned>(*step), core::Millis(*elapsed)};
+      static_cast<unsigned>(*step), core::Millis(*elapsed), parseServing(json)};
 }
 
 } // namespace cowslipridge::platform
--- a/src/cowslipridge/rollout/RolloutCommand.hpp
+++ b/src/cowslipridge/rollout/RolloutCommand.hpp
@@ -4,6 +4,7 @@
 #include "cowslipridge/core/Ids.hpp"
 
 #include <compare>
+#include <set>
 #include <vector>
 
 namespace cowslipridge::rollout {
@@ -34,6 +35,9 @@
   core::VersionId Target;
   unsigned Step = 0;
   core::Millis Elapsed; ///< from the command to the start of the step
+  /// Versions that serve without a trial, as far as the gateway knew that began
+  /// the roll-out. Empty: unknown.
+  std::set<core::VersionId> Serving{};
   friend auto operator<=>(const RolloutProgress &,
                           const RolloutProgress &) = default;
 };
--- a/src/cowslipridge/rollout/TrialControl.cpp
+++ b/src/cowslipridge/rollout/TrialControl.cpp
@@ -40,6 +40,10 @@
 /// gateways of lower rank did not.
 constexpr core::Millis RankDelay{600};
 
+/// Delay of the first record by a gateway that doesn't know which versions
+/// serve.
+constexpr core::Millis UnknownServingDelay{1'000};
+
 double fractionOf(core::Millis elapsed, core::Millis total) {
   return static_cast<double>(elapsed.count()) /
          static_cast<double>(total.count());
@@ -53,10 +57,12 @@
   if (known != Trials.end() && known->second.Command == command)
     return;
   abandon(command.Service);
-  Abandoned.erase({command.Service, command.Target});
+  onReplacedRecord(command);
+  KnownVersions &versions = Versions[command.Service];
+  versions.onCommanded(command.Target);
   Trial trial;
   trial.Command = command;
-  trial.TargetServes = Serving.contains({command.Service, command.Target});
+  trial.TargetServes = versions.serves(command.Target);
   trial.StartedAt = now;
   const auto status = Statuses.find(command.Service);
   if (status != Statuses.end() && status->second.Target == command.Target) {
@@ -68,6 +74,7 @@
       progress->second.first.Target == command.Target) {
     trial.Step = progress->second.first.Step;
     trial.StartedAt = progress->second.second - progress->second.first.Elapsed;
+    trial.Serving = progress->second.first.Serving;
   }
   Trials.insert_or_assign(command.Service, trial);
 }
@@ -83,19 +90,55 @@
   const bool isUndecided = trial != nullptr && !trial->TargetServes &&
                            trial->Phase == RolloutPhase::InProgress;
   if (isUndecided)
-    Abandoned.emplace(service, trial->Command.Target);
+    Versions[service].onAbandoned(trial->Command.Target);
+}
+
+// A gateway that has just started knows the roll-out before only by its record.
+void TrialControl::onReplacedRecord(const RolloutCommand &command) {
+  const auto status = Statuses.find(command.Service);
+  const bool isUndecided = status != Statuses.end() &&
+                           status->second.Target != command.Target &&
+                           status->second.Phase == RolloutPhase::InProgress;
+  if (isUndecided)
+    Versions[command.Service].onAbandoned(status->second.Target);
 }
 
 void TrialControl::onOnlyVersion(const core::ServiceId &service,
                                  const core::VersionId &version) {
   const bool isOnTrial = activeTarget(service) == version;
-  if (!isOnTrial && !Abandoned.contains({service, version}))
-    Serving.emplace(service, version);
+  if (!isOnTrial)
+    Versions[service].onServing(version);
+}
+
+void TrialControl::onRegistered(const core::ServiceId &service,
+                                const std::set<core::VersionId> &versions,
+                                core::Millis now) {
+  KnownVersions &known = Versions[service];
+  if (!activeTarget(service))
+    known.onRegistered(versions, now);
+  else
+    known.onRolloutInProgress();
+  if (versions.size() == 1)
+    onOnlyVersion(service, *versions.begin());
+}
+
+const KnownVersions *
+TrialControl::knownVersions(const core::ServiceId &service) const {
+  const auto it = Versions.find(service);
+  return it == Versions.end() ? nullptr : &it->second;
 }
 
-bool TrialControl::isAbandoned(const core::ServiceId &service,
-                               const core::VersionId &version) const {
-  return Abandoned.contains({service, version});
+bool TrialControl::isUnproved(const core::ServiceId &service,
+                              const core::VersionId &version) const {
+  const KnownVersions *known = knownVersions(service);
+  const Trial *trial = find(service);
+  if (known == nullptr || trial == nullptr)
+    return known != nullptr && known->isAbandoned(version);
+  const auto serving =
+      trial->Serving.empty() ? known->serving() : trial->Serving;
+  const bool isOther = !serving.empty() && !serving.contains(version) &&
+                       trial->Command.Target != version;
+  return isOther || known->isAbandoned(version);
 }
 
 TrialControl::Trial *TrialControl::findTo(const core::ServiceId &service,
@@ -112,8 +155,11 @@
     trial.SwitchesAt = now + SessionExchangeTime;
   if (trial.Phase == RolloutPhase::InProgress)
     trial.Phase = phase;
+  KnownVersions &versions = Versions[trial.Command.Service];
   if (trial.Phase == RolloutPhase::Reverted)
-    Reverted.emplace(trial.Command.Service, trial.Command.Target);
+    versions.onReverted(trial.Command.Target);
+  if (trial.Phase == RolloutPhase::Completed)
+    versions.onServing(trial.Command.Target);
 }
 
 void TrialControl::recordStep(Trial &trial, unsigned step, core::Millis now) {
@@ -126,7 +172,9 @@
 void TrialControl::onStatus(const RolloutStatus &status, core::Millis now) {
   Statuses.insert_or_assign(status.Service, status);
   if (status.Phase == RolloutPhase::Reverted)
-    Reverted.emplace(status.Service, status.Target);
+    Versions[status.Service].onReverted(status.Target);
+  if (status.Phase == RolloutPhase::Completed)
+    Versions[status.Service].onServing(status.Target);
   if (Trial *trial = findTo(status.Service, status.Target))
     recordPhase(*trial, status.Phase, now);
 }
@@ -134,10 +182,29 @@
 void TrialControl::onProgress(const RolloutProgress &progress,
                               core::Millis now) {
   Progresses.insert_or_assign(progress.Service, std::pair(progress, now));
+  recordServing(progress);
   if (Trial *trial = findTo(progress.Service, progress.Target))
     recordStep(*trial, progress.Step, now);
 }
 
+void TrialControl::recordServing(const RolloutProgress &progress) {
+  for (const core::VersionId &it : progress.Serving)
+    Versions[progress.Service].onServing(it);
+  Trial *trial = findTo(progress.Service, progress.Target);
+  if (trial != nullptr && trial->Serving.empty())
+    trial->Serving = progress.Serving;
+}
+
+std::set<core::VersionId>
+TrialControl::servingVersions(const Trial &trial,
+                              const Observation &observation) const {
+  if (!trial.Serving.empty())
+    return trial.Serving;
+  const KnownVersions *known = knownVersions(trial.Command.Service);
+  return known == nullptr ? std::set<core::VersionId>()
+                          : known->serving(observation.Registered);
+}
+
 void TrialControl::onListed(const RolloutList &list, core::Millis now) {
   Statuses.clear();
   Progresses.clear();
@@ -275,7 +342,8 @@
 
 bool TrialControl::isBanned(const core::ServiceId &service,
                             const core::VersionId &version) const {
-  return Reverted.contains({service, version});
+  const KnownVersions *known = knownVersions(service);
+  return known != nullptr && known->isReverted(version);
 }
 
 bool TrialControl::hasStickySessions(const core::ServiceId &service,
@@ -337,6 +405,13 @@
   return review;
 }
 
+bool TrialControl::mayBegin(const Review &review) const {
+  constexpr std::size_t TargetAndOneOther = 2;
+  return review.Seen.Registered.size() <= TargetAndOneOther ||
+         !servingVersions(review.Subject, review.Seen).empty() ||
+         review.ElapsedForRank >= UnknownServingDelay;
+}
+
 std::optional<std::string>
 TrialControl::reasonToRevert(const Review &review) const {
   if (review.Subject.TargetServes)
@@ -385,7 +460,8 @@
     if (observation.Evidence != nullptr)
       reason += ", " + observation.Evidence->describe();
     return TrialDecision{{service, command.Target, phase},
-                         {service, command.Target, to, look.Progress.Elapsed},
+                         {service, command.Target, to, look.Progress.Elapsed,
+                          servingVersions(*trial, observation)},
                          std::move(reason)};
   };
   if (isRecordLost(*trial)) {
@@ -404,6 +480,8 @@
   constexpr unsigned LastStep = Steps.size() - 1;
   if (trial->TargetServes && (!trial->Recorded || step < LastStep))
     return decide(RolloutPhase::InProgress, LastStep, "the target serves");
+  if (!trial->Recorded && !mayBegin(look))
+    return std::nullopt;
   if (!trial->Recorded)
     return decide(RolloutPhase::InProgress, 0, "ordered");
   if (const auto reason = reasonToAdvance(look, now))
--- a/src/cowslipridge/rollout/TrialControl.hpp
+++ b/src/cowslipridge/rollout/TrialControl.hpp
@@ -2,6 +2,7 @@
 
 #include "cowslipridge/core/Clock.hpp"
 #include "cowslipridge/rollout/ExposureBudget.hpp"
+#include "cowslipridge/rollout/KnownVersions.hpp"
 #include "cowslipridge/rollout/RolloutCommand.hpp"
 #include "cowslipridge/rollout/TrialAssessment.hpp"
 
@@ -11,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace cowslipridge::rollout {
@@ -56,6 +58,10 @@
   /// service back, and needs no trial.
   void onOnlyVersion(const core::ServiceId &service,
                      const core::VersionId &version);
+  /// Handles the versions of all registered runners of a service.
+  void onRegistered(const core::ServiceId &service,
+                    const std::set<core::VersionId> &versions,
+                    core::Millis now);
   void onStatus(const RolloutStatus &status, core::Millis now);
   void onProgress(const RolloutProgress &progress, core::Millis now);
   /// Handles the complete list of the store's commands and records.
@@ -72,7 +78,7 @@
   /// Versions of a service that a request may be sent to.
   enum class Choice {
     Any,    ///< all versions, since there is no roll-out
-    Stable, ///< all versions except the target and abandoned ones
+    Stable, ///< all versions except the target and unproved ones
     Target, ///< only the target
   };
   struct Selection {
@@ -94,10 +100,11 @@
   /// version must not run.
   [[nodiscard]] bool isBanned(const core::ServiceId &service,
                               const core::VersionId &version) const;
-  /// Returns whether a roll-out to this version was replaced or withdrawn
-  /// before it ended, so that the version is no stable one.
-  [[nodiscard]] bool isAbandoned(const core::ServiceId &service,
-                                 const core::VersionId &version) const;
+  /// Returns whether other versions are known to serve and this one isn't, for
+  /// example because a roll-out to it was replaced before it ended. An unproved
+  /// version is no stable one.
+  [[nodiscard]] bool isUnproved(const core::ServiceId &service,
+                                const core::VersionId &version) const;
   /// Returns whether a roll-out is in its first half, in which sessions stay on
   /// the target or on the stable versions.
   [[nodiscard]] bool hasStickySessions(const core::ServiceId &service,
@@ -112,6 +119,8 @@
     bool TargetHasRunner = false; ///< a runner of the target is registered
     /// Rank of this gateway among the live gateways; a higher rank acts later.
     std::size_t Rank = 0;
+    /// Versions of the registered runners of the service.
+    std::set<core::VersionId> Registered{};
   };
   /// Stops this gateway from sending sessions to the target until the roll-out
   /// is completed, as the target is to be reverted. The record may take a
@@ -142,6 +151,8 @@
     bool Suspended = false;    ///< found worse here, not yet reverted
     bool TargetServes = false; ///< the command goes back to a serving version
     core::Millis SwitchesAt;   ///< when sessions start to go to the target
+    /// Versions that its record names as serving.
+    std::set<core::VersionId> Serving;
   };
 
   /// A command of a restored copy, which may be older than the one in force.
@@ -151,10 +162,20 @@
   };
 
   [[nodiscard]] const Trial *find(const core::ServiceId &service) const;
+  /// Returns what is known of the versions of a service; null if nothing is.
+  [[nodiscard]] const KnownVersions *
+  knownVersions(const core::ServiceId &service) const;
+  /// Returns the versions to name as serving in the record of a roll-out.
+  [[nodiscard]] std::set<core::VersionId>
+  servingVersions(const Trial &trial, const Observation &observation) const;
   /// Returns the roll-out of a service if it is to this target.
   Trial *findTo(const core::ServiceId &service, const core::VersionId &target);
   void recordPhase(Trial &trial, RolloutPhase phase, core::Millis now);
   static void recordStep(Trial &trial, unsigned step, core::Millis now);
+  /// Learns which versions serve from the record of a roll-out.
+  void recordServing(const RolloutProgress &progress);
+  /// Learns from the record of a roll-out that a new command replaces.
+  void onReplacedRecord(const RolloutCommand &command);
   /// Records that the roll-out in force, if there is one, ends undecided.
   void abandon(const core::ServiceId &service);
   void onListedCommand(const RolloutCommand &command, core::Millis now);
@@ -169,6 +190,9 @@
   [[nodiscard]] Review review(const Trial &trial,
                               const Observation &observation,
                               core::Millis now) const;
+  /// Returns whether this gateway may write the first record. One that doesn't
+  /// know which of several versions serve leaves it to the others for a while.
+  [[nodiscard]] bool mayBegin(const Review &review) const;
   /// Returns why the trial must end before its time, if it must.
   [[nodiscard]] std::optional<std::string>
   reasonToRevert(const Review &review) const;
@@ -186,10 +210,7 @@
   std::map<core::ServiceId, RolloutStatus> Statuses;
   std::map<core::ServiceId, std::pair<RolloutProgress, core::Millis>>
       Progresses;
-  using ServiceVersions = std::set<std::pair<core::ServiceId, core::VersionId>>;
-  ServiceVersions Reverted;
-  ServiceVersions Abandoned; ///< targets of roll-outs that didn't end
-  ServiceVersions Serving;   ///< known to serve without a trial
+  std::map<core::ServiceId, KnownVersions> Versions;
   std::map<core::ServiceId, HeldCommand> HeldCommands;
   std::optional<core::Millis> RestoredAt;
 };
--- a/tests/unit/platform/RolloutRecordsTest.cpp
+++ b/tests/unit/platform/RolloutRecordsTest.cpp
@@ -106,4 +106,20 @@
   EXPECT_TRUE(execute(next(read(), 1)));
 }
 
+TEST(RolloutProgressTest, namesTheVersionsThatServe) {
+  rollout::RolloutProgress it = progress(2);
+  it.Serving = {core::VersionId("v1"), core::VersionId("v4")};
+  EXPECT_EQ(*parseProgress(it.Service.str(), writeProgress(it)), it);
+}
+
+// Records of earlier builds lack the field, and other writers may spoil it.
+TEST(RolloutProgressTest, knowsNoServingVersionsWithoutAReadableField) {
+  for (const std::string field : {"", R"(,"serving":7)", R"(,"serving":[1])"}) {
+    const auto it = parseProgress(
+        "s", R"({"target":"v2","step":1,"elapsed_ms":5)" + field + "}");
+    ASSERT_TRUE(it) << field;
+    EXPECT_TRUE(it->Serving.empty()) << field;
+  }
+}
+
 } // namespace
--- a/tests/unit/rollout/TrialControlTest.cpp
+++ b/tests/unit/rollout/TrialControlTest.cpp
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 
 #include <limits>
+#include <optional>
+#include <utility>
 
 using namespace cowslipridge;
 using namespace cowslipridge::rollout;
@@ -129,7 +131,7 @@
   Control.onCommand({Service, old, Duration}, Now);
   EXPECT_EQ(share(), 1);
   EXPECT_EQ(Control.choose(Service, 0, Now).Target, old);
-  EXPECT_TRUE(Control.isAbandoned(Service, Target));
+  EXPECT_TRUE(Control.isUnproved(Service, Target));
   const auto first = Control.next(Service, Input, Now);
   ASSERT_TRUE(first);
   EXPECT_EQ(first->Progress.Step, 3U) << "known to gateways that restart";
@@ -147,10 +149,92 @@
   drive(Millis(2'000));
   const core::VersionId third("v3");
   Control.onCommand({Service, third, Duration}, Now);
-  EXPECT_TRUE(Control.isAbandoned(Service, Target));
+  EXPECT_TRUE(Control.isUnproved(Service, Target));
   EXPECT_EQ(share(), 0);
   command();
-  EXPECT_FALSE(Control.isAbandoned(Service, Target)) << "it is on trial again";
+  EXPECT_FALSE(Control.isUnproved(Service, Target)) << "it is on trial again";
+}
+
+class RestartedTrialControlTest : public TrialControlTest {
+protected:
+  /// Drives a roll-out from v1 to the target up to its first step, then orders
+  /// another version.
+  void replaceRolloutBy(const core::VersionId &version) {
+    Control.onOnlyVersion(Service, Old);
+    command();
+    drive(Millis(2'000));
+    Latest = {Service, version, Duration};
+    Control.onCommand(Latest, Now);
+  }
+  /// Returns a gateway that starts now and lists what the store holds.
+  TrialControl restart() {
+    const auto &[status, progress] = *Record;
+    TrialControl started{Exposure};
+    started.onListed({{Latest}, {status}, {progress}, false}, Now);
+    return started;
+  }
+  void driveAndRecord(Millis until) {
+    for (; Now < until; Now = Now + Millis(100)) {
+      if (const auto it = Control.next(Service, Input, Now)) {
+        accept(*it, Now);
+        Record = {it->Status, it->Progress};
+      }
+    }
+  }
+
+  const core::VersionId Old{"v1"};
+  const core::VersionId Third{"v3"};
+  RolloutCommand Latest;
+  std::optional<std::pair<RolloutStatus, RolloutProgress>> Record;
+};
+
+// Guards against a bad version that gets nearly all requests of a gateway that
+// restarted after the order for a third version.
+TEST_F(RestartedTrialControlTest, abandonedVersionIsNotStable) {
+  replaceRolloutBy(Third);
+  driveAndRecord(Now + Millis(1'000));
+  const TrialControl started = restart();
+  EXPECT_TRUE(started.isUnproved(Service, Target));
+  EXPECT_FALSE(started.isUnproved(Service, Old));
+  EXPECT_FALSE(started.isUnproved(Service, Third));
+}
+
+// Two operators at the same moment: the record is still that of the first.
+TEST_F(RestartedTrialControlTest, versionOfTheRecordIsNotStableAfterANewOrder) {
+  Control.onOnlyVersion(Service, Old);
+  command();
+  driveAndRecord(Millis(2'000));
+  Latest = {Service, Third, Duration};
+  const TrialControl started = restart();
+  EXPECT_TRUE(started.isUnproved(Service, Target));
+  EXPECT_FALSE(started.isUnproved(Service, Old));
+}
+
+// Guards against a restarted gateway that takes the version which is taken back
+// for the stable one.
+TEST_F(RestartedTrialControlTest, orderForTheOldVersionAppliesAtOnce) {
+  Control.onOnlyVersion(Service, Old);
+  command();
+  driveAndRecord(Millis(2'000));
+  Latest = {Service, Old, Duration};
+  Control.onCommand(Latest, Now);
+  Control = restart();
+  EXPECT_EQ(share(), 1);
+  EXPECT_EQ(Control.choose(Service, 0, Now).Target, Old);
+  EXPECT_TRUE(Control.isUnproved(Service, Target));
+  driveAndRecord(Now + Millis(1'000));
+  Control = restart();
+  EXPECT_EQ(share(), 1) << "by its own record";
+}
+
+TEST_F(RestartedTrialControlTest, completedVersionIsStable) {
+  Control.onOnlyVersion(Service, Old);
+  command();
+  driveAndRecord(Duration);
+  ASSERT_EQ(phase(), RolloutPhase::Completed);
+  Latest = {Service, Third, Duration};
+  const TrialControl started = restart();
+  EXPECT_FALSE(started.isUnproved(Service, Target));
 }
 
 TEST_F(TrialControlTest, versionThatIsBadOnSingleRouteIsReverted) {
