Serve heads up to the configured limit, and never spin on unread bytes

Cause: a bound of 64 KiB on pipelined input also stopped the reading of an incomplete head; the timeout waited for the unread bytes by a timer of zero. Ruled out: the parser, which takes heads up to its limit.

The same cause elsewhere: chunk-size lines and trailers that don't end reached the same state at the default limits.

Change: the bound holds only while a response is in progress; the parser bounds what is incomplete (431); a timeout waits for unread bytes only while a read is in progress; limits that can't be served are findings that name the largest ones.

--- a/src/cowslipridge/catalogue/Catalogue.hpp
+++ b/src/cowslipridge/catalogue/Catalogue.hpp
@@ -95,6 +95,11 @@
   friend auto operator<=>(const Organisation &, const Organisation &) = default;
 };
 
+/// The largest limits that a gateway serves: a head and a body are buffered
+/// whole.
+inline constexpr std::size_t LargestHeaderBytes = 1024UL * 1024;
+inline constexpr std::size_t LargestBodyBytes = 64UL * 1024 * 1024;
+
 /// Limits on the size and the duration of callers' requests.
 struct CallerLimits {
   std::size_t MaxHeaderBytes = 16UL * 1024;
--- a/src/cowslipridge/http1/RequestParser.cpp
+++ b/src/cowslipridge/http1/RequestParser.cpp
@@ -8,7 +8,7 @@
 
 class RequestParser::Impl {
 public:
-  explicit Impl(RequestLimits limits) {
+  explicit Impl(RequestLimits limits) : MaxHeaderBytes(limits.MaxHeaderBytes) {
     Parser.eager(true);
     Parser.header_limit(static_cast<std::uint32_t>(limits.MaxHeaderBytes));
     Parser.body_limit(limits.MaxBodyBytes);
@@ -20,7 +20,13 @@
       return statusOf(ec);
     if (Parser.is_header_done() && !HeadExtracted && !extractHead())
       return ParseStatus::Malformed;
-    return Parser.is_done() ? ParseStatus::Complete : ParseStatus::NeedMore;
+    if (Parser.is_done())
+      return ParseStatus::Complete;
+    // Of a body, only chunk-size lines and trailers stay unparsed until they
+    // are complete. The library bounds neither.
+    return HeadExtracted && input.size() > MaxHeaderBytes
+               ? ParseStatus::HeaderTooLarge
+               : ParseStatus::NeedMore;
   }
 
   internal::PushParser<true> Parser;
@@ -28,6 +34,8 @@
   bool HeadExtracted = false;
 
 private:
+  const std::size_t MaxHeaderBytes;
+
   static ParseStatus statusOf(const boost::beast::error_code &ec) {
     if (ec == http::error::header_limit)
       return ParseStatus::HeaderTooLarge;
--- a/src/cowslipridge/http1/RequestParser.hpp
+++ b/src/cowslipridge/http1/RequestParser.hpp
@@ -9,6 +9,7 @@
 namespace cowslipridge::http1 {
 
 struct RequestLimits {
+  /// Of the head; also of each chunk-size line and of the trailers.
   std::size_t MaxHeaderBytes = 16UL * 1024;
   std::size_t MaxBodyBytes = 4UL * 1024 * 1024;
 };
--- a/src/cowslipridge/http1/internal/ServerConnection.cpp
+++ b/src/cowslipridge/http1/internal/ServerConnection.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-/// Limit on buffered input: pipelined requests wait here while the response to
-/// the current request is in progress.
+/// Limit on buffered input while the response to the current request is in
+/// progress: pipelined requests wait here.
 constexpr std::size_t MaxPipelinedBytes = 64UL * 1024;
 /// How long remaining input is read and discarded before the connection closes.
 /// Closing a socket with unread input sends a TCP reset, which may destroy the
@@ -57,8 +57,15 @@
 const RequestHead &ServerConnection::head() const { return Parser->head(); }
 const std::string &ServerConnection::body() const { return Parser->body(); }
 
+// The parser bounds the input of a request that is not complete.
+bool ServerConnection::mayRead() const {
+  if (State == Phase::Responding)
+    return Input.size() <= MaxPipelinedBytes;
+  return State != Phase::Closed;
+}
+
 void ServerConnection::read() {
-  if (ReadPending || State == Phase::Closed || Input.size() > MaxPipelinedBytes)
+  if (ReadPending || !mayRead())
     return;
   ReadPending = true;
   Peer.async_read_some(boost::asio::buffer(Chunk),
@@ -308,7 +315,8 @@
 void ServerConnection::onExpired(TimerHandler handler) {
   if (State != Phase::Reading)
     return;
-  if (!std::exchange(HasReadSinceCheck, false) && !hasUnreadInput(Peer)) {
+  const bool readsOn = ReadPending && hasUnreadInput(Peer);
+  if (!std::exchange(HasReadSinceCheck, false) && !readsOn) {
     ((*this).*handler)();
     return;
   }
--- a/src/cowslipridge/http1/internal/ServerConnection.hpp
+++ b/src/cowslipridge/http1/internal/ServerConnection.hpp
@@ -61,6 +61,7 @@
   enum class Phase { Reading, Responding, Closing, Closed };
 
   [[nodiscard]] bool expectsFirstRequest() const;
+  [[nodiscard]] bool mayRead() const;
   void read();
   void onRead(const boost::system::error_code &ec, std::size_t n);
   void parse();
--- a/src/cowslipridge/platform/Documents.cpp
+++ b/src/cowslipridge/platform/Documents.cpp
@@ -160,14 +160,29 @@
   return organisation;
 }
 
-catalogue::CallerLimits parseLimits(const Json &json) {
+/// Returns the size under `key`, or `preset` if there is none. A size that
+/// can't be served is replaced by the nearest one that can, and added to
+/// `problems`.
+std::size_t parseSize(const Json &json, const char *key, std::size_t preset,
+                      std::size_t largest, std::string &problems) {
+  const auto declared = integerAt(json, key);
+  if (!declared)
+    return preset;
+  const auto served = std::clamp<std::int64_t>(
+      *declared, 1, static_cast<std::int64_t>(largest));
+  if (served != *declared)
+    problems += std::string(key) + " is " + std::to_string(*declared) +
+                ", served are 1 to " + std::to_string(largest) + "; ";
+  return static_cast<std::size_t>(served);
+}
+
+catalogue::CallerLimits parseLimits(const Json &json, std::string &problems) {
   catalogue::CallerLimits limits;
-  limits.MaxHeaderBytes = static_cast<std::size_t>(
-      integerAt(json, "maxHeaderBytes")
-          .value_or(static_cast<std::int64_t>(limits.MaxHeaderBytes)));
-  limits.MaxBodyBytes = static_cast<std::size_t>(
-      integerAt(json, "maxBodyBytes")
-          .value_or(static_cast<std::int64_t>(limits.MaxBodyBytes)));
+  limits.MaxHeaderBytes =
+      parseSize(json, "maxHeaderBytes", limits.MaxHeaderBytes,
+                catalogue::LargestHeaderBytes, problems);
+  limits.MaxBodyBytes = parseSize(json, "maxBodyBytes", limits.MaxBodyBytes,
+                                  catalogue::LargestBodyBytes, problems);
   limits.HeaderTimeout =
       millisAt(json, "headerTimeoutMs", limits.HeaderTimeout.count());
   limits.IdleTimeout =
@@ -253,7 +268,7 @@
     parsed.Organisations =
         parseArray(json, "tenants", parseOrganisation, problems);
   if (const auto it = json.find("limits"); it != json.end())
-    parsed.Limits = parseLimits(*it);
+    parsed.Limits = parseLimits(*it, problems);
   return parsed;
 }
 
--- a/tests/unit/platform/DocumentsTest.cpp
+++ b/tests/unit/platform/DocumentsTest.cpp
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <string>
+#include <vector>
+
 using namespace cowslipridge;
 using namespace cowslipridge::platform;
 
@@ -54,6 +57,30 @@
   EXPECT_NE(problems.find("routes"), std::string::npos);
 }
 
+// Guards against limits that the configuration allows and nothing serves.
+TEST(DocumentsTest, reportsLimitsThatCannotBeServed) {
+  struct Case {
+    std::string Limits;
+    std::size_t HeaderBytes;
+    std::string Problem;
+  };
+  for (const Case &it : std::vector<Case>{
+           {R"("maxHeaderBytes": 1048576)", 1'048'576, ""},
+           {R"("maxHeaderBytes": 1048577)", 1'048'576,
+            "maxHeaderBytes is 1048577, served are 1 to 1048576; "},
+           {R"("maxHeaderBytes": -1)", 1,
+            "maxHeaderBytes is -1, served are 1 to 1048576; "},
+           {R"("maxBodyBytes": 67108865)", 16'384,
+            "maxBodyBytes is 67108865, served are 1 to 67108864; "}}) {
+    std::string problems;
+    const auto parsed = parseCatalogue(
+        R"({"version": 1, "limits": {)" + it.Limits + "}}", problems);
+    ASSERT_TRUE(parsed.ok());
+    EXPECT_EQ(parsed->Limits.MaxHeaderBytes, it.HeaderBytes) << it.Limits;
+    EXPECT_EQ(problems, it.Problem);
+  }
+}
+
 TEST(DocumentsTest, rejectsConfigurationWithoutVersion) {
   std::string problems;
   for (const char *text : {"", "[]", "{}", R"({"version": "7"})", "\xff{"})
