Show that a head that is cut at any byte is no answer

Another operator reported 200s with an empty or short body for a runner that stopped in the middle of its head. Here it can't happen, by the gateway's client, by calls of the store, and by the library behind the daemon's client: each cut ends the call without a status. The counterpart, a reset behind a head without a length, is no complete answer either.

--- a/tests/unit/http/ClientTest.cpp
+++ b/tests/unit/http/ClientTest.cpp
@@ -53,6 +53,23 @@
   std::uint16_t Port = support::nextPort();
 };
 
+// Guards against a 200 with an empty or short body, framed as complete, for an
+// answer whose head is cut.
+TEST_F(ClientTest, headThatIsCutAtAnyByteIsNoAnswer) {
+  for (const std::string head :
+       {"HTTP/1.1 200 OK\r\nContent-Length: 12\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"}) {
+    for (std::size_t n = 0; n < head.size(); ++n) {
+      Port = support::nextPort();
+      const FixedReplyServer server(Port, head.substr(0, n));
+      const auto seen = exchange({"POST", "/", {}, "x"});
+      EXPECT_EQ(seen.Error, core::Errc::RunnerFailed) << head.substr(0, n);
+      EXPECT_EQ(seen.Status, 0U) << head.substr(0, n);
+    }
+  }
+}
+
 TEST_F(ClientTest, reportsNotConnectedWhenTheConnectionIsRefused) {
   for (const char *method : {"GET", "POST"}) {
     const auto seen = exchange({method, "/", {}, "x"});
