Answer the requests that a planned stop would cut off

Cause: the end of the drain closed connections, and nobody ended the requests on them. Ruled out: requests late in the grace period; they are rejected unless their deadline is before the end.

Change: 200 ms before the exit, requests in flight end with 502, 503 or a reset; the exit follows in a later tick; the times of the drain shrink with the grace period, so that a process with a short one still exits by itself.

--- a/src/cowslipridge/gateway/DrainPolicy.cpp
+++ b/src/cowslipridge/gateway/DrainPolicy.cpp
@@ -13,6 +13,10 @@
 constexpr core::Millis StreamAcceptancePeriod{2'900};
 /// Time before the process is killed, left to terminate open responses cleanly.
 constexpr core::Millis StopMargin{500};
+/// Time before the exit in which final answers are written.
+constexpr core::Millis FinalAnswerTime{200};
+/// A shorter grace period leaves this part of itself as the margin.
+constexpr std::int64_t MinMarginDivisor = 4;
 
 } // namespace
 
@@ -21,8 +25,18 @@
     BeganAt = now;
 }
 
-core::Millis DrainPolicy::end() const {
-  return *BeganAt + GracePeriod - StopMargin;
+core::Millis DrainPolicy::exitDelay() const {
+  return GracePeriod - std::min(StopMargin, GracePeriod / MinMarginDivisor);
+}
+
+core::Millis DrainPolicy::end() const { return *BeganAt + exitDelay(); }
+
+core::Millis DrainPolicy::requestsEnd() const {
+  return end() - std::min(FinalAnswerTime, exitDelay() / MinMarginDivisor);
+}
+
+core::Millis DrainPolicy::atMost(core::Millis wanted) const {
+  return std::min(wanted, exitDelay() * 2 / 3);
 }
 
 std::optional<core::Millis> DrainPolicy::exitsWithin(core::Millis now) const {
@@ -33,13 +47,18 @@
 
 bool DrainPolicy::accepts(const RequestContext &context,
                           core::Millis now) const {
-  if (!BeganAt || now - *BeganAt <= StreamAcceptancePeriod)
+  if (!BeganAt || now - *BeganAt <= atMost(StreamAcceptancePeriod))
     return true;
-  return !catalogue::isStream(context.Route->Kind) && context.Deadline <= end();
+  return !catalogue::isStream(context.Route->Kind) &&
+         context.Deadline <= requestsEnd();
 }
 
 bool DrainPolicy::closesIdle(core::Millis now) const {
-  return BeganAt && now - *BeganAt >= BalancerReactionTime;
+  return BeganAt && now - *BeganAt >= atMost(BalancerReactionTime);
+}
+
+bool DrainPolicy::endsRequests(core::Millis now) const {
+  return BeganAt && now >= requestsEnd();
 }
 
 bool DrainPolicy::isOver(std::size_t unfinished, core::Millis now) const {
--- a/src/cowslipridge/gateway/DrainPolicy.hpp
+++ b/src/cowslipridge/gateway/DrainPolicy.hpp
@@ -26,6 +26,9 @@
                              core::Millis now) const;
   /// Returns whether connections without a request in flight are closed.
   [[nodiscard]] bool closesIdle(core::Millis now) const;
+  /// Returns whether the requests in flight get their final answers now: their
+  /// runners have no time left.
+  [[nodiscard]] bool endsRequests(core::Millis now) const;
   /// Returns whether the process exits now, given the number of connections
   /// with an unfinished request or response.
   [[nodiscard]] bool isOver(std::size_t unfinished, core::Millis now) const;
@@ -35,7 +38,12 @@
   [[nodiscard]] std::optional<core::Millis> exitsWithin(core::Millis now) const;
 
 private:
+  /// Returns the time from the stop signal until the process exits.
+  [[nodiscard]] core::Millis exitDelay() const;
+  /// Returns `wanted`, or less if the grace period is short.
+  [[nodiscard]] core::Millis atMost(core::Millis wanted) const;
   [[nodiscard]] core::Millis end() const;
+  [[nodiscard]] core::Millis requestsEnd() const;
 
   core::Millis GracePeriod;
   std::optional<core::Millis> BeganAt;
--- a/src/cowslipridge/gateway/Gateway.cpp
+++ b/src/cowslipridge/gateway/Gateway.cpp
@@ -196,6 +196,15 @@
   }
 }
 
+void Gateway::endRequests() {
+  Held.releaseAll();
+  const auto active = Flows.Active;
+  for (const auto &it : active) {
+    if (const auto flow = it.lock())
+      flow->onProcessEnding();
+  }
+}
+
 void Gateway::scheduleTick() {
   Ticker.start(TickInterval, [this] { tick(); });
 }
@@ -301,6 +310,11 @@
     return;
   Callers.acceptWaiting();
   Callers.closeIdle();
+  // The answers are written before a later tick ends the process.
+  if (Drain.endsRequests(now) && !std::exchange(RequestsEnded, true)) {
+    endRequests();
+    return;
+  }
   if (!Drain.isOver(Callers.unfinished(), now))
     return;
   Control.deregister();
--- a/src/cowslipridge/gateway/Gateway.hpp
+++ b/src/cowslipridge/gateway/Gateway.hpp
@@ -67,6 +67,8 @@
   void onQuarantine(const QuarantineStart &start);
   /// Ends the requests that the policy no longer accepts.
   void recheckRequests();
+  /// Gives all requests in flight their final answers.
+  void endRequests();
   void onRequest(const std::shared_ptr<http1::Exchange> &exchange);
   /// Serves the request, or rejects it.
   void answer(const std::shared_ptr<http1::Exchange> &exchange,
@@ -137,6 +139,7 @@
   bool Synced = false;
   bool ReadyReported = false;
   DrainPolicy Drain;
+  bool RequestsEnded = false; ///< by endRequests()
   std::optional<core::Millis> StoreUnavailableSince;
   core::Millis ReportedAt;
   core::Millis RelayedAt;
--- a/src/cowslipridge/gateway/RequestFlow.cpp
+++ b/src/cowslipridge/gateway/RequestFlow.cpp
@@ -73,6 +73,11 @@
   afterEvent();
 }
 
+void RequestFlow::onProcessEnding() {
+  Machine.onProcessEnding(now());
+  afterEvent();
+}
+
 std::string RequestFlow::modelOf(const Placement &placement) const {
   return placement.Tier ? Machine.request().Route->Models.at(*placement.Tier)
                         : Machine.request().Caller.Model;
--- a/src/cowslipridge/gateway/RequestFlow.hpp
+++ b/src/cowslipridge/gateway/RequestFlow.hpp
@@ -43,6 +43,8 @@
   void start();
   /// The policy refuses requests that it accepted before.
   void onPolicyChanged();
+  /// The process ends: the caller gets the final answer at once.
+  void onProcessEnding();
 
   void startAttempt(const Placement &placement, core::Millis remaining,
                     std::optional<std::uint64_t> after) override;
--- a/src/cowslipridge/gateway/RequestStateMachine.cpp
+++ b/src/cowslipridge/gateway/RequestStateMachine.cpp
@@ -177,13 +177,27 @@
   Actions.cancelAttempt();
   endAttempt(isLate ? AttemptOutcome::TimedOut : AttemptOutcome::Cancelled,
              now);
+  endEarly(504, "deadline", now);
+}
+
+void RequestStateMachine::onProcessEnding(core::Millis now) {
+  if (State == Phase::Done)
+    return;
+  noteThatItMayHaveRun();
+  Actions.cancelAttempt();
+  endAttempt(AttemptOutcome::Cancelled, now);
+  endEarly(502, "the process ends", now);
+}
+
+void RequestStateMachine::endEarly(int status, const std::string &reason,
+                                   core::Millis now) {
   finish();
   if (ResponseStarted)
-    Actions.abort("deadline");
+    Actions.abort(reason);
   else if (MayHaveRun)
-    Actions.replyWithError({504, "deadline", std::nullopt});
+    Actions.replyWithError({status, reason, std::nullopt});
   else
-    Actions.replyWithError({503, "deadline", Policy.retryAfter(Request, now)});
+    Actions.replyWithError({503, reason, Policy.retryAfter(Request, now)});
 }
 
 // A request that still waits for its connection has reached no runner.
--- a/src/cowslipridge/gateway/RequestStateMachine.hpp
+++ b/src/cowslipridge/gateway/RequestStateMachine.hpp
@@ -89,6 +89,8 @@
   /// The policy refuses requests that it accepted before. Ends the request if
   /// it is one of them and no answer to it has begun.
   void onPolicyChanged(core::Millis now);
+  /// The process ends: the request gets its final answer at once.
+  void onProcessEnding(core::Millis now);
   /// Returns the time at which onTimer is to be called next.
   [[nodiscard]] core::Millis nextTimer() const;
   [[nodiscard]] bool done() const { return State == Phase::Done; }
@@ -122,6 +124,9 @@
   void onRejected(core::Millis now);
   void noteThatItMayHaveRun();
   void onDeadline(core::Millis now);
+  /// Aborts a response that has begun. Otherwise responds with `status` if the
+  /// request may have run, and with 503 if it hasn't.
+  void endEarly(int status, const std::string &reason, core::Millis now);
   void onAttemptTimeout(core::Millis now);
   /// Judges the progress of the stream from now on.
   void startProgress(core::Millis now);
--- a/tests/unit/gateway/DrainPolicyTest.cpp
+++ b/tests/unit/gateway/DrainPolicyTest.cpp
@@ -55,6 +55,28 @@
   EXPECT_TRUE(Drain.isOver(1, Millis(7'500)));
 }
 
+// Guards against requests that are cut off without an answer at the end.
+TEST_F(DrainPolicyTest, endsRequestsBeforeTheProcessExits) {
+  Drain.begin(Millis(0));
+  EXPECT_FALSE(Drain.endsRequests(Millis(7'299)));
+  EXPECT_TRUE(Drain.endsRequests(Millis(7'300)));
+  EXPECT_FALSE(Drain.isOver(1, Millis(7'300)));
+  EXPECT_FALSE(accepts(RouteKind::NonIdempotent, Millis(6'500), Millis(900)))
+      << "its deadline is after that";
+}
+
+// Guards against a process that is killed before it has begun to exit.
+TEST(ShortDrainTest, exitsWithinAShortGracePeriod) {
+  for (const Millis grace : {Millis(400), Millis(1'000), Millis(3'000)}) {
+    DrainPolicy drain{grace};
+    drain.begin(Millis(0));
+    EXPECT_TRUE(drain.closesIdle(grace * 3 / 5)) << grace.count();
+    EXPECT_FALSE(drain.endsRequests(grace / 2)) << grace.count();
+    EXPECT_TRUE(drain.endsRequests(grace * 4 / 5)) << grace.count();
+    EXPECT_TRUE(drain.isOver(1, grace * 9 / 10)) << grace.count();
+  }
+}
+
 TEST_F(DrainPolicyTest, ignoresASecondSignal) {
   Drain.begin(Millis(0));
   Drain.begin(Millis(5'000));
--- a/tests/unit/gateway/RequestStateMachineTest.cpp
+++ b/tests/unit/gateway/RequestStateMachineTest.cpp
@@ -115,6 +115,34 @@
   EXPECT_EQ(Policy.Outcomes.at(1), AttemptOutcome::Cancelled);
 }
 
+// Guards against connections that are closed without an answer at the end of a
+// planned stop.
+TEST_F(RequestStateMachineTest, endOfTheProcessAnswersARequestThatMayHaveRun) {
+  begin(RouteKind::NonIdempotent, 1);
+  Machine->onProcessEnding(Millis(20));
+  EXPECT_EQ(Actions.Status, 502);
+  EXPECT_FALSE(Actions.RetryAfter.has_value());
+  EXPECT_TRUE(Machine->done());
+}
+
+TEST_F(RequestStateMachineTest, endOfTheProcessAnswersNotRunToAnUnsentRequest) {
+  begin(RouteKind::NonIdempotent, 1);
+  Actions.Sent = false;
+  Machine->onProcessEnding(Millis(20));
+  EXPECT_EQ(Actions.Status, 503);
+  EXPECT_TRUE(Actions.RetryAfter.has_value());
+}
+
+TEST_F(RequestStateMachineTest, endOfTheProcessBreaksAStreamOff) {
+  begin(RouteKind::ResumableStream);
+  head(200, authentic(200));
+  Machine->onData("id: 1\ndata: a\n\n", Millis(11));
+  Machine->onProcessEnding(Millis(20));
+  EXPECT_TRUE(Actions.Aborted);
+  Machine->onProcessEnding(Millis(21));
+  EXPECT_TRUE(Machine->done());
+}
+
 // Guards against requests that wait at a runner and crash it although their
 // prompt was found to crash runners meanwhile.
 TEST_F(RequestStateMachineTest, endsAWaitingRequestThatThePolicyRefuses) {
