Grant a new process no fixed retries of a budget that it may have used

Cause: the retry window ends with its process, so that each new one was granted the fixed part again, undivided until it knew its peers; gateways out of each other's sight divided it by too few; an attempt after a 421 wasn't charged, although the runner that rejected it had received the request.

Ruled out: arrivals that are up to 1 s late; they stay within the reserve.

Change: no fixed part for the first window of a process; the number of members falls only a window after a removal; attempts after a 421 are charged.

Not reproduced with real processes.

--- a/src/cowslipridge/gateway/Dispatcher.cpp
+++ b/src/cowslipridge/gateway/Dispatcher.cpp
@@ -205,7 +205,8 @@
   if (known != Budgets.end())
     return known->second;
   limits::RetryWindow window({Settings.Retries.PerRequest,
-                              Settings.Retries.Fixed, Settings.Retries.Window});
+                              Settings.Retries.Fixed, Settings.Retries.Window},
+                             StartedAt);
   window.setMembers(Gateways);
   return Budgets.emplace(service, std::move(window)).first->second;
 }
--- a/src/cowslipridge/gateway/Gateway.cpp
+++ b/src/cowslipridge/gateway/Gateway.cpp
@@ -120,6 +120,7 @@
           Snapshots.fetch({sender.address(), sender.port()});
       });
   StartedAt = Clock.monotonic();
+  RequestDispatcher.onStarted(StartedAt);
   Control.start(
       self, [this](const ControlEvent &it) { onControl(it); },
       [this] { onSynced(); });
--- a/src/cowslipridge/gateway/Placement.hpp
+++ b/src/cowslipridge/gateway/Placement.hpp
@@ -40,7 +40,7 @@
 /// How an attempt counts against the retry budget.
 enum class AttemptKind {
   First,    ///< the first attempt of the request
-  Failover, ///< no earlier one reached a runner; not charged to the budget
+  Failover, ///< no earlier one arrived at a runner; not charged to the budget
   Retry,    ///< a runner may have the request; charged to the budget
   Escalate, ///< to a larger model on low confidence; charged to the budget
 };
--- a/src/cowslipridge/gateway/RequestStateMachine.cpp
+++ b/src/cowslipridge/gateway/RequestStateMachine.cpp
@@ -45,9 +45,10 @@
     return;
   }
   const bool isFirst = AttemptsMade == 0 && UnsentAttempts == 0;
-  const AttemptKind kind = isFirst            ? AttemptKind::First
-                           : AttemptsMade > 0 ? AttemptKind::Retry
-                                              : AttemptKind::Failover;
+  const bool isRetry = AttemptsMade > 0 || HasArrived;
+  const AttemptKind kind = isFirst   ? AttemptKind::First
+                           : isRetry ? AttemptKind::Retry
+                                     : AttemptKind::Failover;
   const PlacementResult result =
       Policy.place(Request, Tier, Excluded, kind, now);
   std::visit(
--- a/src/cowslipridge/gateway/RequestStateMachine.hpp
+++ b/src/cowslipridge/gateway/RequestStateMachine.hpp
@@ -147,6 +147,7 @@
   std::vector<core::RunnerId> Excluded;
   unsigned AttemptsMade = 0;   ///< runners that may have received the request
   unsigned UnsentAttempts = 0; ///< attempts that reached no runner
+  bool HasArrived = false;     ///< at a runner that rejected it as misdirected
   bool MayHaveRun = false;
   bool Rejected = false; ///< the current runner did not execute the request
   bool ResponseStarted = false;
--- a/src/cowslipridge/gateway/RequestStateMachineResponses.cpp
+++ b/src/cowslipridge/gateway/RequestStateMachineResponses.cpp
@@ -248,6 +248,7 @@
   if (status == MisdirectedRequest) {
     --AttemptsMade;
     ++UnsentAttempts;
+    HasArrived = true;
   }
   endAttempt(status == MisdirectedRequest ? AttemptOutcome::Unreachable
                                           : AttemptOutcome::Rejected,
--- a/src/cowslipridge/limits/RetryWindow.cpp
+++ b/src/cowslipridge/limits/RetryWindow.cpp
@@ -12,10 +12,37 @@
 
 } // namespace
 
-RetryWindow::RetryWindow(RetryWindowSettings settings) : Settings(settings) {}
+RetryWindow::RetryWindow(RetryWindowSettings settings,
+                         std::optional<core::Millis> startedAt)
+    : Settings(settings), StartedAt(startedAt) {}
 
 void RetryWindow::setMembers(std::size_t members) {
-  Members = std::max<std::size_t>(1, members);
+  members = std::max<std::size_t>(1, members);
+  if (members >= Members) {
+    Members = members;
+    Removed.reset();
+  } else if (!Removed || members < Removed->Members) {
+    Removed = Removal{members, std::nullopt};
+  } else {
+    Removed->Members = members;
+  }
+}
+
+void RetryWindow::applyRemoval(core::Millis now) {
+  if (!Removed)
+    return;
+  if (!Removed->At)
+    Removed->At = now;
+  if (now - *Removed->At < Settings.Window)
+    return;
+  Members = Removed->Members;
+  Removed.reset();
+}
+
+double RetryWindow::fixedPart(core::Millis now) const {
+  if (StartedAt && now - *StartedAt < Settings.Window)
+    return 0;
+  return Settings.FixedRetries / static_cast<double>(Members);
 }
 
 void RetryWindow::onFirstAttempt(core::Millis now) {
@@ -28,7 +55,7 @@
   const double allowed =
       (1 - ReservedShare) *
       (Settings.RetriesPerRequest * static_cast<double>(FirstAttempts.size()) +
-       Settings.FixedRetries / static_cast<double>(Members));
+       fixedPart(now));
   return allowed - static_cast<double>(Retries.size());
 }
 
@@ -40,6 +67,7 @@
 }
 
 void RetryWindow::expire(core::Millis now) {
+  applyRemoval(now);
   const core::Millis oldest = now - Settings.Window;
   const auto drop = [&](std::deque<core::Millis> &times) {
     while (!times.empty() && times.front() < oldest)
--- a/src/cowslipridge/limits/RetryWindow.hpp
+++ b/src/cowslipridge/limits/RetryWindow.hpp
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <deque>
+#include <optional>
 
 namespace cowslipridge::limits {
 
@@ -18,9 +19,17 @@
 /// One member's part of the retry budget of a fleet. Members need no
 /// coordination: each member may retry the given ratio of its own requests and
 /// has an even part of the fixed retries.
+///
+/// What a process retried is not known after its end, nor to others when it is
+/// out of their sight. A member therefore has no part of the fixed retries for
+/// the first window of its life, and its part grows only one window after other
+/// members were removed.
 class RetryWindow {
 public:
-  explicit RetryWindow(RetryWindowSettings settings);
+  /// `startedAt` is the start of the process, if an earlier one may have
+  /// retried on the same budget.
+  explicit RetryWindow(RetryWindowSettings settings,
+                       std::optional<core::Millis> startedAt = std::nullopt);
 
   void setMembers(std::size_t members);
   void onFirstAttempt(core::Millis now);
@@ -31,10 +40,21 @@
   [[nodiscard]] double remaining(core::Millis now);
 
 private:
+  /// A smaller number of members, which applies one window later.
+  struct Removal {
+    std::size_t Members = 0;
+    std::optional<core::Millis> At; ///< unset until the next call with a time
+  };
+
   void expire(core::Millis now);
+  void applyRemoval(core::Millis now);
+  /// Returns this member's part of the fixed retries.
+  [[nodiscard]] double fixedPart(core::Millis now) const;
 
   RetryWindowSettings Settings;
+  std::optional<core::Millis> StartedAt;
   std::size_t Members = 1;
+  std::optional<Removal> Removed;
   std::deque<core::Millis> FirstAttempts;
   std::deque<core::Millis> Retries;
 };
--- /dev/null
+++ b/tests/property/limits/RetryWindowProperty.cpp
@@ -0,0 +1,202 @@
+#include "cowslipridge/limits/RetryWindow.hpp"
+
+#include "support/PropertyChecks.hpp"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <numeric>
+#include <rapidcheck.h>
+#include <vector>
+
+using namespace cowslipridge;
+using namespace cowslipridge::limits;
+using core::Millis;
+
+namespace {
+
+constexpr Millis Step{50};
+constexpr int StepsPerWindow = 200;
+constexpr int Steps = 5 * StepsPerWindow;
+constexpr int MaxRetriesOfARequest = 2;
+constexpr RetryWindowSettings Settings{0.9, 54, Step *StepsPerWindow};
+
+struct FleetFaults {
+  std::size_t Gateways = 0;
+  int KillEveryNthStep = 0; ///< a gateway, or all of them; 0: never
+  bool KillsAll = false;
+  int RestartSteps = 0; ///< from the kill until it serves again
+  int LearnSteps = 0;   ///< from its start until it knows of its peers
+  int ForgetEveryNthStep =
+      0;                   ///< all forget their peers for LearnSteps; 0: never
+  int MaxArrivalSteps = 0; ///< longest time from sending to arrival
+  double RequestsPerStep = 0; ///< of each gateway
+};
+
+/// Gateways of which every request fails, so that each is retried as often as
+/// the budget grants.
+class FailingFleet {
+public:
+  explicit FailingFleet(const FleetFaults &faults)
+      : Faults(faults), Requests(Steps), Arrivals(Steps + StepsPerWindow) {
+    Members.resize(Faults.Gateways);
+    for (Member &it : Members)
+      start(it, 0);
+  }
+
+  void run() {
+    for (int step = 0; step < Steps; ++step) {
+      strike(step);
+      for (Member &it : Members) {
+        if (step >= it.ServesFrom)
+          serve(it, step);
+      }
+    }
+  }
+
+  /// Returns the largest excess over what all gateways together may retry
+  /// within a window.
+  [[nodiscard]] double worstExcess() const {
+    double worst = -Settings.FixedRetries;
+    for (int end = StepsPerWindow; end <= Steps; ++end) {
+      const int begin = end - StepsPerWindow;
+      const int requests = std::max(
+          {sum(Requests, begin, end),
+           sum(Requests, begin - StepsPerWindow / 2, end - StepsPerWindow / 2),
+           sum(Requests, begin - StepsPerWindow, begin)});
+      const double allowed =
+          Settings.RetriesPerRequest * requests + Settings.FixedRetries;
+      worst = std::max(worst, sum(Arrivals, begin, end) - allowed);
+    }
+    return worst;
+  }
+
+private:
+  struct Member {
+    RetryWindow Window{Settings};
+    int ServesFrom = 0;
+    int KnowsPeersFrom = 0;
+    double Due = 0;
+  };
+
+  static int sum(const std::vector<int> &counts, int begin, int end) {
+    const int from = std::max(0, begin);
+    return std::accumulate(counts.begin() + from,
+                           counts.begin() + std::max(from, end), 0);
+  }
+
+  void start(Member &member, int step) {
+    member.Window = RetryWindow(Settings, Step * step);
+    member.ServesFrom = step;
+    member.KnowsPeersFrom = step + Faults.LearnSteps;
+  }
+
+  void strike(int step) {
+    const auto isDue = [&](int every) {
+      return every != 0 && step % every == every - 1;
+    };
+    if (isDue(Faults.KillEveryNthStep)) {
+      const std::size_t first =
+          static_cast<std::size_t>(step / Faults.KillEveryNthStep) %
+          Members.size();
+      for (std::size_t n = 0; n < Members.size(); ++n) {
+        if (Faults.KillsAll || n == first)
+          start(Members[n], step + Faults.RestartSteps);
+      }
+    }
+    if (isDue(Faults.ForgetEveryNthStep)) {
+      for (Member &it : Members)
+        it.KnowsPeersFrom = step + Faults.LearnSteps;
+    }
+  }
+
+  void serve(Member &member, int step) {
+    const Millis now = Step * step;
+    member.Window.setMembers(step >= member.KnowsPeersFrom ? Members.size()
+                                                           : 1);
+    for (member.Due += Faults.RequestsPerStep; member.Due >= 1; --member.Due) {
+      ++Requests.at(static_cast<std::size_t>(step));
+      member.Window.onFirstAttempt(now);
+      for (int n = 0; n < MaxRetriesOfARequest; ++n) {
+        if (member.Window.tryAcquire(now))
+          ++Arrivals.at(static_cast<std::size_t>(step + arrivalDelay()));
+      }
+    }
+  }
+
+  // A runner that stands still lets what was sent meanwhile arrive together.
+  int arrivalDelay() {
+    if (Faults.MaxArrivalSteps == 0)
+      return 0;
+    return ++Sent / 64 % 2 == 0 ? Faults.MaxArrivalSteps : 0;
+  }
+
+  FleetFaults Faults;
+  std::vector<Member> Members;
+  std::vector<int> Requests;
+  std::vector<int> Arrivals;
+  int Sent = 0;
+};
+
+FleetFaults anyFaults() {
+  FleetFaults faults;
+  faults.Gateways = *rc::gen::inRange<std::size_t>(1, 41);
+  faults.KillEveryNthStep =
+      *rc::gen::oneOf(rc::gen::just(0), rc::gen::inRange(8, 300));
+  faults.KillsAll = *rc::gen::arbitrary<bool>();
+  faults.RestartSteps = *rc::gen::inRange(1, 30);
+  faults.LearnSteps = *rc::gen::inRange(0, 40);
+  faults.ForgetEveryNthStep =
+      *rc::gen::oneOf(rc::gen::just(0), rc::gen::inRange(50, 500));
+  faults.MaxArrivalSteps = *rc::gen::inRange(0, 21);
+  faults.RequestsPerStep = *rc::gen::inRange(1, 40) / 20.0;
+  return faults;
+}
+
+// Guards against a fleet that retries more than its budget because gateways are
+// killed, start, or lose sight of each other: each new process and each change
+// of the membership used to grant the fixed part anew.
+TEST(RetryWindowProperty, fleetKeepsItsBudgetWhateverItsMembersGoThrough) {
+  support::expectHolds(300, [] {
+    const FleetFaults faults = anyFaults();
+    FailingFleet fleet(faults);
+    fleet.run();
+    RC_ASSERT(fleet.worstExcess() <= 0);
+  });
+}
+
+double excessOf(const FleetFaults &faults) {
+  FailingFleet fleet(faults);
+  fleet.run();
+  return fleet.worstExcess();
+}
+
+// The users' runs with real processes: a few gateways, killed one after the
+// other or all at once, or out of touch with the store and each other.
+TEST(RetryWindowFleetTest, killsOfSingleGatewaysGrantNothingAnew) {
+  EXPECT_LE(excessOf({.Gateways = 4,
+                      .KillEveryNthStep = 20,
+                      .RestartSteps = 10,
+                      .LearnSteps = 4,
+                      .RequestsPerStep = 0.2}),
+            0);
+}
+
+TEST(RetryWindowFleetTest, killsOfAllGatewaysGrantNothingAnew) {
+  EXPECT_LE(excessOf({.Gateways = 4,
+                      .KillEveryNthStep = 60,
+                      .KillsAll = true,
+                      .RestartSteps = 10,
+                      .LearnSteps = 10,
+                      .RequestsPerStep = 0.2}),
+            0);
+}
+
+TEST(RetryWindowFleetTest, gatewaysThatForgetEachOtherShareTheBudgetOn) {
+  EXPECT_LE(excessOf({.Gateways = 26,
+                      .LearnSteps = 100,
+                      .ForgetEveryNthStep = 300,
+                      .RequestsPerStep = 0.05}),
+            0);
+}
+
+} // namespace
--- a/tests/unit/gateway/RequestStateMachineTest.cpp
+++ b/tests/unit/gateway/RequestStateMachineTest.cpp
@@ -390,6 +390,16 @@
   EXPECT_EQ(Actions.Attempts, 1);
 }
 
+// Guards against retries beyond the budget while runners restart under their
+// addresses: a runner that rejects a request as misdirected has received it.
+TEST_F(RequestStateMachineTest, attemptAfterAMisdirectedOneIsChargedAsARetry) {
+  begin(RouteKind::NonIdempotent, 3);
+  rejected(421);
+  Machine->onFailure(CallFailure::NotConnected, Millis(20));
+  EXPECT_EQ(Policy.Kinds, (std::vector{AttemptKind::First, AttemptKind::Retry,
+                                       AttemptKind::Retry}));
+}
+
 TEST_F(RequestStateMachineTest, aMisdirectedRequestIsNotCountedAsAnAttempt) {
   begin(RouteKind::NonIdempotent, 1);
   rejected(421);
