Confirm the end of a resumable stream that ended with its connection

Cause shown: a process that ends closes its connections as a response without a length ends; at the end of an event the gateway took this for the end of the stream. Ruled out by reading: resumption at another model after an escalation.

Change: such a stream is asked for at another runner after its last event. It ends when that one has nothing to add or none can be asked; events that follow continue it, and a break behind them is visible again.

--- a/src/cowslipridge/gateway/RequestStateMachine.cpp
+++ b/src/cowslipridge/gateway/RequestStateMachine.cpp
@@ -86,13 +86,10 @@
 
 void RequestStateMachine::giveUp(const std::string &reason,
                                  core::Millis retryAfter) {
-  if (ResponseStarted) {
-    finish();
-    Actions.abort(reason);
-    return;
-  }
   finish();
-  if (FailedHead)
+  if (ResponseStarted)
+    endStartedResponse(reason);
+  else if (FailedHead)
     Actions.respond(*FailedHead, FailedBody);
   else if (MayHaveRun)
     Actions.replyWithError({502, reason, std::nullopt});
@@ -194,13 +191,20 @@
                                    core::Millis now) {
   finish();
   if (ResponseStarted)
-    Actions.abort(reason);
+    endStartedResponse(reason);
   else if (MayHaveRun)
     Actions.replyWithError({status, reason, std::nullopt});
   else
     Actions.replyWithError({503, reason, Policy.retryAfter(Request, now)});
 }
 
+void RequestStateMachine::endStartedResponse(const std::string &reason) {
+  if (EndUnconfirmed)
+    Actions.end();
+  else
+    Actions.abort(reason);
+}
+
 // A request that still waits for its connection has reached no runner.
 void RequestStateMachine::noteThatItMayHaveRun() {
   if (Current && !Rejected && Actions.mayHaveSent())
--- a/src/cowslipridge/gateway/RequestStateMachine.hpp
+++ b/src/cowslipridge/gateway/RequestStateMachine.hpp
@@ -71,6 +71,8 @@
 /// - No event of a stream is lost, duplicated or joined from parts of two
 ///   attempts. Only a successful response that continues the stream is added to
 ///   one that has begun.
+/// - A stream that can be resumed and that ended only with its connection is
+///   complete once another runner has nothing to add, or none can be asked.
 /// - There is exactly one response, and no action follows it or the disconnect
 ///   of the caller.
 class RequestStateMachine {
@@ -120,6 +122,11 @@
   /// Forwards complete events.
   void forward(const std::string &events, std::size_t count, core::Millis now);
   void endStream(core::Millis now);
+  /// Asks another runner for the rest of a stream whose end isn't certain.
+  void confirmEnd(core::Millis now);
+  /// Ends a response that has begun: as complete if all that is missing is
+  /// another runner's word that it is, else visibly broken off.
+  void endStartedResponse(const std::string &reason);
   void endBuffered(core::Millis now);
   void onRejected(core::Millis now);
   void noteThatItMayHaveRun();
@@ -162,6 +169,10 @@
   std::optional<std::uint64_t> LastEventId; ///< that the caller has received
   http1::ResponseHead StreamHead;           ///< of the first part of the stream
   bool IsResumed = false; ///< the current attempt resumes the stream
+  /// The end of the connection ends the current attempt's response.
+  bool EndsWithConnection = false;
+  /// The stream ended with its connection and nothing followed since.
+  bool EndUnconfirmed = false;
   std::optional<bool> IdsConsecutive;    ///< of the events of the first part
   std::optional<core::Millis> TimeoutAt; ///< of the current attempt
   /// Of the current stream, if it may move to another runner.
--- a/src/cowslipridge/gateway/RequestStateMachineResponses.cpp
+++ b/src/cowslipridge/gateway/RequestStateMachineResponses.cpp
@@ -69,6 +69,7 @@
   if (!ResponseStarted && escalate(response, now))
     return;
   State = Phase::Streaming;
+  EndsWithConnection = head.Body == http1::Framing::UntilClose;
   Events.clear();
   TimeoutAt.reset();
   if (catalogue::isRetryable(Request.Route->Kind))
@@ -190,6 +191,7 @@
 
 void RequestStateMachine::forward(const std::string &events, std::size_t count,
                                   core::Millis now) {
+  EndUnconfirmed = false;
   // Only events show that the stream goes on, not any bytes.
   if (Progress) {
     Progress->onEvents(count, now);
@@ -236,11 +238,25 @@
                 now);
     return;
   }
+  const bool isUncertain =
+      catalogue::isStream(Request.Route->Kind) && EndsWithConnection;
+  if (isUncertain && canRetry()) {
+    confirmEnd(now);
+    return;
+  }
   endAttempt(AttemptOutcome::Served, now);
   finish();
   Actions.end();
 }
 
+// The end of a runner's process closes its connections in the same way as the
+// end of a response without a length.
+void RequestStateMachine::confirmEnd(core::Millis now) {
+  EndUnconfirmed = true;
+  endAttempt(AttemptOutcome::Cancelled, now);
+  retryOrGiveUp("the stream ended with its connection", now);
+}
+
 void RequestStateMachine::onRejected(core::Millis now) {
   const int status = Head.Status;
   // Another runner listens on the address now: the intended one never received
--- a/tests/unit/gateway/RequestStateMachineTest.cpp
+++ b/tests/unit/gateway/RequestStateMachineTest.cpp
@@ -306,6 +306,85 @@
   EXPECT_TRUE(Actions.Aborted);
 }
 
+/// A stream without a length: its end is that of its connection, which the end
+/// of the runner's process looks like.
+class UnframedStreamTest : public RequestStateMachineTest {
+protected:
+  void unframedHead(http1::Framing framing = http1::Framing::UntilClose) {
+    auto it = answer(200);
+    it.Body = framing;
+    Machine->onHead(it, authentic(200), Millis(10));
+  }
+  void beginAndEnd(RouteKind kind = RouteKind::ResumableStream,
+                   unsigned maxAttempts = 3) {
+    begin(kind, maxAttempts);
+    unframedHead();
+    Machine->onData(Begun, Millis(11));
+    Machine->onEnd(Millis(12));
+  }
+
+  const std::string Begun = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+};
+
+// Guards against a stream that ends as complete before its last event, because
+// its runner ended at the end of an event.
+TEST_F(UnframedStreamTest, endOfTheRunnerIsNotTheEndOfTheStream) {
+  beginAndEnd();
+  ASSERT_EQ(Actions.Attempts, 2);
+  EXPECT_EQ(Actions.Responses, 0);
+  EXPECT_EQ(Actions.After, 2U);
+  unframedHead(http1::Framing::Chunked);
+  Machine->onData("id: 3\ndata: c\n\n", Millis(21));
+  Machine->onEnd(Millis(22));
+  EXPECT_EQ(Actions.Body, Begun + "id: 3\ndata: c\n\n");
+  EXPECT_EQ(Actions.Responses, 1);
+  EXPECT_FALSE(Actions.Aborted);
+}
+
+TEST_F(UnframedStreamTest, endsOnceAnotherRunnerHasNothingToAdd) {
+  beginAndEnd();
+  unframedHead(http1::Framing::Chunked);
+  Machine->onEnd(Millis(22));
+  EXPECT_EQ(Actions.Body, Begun);
+  EXPECT_TRUE(Machine->done());
+  EXPECT_FALSE(Actions.Aborted);
+}
+
+// What the protocol takes for complete is not broken off when it can't be
+// confirmed.
+TEST_F(UnframedStreamTest, endsAsCompleteWhenNothingCanConfirmIt) {
+  beginAndEnd();
+  head(404, authentic(404));
+  Machine->onEnd(Millis(22));
+  Machine->onFailure(CallFailure::BrokenBeforeResponse, Millis(23));
+  EXPECT_TRUE(Machine->done());
+  EXPECT_FALSE(Actions.Aborted);
+  beginAndEnd(RouteKind::ResumableStream, 1);
+  EXPECT_TRUE(Machine->done());
+  EXPECT_FALSE(Actions.Aborted);
+}
+
+TEST_F(UnframedStreamTest, endsAsCompleteAtTheDeadline) {
+  beginAndEnd();
+  Machine->onTimer(Machine->request().Deadline);
+  EXPECT_TRUE(Machine->done());
+  EXPECT_FALSE(Actions.Aborted);
+}
+
+TEST_F(UnframedStreamTest, breakAfterFurtherEventsIsVisible) {
+  beginAndEnd(RouteKind::ResumableStream, 2);
+  unframedHead(http1::Framing::Chunked);
+  Machine->onData("id: 3\ndata: c\n\n", Millis(21));
+  Machine->onFailure(CallFailure::Broken, Millis(22));
+  EXPECT_TRUE(Actions.Aborted);
+}
+
+TEST_F(UnframedStreamTest, streamThatIsNotResumableRunsOnce) {
+  beginAndEnd(RouteKind::Stream);
+  EXPECT_EQ(Actions.Attempts, 1);
+  EXPECT_TRUE(Machine->done());
+}
+
 TEST_F(RequestStateMachineTest, abortsABrokenStreamThatIsNotResumable) {
   begin(RouteKind::Stream);
   head(200, authentic(200));
