Hold the body of a request once

Cause: a body took 11 MB: a string that doubled as it grew, and two requests with head and body composed of it. Ruled out: responses, and unread input.

A bound on the sum of all bodies is still missing.

--- a/src/cowslipridge/gateway/RequestFlow.cpp
+++ b/src/cowslipridge/gateway/RequestFlow.cpp
@@ -102,6 +102,7 @@
   spec.Server = http1::Endpoint(boost::asio::ip::make_address(placement.Host),
                                 placement.Port);
   spec.Bytes = compose(attributes);
+  spec.Body = Exchange->sharedBody();
   spec.Recompose = [weak = weak_from_this(), attributes](core::Millis waited) {
     const auto flow = weak.lock();
     return flow ? flow->recompose(attributes, waited) : std::nullopt;
@@ -124,9 +125,9 @@
 }
 
 std::string RequestFlow::compose(const RelayAttributes &attributes) const {
-  return http1::writeRequest(
+  return http1::writeRequestHead(
       Context.Translation.relay(Exchange->head(), attributes),
-      Exchange->body());
+      Exchange->body().size());
 }
 
 // The runner is told the time that is left when the request leaves, not when it
--- a/src/cowslipridge/gateway/RequestFlow.hpp
+++ b/src/cowslipridge/gateway/RequestFlow.hpp
@@ -66,10 +66,10 @@
   class Attempt;
 
   [[nodiscard]] core::Millis now() const { return Context.Clock.monotonic(); }
-  /// Returns the request as it is sent to a runner.
+  /// Returns the head of the request as it is sent to a runner.
   [[nodiscard]] std::string compose(const RelayAttributes &attributes) const;
-  /// Returns the request after it has waited for a connection, or nothing if
-  /// the time that is left is of no use to a runner.
+  /// Returns the head of the request after it has waited for a connection, or
+  /// nothing if the time that is left is of no use to a runner.
   [[nodiscard]] std::optional<std::string> recompose(RelayAttributes attributes,
                                                      core::Millis waited) const;
   void onHead(const http1::ResponseHead &head);
--- a/src/cowslipridge/http1/Client.hpp
+++ b/src/cowslipridge/http1/Client.hpp
@@ -52,7 +52,9 @@
 /// A request to send and the limits of its call.
 struct CallSpec {
   Endpoint Server;
-  std::string Bytes; ///< the request, head and body
+  std::string Bytes; ///< the request, or its head if `Body` is set
+  /// The body of the request, shared by all its calls.
+  std::shared_ptr<const std::string> Body = nullptr;
   /// Called when a new connection is established, with the time since the start
   /// of the call: returns the request that replaces `Bytes`, or nothing if it
   /// is too late to send it. Not set: `Bytes` is sent.
--- a/src/cowslipridge/http1/Message.cpp
+++ b/src/cowslipridge/http1/Message.cpp
@@ -19,8 +19,8 @@
   }
 }
 
-bool needsLength(const RequestHead &head, std::string_view body) {
-  return !body.empty() || head.Body != Framing::None;
+bool needsLength(const RequestHead &head, std::size_t bodyLength) {
+  return bodyLength != 0 || head.Body != Framing::None;
 }
 
 } // namespace
@@ -33,14 +33,20 @@
 }
 
 std::string writeRequest(const RequestHead &head, std::string_view body) {
+  std::string text = writeRequestHead(head, body.size());
+  text += body;
+  return text;
+}
+
+std::string writeRequestHead(const RequestHead &head, std::size_t bodyLength) {
+  constexpr std::size_t UsualLength = 512;
   std::string text;
-  text.reserve(512 + body.size());
+  text.reserve(UsualLength);
   text += head.Method + " " + head.Target + " HTTP/1.1\r\n";
   appendFields(text, head.Fields);
-  if (needsLength(head, body))
-    text += "Content-Length: " + std::to_string(body.size()) + "\r\n";
+  if (needsLength(head, bodyLength))
+    text += "Content-Length: " + std::to_string(bodyLength) + "\r\n";
   text += "\r\n";
-  text += body;
   return text;
 }
 
--- a/src/cowslipridge/http1/Message.hpp
+++ b/src/cowslipridge/http1/Message.hpp
@@ -38,6 +38,8 @@
 std::string_view reasonPhrase(int status);
 /// Serializes a request: its head followed by its complete body.
 std::string writeRequest(const RequestHead &head, std::string_view body);
+/// Serializes the head of a request whose body has this length, in bytes.
+std::string writeRequestHead(const RequestHead &head, std::size_t bodyLength);
 /// Serializes the head of a response. `Body` and `Length` determine its framing
 /// fields.
 std::string writeHead(const ResponseHead &head);
--- a/src/cowslipridge/http1/RequestParser.cpp
+++ b/src/cowslipridge/http1/RequestParser.cpp
@@ -2,6 +2,8 @@
 
 #include "cowslipridge/http1/internal/PushParser.hpp"
 
+#include <utility>
+
 namespace cowslipridge::http1 {
 
 namespace http = boost::beast::http;
@@ -98,6 +100,9 @@
 }
 bool RequestParser::headDone() const { return Internals->HeadExtracted; }
 const RequestHead &RequestParser::head() const { return Internals->Head; }
+std::string RequestParser::takeBody() {
+  return std::move(Internals->Parser.Body);
+}
 const std::string &RequestParser::body() const {
   return Internals->Parser.Body;
 }
--- a/src/cowslipridge/http1/RequestParser.hpp
+++ b/src/cowslipridge/http1/RequestParser.hpp
@@ -38,6 +38,8 @@
   [[nodiscard]] const RequestHead &head() const;
   /// Returns the part of the body that was read so far.
   [[nodiscard]] const std::string &body() const;
+  /// Moves the body out of the parser.
+  std::string takeBody();
 
 private:
   class Impl;
--- a/src/cowslipridge/http1/Server.hpp
+++ b/src/cowslipridge/http1/Server.hpp
@@ -21,6 +21,9 @@
   virtual ~Exchange() = default;
   [[nodiscard]] virtual const RequestHead &head() const = 0;
   [[nodiscard]] virtual const std::string &body() const = 0;
+  /// Returns the body, which may be held beyond the end of the exchange.
+  [[nodiscard]] virtual std::shared_ptr<const std::string>
+  sharedBody() const = 0;
   /// Returns the monotonic time at which the request was completely received.
   [[nodiscard]] virtual core::Millis readAt() const = 0;
   /// Sends a response with a complete body.
--- a/src/cowslipridge/http1/internal/ClientConnection.cpp
+++ b/src/cowslipridge/http1/internal/ClientConnection.cpp
@@ -171,8 +171,12 @@
 
 void ClientConnection::send() {
   Progress.Sent = true;
+  const std::array<boost::asio::const_buffer, 2> buffers{
+      boost::asio::buffer(Spec.Bytes), Spec.Body
+                                           ? boost::asio::buffer(*Spec.Body)
+                                           : boost::asio::const_buffer()};
   boost::asio::async_write(
-      Peer, boost::asio::buffer(Spec.Bytes),
+      Peer, buffers,
       [self = shared_from_this()](const auto &ec, std::size_t /*n*/) {
         self->onSent(ec);
       });
@@ -305,6 +309,7 @@
                 std::min(Limits.MaxIdleTime, allowed - KeepAliveMargin);
   State = Phase::Idle;
   Spec.Bytes.clear();
+  Spec.Body = nullptr;
   Spec.Recompose = nullptr;
   Paused = false;
   watch();
--- a/src/cowslipridge/http1/internal/ServerConnection.cpp
+++ b/src/cowslipridge/http1/internal/ServerConnection.cpp
@@ -55,7 +55,6 @@
 }
 
 const RequestHead &ServerConnection::head() const { return Parser->head(); }
-const std::string &ServerConnection::body() const { return Parser->body(); }
 
 // The parser bounds the input of a request that is not complete.
 bool ServerConnection::mayRead() const {
@@ -147,6 +146,7 @@
   State = Phase::Responding;
   KeepAlive = Parser->head().KeepAlive;
   ReadAt = Context->Clock.monotonic();
+  Body = std::make_shared<const std::string>(Parser->takeBody());
   InFlight = true;
   ++Context->InFlight;
   Timer.cancel();
@@ -261,6 +261,7 @@
 
 void ServerConnection::finishResponse() {
   ++Number;
+  Body = nullptr;
   clearInFlight();
   DrainHandler = nullptr;
   if (!KeepAlive) {
--- a/src/cowslipridge/http1/internal/ServerConnection.hpp
+++ b/src/cowslipridge/http1/internal/ServerConnection.hpp
@@ -46,7 +46,7 @@
   }
   // The functions of the current request's Exchange.
   [[nodiscard]] const RequestHead &head() const;
-  [[nodiscard]] const std::string &body() const;
+  [[nodiscard]] std::shared_ptr<const std::string> body() const { return Body; }
   [[nodiscard]] core::Millis readAt() const { return ReadAt; }
   void respond(ResponseHead head, std::string_view body);
   void begin(ResponseHead head);
@@ -91,6 +91,7 @@
   LoopTimer Timer;
   Phase State = Phase::Reading;
   std::optional<RequestParser> Parser;
+  std::shared_ptr<const std::string> Body; ///< of the current request
   std::string Input;
   std::array<char, 8192> Chunk{};
   std::uint64_t Number = 0;
--- a/src/cowslipridge/http1/internal/ServerExchange.cpp
+++ b/src/cowslipridge/http1/internal/ServerExchange.cpp
@@ -45,7 +45,11 @@
 
 const std::string &ServerExchange::body() const {
   static const std::string Ended;
-  return isCurrent() ? Connection->body() : Ended;
+  return isCurrent() ? *Connection->body() : Ended;
+}
+
+std::shared_ptr<const std::string> ServerExchange::sharedBody() const {
+  return isCurrent() ? Connection->body() : std::make_shared<std::string>();
 }
 
 void ServerExchange::respond(ResponseHead head, std::string_view body) {
--- a/tests/integration/support/Process.hpp
+++ b/tests/integration/support/Process.hpp
@@ -24,6 +24,7 @@
   void suspend() const;   ///< sends SIGSTOP
   void resume() const;    ///< sends SIGCONT
 
+  [[nodiscard]] pid_t pid() const { return Pid; }
   [[nodiscard]] bool running();
   /// Returns the exit code (128 + signal if killed by one), or nothing if the
   /// process still runs after `limit`.
--- a/tests/unit/http1/ClientFixture.hpp
+++ b/tests/unit/http1/ClientFixture.hpp
@@ -45,6 +45,7 @@
           if (ec)
             return;
           ++Requests;
+          LastRequest = *input;
           if (Scripts.empty())
             return;
           const Script script = Scripts.front();
@@ -128,6 +129,7 @@
   std::size_t MaxConnections = 4;
   std::function<std::optional<std::string>(core::Millis)> Recompose;
   int Requests = 0;
+  std::string LastRequest; ///< as much of it as was read with its head
   std::size_t Written = 0; ///< bytes of endless responses
 };
 
--- a/tests/unit/http1/ClientTest.cpp
+++ b/tests/unit/http1/ClientTest.cpp
@@ -7,6 +7,26 @@
 
 namespace {
 
+TEST_F(ClientTest, sendsTheSharedBodyBehindTheHead) {
+  const auto body = std::make_shared<const std::string>("the body");
+  Scripts.push_back({response("a", "ok"), false});
+  CallSpec spec;
+  spec.Server = Address;
+  RequestHead head;
+  head.Method = "POST";
+  head.Target = "/";
+  spec.Bytes = writeRequestHead(head, body->size());
+  spec.Body = body;
+  spec.Timeout = CallTimeout;
+  const auto events = std::make_shared<CallRecorder>();
+  HttpClient.call(std::move(spec), events);
+  runUntil([&] { return events->isFinished(); });
+  EXPECT_EQ(events->Body, "ok");
+  EXPECT_EQ(LastRequest,
+            "POST / HTTP/1.1\r\nContent-Length: 8\r\n\r\nthe body");
+  runUntil([&] { return body.use_count() == 1; });
+}
+
 TEST_F(ClientTest, reusesIdleConnection) {
   Scripts = {{response("a", "one")}, {response("b", "two")}};
   EXPECT_EQ(callAndWait("a")->Body, "one");
