Promise not run for an unsafe request only on the runner's statement

Callers saw (by the review's list, no case): a runner that runs an unsafe request and answers 503, 429 or 408 without Not-Executed; the gateway passed the status on, which promises that it never runs, so that callers repeat it.

Cause: the status of a response was forwarded without regard to what it promises. Ruled out: a retry by the gateway itself; it knew that the request may have run.

--- a/src/cowslipridge/gateway/RequestStateMachineResponses.cpp
+++ b/src/cowslipridge/gateway/RequestStateMachineResponses.cpp
@@ -14,7 +14,17 @@
 constexpr int MisdirectedRequest = 421;
 constexpr std::string_view ContentType = "Content-Type";
 
+constexpr int RequestTimeout = 408;
+constexpr int TooManyRequests = 429;
+constexpr int ServiceUnavailable = 503;
+
 bool isFailure(int status) { return status >= 500; }
+/// Returns whether callers take the status for a promise that the request did
+/// not run and never will.
+bool promisesNotRun(int status) {
+  return status == RequestTimeout || status == MisdirectedRequest ||
+         status == TooManyRequests || status == ServiceUnavailable;
+}
 bool isSuccess(int status) { return status >= 200 && status < 300; }
 
 } // namespace
@@ -286,6 +296,16 @@
     onRejected(now);
     return;
   }
+  // The runner didn't state that the request has not run, so that its status
+  // would promise more than is known.
+  if (promisesNotRun(Head.Status) &&
+      !catalogue::isRetryable(Request.Route->Kind)) {
+    failAttempt(AttemptOutcome::ErrorResponse,
+                "the runner refused with status " +
+                    std::to_string(Head.Status) + " without a statement",
+                now);
+    return;
+  }
   // Any response but a success fails to continue a stream.
   if (ResponseStarted || isFailure(Head.Status)) {
     onRunnerFailed(now);
