Part the decisions on a roll-out from its state

The steps are now in TrialSteps, one roll-out's state in Trial, and the decisions in TrialReview, which takes them all as values and needs no TrialControl; what remains is which record and command count. The delay after a lost record is written as the rank's delay that it always was.

--- a/src/cowslipridge/rollout/TrialControl.cpp
+++ b/src/cowslipridge/rollout/TrialControl.cpp
@@ -1,7 +1,8 @@
 #include "cowslipridge/rollout/TrialControl.hpp"
 
+#include "cowslipridge/rollout/TrialSteps.hpp"
+
 #include <algorithm>
-#include <array>
 #include <limits>
 #include <utility>
 
@@ -9,46 +10,9 @@
 
 namespace {
 
-/// One step of a roll-out.
-struct TrialStep {
-  double StartFraction; ///< fraction of the duration from which the step is due
-  double Share;         ///< share of the sessions that go to the target
-};
-
-// Sessions stay on the target or on the stable versions through the first half.
-// The shares of the second half limit the requests that a bad version gets to
-// what operators accept, and leave time for the evidence of one step to arrive
-// before the next.
-constexpr std::array<TrialStep, 4> Steps = {
-    {{0, 0.08}, {0.52, 0.25}, {0.60, 0.5}, {0.67, 1}}};
-/// Share of the permitted exposure that the first step uses; the rest is a
-/// margin, because sessions differ in size.
-constexpr double FirstStepExposureShare = 0.6;
-/// Minimum fraction of the duration that all sessions are on the target before
-/// completion, so that the last requests on other versions are seen.
-constexpr double MinLastStepFraction = 0.04;
-/// Minimum fraction of the duration between two steps, in which a version that
-/// turns bad shows it.
-constexpr double MinStepFraction = 0.04;
-/// Fraction of the duration at which the roll-out is completed even if requests
-/// still run on old runners, which are stopped then.
-constexpr double ForcedCompletionFraction = 0.93;
 /// Time from the first record of a roll-out until sessions go to the target, in
 /// which gateways exchange their active sessions.
 constexpr core::Millis SessionExchangeTime{700};
-/// Delay per rank after which a gateway acts, so that it does so only if the
-/// gateways of lower rank did not.
-constexpr core::Millis RankDelay{600};
-
-/// Delay of the first record by a gateway that doesn't know which versions
-/// serve.
-constexpr core::Millis UnknownServingDelay{1'000};
-
-double fractionOf(core::Millis elapsed, core::Millis total) {
-  return static_cast<double>(elapsed.count()) /
-         static_cast<double>(total.count());
-}
-
 } // namespace
 
 void TrialControl::onCommand(const RolloutCommand &command, core::Millis now) {
@@ -141,8 +105,8 @@
   return isOther || known->isAbandoned(version);
 }
 
-TrialControl::Trial *TrialControl::findTo(const core::ServiceId &service,
-                                          const core::VersionId &target) {
+Trial *TrialControl::findTo(const core::ServiceId &service,
+                            const core::VersionId &target) {
   const auto it = Trials.find(service);
   return it != Trials.end() && it->second.Command.Target == target ? &it->second
                                                                    : nullptr;
@@ -287,8 +251,7 @@
          progress->second.first.Step < trial.Step.value_or(0);
 }
 
-const TrialControl::Trial *
-TrialControl::find(const core::ServiceId &service) const {
+const Trial *TrialControl::find(const core::ServiceId &service) const {
   const auto it = Trials.find(service);
   return it == Trials.end() ? nullptr : &it->second;
 }
@@ -331,13 +294,7 @@
   const Trial *trial = find(service);
   if (trial == nullptr || !trial->Recorded)
     return 0;
-  return shareOfStep(trial->Step.value_or(0));
-}
-
-double TrialControl::shareOfStep(std::size_t step) const {
-  const double share = Steps.at(std::min(step, Steps.size() - 1)).Share;
-  return step == 0 ? std::min(share, FirstStepExposureShare * Exposure.Fraction)
-                   : share;
+  return trialStep(trial->Step.value_or(0), Exposure).Share;
 }
 
 bool TrialControl::isBanned(const core::ServiceId &service,
@@ -350,8 +307,7 @@
                                      core::Millis now) const {
   const Trial *trial = find(service);
   return trial != nullptr && trial->Phase == RolloutPhase::InProgress &&
-         fractionOf(now - trial->StartedAt, trial->Command.Duration) <=
-             Steps[1].StartFraction;
+         rollout::hasStickySessions(*trial, now);
 }
 
 std::vector<core::ServiceId> TrialControl::undecidedRollouts() const {
@@ -387,123 +343,36 @@
     trial->second.Suspended = true;
 }
 
-TrialControl::Review TrialControl::review(const Trial &trial,
-                                          const Observation &observation,
-                                          core::Millis now) const {
-  const core::Millis elapsed = now - trial.StartedAt;
-  const core::Millis rankDelay =
-      RankDelay * static_cast<std::int64_t>(observation.Rank);
-  Review review{trial, observation, {}, {}, elapsed - rankDelay};
-  review.Progress = {
-      {}, targetShare(trial.Command.Service), elapsed, trial.Command.Duration};
-  if (observation.Evidence == nullptr) {
-    review.Progress.Exposed.Observed = elapsed;
-    return review;
-  }
-  review.Verdict = observation.Evidence->verdict();
-  review.Progress.Exposed = observation.Evidence->exposure(now);
-  return review;
-}
-
-bool TrialControl::mayBegin(const Review &review) const {
-  constexpr std::size_t TargetAndOneOther = 2;
-  return review.Seen.Registered.size() <= TargetAndOneOther ||
-         !servingVersions(review.Subject, review.Seen).empty() ||
-         review.ElapsedForRank >= UnknownServingDelay;
-}
-
-std::optional<std::string>
-TrialControl::reasonToRevert(const Review &review) const {
-  if (review.Subject.TargetServes)
-    return std::nullopt;
-  const auto &[finding, reason] = review.Verdict;
-  if (finding == TrialFinding::Worse)
-    return reason + " than the stable version";
-  const bool isUnproved =
-      finding != TrialFinding::Sound && review.Subject.Step.value_or(0) > 0;
-  if (isUnproved && isNearlyUsedUp(Exposure, review.Progress))
-    return "the exposure limit is reached: " + reason;
-  return std::nullopt;
-}
-
-std::optional<std::string>
-TrialControl::reasonToAdvance(const Review &review, core::Millis now) const {
-  const unsigned next = review.Subject.Step.value_or(0) + 1;
-  if (next >= Steps.size() || !review.Seen.TargetHasRunner)
-    return std::nullopt;
-  const core::Millis duration = review.Subject.Command.Duration;
-  const TrialStep &step = Steps.at(next);
-  const bool isDue =
-      fractionOf(review.ElapsedForRank, duration) >= step.StartFraction &&
-      fractionOf(now - review.Subject.StepStartedAt, duration) >=
-          MinStepFraction;
-  if (!isDue)
-    return std::nullopt;
-  if (review.Verdict.Finding == TrialFinding::Sound)
-    return "step is due, " + review.Verdict.Reason;
-  if (review.Verdict.Finding == TrialFinding::Unknown &&
-      staysWithin(Exposure, review.Progress, shareOfStep(next)))
-    return "step is due, few requests";
-  return std::nullopt;
-}
-
 std::optional<TrialDecision> TrialControl::next(const core::ServiceId &service,
                                                 const Observation &observation,
                                                 core::Millis now) const {
   const Trial *trial = find(service);
   if (trial == nullptr)
     return std::nullopt;
-  const RolloutCommand &command = trial->Command;
-  const Review look = review(*trial, observation, now);
-  const unsigned step = trial->Step.value_or(0);
-  const auto decide = [&](RolloutPhase phase, unsigned to, std::string reason) {
+  const auto serving = servingVersions(*trial, observation);
+  const TrialReview review(*trial, observation, Exposure, !serving.empty(),
+                           now);
+  const auto decide = [&](TrialMove move) {
     if (observation.Evidence != nullptr)
-      reason += ", " + observation.Evidence->describe();
-    return TrialDecision{{service, command.Target, phase},
-                         {service, command.Target, to, look.Progress.Elapsed,
-                          servingVersions(*trial, observation)},
-                         std::move(reason)};
+      move.Reason += ", " + observation.Evidence->describe();
+    const core::VersionId &target = trial->Command.Target;
+    return TrialDecision{
+        {service, target, move.Phase},
+        {service, target, move.Step, review.elapsed(), serving},
+        std::move(move.Reason)};
   };
   if (isRecordLost(*trial)) {
-    if (now - *RestoredAt < look.Progress.Elapsed - look.ElapsedForRank)
+    if (now - *RestoredAt < review.rankDelay())
       return std::nullopt;
-    return decide(trial->Phase, step, "the store has lost the record");
+    return decide({trial->Phase, trial->Step.value_or(0),
+                   "the store has lost the record"});
   }
   const bool mayDecide =
       !RestoredAt || now - *RestoredAt >= RecordRewritePeriod;
   if (trial->Phase != RolloutPhase::InProgress || !mayDecide)
     return std::nullopt;
-  if (const auto reason = reasonToRevert(look))
-    return decide(RolloutPhase::Reverted, step, *reason);
-  if (look.ElapsedForRank < core::Millis())
-    return std::nullopt;
-  constexpr unsigned LastStep = Steps.size() - 1;
-  if (trial->TargetServes && (!trial->Recorded || step < LastStep))
-    return decide(RolloutPhase::InProgress, LastStep, "the target serves");
-  if (!trial->Recorded && !mayBegin(look))
-    return std::nullopt;
-  if (!trial->Recorded)
-    return decide(RolloutPhase::InProgress, 0, "ordered");
-  if (const auto reason = reasonToAdvance(look, now))
-    return decide(RolloutPhase::InProgress, step + 1, *reason);
-  const double fraction = fractionOf(look.ElapsedForRank, command.Duration);
-  const bool last = step >= LastStep;
-  const bool drained =
-      fraction >= Steps.back().StartFraction + MinLastStepFraction &&
-      observation.StableInFlight == 0;
-  const bool mayComplete = trial->TargetServes ||
-                           look.Verdict.Finding == TrialFinding::Sound ||
-                           (look.Verdict.Finding == TrialFinding::Unknown &&
-                            isQuiet(Exposure, look.Progress));
-  if (last && mayComplete && observation.TargetHasRunner &&
-      (drained || fraction >= ForcedCompletionFraction))
-    return decide(RolloutPhase::Completed, step,
-                  drained ? "no request is left on the stable version"
-                          : "the deadline is near");
-  if (fraction >= 1 && !trial->TargetServes)
-    return decide(RolloutPhase::Reverted, step,
-                  "not done in time: " + look.Verdict.Reason);
-  return std::nullopt;
+  auto move = review.due();
+  return move ? std::optional(decide(std::move(*move))) : std::nullopt;
 }
 
 } // namespace cowslipridge::rollout
--- a/src/cowslipridge/rollout/TrialControl.hpp
+++ b/src/cowslipridge/rollout/TrialControl.hpp
@@ -3,10 +3,9 @@
 #include "cowslipridge/core/Clock.hpp"
 #include "cowslipridge/rollout/ExposureBudget.hpp"
 #include "cowslipridge/rollout/KnownVersions.hpp"
-#include "cowslipridge/rollout/RolloutCommand.hpp"
-#include "cowslipridge/rollout/TrialAssessment.hpp"
+#include "cowslipridge/rollout/Trial.hpp"
+#include "cowslipridge/rollout/TrialReview.hpp"
 
-#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -110,18 +109,7 @@
   [[nodiscard]] bool hasStickySessions(const core::ServiceId &service,
                                        core::Millis now) const;
 
-  /// Input of next() for one service.
-  struct Observation {
-    /// The evidence of all gateways; null if the service has no requests.
-    const TrialAssessment *Evidence = nullptr;
-    /// Number of requests that run on versions other than the target.
-    std::size_t StableInFlight = 0;
-    bool TargetHasRunner = false; ///< a runner of the target is registered
-    /// Rank of this gateway among the live gateways; a higher rank acts later.
-    std::size_t Rank = 0;
-    /// Versions of the registered runners of the service.
-    std::set<core::VersionId> Registered{};
-  };
+  using Observation = TrialObservation;
   /// Stops this gateway from sending sessions to the target until the roll-out
   /// is completed, as the target is to be reverted. The record may take a
   /// while.
@@ -141,20 +129,6 @@
   [[nodiscard]] double targetShare(const core::ServiceId &service) const;
 
 private:
-  struct Trial {
-    RolloutCommand Command;
-    core::Millis StartedAt; ///< monotonic; estimated time of the command
-    std::optional<unsigned> Step;
-    core::Millis StepStartedAt;
-    RolloutPhase Phase = RolloutPhase::InProgress;
-    bool Recorded = false;     ///< the store held a record of it
-    bool Suspended = false;    ///< found worse here, not yet reverted
-    bool TargetServes = false; ///< the command goes back to a serving version
-    core::Millis SwitchesAt;   ///< when sessions start to go to the target
-    /// Versions that its record names as serving.
-    std::set<core::VersionId> Serving;
-  };
-
   /// A command of a restored copy, which may be older than the one in force.
   struct HeldCommand {
     RolloutCommand Command;
@@ -179,27 +153,6 @@
   /// Records that the roll-out in force, if there is one, ends undecided.
   void abandon(const core::ServiceId &service);
   void onListedCommand(const RolloutCommand &command, core::Millis now);
-  /// One look at a roll-out, by next().
-  struct Review {
-    const Trial &Subject;
-    const Observation &Seen;
-    TrialVerdict Verdict;
-    TrialProgress Progress;
-    core::Millis ElapsedForRank; ///< less by the delay of this gateway's rank
-  };
-  [[nodiscard]] Review review(const Trial &trial,
-                              const Observation &observation,
-                              core::Millis now) const;
-  /// Returns whether this gateway may write the first record. One that doesn't
-  /// know which of several versions serve leaves it to the others for a while.
-  [[nodiscard]] bool mayBegin(const Review &review) const;
-  /// Returns why the trial must end before its time, if it must.
-  [[nodiscard]] std::optional<std::string>
-  reasonToRevert(const Review &review) const;
-  /// Returns why the next step is taken, if it is due.
-  [[nodiscard]] std::optional<std::string>
-  reasonToAdvance(const Review &review, core::Millis now) const;
-  [[nodiscard]] double shareOfStep(std::size_t step) const;
   /// Returns whether the store has lost the record of a roll-out.
   [[nodiscard]] bool isRecordLost(const Trial &trial) const;
 
