--- a/tests/unit/http1/RequestParserTest.cpp
+++ b/tests/unit/http1/RequestParserTest.cpp
@@ -85,6 +85,17 @@
             ParseStatus::Complete);
 }
 
+// Guards against a length that is reserved before it is compared with the
+// limit.
+TEST(RequestParserTest, rejectsLengthsThatNoProcessCanHold) {
+  for (const char *length : {"4611686018427387904", "18446744073709551615"})
+    EXPECT_EQ(parseAll("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+                           std::string(length) + "\r\n\r\nx",
+                       RequestLimits{256, 8}),
+              ParseStatus::BodyTooLarge)
+        << length;
+}
+
 TEST(RequestParserTest, reportsConnectionCloseAsNotKeepAlive) {
   std::string input = "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
   RequestParser parser({});
