--- a/tests/property/limits/RetryWindowProperty.cpp
+++ b/tests/property/limits/RetryWindowProperty.cpp
@@ -118,16 +118,15 @@
       member.Window.onFirstAttempt(now);
       for (int n = 0; n < MaxRetriesOfARequest; ++n) {
         if (member.Window.tryAcquire(now))
-          ++Arrivals.at(static_cast<std::size_t>(step + arrivalDelay()));
+          ++Arrivals.at(static_cast<std::size_t>(arrivesAt(step)));
       }
     }
   }
 
   // A runner that stands still lets what was sent meanwhile arrive together.
-  int arrivalDelay() {
-    if (Faults.MaxArrivalSteps == 0)
-      return 0;
-    return ++Sent / 64 % 2 == 0 ? Faults.MaxArrivalSteps : 0;
+  int arrivesAt(int step) {
+    const bool isDelayed = ++Sent / 64 % 2 == 0;
+    return isDelayed ? step + Faults.MaxArrivalSteps : step;
   }
 
   FleetFaults Faults;
