Log on which connection an attempt was answered

Cause: the log doesn't tell whether two attempts of a request went out on the same connection, by which the hypotheses on TWICE differ. Ruled out: - Change: the progress of a call names its connection; the events of a retry, of a refusal and of a response that is broken off show it. Conclusion: a request that goes twice over one connection can be seen.

--- a/src/cowslipridge/gateway/EventDetails.cpp
+++ b/src/cowslipridge/gateway/EventDetails.cpp
@@ -134,7 +134,8 @@
 
 std::string describe(const http1::CallProgress &call) {
   const auto yesNo = [](bool value) { return value ? "yes" : "no"; };
-  return "reused=" + std::string(yesNo(call.Reused)) +
+  return "connection=" + std::to_string(call.Connection) +
+         " reused=" + yesNo(call.Reused) +
          " connected=" + yesNo(call.Connected) + " sent=" + yesNo(call.Sent) +
          " call_ms=" + std::to_string(call.Age.count());
 }
--- a/src/cowslipridge/gateway/RequestFlow.cpp
+++ b/src/cowslipridge/gateway/RequestFlow.cpp
@@ -139,7 +139,7 @@
   Version = placement.Version;
   reportRouted(placement, remaining);
   HeadAt.reset();
-  FailedCall.reset();
+  AnsweredCall.reset();
   Current = std::make_shared<Attempt>(shared_from_this());
   Call = Context.Runners.call(std::move(spec), Current);
 }
@@ -221,6 +221,7 @@
 
 void RequestFlow::onHead(const http1::ResponseHead &head) {
   HeadAt = now();
+  AnsweredCall = Call->progress();
   const ResponseAttributes response = Context.Translation.readResponse(head);
   if (promisesNotRun(head.Status))
     countRefusal(head.Status, response.NotRun.has_value());
@@ -242,7 +243,7 @@
 
 void RequestFlow::onFailure(http1::CallFailure failure) {
   if (Call)
-    FailedCall = Call->progress();
+    AnsweredCall = Call->progress();
   Current = nullptr;
   Call = nullptr;
   Machine.onFailure(failure, now());
--- a/src/cowslipridge/gateway/RequestFlow.hpp
+++ b/src/cowslipridge/gateway/RequestFlow.hpp
@@ -98,7 +98,7 @@
   /// Returns the progress of the response, for the log.
   [[nodiscard]] std::string progress() const;
   /// Returns how long ago the current attempt's response began, and how far its
-  /// call had come if it failed, for the log.
+  /// call had come then or when it failed, for the log.
   [[nodiscard]] std::string attemptDetail() const;
   [[nodiscard]] std::string modelOf(const Placement &placement) const;
 
@@ -113,8 +113,9 @@
   std::optional<core::Millis> FirstByteAt;
   std::optional<core::Millis> HeadAt;   ///< of the current attempt's response
   http1::BufferBudget::Share HeldBytes; ///< without the body of the request
-  std::optional<http1::CallProgress> FailedCall; ///< of the current attempt
-  core::ServiceId Service;                       ///< of the last attempt
+  /// Of the current attempt, when its response began or it failed.
+  std::optional<http1::CallProgress> AnsweredCall;
+  core::ServiceId Service; ///< of the last attempt
   core::VersionId Version;
 };
 
--- a/src/cowslipridge/gateway/RequestFlowReports.cpp
+++ b/src/cowslipridge/gateway/RequestFlowReports.cpp
@@ -49,8 +49,8 @@
   std::string text;
   if (HeadAt)
     text += " response_ms=" + std::to_string((now() - *HeadAt).count());
-  if (FailedCall)
-    text += " " + describe(*FailedCall);
+  if (AnsweredCall)
+    text += " " + describe(*AnsweredCall);
   return text;
 }
 
--- a/src/cowslipridge/http1/Client.cpp
+++ b/src/cowslipridge/http1/Client.cpp
@@ -127,10 +127,9 @@
             self->remove(server, it);
         }};
     auto connection = std::make_shared<internal::ClientConnection>(
-        Loop, Clock, Limits, std::move(callbacks));
+        Loop, Clock, Limits, ++ConnectionsOpened, std::move(callbacks));
     Open.emplace(connection.get(), std::pair(server, connection));
     ++ConnectionCounts[server];
-    ++ConnectionsOpened;
     return connection;
   }
 
--- a/src/cowslipridge/http1/Client.hpp
+++ b/src/cowslipridge/http1/Client.hpp
@@ -7,6 +7,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -73,6 +74,7 @@
 /// How far a call has come. Tells apart, in a log, the calls that end with the
 /// same CallFailure.
 struct CallProgress {
+  std::uint64_t Connection = 0; ///< its number at this client; 0 for none
   bool Reused = false;    ///< the connection has served a call before
   bool Connected = false; ///< the connection was established
   bool Sent = false;      ///< bytes of the request may have left
--- a/src/cowslipridge/http1/internal/ClientConnection.cpp
+++ b/src/cowslipridge/http1/internal/ClientConnection.cpp
@@ -41,10 +41,10 @@
 
 ClientConnection::ClientConnection(boost::asio::io_context &loop,
                                    const core::Clock &clock,
-                                   const ClientLimits &limits,
+                                   const ClientLimits &limits, std::uint64_t id,
                                    PoolCallbacks callbacks)
-    : Peer(loop), Clock(clock), Limits(limits), Pool(std::move(callbacks)),
-      Timer(loop) {}
+    : Peer(loop), Clock(clock), Limits(limits), Id(id),
+      Pool(std::move(callbacks)), Timer(loop) {}
 
 /// Forwards to the connection only while it carries the call of this handle.
 class ClientConnection::Handle final : public Call {
@@ -66,7 +66,7 @@
   [[nodiscard]] CallProgress progress() const override {
     // Nothing is known any more of a call that ended: it may have been sent.
     return isCurrent() ? Connection->progress()
-                       : CallProgress{false, false, true, {}};
+                       : CallProgress{0, false, false, true, {}};
   }
 
 private:
@@ -84,6 +84,7 @@
   Events = std::move(events);
   StartedAt = Clock.monotonic();
   Progress = {};
+  Progress.Connection = Id;
   Parser.emplace(Spec.HeadRequest);
   Paused = RequestSent = HeadDelivered = Mismatched = false;
   SkippedBytes = 0;
--- a/src/cowslipridge/http1/internal/ClientConnection.hpp
+++ b/src/cowslipridge/http1/internal/ClientConnection.hpp
@@ -22,8 +22,10 @@
     std::function<void(ClientConnection *)> OnClosed;
   };
 
+  /// `id` identifies the connection at its client, for the log.
   ClientConnection(boost::asio::io_context &loop, const core::Clock &clock,
-                   const ClientLimits &limits, PoolCallbacks callbacks);
+                   const ClientLimits &limits, std::uint64_t id,
+                   PoolCallbacks callbacks);
 
   /// Starts a call and returns its handle, which has no effect on later calls.
   std::shared_ptr<Call> start(CallSpec spec,
@@ -67,6 +69,7 @@
   Socket Peer;
   const core::Clock &Clock;
   const ClientLimits Limits;
+  const std::uint64_t Id;
   PoolCallbacks Pool;
   LoopTimer Timer;
   Phase State = Phase::Unconnected;
