Never send a request twice over one connection

Callers saw: bookings that ran twice (TWICE), and bookings that were answered 503 although they ran (REFUSED). Cause: a runner sent the copy of a refusal where a later response was due. Where the same request was under way again on that connection, its id didn't tell the copy from the response, and the gateway sent the booking to another runner. Requests return to a connection as runners are excluded by id and not by address (a process has taken over the address of another: 421, then the new id there), after an escalation, which clears the exclusions, and if a caller repeats its id. A request without an id took any copy for its response. Ruled out: copies with the id of another request (skipped before); calls that count as unsent; the store and the peers, which send no such copies. Change: a connection remembers the ids that it has carried, as hashes, and takes no request whose id is among them; it is replaced after 1,024. At the limit of connections an idle one that can't be used yields. A request without an id accepts only a response without one. Weighed: to close a connection after each refusal costs a new connection a refusal under overload, and leaves copies of other responses; this costs one only where an id repeats. Conclusion: the class is a response that is told by its place on a connection or by its id alone, where that one repeats; by construction a connection never carries an id twice.

--- a/src/cowslipridge/gateway/RequestFlow.cpp
+++ b/src/cowslipridge/gateway/RequestFlow.cpp
@@ -128,10 +128,8 @@
     return flow ? flow->recompose(attributes, waited) : std::nullopt;
   };
   spec.HeadRequest = Exchange->head().Method == "HEAD";
-  if (!request.Caller.Id.empty()) {
-    spec.EchoField = Context.Translation.echoField();
-    spec.EchoValue = request.Caller.Id.str();
-  }
+  spec.EchoField = Context.Translation.echoField();
+  spec.EchoValue = request.Caller.Id.str();
   // Only a fallback: the deadline of the request cancels the attempt before.
   spec.Timeout = remaining + core::Millis(1'000);
   spec.MaxConnections = placement.MaxConnections;
--- a/src/cowslipridge/http1/Client.cpp
+++ b/src/cowslipridge/http1/Client.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
+#include <iterator>
 #include <map>
 #include <unordered_map>
 #include <vector>
@@ -68,7 +70,10 @@
 
   std::shared_ptr<Call> call(CallSpec spec,
                              std::shared_ptr<CallEvents> events) {
-    Connection connection = acquireIdle(spec.Server);
+    Connection connection = acquireIdle(spec);
+    // Those that are idle still have carried this request.
+    if (!connection && connectionCount(spec.Server) >= spec.MaxConnections)
+      closeIdle(spec.Server);
     if (!connection && connectionCount(spec.Server) >= spec.MaxConnections)
       return reject(std::move(events));
     if (!connection)
@@ -96,25 +101,44 @@
     return it == ConnectionCounts.end() ? 0 : it->second;
   }
 
-  Connection acquireIdle(const Endpoint &server) {
+  Connection acquireIdle(const CallSpec &spec) {
     const core::Millis now = Clock.monotonic();
-    // Searches again in each round: shutDown() removes the connection from the
-    // pool, which may invalidate iterators.
-    for (auto it = Idle.find(server); it != Idle.end();
-         it = Idle.find(server)) {
-      // The most recently used connection is the least likely to have been
-      // closed by the server.
-      Connection connection = it->second.back();
-      it->second.pop_back();
-      if (it->second.empty())
-        Idle.erase(it);
-      if (connection->isUsable(now))
-        return connection;
-      connection->shutDown();
+    for (Connection it = takeIdle(spec); it; it = takeIdle(spec)) {
+      if (it->isUsable(now))
+        return it;
+      it->shutDown();
     }
     return nullptr;
   }
 
+  // Removes an idle connection that may carry the call from the pool. The most
+  // recently used one is the least likely to have been closed by the server.
+  Connection takeIdle(const CallSpec &spec) {
+    const auto idle = Idle.find(spec.Server);
+    if (idle == Idle.end())
+      return nullptr;
+    std::vector<Connection> &all = idle->second;
+    const auto chosen =
+        std::find_if(all.rbegin(), all.rend(),
+                     [&](const Connection &it) { return it->mayCarry(spec); });
+    if (chosen == all.rend())
+      return nullptr;
+    Connection taken = *chosen;
+    all.erase(std::next(chosen).base());
+    if (all.empty())
+      Idle.erase(idle);
+    return taken;
+  }
+
+  // Closes the idle connection to the server that was used least recently.
+  void closeIdle(const Endpoint &server) {
+    const auto idle = Idle.find(server);
+    if (idle == Idle.end())
+      return;
+    const Connection oldest = idle->second.front();
+    oldest->shutDown();
+  }
+
   Connection open(const Endpoint &server) {
     const std::weak_ptr<Impl> weak = weak_from_this();
     internal::ClientConnection::PoolCallbacks callbacks{
--- a/src/cowslipridge/http1/Client.hpp
+++ b/src/cowslipridge/http1/Client.hpp
@@ -62,10 +62,11 @@
   std::function<std::optional<std::string>(core::Millis)> Recompose = nullptr;
   bool HeadRequest = false;
   /// Name of a header field that the server copies into its response. A
-  /// response without it, or with another value than EchoValue, does not belong
-  /// to this call and is skipped. Empty: not checked.
+  /// response with another value than EchoValue does not belong to this call
+  /// and is skipped. No connection carries the same EchoValue twice. Empty: not
+  /// checked.
   std::string EchoField;
-  std::string EchoValue;
+  std::string EchoValue; ///< empty: the response must not have the field
   core::Millis Timeout; ///< for the entire call, connecting included
   /// Maximum number of connections to this server, in use and idle.
   std::size_t MaxConnections = 64;
--- a/src/cowslipridge/http1/Server.hpp
+++ b/src/cowslipridge/http1/Server.hpp
@@ -8,6 +8,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -25,6 +26,8 @@
   /// Returns the body, which may be held beyond the end of the exchange.
   [[nodiscard]] virtual std::shared_ptr<const std::string>
   sharedBody() const = 0;
+  /// Returns the number of the connection among those of its server.
+  [[nodiscard]] virtual std::uint64_t connection() const = 0;
   /// Returns the monotonic time at which the request was completely received.
   [[nodiscard]] virtual core::Millis readAt() const = 0;
   /// Sends a response with a complete body.
--- a/src/cowslipridge/http1/internal/ClientConnection.cpp
+++ b/src/cowslipridge/http1/internal/ClientConnection.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <functional>
 #include <utility>
 
 namespace cowslipridge::http1::internal {
@@ -21,6 +22,14 @@
 /// Bytes of responses to other calls that are read ahead of the expected one.
 constexpr std::size_t MaxSkippedBytes = 1024UL * 1024;
 
+/// Requests after which a connection is replaced, which bounds the memory for
+/// their hashes.
+constexpr std::size_t MaxCarriedRequests = 1024;
+
+std::size_t hashOf(std::string_view echoValue) {
+  return std::hash<std::string_view>()(echoValue);
+}
+
 /// Returns the `timeout` parameter of the Keep-Alive field, if there is one.
 std::optional<core::Millis> keepAliveTimeout(const HeaderFields &fields) {
   constexpr std::string_view Key = "timeout=";
@@ -81,6 +90,8 @@
 ClientConnection::start(CallSpec spec, std::shared_ptr<CallEvents> events) {
   auto handle = std::make_shared<Handle>(shared_from_this(), ++CallNumber);
   Spec = std::move(spec);
+  if (!Spec.EchoField.empty())
+    CarriedRequests.push_back(hashOf(Spec.EchoValue));
   Events = std::move(events);
   StartedAt = Clock.monotonic();
   Progress = {};
@@ -105,7 +116,15 @@
 }
 
 bool ClientConnection::isUsable(core::Millis now) {
-  return State == Phase::Idle && now < UsableUntil && isQuiet(Peer);
+  return State == Phase::Idle && now < UsableUntil &&
+         CarriedRequests.size() < MaxCarriedRequests && isQuiet(Peer);
+}
+
+// Two requests whose hashes are equal only need one connection more.
+bool ClientConnection::mayCarry(const CallSpec &spec) const {
+  return spec.EchoField.empty() ||
+         std::ranges::find(CarriedRequests, hashOf(spec.EchoValue)) ==
+             CarriedRequests.end();
 }
 
 void ClientConnection::shutDown() { close(); }
@@ -274,8 +293,8 @@
 bool ClientConnection::isMismatched() const {
   if (Spec.EchoField.empty())
     return false;
-  const auto echo = Parser->head().Fields.find(Spec.EchoField);
-  return !echo || *echo != Spec.EchoValue;
+  return Parser->head().Fields.find(Spec.EchoField).value_or("") !=
+         Spec.EchoValue;
 }
 
 void ClientConnection::skipMismatched() {
--- a/src/cowslipridge/http1/internal/ClientConnection.hpp
+++ b/src/cowslipridge/http1/internal/ClientConnection.hpp
@@ -9,6 +9,8 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string_view>
+#include <vector>
 
 namespace cowslipridge::http1::internal {
 
@@ -33,6 +35,10 @@
   /// Returns whether the connection is idle and may carry another call. It may
   /// not if anything has arrived on it, even if the loop has not handled that.
   [[nodiscard]] bool isUsable(core::Millis now);
+  /// Returns whether the call may go out on this connection. A connection never
+  /// carries the same request twice: its server may send the response of the
+  /// first time once more, and nothing would tell it from the second one's.
+  [[nodiscard]] bool mayCarry(const CallSpec &spec) const;
   void shutDown();
 
 private:
@@ -74,6 +80,7 @@
   LoopTimer Timer;
   Phase State = Phase::Unconnected;
   std::uint64_t CallNumber = 0;
+  std::vector<std::size_t> CarriedRequests; ///< hashes of their echo values
   CallSpec Spec;
   std::shared_ptr<CallEvents> Events;
   core::Millis StartedAt; ///< of the call
--- a/src/cowslipridge/http1/internal/ServerConnection.cpp
+++ b/src/cowslipridge/http1/internal/ServerConnection.cpp
@@ -35,7 +35,7 @@
     Socket socket, std::shared_ptr<ServerContext> context,
     std::function<void(ServerConnection *)> onClosed)
     : Peer(std::move(socket)), Context(std::move(context)),
-      OnClosed(std::move(onClosed)), Timer(Peer.get_executor()),
+      Id(++Context->ConnectionsAccepted), OnClosed(std::move(onClosed)), Timer(Peer.get_executor()),
       Room(Context->Buffers) {}
 
 ServerConnection::~ServerConnection() { clearInFlight(); }
--- a/src/cowslipridge/http1/internal/ServerConnection.hpp
+++ b/src/cowslipridge/http1/internal/ServerConnection.hpp
@@ -19,6 +19,7 @@
   ServerLimits Limits = {};
   bool CloseAfterResponses = false;
   std::size_t InFlight = 0;
+  std::uint64_t ConnectionsAccepted = 0;
   BufferBudget Buffers = BufferBudget();
   /// Set together with a limited budget.
   Server::NoRoomHandler OnNoRoom = nullptr;
@@ -41,6 +42,8 @@
   [[nodiscard]] bool isIdle() const;
   void shutDown();
 
+  /// Returns the number of the connection at its server.
+  [[nodiscard]] std::uint64_t id() const { return Id; }
   /// Returns the number of the current request. It changes once the response
   /// is written.
   [[nodiscard]] std::uint64_t exchangeNumber() const { return Number; }
@@ -99,6 +102,7 @@
 
   Socket Peer;
   std::shared_ptr<ServerContext> Context;
+  const std::uint64_t Id;
   std::function<void(ServerConnection *)> OnClosed;
   LoopTimer Timer;
   BodyRoom Room;
--- a/src/cowslipridge/http1/internal/ServerExchange.hpp
+++ b/src/cowslipridge/http1/internal/ServerExchange.hpp
@@ -23,6 +23,9 @@
   [[nodiscard]] const RequestHead &head() const override;
   [[nodiscard]] const std::string &body() const override;
   [[nodiscard]] std::shared_ptr<const std::string> sharedBody() const override;
+  [[nodiscard]] std::uint64_t connection() const override {
+    return Connection->id();
+  }
   [[nodiscard]] core::Millis readAt() const override { return ReadAt; }
   void respond(ResponseHead head, std::string_view body) override;
   void begin(ResponseHead head) override;
--- a/src/standins/platform/PlatformRunner.cpp
+++ b/src/standins/platform/PlatformRunner.cpp
@@ -87,11 +87,13 @@
 }
 
 void PlatformRunner::onRequest(
-    const std::shared_ptr<http1::Exchange> &exchange) {
-  if (exchange->head().Target == ReportPath) {
-    report(*exchange);
+    const std::shared_ptr<http1::Exchange> &received) {
+  if (received->head().Target == ReportPath) {
+    report(*received);
     return;
   }
+  const auto exchange =
+      Traits.CopiesRefusals ? Copies.wrap(received) : received;
   LastHead = exchange->head();
   reportStep(RequestStep::Arrived, fieldOf(LastHead, "Attempt-Id"));
   if (Traits.Unresponsive)
--- a/src/standins/platform/PlatformRunner.hpp
+++ b/src/standins/platform/PlatformRunner.hpp
@@ -4,6 +4,7 @@
 #include "cowslipridge/http1/Server.hpp"
 #include "standins/platform/ColdPhase.hpp"
 #include "standins/platform/Deviation.hpp"
+#include "standins/platform/RefusalCopies.hpp"
 
 #include <cstddef>
 #include <functional>
@@ -32,6 +33,8 @@
   bool AlwaysFails = false;       ///< responds with status 500
   bool Unresponsive = false;      ///< accepts requests and never responds
   bool DuplicatesReplies = false; ///< sends each plain response twice
+  /// Sends the copy of a refusal ahead of the next response of the connection.
+  bool CopiesRefusals = false;
   bool Leaving = false;           ///< announces its shutdown in every response
   /// Sent with each rejection for lack of capacity.
   std::optional<core::Millis> RejectionBackoff;
@@ -118,7 +121,7 @@
   [[nodiscard]] core::Millis now() const { return Clock.monotonic(); }
 
 private:
-  void onRequest(const std::shared_ptr<http1::Exchange> &exchange);
+  void onRequest(const std::shared_ptr<http1::Exchange> &received);
   void report(http1::Exchange &exchange) const;
   void admit(RunnerCall call);
   /// Crashes and accepts nothing any more.
@@ -148,6 +151,7 @@
   unsigned Admitted = 0; ///< requests that a slot was free for
   unsigned Deviated = 0; ///< of these
   http1::RequestHead LastHead;
+  RefusalCopies Copies;
   http1::Server Server;
   http1::LoopTimer Ticker;
 };
--- a/tests/unit/http1/SecondCopyTest.cpp
+++ b/tests/unit/http1/SecondCopyTest.cpp
@@ -102,6 +102,50 @@
   }
 }
 
+// Guards against a caller that is told that its request did not run, and against
+// a request that runs twice, as the copy of a rejection arrives while the same
+// request is under way again: its id doesn't tell the copy from a response.
+TEST_F(SecondCopyTest, ofARejectionOfTheSameRequest) {
+  Scripts = {{response("a", "two")}};
+  const auto events = call("a");
+  send(rejection("Id: a\r\n"));
+  expectOwnResponse(events);
+  EXPECT_EQ(HttpClient.connectionsOpened(), 2U);
+}
+
+TEST_F(SecondCopyTest, ofTheSameRequestAfterOthers) {
+  Scripts = {{response("b", "one")}, {response("a", "two")}};
+  callAndWait("b");
+  const auto events = call("a");
+  send(Copy);
+  expectOwnResponse(events);
+}
+
+// The place of the connection that can't be used is taken by a new one.
+TEST_F(SecondCopyTest, ofTheSameRequestAtTheLimitOfConnections) {
+  MaxConnections = 1;
+  Scripts = {{response("a", "two")}};
+  expectOwnResponse(call("a"));
+  EXPECT_EQ(HttpClient.connectionsOpened(), 2U);
+}
+
+// A request without an id has a response without one.
+TEST_F(SecondCopyTest, whileARequestWithoutAnIdIsSent) {
+  Scripts = {{"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo"}};
+  const auto events = call("");
+  send(Copy);
+  expectOwnResponse(events);
+}
+
+TEST_F(SecondCopyTest, ofTheResponseToAnotherRequestWithoutAnId) {
+  const std::string empty = "HTTP/1.1 200 OK\r\nContent-Length: ";
+  Scripts = {{empty + "3\r\n\r\none"}, {empty + "3\r\n\r\ntwo"}};
+  callAndWait("");
+  const auto events = call("");
+  send(empty + "3\r\n\r\none");
+  expectOwnResponse(events);
+}
+
 // Behind its own response there is nothing to wait for: the connection is not
 // used again.
 TEST_F(SecondCopyTest, behindTheNextResponse) {
