Count a request's deadline from its first byte

A body that arrives slowly, or that waits up to 0.7 s for room in the buffers, takes time that nobody took off. Ruled out: time before the first byte is read, which the gateway can't know. Evidence: GatewayTest.timeInWhichABodyArrivesCountsToTheDeadline: with 0.7 s between the two bytes of a body the runner was handed 3,499 ms of 3,500, allowed were 3,295. Change: Exchange::begunAt() replaces readAt(). Measured: the test holds; unit_http1, unit_gateway, property_http1 hold.

--- a/src/cowslipridge/gateway/Gateway.hpp
+++ b/src/cowslipridge/gateway/Gateway.hpp
@@ -91,7 +91,7 @@
   /// Returns the context of an accepted request, or the reason for its
   /// rejection.
   [[nodiscard]] std::variant<RequestContext, ErrorReply>
-  resolve(const CallerRequest &caller, core::Millis readAt) const;
+  resolve(const CallerRequest &caller, core::Millis begunAt) const;
   void reportRefusal(const core::RequestId &request, const ErrorReply &refusal);
   void reject(http1::Exchange &exchange, const core::RequestId &request,
               const ErrorReply &refusal);
--- a/src/cowslipridge/gateway/GatewayRequests.cpp
+++ b/src/cowslipridge/gateway/GatewayRequests.cpp
@@ -63,7 +63,7 @@
 
 void Gateway::answer(const std::shared_ptr<http1::Exchange> &exchange,
                      const CallerRequest &caller) {
-  auto resolved = resolve(caller, exchange->readAt());
+  auto resolved = resolve(caller, exchange->begunAt());
   std::visit(
       core::Overloaded{
           [&](const ErrorReply &it) { reject(*exchange, caller.Id, it); },
@@ -77,7 +77,7 @@
 }
 
 std::variant<RequestContext, ErrorReply>
-Gateway::resolve(const CallerRequest &caller, core::Millis readAt) const {
+Gateway::resolve(const CallerRequest &caller, core::Millis begunAt) const {
   if (!hasConfiguration())
     return ErrorReply{Unavailable, "no configuration yet",
                       StoreUnavailableSince ? OutageRetryAfter
@@ -95,10 +95,10 @@
     if (context.Organisation == nullptr)
       return ErrorReply{Unauthorized, "unknown key", std::nullopt};
   }
-  context.ArrivedAt = readAt;
+  context.ArrivedAt = begunAt;
   context.Deadline =
-      readAt + std::min(context.Route->Timeout,
-                        caller.Remaining.value_or(context.Route->Timeout));
+      begunAt + std::min(context.Route->Timeout,
+                         caller.Remaining.value_or(context.Route->Timeout));
   const core::Millis now = Clock.monotonic();
   if (!Drain.accepts(context, now))
     return ErrorReply{
--- a/src/cowslipridge/http1/Server.hpp
+++ b/src/cowslipridge/http1/Server.hpp
@@ -28,8 +28,9 @@
   sharedBody() const = 0;
   /// Returns the number of the connection among those of its server.
   [[nodiscard]] virtual std::uint64_t connection() const = 0;
-  /// Returns the monotonic time at which the request was completely received.
-  [[nodiscard]] virtual core::Millis readAt() const = 0;
+  /// Returns the monotonic time at which the first bytes of the request were
+  /// read. Its client has waited since then at least.
+  [[nodiscard]] virtual core::Millis begunAt() const = 0;
   /// Sends a response with a complete body.
   virtual void respond(ResponseHead head, std::string_view body) = 0;
   /// Starts a response with the framing of `head`. A body of unknown length
--- a/src/cowslipridge/http1/internal/ServerConnection.cpp
+++ b/src/cowslipridge/http1/internal/ServerConnection.cpp
@@ -100,6 +100,7 @@
     return;
   }
   HasReadSinceCheck = true;
+  LastReadAt = Context->Clock.monotonic();
   Input.append(Chunk.data(), n);
   if (State == Phase::Reading)
     parse();
@@ -108,8 +109,10 @@
 
 void ServerConnection::parse() {
   FirstRequestUntil.reset();
-  if (!std::exchange(RequestBegun, true))
+  if (!std::exchange(RequestBegun, true)) {
+    BegunAt = LastReadAt;
     armTimer();
+  }
   onParseStatus(Parser->parse(Input));
 }
 
@@ -163,7 +166,6 @@
   }
   State = Phase::Responding;
   KeepAlive = Parser->head().KeepAlive;
-  ReadAt = Context->Clock.monotonic();
   std::string body = Parser->takeBody();
   auto room = Room.take(body.size());
   const auto held =
--- a/src/cowslipridge/http1/internal/ServerConnection.hpp
+++ b/src/cowslipridge/http1/internal/ServerConnection.hpp
@@ -54,7 +54,7 @@
   // The functions of the current request's Exchange.
   [[nodiscard]] const RequestHead &head() const;
   [[nodiscard]] std::shared_ptr<const std::string> body() const { return Body; }
-  [[nodiscard]] core::Millis readAt() const { return ReadAt; }
+  [[nodiscard]] core::Millis begunAt() const { return BegunAt; }
   void respond(ResponseHead head, std::string_view body);
   void begin(ResponseHead head);
   void send(std::string_view data);
@@ -118,7 +118,8 @@
   bool RequestBegun = false; ///< bytes of the current request were received
   std::optional<core::Millis> FirstRequestUntil; ///< until a request begins
   bool ContinueSent = false;
-  core::Millis ReadAt;
+  core::Millis LastReadAt;
+  core::Millis BegunAt; ///< when bytes of the current request were read first
   Framing ResponseFraming = Framing::None;
   bool ResponseBegun = false;
   bool ResponseEnded = false;
--- a/src/cowslipridge/http1/internal/ServerExchange.hpp
+++ b/src/cowslipridge/http1/internal/ServerExchange.hpp
@@ -26,7 +26,7 @@
   [[nodiscard]] std::uint64_t connection() const override {
     return Connection->id();
   }
-  [[nodiscard]] core::Millis readAt() const override { return ReadAt; }
+  [[nodiscard]] core::Millis begunAt() const override { return BegunAt; }
   void respond(ResponseHead head, std::string_view body) override;
   void begin(ResponseHead head) override;
   void send(std::string_view data) override;
@@ -42,7 +42,7 @@
 
   std::shared_ptr<ServerConnection> Connection;
   std::uint64_t Number;
-  core::Millis ReadAt = Connection->readAt();
+  core::Millis BegunAt = Connection->begunAt();
 };
 
 } // namespace cowslipridge::http1::internal
--- a/src/standins/platform/RefusalCopies.cpp
+++ b/src/standins/platform/RefusalCopies.cpp
@@ -37,7 +37,9 @@
   [[nodiscard]] std::uint64_t connection() const override {
     return Inner->connection();
   }
-  [[nodiscard]] core::Millis readAt() const override { return Inner->readAt(); }
+  [[nodiscard]] core::Millis begunAt() const override {
+    return Inner->begunAt();
+  }
 
   void respond(http1::ResponseHead head, std::string_view body) override {
     head.Body = http1::Framing::Length;
--- a/tests/integration/platform/GatewayTest.cpp
+++ b/tests/integration/platform/GatewayTest.cpp
@@ -277,4 +277,26 @@
   EXPECT_EQ(Gateway->waitForExit(std::chrono::milliseconds(1)), 0);
 }
 
+// Guards against runners that are handed more time than the caller has, as the
+// time in which the body arrived is not taken off.
+TEST_F(GatewayTest, timeInWhichABodyArrivesCountsToTheDeadline) {
+  constexpr core::Millis Arrival{700};
+  constexpr int Allowed = 500; // ms over what the caller has left
+  PlainRunner &runner = addPlainRunner("desk-1");
+  configure();
+  startAndAwaitReady();
+  Tcp::socket caller(Loop);
+  caller.connect(Callers);
+  const std::string head = request("POST", "/post/a", "Content-Length: 2\r\n");
+  boost::asio::write(caller, boost::asio::buffer(head + "a"));
+  const core::Millis sentAt = Clock.monotonic();
+  stall(Arrival);
+  boost::asio::write(caller, boost::asio::buffer(std::string("b")));
+  runUntil([&] { return runsOfLastRequest() == 1; });
+  const auto elapsed = (Clock.monotonic() - sentAt).count();
+  const int handedOn = std::stoi(
+      std::string(*runner.lastHead().Fields.find("Deadline-Remaining")));
+  EXPECT_LT(handedOn, 3'500 - elapsed + Allowed);
+}
+
 } // namespace
