--- a/src/cowslipridge/http1/Message.cpp
+++ b/src/cowslipridge/http1/Message.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 void appendFields(std::string &text, const HeaderFields &fields) {
-  for (const HeaderField &it : fields.all()) {
+  for (const HeaderField it : fields) {
     text += it.Name;
     text += ": ";
     text += it.Value;
--- a/tests/unit/platform/HeaderTranslatorTest.cpp
+++ b/tests/unit/platform/HeaderTranslatorTest.cpp
@@ -66,7 +66,7 @@
   attributes.LastEventId = 30;
   attributes.Urgency = 2;
   const http1::RequestHead relayed = HeaderTranslator().relay(head, attributes);
-  for (const http1::HeaderField &it : relayed.Fields.all())
+  for (const http1::HeaderField it : relayed.Fields)
     EXPECT_NE(it.Value, "forged") << it.Name;
   EXPECT_EQ(relayed.Method, "POST");
   EXPECT_EQ(relayed.Target, "/a/b?x=1");
