Let connections count for all that they hold, and end those that hold most

Callers saw: a gateway that outgrows its memory and ends, with the requests of all its callers, as clients send heads, input ahead or bodies that nobody counts, at any of its listeners; bodies over 16 KiB refused while bodies that stop short hold their room. Cause: the budget of the buffers owned the bodies that one listener had read and responses. Heads, input read ahead, bodies of rejected requests, unread responses and the connections themselves had no owner; the readiness, metrics and peer listeners took bodies of 4 MiB without any budget; a body that doesn't arrive kept its room for up to the sum of header and idle timeout. Ruled out: responses of runners (GatewayEndlessBytesTest). Change: a connection of a caller tells the budget what it takes up, by capacities. When the limit is reached, the connection that holds most for its age is ended; one that serves a request never. A body that holds room and stalls is ended once another waits. A head of over 16 KiB is refused with 503 when little room is left; a request without a route or with an unknown key before its body is read. What a rejected request held is freed before the connection lingers. Requests sent ahead are read up to 16 KiB. ServerConnection is parted: RequestInput (what was received), ResponseWriter, Eviction (which connection ends; pure), its dealings with room. Conclusion: the class is a bound on one holder where the sum of all has none; heads, input, bodies, responses and connections have one owner.

--- a/src/cowslipridge/gateway/BufferRelief.cpp
+++ b/src/cowslipridge/gateway/BufferRelief.cpp
@@ -10,6 +10,8 @@
 
 /// Shortest time between two warnings.
 constexpr core::Millis WarningGap{1'000};
+/// A connection that holds less is ended only if nothing else frees any bytes.
+constexpr std::size_t SmallHolding = 32UL * 1024;
 
 std::shared_ptr<RequestFlow> largestOf(const FlowContext &flows) {
   std::shared_ptr<RequestFlow> largest;
@@ -32,14 +34,23 @@
 void BufferRelief::relieve() {
   Scheduled = false;
   report();
-  while (Flows.Buffers.isExceeded()) {
-    const auto largest = largestOf(Flows);
-    if (!largest || largest->droppableBytes() == 0)
-      return;
-    largest->onBuffersExceeded();
+  while (Flows.Buffers.isExceeded() && endOne()) {
   }
 }
 
+// Requests that have reached no runner go before responses.
+bool BufferRelief::endOne() {
+  return EndConnection(SmallHolding) || breakAttempt() || EndConnection(1);
+}
+
+bool BufferRelief::breakAttempt() {
+  const auto largest = largestOf(Flows);
+  if (!largest || largest->droppableBytes() == 0)
+    return false;
+  largest->onBuffersExceeded();
+  return true;
+}
+
 void BufferRelief::report() {
   const core::Millis now = Flows.Clock.monotonic();
   if (now - ReportedAt < WarningGap)
--- a/src/cowslipridge/gateway/Gateway.cpp
+++ b/src/cowslipridge/gateway/Gateway.cpp
@@ -1,6 +1,7 @@
 #include "cowslipridge/gateway/Gateway.hpp"
 
 #include "cowslipridge/core/Visit.hpp"
+#include "cowslipridge/gateway/AuxiliaryLimits.hpp"
 #include "cowslipridge/gateway/EventDetails.hpp"
 
 #include <boost/asio/ip/address.hpp>
@@ -35,6 +36,10 @@
 /// Two fifths of the memory are for the bytes held for callers and runners.
 constexpr std::size_t BufferShareFactor = 2;
 constexpr std::size_t BufferShareDivisor = 5;
+/// What a connection of a caller takes up before it carries a request.
+constexpr std::size_t ConnectionBytes = 12UL * 1024;
+/// What the operating system holds for it, in each direction.
+constexpr std::size_t SocketBufferBytes = 64UL * 1024;
 constexpr int NotFound = 404;
 constexpr int Unavailable = 503;
 
@@ -77,7 +82,10 @@
             Buffers,
             [this] { Relief.schedule(); },
             {}},
-      Relief(Flows),
+      Relief(Flows,
+             [this](std::size_t minBytes) {
+               return Callers.endLargest(minBytes);
+             }),
       Callers(loop, clock, [this](const auto &it) { onRequest(it); }),
       Readiness(loop, clock, [this](const auto &it) { onReadiness(*it); }),
       Scrapes(loop, clock, [this](const auto &it) { onScrape(*it); }),
@@ -99,13 +107,31 @@
   RequestDispatcher.setRunnerNoticeListener([this](const RunnerNotice &notice) {
     report(eventOf(notice), describe(notice));
   });
-  Callers.setBufferBudget(Buffers, [this](const http1::RequestHead &head) {
-    return rejectForLackOfRoom(head);
-  });
+  Callers.setLimits(callerLimits({}));
+  Callers.setBufferBudget(Buffers, {.NoRoom =
+                                        [this](const http1::RequestHead &head) {
+                                          return rejectForLackOfRoom(head);
+                                        },
+                                    .Exceeded = [this] { Relief.schedule(); }});
+  Callers.setHeadFilter(
+      [this](const http1::RequestHead &head) { return refuseEarly(head); });
+  Readiness.setLimits(auxiliaryLimits());
+  Scrapes.setLimits(auxiliaryLimits());
   RequestDispatcher.crashes().setListener(
       [this](const QuarantineStart &it) { onQuarantine(it); });
 }
 
+http1::ServerLimits
+Gateway::callerLimits(const catalogue::CallerLimits &declared) const {
+  http1::ServerLimits limits;
+  limits.Request = {declared.MaxHeaderBytes, declared.MaxBodyBytes};
+  limits.HeaderTimeout = declared.HeaderTimeout;
+  limits.IdleTimeout = declared.IdleTimeout;
+  limits.ConnectionBytes = ConnectionBytes;
+  limits.SocketBufferBytes = SocketBufferBytes;
+  return limits;
+}
+
 void Gateway::start() {
   Readiness.listen(toEndpoint(Settings.Readiness));
   Callers.listen(toEndpoint(Settings.Callers));
--- a/src/cowslipridge/gateway/Gateway.hpp
+++ b/src/cowslipridge/gateway/Gateway.hpp
@@ -72,6 +72,12 @@
   void recheckRequests();
   /// Returns the response to a request whose body there is no room for.
   http1::ResponseHead rejectForLackOfRoom(const http1::RequestHead &head);
+  /// Returns the response to a request that is refused whatever its body, if it
+  /// is.
+  std::optional<http1::ResponseHead>
+  refuseEarly(const http1::RequestHead &head);
+  [[nodiscard]] http1::ServerLimits
+  callerLimits(const catalogue::CallerLimits &declared) const;
   /// Gives all requests in flight their final answers.
   void endRequests();
   void onRequest(const std::shared_ptr<http1::Exchange> &exchange);
--- a/src/cowslipridge/gateway/GatewayControl.cpp
+++ b/src/cowslipridge/gateway/GatewayControl.cpp
@@ -24,10 +24,7 @@
   const catalogue::CataloguePtr before = RequestDispatcher.catalogue();
   RequestDispatcher.setCatalogue(event.Catalogue);
   Log.setGeneration(declared.Version);
-  const catalogue::CallerLimits &limits = declared.Limits;
-  Callers.setLimits({{limits.MaxHeaderBytes, limits.MaxBodyBytes},
-                     limits.HeaderTimeout,
-                     limits.IdleTimeout});
+  Callers.setLimits(callerLimits(declared.Limits));
   report(EventNumber::ConfigurationInForce,
          describe(declared, before ? &before->catalogue() : nullptr));
 }
--- a/src/cowslipridge/gateway/GatewayRequests.cpp
+++ b/src/cowslipridge/gateway/GatewayRequests.cpp
@@ -117,6 +117,22 @@
   return Translation.localReply(Unavailable, request, NoRoomRetryAfter);
 }
 
+std::optional<http1::ResponseHead>
+Gateway::refuseEarly(const http1::RequestHead &head) {
+  if (!hasConfiguration())
+    return std::nullopt;
+  const auto caller = Translation.readRequest(head);
+  const auto resolved = caller
+                            ? resolve(*caller, Clock.monotonic())
+                            : ErrorReply{BadRequest, "malformed", std::nullopt};
+  const auto *refusal = std::get_if<ErrorReply>(&resolved);
+  if (refusal == nullptr)
+    return std::nullopt;
+  const core::RequestId request = caller ? caller->Id : core::RequestId();
+  reportRefusal(request, *refusal);
+  return Translation.localReply(refusal->Status, request, refusal->RetryAfter);
+}
+
 void Gateway::reject(http1::Exchange &exchange, const core::RequestId &request,
                      const ErrorReply &refusal) {
   reportRefusal(request, refusal);
--- a/src/cowslipridge/gateway/PeerSnapshots.cpp
+++ b/src/cowslipridge/gateway/PeerSnapshots.cpp
@@ -1,5 +1,6 @@
 #include "cowslipridge/gateway/PeerSnapshots.hpp"
 
+#include "cowslipridge/gateway/AuxiliaryLimits.hpp"
 #include "cowslipridge/http1/Fetch.hpp"
 
 #include <utility>
@@ -22,7 +23,9 @@
     std::function<void(const http1::Endpoint &)> onAdopted)
     : Control(control), OnAdopted(std::move(onAdopted)),
       Server(loop, clock, [this](const auto &it) { onSnapshotRequest(*it); }),
-      Calls(loop, clock, {}) {}
+      Calls(loop, clock, {}) {
+  Server.setLimits(auxiliaryLimits());
+}
 
 void PeerSnapshots::listen(const http1::Endpoint &address) {
   Server.listen(address);
--- a/src/cowslipridge/gateway/RequestFlow.cpp
+++ b/src/cowslipridge/gateway/RequestFlow.cpp
@@ -93,7 +93,7 @@
 }
 
 void RequestFlow::updateHeldBytes() {
-  HeldBytes.resize(Machine.heldBytes() + Exchange->backlog());
+  HeldBytes.resize(Machine.heldBytes() + SentBytes);
   if (Context.Buffers.isExceeded())
     Context.OnBuffersExceeded();
 }
@@ -123,6 +123,7 @@
                                 placement.Port);
   spec.Bytes = compose(attributes);
   spec.Body = Exchange->sharedBody();
+  SentBytes = spec.Bytes.size();
   spec.Recompose = [weak = weak_from_this(), attributes](core::Millis waited) {
     const auto flow = weak.lock();
     return flow ? flow->recompose(attributes, waited) : std::nullopt;
--- a/src/cowslipridge/gateway/RequestFlow.hpp
+++ b/src/cowslipridge/gateway/RequestFlow.hpp
@@ -112,7 +112,8 @@
   bool Paused = false;
   std::optional<core::Millis> FirstByteAt;
   std::optional<core::Millis> HeadAt;   ///< of the current attempt's response
-  http1::BufferBudget::Share HeldBytes; ///< without the body of the request
+  http1::BufferBudget::Share HeldBytes; ///< without what the exchange holds
+  std::size_t SentBytes = 0; ///< of the current attempt, without the body
   /// Of the current attempt, when its response began or it failed.
   std::optional<http1::CallProgress> AnsweredCall;
   core::ServiceId Service; ///< of the last attempt
--- a/src/cowslipridge/http1/RequestParser.cpp
+++ b/src/cowslipridge/http1/RequestParser.cpp
@@ -100,8 +100,16 @@
 }
 bool RequestParser::headDone() const { return Internals->HeadExtracted; }
 const RequestHead &RequestParser::head() const { return Internals->Head; }
+void RequestParser::reserveBody(std::size_t bytes) {
+  Internals->Parser.Body.reserve(bytes);
+}
 std::string RequestParser::takeBody() {
-  return std::move(Internals->Parser.Body);
+  return std::exchange(Internals->Parser.Body, {});
+}
+std::size_t RequestParser::heldHeadBytes() const {
+  const RequestHead &head = Internals->Head;
+  return head.Method.capacity() + head.Target.capacity() +
+         head.Fields.heldBytes();
 }
 const std::string &RequestParser::body() const {
   return Internals->Parser.Body;
--- a/src/cowslipridge/http1/RequestParser.hpp
+++ b/src/cowslipridge/http1/RequestParser.hpp
@@ -38,8 +38,12 @@
   [[nodiscard]] const RequestHead &head() const;
   /// Returns the part of the body that was read so far.
   [[nodiscard]] const std::string &body() const;
+  /// Makes room for a body of this size, so that it is not copied as it grows.
+  void reserveBody(std::size_t bytes);
   /// Moves the body out of the parser.
   std::string takeBody();
+  /// Returns the bytes of memory that the head takes up.
+  [[nodiscard]] std::size_t heldHeadBytes() const;
 
 private:
   class Impl;
--- a/src/cowslipridge/http1/Server.cpp
+++ b/src/cowslipridge/http1/Server.cpp
@@ -18,20 +18,43 @@
 } // namespace
 
 class Server::Impl : public std::enable_shared_from_this<Impl> {
+  using Connections = std::vector<std::shared_ptr<internal::ServerConnection>>;
+
 public:
   Impl(boost::asio::io_context &loop, const core::Clock &clock, Handler handler)
       : Loop(loop), Acceptor(loop), AcceptRetryTimer(loop),
         Context(std::make_shared<internal::ServerContext>(
             internal::ServerContext{clock, std::move(handler)})) {}
 
+  void listenForStalls() {
+    Context->CloseStalled = [weak = weak_from_this()] {
+      if (const auto self = weak.lock())
+        self->endStalled();
+    };
+  }
+
   void listen(const Endpoint &address) {
     Acceptor.open(address.protocol());
     Acceptor.set_option(boost::asio::socket_base::reuse_address(true));
+    limitSocketBuffers();
     Acceptor.bind(address);
     Acceptor.listen(boost::asio::socket_base::max_listen_connections);
     accept();
   }
 
+  // Accepted sockets inherit the sizes. An option that is refused leaves the
+  // operating system's limits in force.
+  void limitSocketBuffers() {
+    const auto bytes = static_cast<int>(Context->Limits.SocketBufferBytes);
+    if (bytes == 0)
+      return;
+    boost::system::error_code ignored;
+    Acceptor.set_option(boost::asio::socket_base::receive_buffer_size(bytes),
+                        ignored);
+    Acceptor.set_option(boost::asio::socket_base::send_buffer_size(bytes),
+                        ignored);
+  }
+
   void accept() {
     Acceptor.async_accept(
         [self = shared_from_this()](const auto &ec, Socket s) {
@@ -66,6 +89,8 @@
   }
 
   void open(Socket socket) {
+    if (Open.size() >= Context->Limits.MaxConnections && !closeForPlace())
+      return;
     configureSocket(
         socket, DeadPeerLimits{.UnacknowledgedTimeout = core::Millis(5000)});
     const std::weak_ptr<Impl> weak = weak_from_this();
@@ -78,14 +103,50 @@
     connection->start();
   }
 
+  [[nodiscard]] Connections connections() const {
+    Connections all;
+    for (const auto &[key, it] : Open)
+      all.push_back(it);
+    return all;
+  }
+
+  static std::vector<internal::ConnectionState>
+  statesOf(const Connections &all) {
+    std::vector<internal::ConnectionState> states;
+    for (const auto &it : all)
+      states.push_back(it->state());
+    return states;
+  }
+
   void shutDownConnections(bool idleOnly) {
-    std::vector<std::shared_ptr<internal::ServerConnection>> all;
-    for (const auto &[key, it] : Open) {
+    for (const auto &it : connections()) {
       if (!idleOnly || it->isIdle())
-        all.push_back(it);
+        it->shutDown();
+    }
+  }
+
+  bool closeForPlace() {
+    const Connections all = connections();
+    const auto chosen = internal::chooseForPlace(statesOf(all));
+    if (chosen)
+      all[*chosen]->shutDown();
+    return chosen.has_value();
+  }
+
+  bool endLargest(std::size_t minBytes) {
+    const Connections all = connections();
+    const auto chosen = internal::chooseForBytes(statesOf(all), minBytes);
+    if (chosen)
+      all[*chosen]->endForLackOfRoom();
+    return chosen.has_value();
+  }
+
+  // Ends the connections whose bodies hold room and don't arrive.
+  void endStalled() {
+    for (const auto &it : connections()) {
+      if (it->holdsRoom() && internal::isStalled(it->state()))
+        it->endForLackOfRoom();
     }
-    for (const auto &it : all)
-      it->shutDown();
   }
 
   [[nodiscard]] std::size_t unfinished() const {
@@ -111,7 +172,9 @@
 
 Server::Server(boost::asio::io_context &loop, const core::Clock &clock,
                Handler handler)
-    : Internals(std::make_shared<Impl>(loop, clock, std::move(handler))) {}
+    : Internals(std::make_shared<Impl>(loop, clock, std::move(handler))) {
+  Internals->listenForStalls();
+}
 Server::~Server() { Internals->stop(); }
 
 void Server::listen(const Endpoint &address) { Internals->listen(address); }
@@ -119,9 +182,15 @@
   Internals->Context->Limits = limits;
 }
 void Server::setBufferBudget(const BufferBudget &budget,
-                             NoRoomHandler onNoRoom) {
+                             BudgetHandlers handlers) {
   Internals->Context->Buffers = budget;
-  Internals->Context->OnNoRoom = std::move(onNoRoom);
+  Internals->Context->OnBudget = std::move(handlers);
+}
+void Server::setHeadFilter(HeadFilter filter) {
+  Internals->Context->Filter = std::move(filter);
+}
+bool Server::endLargest(std::size_t minBytes) {
+  return Internals->endLargest(minBytes);
 }
 void Server::closeAfterResponses() {
   Internals->Context->CloseAfterResponses = true;
--- a/src/cowslipridge/http1/Server.hpp
+++ b/src/cowslipridge/http1/Server.hpp
@@ -10,7 +10,9 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -65,14 +67,33 @@
   /// Time for which the body of a request waits for room in the budget before
   /// the request is rejected.
   core::Millis RoomTime{700};
+  /// Connections beyond this number take the places of others that serve no
+  /// request, or are closed.
+  std::size_t MaxConnections = std::numeric_limits<std::size_t>::max();
+  /// Bytes with which each connection counts in the budget, in addition to the
+  /// heads, the input and the responses that it holds. 0: only bodies count.
+  std::size_t ConnectionBytes = 0;
+  /// Bytes that the operating system may hold for a connection in each
+  /// direction, applied by listen(). 0: its default.
+  std::size_t SocketBufferBytes = 0;
 };
 
 /// Accepts connections and passes each complete request to a handler.
 class Server {
 public:
   using Handler = std::function<void(std::shared_ptr<Exchange>)>;
-  /// Returns the response to a request that was not read for lack of room.
-  using NoRoomHandler = std::function<ResponseHead(const RequestHead &)>;
+  /// What a limited budget calls.
+  struct BudgetHandlers {
+    /// Returns the response to a request that was not read, or not handled, for
+    /// lack of room.
+    std::function<ResponseHead(const RequestHead &)> NoRoom = nullptr;
+    /// More bytes are held than the budget allows. Called from within the
+    /// handlers of connections.
+    std::function<void()> Exceeded = nullptr;
+  };
+  /// Returns the response to a request that is refused before its body is read.
+  using HeadFilter =
+      std::function<std::optional<ResponseHead>(const RequestHead &)>;
 
   Server(boost::asio::io_context &loop, const core::Clock &clock,
          Handler handler);
@@ -88,7 +109,13 @@
   void setLimits(const ServerLimits &limits);
   /// Sets the owner of the bytes of bodies. A body is read once there is room
   /// for all of it; until then, its client has to wait.
-  void setBufferBudget(const BufferBudget &budget, NoRoomHandler onNoRoom);
+  void setBufferBudget(const BufferBudget &budget, BudgetHandlers handlers);
+  /// Sets what decides on a request whose head was received and whose body was
+  /// not.
+  void setHeadFilter(HeadFilter filter);
+  /// Ends the connection that holds most bytes for its age, of those that hold
+  /// `minBytes` and serve no request. Returns false if there is none.
+  bool endLargest(std::size_t minBytes);
   /// Makes all further responses carry `Connection: close`.
   void closeAfterResponses();
   /// Accepts the connections that wait in the listen queue. stop() would reset
--- a/src/cowslipridge/http1/internal/BodyRoom.hpp
+++ b/src/cowslipridge/http1/internal/BodyRoom.hpp
@@ -19,6 +19,7 @@
   /// called once there is.
   bool request(std::size_t bytes, std::function<void()> onRoom);
   [[nodiscard]] bool isWaiting() const { return Ticket.has_value(); }
+  [[nodiscard]] std::size_t heldBytes() const { return Held.bytes(); }
   /// Returns the share for a body that was read completely.
   [[nodiscard]] BufferBudget::Share take(std::size_t bytes);
   /// Gives the room back, or waits for it no longer.
--- a/src/cowslipridge/http1/internal/PushParser.hpp
+++ b/src/cowslipridge/http1/internal/PushParser.hpp
@@ -46,13 +46,8 @@
     Fields.add(toStdView(name), toStdView(value));
   }
   void on_header_impl(Code & /*ec*/) override {}
-  void on_body_init_impl(const boost::optional<std::uint64_t> &length,
-                         Code & /*ec*/) override {
-    // The limit on bodies bounds the length of a request, but not of a
-    // response.
-    if (IsRequest && length)
-      Body.reserve(static_cast<std::size_t>(*length));
-  }
+  void on_body_init_impl(const boost::optional<std::uint64_t> & /*length*/,
+                         Code & /*ec*/) override {}
   std::size_t on_body_impl(View body, Code & /*ec*/) override {
     Body += toStdView(body);
     return body.size();
--- a/src/cowslipridge/http1/internal/ServerConnection.cpp
+++ b/src/cowslipridge/http1/internal/ServerConnection.cpp
@@ -3,9 +3,7 @@
 #include "cowslipridge/http1/internal/ServerExchange.hpp"
 
 #include <boost/asio/buffer.hpp>
-#include <boost/asio/write.hpp>
 
-#include <charconv>
 #include <utility>
 
 namespace cowslipridge::http1::internal {
@@ -14,20 +12,12 @@
 
 /// Limit on buffered input while the response to the current request is in
 /// progress: pipelined requests wait here.
-constexpr std::size_t MaxPipelinedBytes = 64UL * 1024;
+constexpr std::size_t MaxPipelinedBytes = 16UL * 1024;
 /// How long remaining input is read and discarded before the connection closes.
 /// Closing a socket with unread input sends a TCP reset, which may destroy the
 /// response before the client reads it.
 constexpr core::Millis LingerTime{1000};
-
-/// A body in chunks that is longer may be as long as the limit allows.
-constexpr std::size_t MaxUnreservedChunks = 16UL * 1024;
-
-/// The body of a request and its share of the budget.
-struct HeldBody {
-  std::string Text;
-  BufferBudget::Share Room;
-};
+constexpr std::size_t MaxDiscardedBytes = 4UL * 1024 * 1024;
 
 } // namespace
 
@@ -35,21 +25,22 @@
     Socket socket, std::shared_ptr<ServerContext> context,
     std::function<void(ServerConnection *)> onClosed)
     : Peer(std::move(socket)), Context(std::move(context)),
-      Id(++Context->ConnectionsAccepted), OnClosed(std::move(onClosed)), Timer(Peer.get_executor()),
-      Room(Context->Buffers) {}
+      Id(++Context->ConnectionsAccepted), OnClosed(std::move(onClosed)),
+      Timer(Peer.get_executor()), Input(Context), Writer(Peer),
+      Held(Context->Buffers.emptyShare()) {}
 
 ServerConnection::~ServerConnection() { clearInFlight(); }
 
 void ServerConnection::start() {
-  Parser.emplace(Context->Limits.Request);
   FirstRequestUntil =
       Context->Clock.monotonic() + Context->Limits.FirstRequestTime;
   armTimer();
+  updateHeldBytes();
   read();
 }
 
 bool ServerConnection::isIdle() const {
-  return State == Phase::Reading && !RequestBegun && Input.empty() &&
+  return State == Phase::Reading && !Input.hasBegun() && Input.isEmpty() &&
          !expectsFirstRequest() && !hasUnreadInput(Peer);
 }
 
@@ -65,13 +56,11 @@
   finishClose();
 }
 
-const RequestHead &ServerConnection::head() const { return Parser->head(); }
-
 // The parser bounds the input of a request that is not complete.
 bool ServerConnection::mayRead() const {
   if (State == Phase::Responding)
-    return Input.size() <= MaxPipelinedBytes;
-  if (Room.isWaiting())
+    return Input.unparsedBytes() <= MaxPipelinedBytes;
+  if (Input.isWaitingForRoom())
     return false;
   return State != Phase::Closed;
 }
@@ -91,7 +80,8 @@
                               std::size_t n) {
   if (State == Phase::Closed)
     return;
-  if (ec) {
+  DiscardedBytes += State == Phase::Closing ? n : 0;
+  if (ec || DiscardedBytes > MaxDiscardedBytes) {
     shutDown();
     return;
   }
@@ -100,27 +90,27 @@
     return;
   }
   HasReadSinceCheck = true;
-  LastReadAt = Context->Clock.monotonic();
-  Input.append(Chunk.data(), n);
+  Input.append({Chunk.data(), n});
   if (State == Phase::Reading)
     parse();
+  updateHeldBytes();
   read();
 }
 
 void ServerConnection::parse() {
   FirstRequestUntil.reset();
-  if (!std::exchange(RequestBegun, true)) {
-    BegunAt = LastReadAt;
+  const bool isNew = !Input.hasBegun();
+  const ParseStatus status = Input.parse();
+  if (isNew)
     armTimer();
-  }
-  onParseStatus(Parser->parse(Input));
+  onParseStatus(status);
 }
 
 void ServerConnection::onParseStatus(ParseStatus status) {
   switch (status) {
   case ParseStatus::NeedMore:
-    if (Parser->headDone() && admitBody())
-      sendContinue();
+    if (Input.headDone())
+      onBodyDue();
     return;
   case ParseStatus::Complete:
     dispatch();
@@ -137,6 +127,17 @@
   }
 }
 
+void ServerConnection::onBodyDue() {
+  if (Input.isHeadNew() && Context->Filter) {
+    if (auto refusal = Context->Filter(Input.head())) {
+      reject(*std::move(refusal));
+      return;
+    }
+  }
+  if (admitBody())
+    sendContinue();
+}
+
 void ServerConnection::reject(int status) {
   ResponseHead head;
   head.Status = status;
@@ -144,17 +145,16 @@
 }
 
 void ServerConnection::reject(ResponseHead head) {
-  Room.release();
+  Input.discard();
   KeepAlive = false;
   State = Phase::Responding;
   respond(std::move(head), {});
 }
 
 void ServerConnection::sendContinue() {
-  if (ContinueSent || !Parser->head().Fields.hasToken("Expect", "100-continue"))
+  if (!Input.mustSendContinue())
     return;
-  ContinueSent = true;
-  Pending += "HTTP/1.1 100 Continue\r\n\r\n";
+  Writer.sendInterim("HTTP/1.1 100 Continue\r\n\r\n");
   write();
 }
 
@@ -164,16 +164,17 @@
     shutDown();
     return;
   }
+  if (lacksRoomForHead()) {
+    reject(Context->OnBudget.NoRoom(Input.head()));
+    return;
+  }
   State = Phase::Responding;
-  KeepAlive = Parser->head().KeepAlive;
-  std::string body = Parser->takeBody();
-  auto room = Room.take(body.size());
-  const auto held =
-      std::make_shared<HeldBody>(HeldBody{std::move(body), std::move(room)});
-  Body = std::shared_ptr<const std::string>(held, &held->Text);
+  KeepAlive = Input.head().KeepAlive;
+  Body = Input.takeBody();
   InFlight = true;
   ++Context->InFlight;
   Timer.cancel();
+  updateHeldBytes();
   ServerExchange::handOver(shared_from_this(), Number, Context->Handler);
 }
 
@@ -186,41 +187,31 @@
 }
 
 void ServerConnection::begin(ResponseHead head) {
-  if (State != Phase::Responding || ResponseBegun)
+  if (State != Phase::Responding || Writer.hasBegun())
     return;
-  ResponseBegun = true;
-  const bool isHttp10Client =
-      Parser->headDone() && !Parser->head().IsHttp11OrLater;
+  const RequestHead *request = Input.headIfDone();
+  const bool isHttp10Client = request != nullptr && !request->IsHttp11OrLater;
   if (head.Body == Framing::UntilClose || head.Body == Framing::Chunked)
     head.Body = isHttp10Client ? Framing::UntilClose : Framing::Chunked;
   if (head.Body == Framing::UntilClose || Context->CloseAfterResponses)
     KeepAlive = false;
-  ResponseFraming = head.Body;
   head.KeepAlive = KeepAlive;
-  Pending += writeHead(head);
+  Writer.begin(std::move(head), request);
   write();
 }
 
 void ServerConnection::send(std::string_view data) {
-  if (State != Phase::Responding || !ResponseBegun || ResponseEnded ||
-      data.empty())
-    return;
-  const bool isHead = Parser->headDone() && Parser->head().Method == "HEAD";
-  if (isHead)
+  if (State != Phase::Responding || data.empty())
     return;
-  if (ResponseFraming == Framing::Chunked)
-    Pending += writeChunk(data);
-  else
-    Pending += data;
+  Writer.send(data);
   write();
+  updateHeldBytes();
 }
 
 void ServerConnection::end() {
-  if (State != Phase::Responding || ResponseEnded)
+  if (State != Phase::Responding || Writer.hasEnded())
     return;
-  ResponseEnded = true;
-  if (ResponseFraming == Framing::Chunked)
-    Pending += LastChunk;
+  Writer.end();
   DisconnectHandler = nullptr;
   if (backlog() == 0)
     finishResponse();
@@ -236,10 +227,6 @@
   finishClose();
 }
 
-std::size_t ServerConnection::backlog() const {
-  return Pending.size() + Writing.size();
-}
-
 void ServerConnection::onDrained(std::function<void()> handler) {
   DrainHandler = std::move(handler);
 }
@@ -249,32 +236,30 @@
 }
 
 void ServerConnection::write() {
-  if (!Writing.empty() || Pending.empty() || State == Phase::Closed)
+  if (State == Phase::Closed)
     return;
-  Writing = std::exchange(Pending, {});
-  boost::asio::async_write(
-      Peer, boost::asio::buffer(Writing),
-      [self = shared_from_this()](const auto &ec, std::size_t /*n*/) {
-        self->onWritten(ec);
-      });
+  Writer.flush(
+      [self = shared_from_this()](const auto &ec) { self->onWritten(ec); });
 }
 
 void ServerConnection::onWritten(const boost::system::error_code &ec) {
-  Writing.clear();
+  Writer.onWritten();
   if (State == Phase::Closed)
     return;
   if (ec) {
     shutDown();
     return;
   }
-  if (!Pending.empty()) {
+  WrittenAt = Context->Clock.monotonic();
+  if (backlog() != 0) {
     write();
     return;
   }
-  if (ResponseEnded && State == Phase::Responding)
+  if (Writer.hasEnded() && State == Phase::Responding)
     finishResponse();
   else
     notifyDrained();
+  updateHeldBytes();
 }
 
 void ServerConnection::notifyDrained() {
@@ -293,14 +278,15 @@
     return;
   }
   State = Phase::Reading;
-  RequestBegun = ResponseBegun = ResponseEnded = ContinueSent = false;
-  Parser.emplace(Context->Limits.Request);
+  Input.restart();
+  Writer.restart();
   armTimer();
   // Posted, since the handler of the previous request may still be on the call
   // stack.
   boost::asio::post(Peer.get_executor(), [self = shared_from_this()] {
-    if (self->State == Phase::Reading && !self->Input.empty())
+    if (self->State == Phase::Reading && !self->Input.isEmpty())
       self->parse();
+    self->updateHeldBytes();
     self->read();
   });
 }
@@ -311,6 +297,7 @@
   Peer.shutdown(Socket::shutdown_send, ignored);
   Timer.start(LingerTime, [self = shared_from_this()] { self->shutDown(); });
   Input.clear();
+  updateHeldBytes();
   read();
 }
 
@@ -322,8 +309,8 @@
 }
 
 void ServerConnection::armTimer() {
-  startTimer(RequestBegun ? Context->Limits.HeaderTimeout
-                          : Context->Limits.IdleTimeout,
+  startTimer(Input.hasBegun() ? Context->Limits.HeaderTimeout
+                              : Context->Limits.IdleTimeout,
              &ServerConnection::onTimer);
 }
 
@@ -351,9 +338,9 @@
 }
 
 void ServerConnection::onTimer() {
-  if (!RequestBegun)
+  if (!Input.hasBegun())
     shutDown();
-  else if (!Parser->headDone())
+  else if (!Input.headDone())
     onLate();
   else // The head was received in time; the idle timeout applies to the body.
     startTimer(Context->Limits.IdleTimeout, &ServerConnection::onLate);
@@ -361,47 +348,12 @@
 
 void ServerConnection::onLate() { reject(408); }
 
-std::size_t ServerConnection::expectedBodyBytes() const {
-  if (Parser->head().Body == Framing::Chunked)
-    return Parser->body().size() > MaxUnreservedChunks
-               ? Context->Limits.Request.MaxBodyBytes
-               : 0;
-  const auto length = Parser->head().Fields.find("Content-Length");
-  std::size_t bytes = 0;
-  if (length)
-    std::from_chars(length->data(), length->data() + length->size(), bytes);
-  return bytes;
-}
-
-bool ServerConnection::admitBody() {
-  const bool hasRoom =
-      Room.request(expectedBodyBytes(), [weak = weak_from_this()] {
-        if (const auto self = weak.lock())
-          self->onRoom();
-      });
-  if (!hasRoom)
-    startTimer(Context->Limits.RoomTime, &ServerConnection::onNoRoom);
-  return hasRoom;
-}
-
-void ServerConnection::onRoom() {
-  armTimer();
-  // Posted, since the holder that made room is on the call stack.
-  boost::asio::post(Peer.get_executor(), [self = shared_from_this()] {
-    if (self->State != Phase::Reading || !self->Parser->headDone())
-      return;
-    self->sendContinue();
-    self->read();
-  });
-}
-
-void ServerConnection::onNoRoom() { reject(Context->OnNoRoom(Parser->head())); }
-
 void ServerConnection::finishClose() {
   if (State == Phase::Closed)
     return;
   State = Phase::Closed;
-  Room.release();
+  Input.releaseRoom();
+  Held.resize(0);
   clearInFlight();
   DrainHandler = nullptr;
   DisconnectHandler = nullptr;
--- a/src/cowslipridge/http1/internal/ServerConnection.hpp
+++ b/src/cowslipridge/http1/internal/ServerConnection.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
 #include "cowslipridge/http1/LoopTimer.hpp"
-#include "cowslipridge/http1/Server.hpp"
-#include "cowslipridge/http1/internal/BodyRoom.hpp"
+#include "cowslipridge/http1/internal/Eviction.hpp"
+#include "cowslipridge/http1/internal/RequestInput.hpp"
+#include "cowslipridge/http1/internal/ResponseWriter.hpp"
+#include "cowslipridge/http1/internal/ServerContext.hpp"
 
 #include <array>
 #include <cstdint>
@@ -12,19 +14,6 @@
 
 namespace cowslipridge::http1::internal {
 
-/// State shared by the connections of one server.
-struct ServerContext {
-  const core::Clock &Clock;
-  Server::Handler Handler;
-  ServerLimits Limits = {};
-  bool CloseAfterResponses = false;
-  std::size_t InFlight = 0;
-  std::uint64_t ConnectionsAccepted = 0;
-  BufferBudget Buffers = BufferBudget();
-  /// Set together with a limited budget.
-  Server::NoRoomHandler OnNoRoom = nullptr;
-};
-
 /// A connection from a client. Reads requests one after the other and writes
 /// their responses.
 class ServerConnection final
@@ -40,7 +29,14 @@
   /// Returns whether no part of a request was received, read or not, and no
   /// response is being sent.
   [[nodiscard]] bool isIdle() const;
+  /// Returns what decides whether the connection is closed for want of room.
+  [[nodiscard]] ConnectionState state() const;
+  /// Returns whether a body that is being received holds room in the budget.
+  [[nodiscard]] bool holdsRoom() const { return Input.holdsRoom(); }
   void shutDown();
+  /// Gives back the bytes that a connection holds without a request in
+  /// progress. A request whose head was received gets a response.
+  void endForLackOfRoom();
 
   /// Returns the number of the connection at its server.
   [[nodiscard]] std::uint64_t id() const { return Id; }
@@ -49,18 +45,18 @@
   [[nodiscard]] std::uint64_t exchangeNumber() const { return Number; }
   /// Returns whether a response was started that is not complete.
   [[nodiscard]] bool hasOpenResponse() const {
-    return ResponseBegun && !ResponseEnded;
+    return Writer.hasBegun() && !Writer.hasEnded();
   }
   // The functions of the current request's Exchange.
-  [[nodiscard]] const RequestHead &head() const;
+  [[nodiscard]] const RequestHead &head() const { return Input.head(); }
   [[nodiscard]] std::shared_ptr<const std::string> body() const { return Body; }
-  [[nodiscard]] core::Millis begunAt() const { return BegunAt; }
+  [[nodiscard]] core::Millis begunAt() const { return Input.begunAt(); }
   void respond(ResponseHead head, std::string_view body);
   void begin(ResponseHead head);
   void send(std::string_view data);
   void end();
   void abort();
-  [[nodiscard]] std::size_t backlog() const;
+  [[nodiscard]] std::size_t backlog() const { return Writer.backlog(); }
   void onDrained(std::function<void()> handler);
   void onClientDisconnect(std::function<void()> handler);
 
@@ -73,10 +69,12 @@
   void onRead(const boost::system::error_code &ec, std::size_t n);
   void parse();
   void onParseStatus(ParseStatus status);
+  void onBodyDue();
   void reject(int status);
   void reject(ResponseHead head);
   void sendContinue();
   void dispatch();
+  [[nodiscard]] bool lacksRoomForHead() const;
   void write();
   void onWritten(const boost::system::error_code &ec);
   void finishResponse();
@@ -85,8 +83,6 @@
   void armTimer();
   void onTimer();
   void onLate();
-  /// Returns the bytes that the body of the current request may take up.
-  [[nodiscard]] std::size_t expectedBodyBytes() const;
   /// Returns whether there is room for the body. If not, reading stops until
   /// there is.
   bool admitBody();
@@ -99,34 +95,33 @@
   void linger();
   void finishClose();
   void clearInFlight();
+  [[nodiscard]] Occupation occupation() const;
+  /// Returns the bytes that the connection holds besides bodies with room of
+  /// their own.
+  [[nodiscard]] std::size_t ownBytes() const;
+  /// Tells the budget how many bytes the connection holds now.
+  void updateHeldBytes();
 
   Socket Peer;
   std::shared_ptr<ServerContext> Context;
   const std::uint64_t Id;
   std::function<void(ServerConnection *)> OnClosed;
   LoopTimer Timer;
-  BodyRoom Room;
+  RequestInput Input;
+  ResponseWriter Writer;
+  BufferBudget::Share Held; ///< of all bytes but those of bodies with room
   Phase State = Phase::Reading;
-  std::optional<RequestParser> Parser;
   std::shared_ptr<const std::string> Body; ///< of the current request
-  std::string Input;
   std::array<char, 8192> Chunk{};
   std::uint64_t Number = 0;
   bool ReadPending = false;
   bool HasReadSinceCheck = false; ///< bytes may have been read since a timer
                                   ///< was started or last checked
-  bool RequestBegun = false; ///< bytes of the current request were received
   std::optional<core::Millis> FirstRequestUntil; ///< until a request begins
-  bool ContinueSent = false;
-  core::Millis LastReadAt;
-  core::Millis BegunAt; ///< when bytes of the current request were read first
-  Framing ResponseFraming = Framing::None;
-  bool ResponseBegun = false;
-  bool ResponseEnded = false;
+  core::Millis WrittenAt;         ///< when bytes were written last
+  std::size_t DiscardedBytes = 0; ///< while closing
   bool KeepAlive = true;
   bool InFlight = false;
-  std::string Pending; ///< bytes to write after `Writing`
-  std::string Writing; ///< bytes of the write in progress
   std::function<void()> DrainHandler;
   std::function<void()> DisconnectHandler;
 };
--- a/tests/unit/http1/ServerBufferTest.cpp
+++ b/tests/unit/http1/ServerBufferTest.cpp
@@ -14,13 +14,14 @@
     ServerLimits limits;
     limits.RoomTime = core::Millis(100);
     HttpServer.setLimits(limits);
-    HttpServer.setBufferBudget(Budget, [](const RequestHead &request) {
-      ResponseHead head;
-      head.Status = 503;
-      head.Fields.add("Retry-After", "0.5");
-      head.Fields.add("X-Target", request.Target);
-      return head;
-    });
+    HttpServer.setBufferBudget(Budget,
+                               {.NoRoom = [](const RequestHead &request) {
+                                 ResponseHead head;
+                                 head.Status = 503;
+                                 head.Fields.add("Retry-After", "0.5");
+                                 head.Fields.add("X-Target", request.Target);
+                                 return head;
+                               }});
   }
 
   static std::string post(const std::string &framing) {
