Leave descriptors for runners and the store, whatever callers take

Callers saw: no answer from a gateway to which some hundreds of clients only connect. Cause: nothing bounds the connections of callers but the descriptors of the process. When they are used up, nothing is accepted and no call to a runner or to the store can be made. Change: callers and runners get an equal share of the descriptors, but for 64 and a sixteenth of all; '[process] descriptors', by default the limit of the operating system. A connection beyond the share takes the place of one that closes, that is stalled, or that was idle for longest; an idle connection to a runner yields to one to another. Large blocks are mapped apart, so that bodies don't stay with the process.

--- a/programs/cowslipridge-gateway/main.cpp
+++ b/programs/cowslipridge-gateway/main.cpp
@@ -12,6 +12,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <gflags/gflags.h>
+#include <malloc.h>
+#include <sys/resource.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -150,7 +152,24 @@
                                   std::to_string(startedAt.count()));
 }
 
-int run(const config::GatewaySettings &settings) {
+/// Larger blocks are mapped apart and given back when they are freed: the
+/// largest bodies must not stay with the process. Fixed, since by default the
+/// threshold rises with each block that is freed.
+constexpr int MaxHeapBlockBytes = 128 * 1024;
+
+/// Returns how many descriptors the operating system allows the process.
+std::size_t allowedDescriptors() {
+  constexpr std::size_t MinDescriptors = 128;
+  rlimit limit{};
+  const bool isKnown = ::getrlimit(RLIMIT_NOFILE, &limit) == 0;
+  return isKnown ? std::max<std::size_t>(MinDescriptors, limit.rlim_cur)
+                 : MinDescriptors;
+}
+
+int run(config::GatewaySettings settings) {
+  ::mallopt(M_MMAP_THRESHOLD, MaxHeapBlockBytes);
+  if (!settings.Descriptors)
+    settings.Descriptors = allowedDescriptors();
   std::signal(SIGPIPE, SIG_IGN);
   const core::SystemClock clock;
   boost::asio::io_context loop(1);
--- a/src/cowslipridge/config/GatewaySettings.cpp
+++ b/src/cowslipridge/config/GatewaySettings.cpp
@@ -22,6 +22,8 @@
 constexpr core::Millis MaxGracePeriod{600'000};
 constexpr std::size_t MinMemory = 32UL * 1024 * 1024;
 constexpr std::size_t MaxMemory = 64UL * 1024 * 1024 * 1024;
+constexpr std::size_t MinDescriptors = 128;
+constexpr std::size_t MaxDescriptors = 1'000'000;
 constexpr core::Millis MinChangeDeadline{500};
 constexpr core::Millis MaxWindow{600'000};
 constexpr std::string_view AddressExample = "10.0.0.5:8080";
@@ -46,6 +48,9 @@
                                           core::Millis(1'000), MaxGracePeriod);
   settings.Memory =
       process.size("memory", settings.Memory, MinMemory, MaxMemory);
+  if (process.has("descriptors"))
+    settings.Descriptors = process.count("descriptors", MinDescriptors,
+                                         MinDescriptors, MaxDescriptors);
   process.finish();
 
   SectionReader listen = document.open("listen");
--- a/src/cowslipridge/config/GatewaySettings.hpp
+++ b/src/cowslipridge/config/GatewaySettings.hpp
@@ -52,6 +52,9 @@
   core::Millis GracePeriod{8'000}; ///< `grace_period`: SIGTERM to SIGKILL
   /// `memory`: that the process may take up, in bytes.
   std::size_t Memory = 256UL * 1024 * 1024;
+  /// `descriptors`: that the process may open. Not set: as many as the
+  /// operating system allows.
+  std::optional<std::size_t> Descriptors;
   // [listen]
   SocketAddress Callers;   ///< `callers`
   SocketAddress Readiness; ///< `readiness`
--- a/src/cowslipridge/gateway/Gateway.cpp
+++ b/src/cowslipridge/gateway/Gateway.cpp
@@ -40,6 +40,8 @@
 constexpr std::size_t ConnectionBytes = 12UL * 1024;
 /// What the operating system holds for it, in each direction.
 constexpr std::size_t SocketBufferBytes = 64UL * 1024;
+/// Descriptors if the settings name no limit.
+constexpr std::size_t MaxFiles = 1'024;
 constexpr int NotFound = 404;
 constexpr int Unavailable = 503;
 
@@ -58,6 +60,12 @@
       notice);
 }
 
+http1::ClientLimits runnerLimits(std::size_t maxConnections) {
+  http1::ClientLimits limits;
+  limits.MaxConnections = maxConnections;
+  return limits;
+}
+
 http1::Endpoint toEndpoint(const config::SocketAddress &address) {
   return {boost::asio::ip::make_address(address.Host), address.Port};
 }
@@ -70,7 +78,8 @@
                  observe::EventLog &log, observe::Metrics &metrics)
     : Loop(loop), Clock(clock), Settings(settings), Translation(translator),
       Control(control), Log(log), Metrics(metrics), RequestDispatcher(settings),
-      Runners(loop, clock, {}),
+      Descriptors(shareDescriptors(settings.Descriptors.value_or(MaxFiles))),
+      Runners(loop, clock, runnerLimits(Descriptors.Runners)),
       Buffers(settings.Memory / BufferShareDivisor * BufferShareFactor),
       Flows{loop,
             clock,
@@ -127,6 +136,7 @@
   limits.Request = {declared.MaxHeaderBytes, declared.MaxBodyBytes};
   limits.HeaderTimeout = declared.HeaderTimeout;
   limits.IdleTimeout = declared.IdleTimeout;
+  limits.MaxConnections = Descriptors.Callers;
   limits.ConnectionBytes = ConnectionBytes;
   limits.SocketBufferBytes = SocketBufferBytes;
   return limits;
--- a/src/cowslipridge/gateway/Gateway.hpp
+++ b/src/cowslipridge/gateway/Gateway.hpp
@@ -6,6 +6,7 @@
 #include "cowslipridge/gateway/BufferRelief.hpp"
 #include "cowslipridge/gateway/ConfigurationLag.hpp"
 #include "cowslipridge/gateway/ControlPlane.hpp"
+#include "cowslipridge/gateway/DescriptorShares.hpp"
 #include "cowslipridge/gateway/Dispatcher.hpp"
 #include "cowslipridge/gateway/DrainPolicy.hpp"
 #include "cowslipridge/gateway/GatewayGauges.hpp"
@@ -134,6 +135,7 @@
   observe::EventLog &Log;
   observe::Metrics &Metrics;
   Dispatcher RequestDispatcher;
+  const DescriptorShares Descriptors;
   http1::Client Runners;
   const http1::BufferBudget Buffers;
   FlowContext Flows;
--- a/src/cowslipridge/http1/Client.cpp
+++ b/src/cowslipridge/http1/Client.cpp
@@ -71,10 +71,7 @@
   std::shared_ptr<Call> call(CallSpec spec,
                              std::shared_ptr<CallEvents> events) {
     Connection connection = acquireIdle(spec);
-    // Those that are idle still have carried this request.
-    if (!connection && connectionCount(spec.Server) >= spec.MaxConnections)
-      closeIdle(spec.Server);
-    if (!connection && connectionCount(spec.Server) >= spec.MaxConnections)
+    if (!connection && !makeRoom(spec))
       return reject(std::move(events));
     if (!connection)
       connection = open(spec.Server);
@@ -130,9 +127,20 @@
     return taken;
   }
 
-  // Closes the idle connection to the server that was used least recently.
-  void closeIdle(const Endpoint &server) {
-    const auto idle = Idle.find(server);
+  // Closes idle connections that the call can't use, as far as the limits
+  // require it. Returns false if they leave no place for a new one.
+  bool makeRoom(const CallSpec &spec) {
+    if (connectionCount(spec.Server) >= spec.MaxConnections)
+      closeOldest(Idle.find(spec.Server));
+    if (Open.size() >= Limits.MaxConnections)
+      closeOldest(std::ranges::max_element(
+          Idle, {}, [](const auto &it) { return it.second.size(); }));
+    return connectionCount(spec.Server) < spec.MaxConnections &&
+           Open.size() < Limits.MaxConnections;
+  }
+
+  // Closes the idle connection of a server that was used least recently.
+  void closeOldest(std::map<Endpoint, std::vector<Connection>>::iterator idle) {
     if (idle == Idle.end())
       return;
     const Connection oldest = idle->second.front();
--- a/src/cowslipridge/http1/Client.hpp
+++ b/src/cowslipridge/http1/Client.hpp
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -67,7 +68,7 @@
   /// checked.
   std::string EchoField;
   std::string EchoValue; ///< empty: the response must not have the field
-  core::Millis Timeout; ///< for the entire call, connecting included
+  core::Millis Timeout;  ///< for the entire call, connecting included
   /// Maximum number of connections to this server, in use and idle.
   std::size_t MaxConnections = 64;
 };
@@ -76,10 +77,10 @@
 /// same CallFailure.
 struct CallProgress {
   std::uint64_t Connection = 0; ///< its number at this client; 0 for none
-  bool Reused = false;    ///< the connection has served a call before
-  bool Connected = false; ///< the connection was established
-  bool Sent = false;      ///< bytes of the request may have left
-  core::Millis Age;       ///< since the start of the call
+  bool Reused = false;          ///< the connection has served a call before
+  bool Connected = false;       ///< the connection was established
+  bool Sent = false;            ///< bytes of the request may have left
+  core::Millis Age;             ///< since the start of the call
 
   friend bool operator==(const CallProgress &, const CallProgress &) = default;
 };
@@ -104,6 +105,9 @@
   /// timeout in the server's Keep-Alive field takes precedence.
   core::Millis MaxIdleTime{8000};
   DeadPeerLimits DeadPeer;
+  /// Maximum number of connections to all servers, in use and idle. An idle one
+  /// yields to a new one.
+  std::size_t MaxConnections = std::numeric_limits<std::size_t>::max();
 };
 
 /// Calls servers over a pool of persistent connections.
--- a/tests/unit/http1/ClientTest.cpp
+++ b/tests/unit/http1/ClientTest.cpp
@@ -99,6 +99,34 @@
   EXPECT_FALSE(first->isFinished());
 }
 
+// Guards against a process whose descriptors end because of idle connections.
+TEST_F(ClientTest, idleConnectionToAnotherServerYieldsAtTheLimitOfAll) {
+  ClientLimits limits;
+  limits.MaxConnections = 1;
+  Client limited(Loop, Clock, limits);
+  Tcp::acceptor other(Loop, anyPort());
+  const auto callTo = [&](const Endpoint &server) {
+    auto events = std::make_shared<CallRecorder>();
+    CallSpec spec;
+    spec.Server = server;
+    spec.Bytes = requestBytes("a");
+    spec.Timeout = CallTimeout;
+    Handle = limited.call(std::move(spec), events);
+    return events;
+  };
+  Scripts = {{response("a", "one")}};
+  const auto first = callTo(Address);
+  runUntil([&] { return first->isFinished(); });
+  callTo(other.local_endpoint());
+  std::optional<Socket> accepted;
+  other.async_accept(
+      [&](const auto &, Socket it) { accepted = std::move(it); });
+  runUntil([&] { return accepted.has_value(); });
+  const auto third = callTo(Address);
+  runUntil([&] { return third->isFinished(); });
+  EXPECT_EQ(third->Failure, CallFailure::ConnectionLimitReached);
+}
+
 TEST_F(ClientTest, cancelledCallReportsNoEventAndClosesConnection) {
   const auto events = call();
   runUntil([&] { return Requests == 1; });
