Lay out three files as the formatter does

Cause: the lines were committed before the formatter had run on them. Change: layout only. Measured: scripts/check-format.sh is clean.

--- a/src/standins/platform/PlatformRunner.hpp
+++ b/src/standins/platform/PlatformRunner.hpp
@@ -35,7 +35,7 @@
   bool DuplicatesReplies = false; ///< sends each plain response twice
   /// Sends the copy of a refusal ahead of the next response of the connection.
   bool CopiesRefusals = false;
-  bool Leaving = false;           ///< announces its shutdown in every response
+  bool Leaving = false; ///< announces its shutdown in every response
   /// Sent with each rejection for lack of capacity.
   std::optional<core::Millis> RejectionBackoff;
   /// Requests a second that it takes, named in every response.
--- a/tests/unit/gateway/EventDetailsTest.cpp
+++ b/tests/unit/gateway/EventDetailsTest.cpp
@@ -34,9 +34,11 @@
 TEST(EventDetailsTest, describesHowFarAFailedCallHadCome) {
   http1::CallProgress call;
   call.Age = Millis(431);
-  EXPECT_EQ(describe(call), "connection=0 reused=no connected=no sent=no call_ms=431");
+  EXPECT_EQ(describe(call),
+            "connection=0 reused=no connected=no sent=no call_ms=431");
   call.Connected = call.Sent = true;
-  EXPECT_EQ(describe(call), "connection=0 reused=no connected=yes sent=yes call_ms=431");
+  EXPECT_EQ(describe(call),
+            "connection=0 reused=no connected=yes sent=yes call_ms=431");
 }
 
 TEST(EventDetailsTest, describesALowConfidenceAnswerWithTheLargerForecast) {
--- a/tests/unit/http1/SecondCopyTest.cpp
+++ b/tests/unit/http1/SecondCopyTest.cpp
@@ -102,9 +102,10 @@
   }
 }
 
-// Guards against a caller that is told that its request did not run, and against
-// a request that runs twice, as the copy of a rejection arrives while the same
-// request is under way again: its id doesn't tell the copy from a response.
+// Guards against a caller that is told that its request did not run, and
+// against a request that runs twice, as the copy of a rejection arrives while
+// the same request is under way again: its id doesn't tell the copy from a
+// response.
 TEST_F(SecondCopyTest, ofARejectionOfTheSameRequest) {
   Scripts = {{response("a", "two")}};
   const auto events = call("a");
