Let callers, crowds and runners misbehave in the soak, and check deadlines

Ruled out: - Change: faults copied-refusal, wrong-id, runner replacement and crowd; callers that send a refused request again under its id or leave; the promise DEADLINE; gateways with 64 MiB, whose peak memory is checked in each run.

--- a/src/standins/platform/Deviation.hpp
+++ b/src/standins/platform/Deviation.hpp
@@ -14,11 +14,14 @@
 /// allows all of them.
 enum class Deviation {
   StatedRefusal,   ///< does not run it and says so
+  CopiedRefusal,   ///< the same, and sends the refusal once more, ahead of the
+                   ///< next response of the connection
   UnstatedRefusal, ///< runs it and refuses it, without saying that it didn't
                    ///< run
   Failure,         ///< runs it and responds with a server error
   LostAnswer,      ///< runs it and resets the connection
   CutBody,         ///< runs it and resets within the body of the response
+  WrongId,         ///< runs it and answers under the id of another request
   // Streams without an end, as fast as they are read:
   EndlessEvent, ///< an event that doesn't end
   EmptyLines,
--- a/tests/integration/support/Crowd.hpp
+++ b/tests/integration/support/Crowd.hpp
@@ -30,6 +30,8 @@
 
   /// Adds a client that connects to `server` at once.
   void add(const boost::asio::ip::tcp::endpoint &server, ClientScript script);
+  /// Closes the connections of all clients.
+  void close();
 
 private:
   class Client;
--- a/tests/soak/Fleet.hpp
+++ b/tests/soak/Fleet.hpp
@@ -6,6 +6,7 @@
 #include "soak/Plan.hpp"
 
 #include "cowslipridge/http1/LoopTimer.hpp"
+#include "integration/support/Crowd.hpp"
 #include "integration/support/Process.hpp"
 
 #include <memory>
@@ -22,6 +23,9 @@
   std::string Folder; ///< for settings, logs and journals
 };
 
+/// Memory that a gateway may take up.
+inline constexpr long GatewayMemoryKiB = 64L * 1024;
+
 /// Starts the processes of a run and applies faults to them.
 class Fleet {
 public:
@@ -48,6 +52,9 @@
   struct Member;
 
   void startRunner(std::size_t n);
+  /// Returns the id of the runner that listens at this place now.
+  [[nodiscard]] std::string runnerId(std::size_t n) const;
+  void startCrowd(const CallerCrowd &fault);
   void startGateway(std::size_t n);
   std::string settingsOf(const GatewayPlace &place) const;
   [[nodiscard]] std::string path(const std::string &name) const;
@@ -69,6 +76,7 @@
   std::vector<std::unique_ptr<Member>> Runners;
   std::vector<std::unique_ptr<Member>> Gateways;
   std::vector<std::unique_ptr<http1::LoopTimer>> Timers;
+  std::vector<std::unique_ptr<integration::Crowd>> Crowds;
   std::int64_t ConfigurationVersion = 0;
 };
 
--- a/tests/soak/platform/Callers.hpp
+++ b/tests/soak/platform/Callers.hpp
@@ -21,6 +21,9 @@
     core::Millis MaxPause{60}; ///< between two requests of a caller
     std::uint64_t Seed = 1;
     bool IsAlike = false; ///< all requests of a kind ask for the same
+    /// Some refused requests are sent again under their id, and some callers
+    /// leave before the response.
+    bool Misbehaves = false;
   };
 
   Callers(boost::asio::io_context &loop, const core::Clock &clock,
@@ -38,6 +41,11 @@
   std::vector<std::unique_ptr<Caller>> All;
 };
 
+inline constexpr const char *CallersHost = "shop.example";
+inline constexpr const char *CallersKey = "key-1";
+/// Time that callers wait for a response.
+inline constexpr core::Millis CallerDeadline{3'000};
+
 /// Key of the configuration in the store.
 inline constexpr const char *ConfigurationKey = "op/config";
 /// The configuration that the callers' requests need.
--- a/tests/unit/soak/PlanTest.cpp
+++ b/tests/unit/soak/PlanTest.cpp
@@ -15,6 +15,7 @@
   settings.Gateways = 3;
   settings.Runners = 6;
   settings.Links = 12;
+  settings.CrowdKinds = 2;
   return settings;
 }
 
@@ -44,4 +45,14 @@
   EXPECT_EQ(kinds.size(), std::variant_size_v<Fault>);
 }
 
+// Seeds of the time before there were crowds keep their plans.
+TEST(PlanTest, drawsNoMisbehaviorOfCallersWithoutCrowds) {
+  PlanSettings settings = settingsFor(20);
+  settings.CrowdKinds = 0;
+  for (const PlannedFault &it : makePlan(settings)) {
+    EXPECT_FALSE(std::holds_alternative<CallerCrowd>(it.What));
+    EXPECT_FALSE(std::holds_alternative<RunnerReplacement>(it.What));
+  }
+}
+
 } // namespace
--- a/tests/unit/soak/PromisesTest.cpp
+++ b/tests/unit/soak/PromisesTest.cpp
@@ -128,4 +128,26 @@
   EXPECT_EQ(rules(), "ENDED RECOVER ");
 }
 
+TEST_F(PromisesTest, refusedRequestMayBeSentAgainUnderItsId) {
+  add("a", RequestKind::Unsafe, 503);
+  add("a", RequestKind::Unsafe, 200);
+  run("a", "r1");
+  EXPECT_EQ(rules(), "");
+  run("a", "r2");
+  EXPECT_EQ(rules(), "TWICE ");
+}
+
+TEST_F(PromisesTest, findsRunnersWithMoreTimeThanTheirCallers) {
+  for (int n = 0; n < 21; ++n) {
+    EXPECT_EQ(rules(), "") << "20 are allowed";
+    const std::string id = "a" + std::to_string(n);
+    add(id, RequestKind::Safe, 200);
+    run(id, "r1", Millis(1'600));
+    Seen.Steps[Seen.Steps.size() - 2].Remaining = Millis(2'901);
+  }
+  EXPECT_NE(rules().find("DEADLINE "), std::string::npos);
+  Seen.Faults.push_back({Millis(500), Millis(1'700), "gateway-1"});
+  EXPECT_EQ(rules(), "") << "a fault of the gateway explains it";
+}
+
 } // namespace
