Dismiss a lost answer beside answers that go on as evidence of a crash

Cause: each answer that broke before it began counted as a crash of its runner by the request's content. Where most requests are alike, three or four lost answers blame it. Ruled out: the number of crashes needed; it rises with the share of other breaks, but one content is nearly all there is. Change: all answers in progress break when a runner crashes. A runner that goes on with an answer to a request that it got before a break did not crash then: the break is dismissed as evidence, and counts as one of those that happen for other reasons. It stays recorded, since peers report it again. Measured: CrashWatchTest.lostAnswersBesideOnesThatGoOnAreNoCrashes fails with the dismissal switched off; unit_gateway 186, unit_limits 85, property_limits 9 hold.

--- a/src/cowslipridge/gateway/CrashWatch.cpp
+++ b/src/cowslipridge/gateway/CrashWatch.cpp
@@ -21,8 +21,9 @@
 
 void CrashWatch::onSent(std::uint64_t ticket, const core::ServiceId &service,
                         const core::RunnerId &runner,
-                        const CallerRequest &caller) {
+                        const CallerRequest &caller, core::Millis now) {
   Attempt attempt;
+  attempt.SentAt = now;
   attempt.Runner = runner;
   attempt.Request = hashOf(caller.Id.str());
   attempt.Traits = traitsOf(caller, service);
@@ -34,6 +35,7 @@
   const auto it = Attempts.find(ticket);
   if (it == Attempts.end() || it->second.Begun)
     return;
+  Attribution.onWentOn(it->second.Runner, it->second.SentAt, now);
   it->second.Begun = true;
   it->second.BegunAt = now;
   Attribution.onBegun(now);
@@ -41,7 +43,10 @@
 
 void CrashWatch::onEvents(std::uint64_t ticket, core::Millis now) {
   const auto it = Attempts.find(ticket);
-  if (it == Attempts.end() || it->second.Survived || !it->second.Begun)
+  if (it == Attempts.end() || !it->second.Begun)
+    return;
+  Attribution.onWentOn(it->second.Runner, it->second.SentAt, now);
+  if (it->second.Survived)
     return;
   if (now - it->second.BegunAt <= CrashAttribution::MaxCrashDelay)
     return;
@@ -60,6 +65,7 @@
                        now - attempt.BegunAt <= CrashAttribution::MaxCrashDelay;
   switch (outcome) {
   case AttemptOutcome::Served:
+    Attribution.onWentOn(attempt.Runner, attempt.SentAt, now);
     if (!attempt.Survived)
       onSurvived(attempt.Traits, now);
     break;
@@ -79,6 +85,8 @@
     break;
   case AttemptOutcome::Rejected:
   case AttemptOutcome::ErrorResponse:
+    Attribution.onWentOn(attempt.Runner, attempt.SentAt, now);
+    break;
   case AttemptOutcome::TimedOut:
     break;
   }
--- a/src/cowslipridge/gateway/CrashWatch.hpp
+++ b/src/cowslipridge/gateway/CrashWatch.hpp
@@ -44,7 +44,8 @@
     OnQuarantine = std::move(listener);
   }
   void onSent(std::uint64_t ticket, const core::ServiceId &service,
-              const core::RunnerId &runner, const CallerRequest &caller);
+              const core::RunnerId &runner, const CallerRequest &caller,
+              core::Millis now);
   /// The answer began.
   void onBegun(std::uint64_t ticket, core::Millis now);
   /// The answer goes on.
@@ -74,6 +75,7 @@
     core::RunnerId Runner;
     std::uint64_t Request = 0; ///< hash of the request's id
     limits::RequestTraits Traits;
+    core::Millis SentAt;
     core::Millis BegunAt;
     bool Begun = false;
     bool Survived = false;
--- a/src/cowslipridge/gateway/Dispatcher.cpp
+++ b/src/cowslipridge/gateway/Dispatcher.cpp
@@ -149,7 +149,7 @@
                          candidate.UncachedTokens, now);
   recordPrompt(blocksOf(request.Caller, model), placement.Runner);
   Crashes.onSent(placement.Ticket, placement.Service, placement.Runner,
-                 request.Caller);
+                 request.Caller, now);
   RateLimits.onSent(placement.Runner, now);
   Selection.onSelected(request, tier, candidate, now);
   Eligibility.onSelected(request, *candidate.Server, now);
--- a/src/cowslipridge/limits/CrashAttribution.cpp
+++ b/src/cowslipridge/limits/CrashAttribution.cpp
@@ -62,6 +62,15 @@
     Begun.pop_front();
 }
 
+void CrashAttribution::onWentOn(const core::RunnerId &runner,
+                                core::Millis since, core::Millis now) {
+  for (Record &it : Breaks) {
+    const bool isBetween = it.Event.At > since && now - it.Event.At > CrashSpan;
+    if (it.Event.Runner == runner && isBetween)
+      it.IsDismissed = true;
+  }
+}
+
 bool CrashAttribution::isKnown(const RequestTrait &trait) const {
   return std::any_of(Breaks.begin(), Breaks.end(), [&](const Record &it) {
     return it.Event.Traits.contains(trait);
@@ -95,7 +104,7 @@
   std::vector<const Record *> found;
   for (const Record &it : Breaks) {
     const bool isOpen =
-        it.Event.At <= until &&
+        !it.IsDismissed && it.Event.At <= until &&
         (survival == Survivals.end() || it.Event.At > survival->second.At);
     if (isOpen && it.Event.Traits.contains(trait))
       found.push_back(&it);
@@ -139,7 +148,7 @@
 double CrashAttribution::breakShareWithout(const RequestTrait &trait) const {
   std::vector<const EarlyBreak *> explained;
   for (const Record &it : Breaks) {
-    if (it.Event.Traits.contains(trait))
+    if (!it.IsDismissed && it.Event.Traits.contains(trait))
       explained.push_back(&it.Event);
   }
   double breaks = PriorBreaks;
@@ -188,7 +197,7 @@
                                 core::Millis until) const {
   std::map<RequestTrait, std::size_t> positions;
   for (const Record &it : Breaks) {
-    if (it.Event.At < from || it.Event.At > until)
+    if (it.IsDismissed || it.Event.At < from || it.Event.At > until)
       continue;
     std::size_t position = 0;
     for (const RequestTrait &trait : it.Event.Traits.list()) {
@@ -207,7 +216,7 @@
 std::size_t CrashAttribution::countBreaks(const RequestTrait &trait) const {
   return static_cast<std::size_t>(
       std::count_if(Breaks.begin(), Breaks.end(), [&](const Record &it) {
-        return it.Event.Traits.contains(trait);
+        return !it.IsDismissed && it.Event.Traits.contains(trait);
       }));
 }
 
--- a/src/cowslipridge/limits/CrashAttribution.hpp
+++ b/src/cowslipridge/limits/CrashAttribution.hpp
@@ -41,7 +41,8 @@
 
 /// Finds what crashes runners, among the traits that requests share.
 ///
-/// All answers in progress break when a runner crashes. A trait that causes
+/// All answers in progress break when a runner crashes; a break beside answers
+/// that go on is a lost answer and no evidence. A trait that causes
 /// crashes differs from the others in two ways: it is in each crash that it
 /// causes, and no answer to a request with it goes well. So a trait is blamed
 /// after a number of crashes without an answer that went well in between. The
@@ -64,6 +65,10 @@
   void onBegun(core::Millis now);
   /// An answer went well for longer than MaxCrashDelay, or to its end.
   void onSurvived(const TraitSurvival &survival, bool isOwn);
+  /// The runner went on with an answer to a request that it got at `since`. All
+  /// its answers would have broken in a crash: breaks in between were none.
+  void onWentOn(const core::RunnerId &runner, core::Millis since,
+                core::Millis now);
   /// Records a break. Returns false if it was recorded already, or if it has no
   /// traits. `isOwn`: the answer was one of this gateway's.
   bool onBreak(const EarlyBreak &event, bool isOwn, core::Millis now);
@@ -95,6 +100,7 @@
     bool IsOwn = false;
     /// The event's content, once it is blamed; the event has none then.
     std::uint64_t BlamedContent = 0;
+    bool IsDismissed = false; ///< the runner did not crash
   };
   /// A crash whose cause is known.
   struct ExplainedCrash {
--- a/tests/unit/gateway/CrashWatchTest.cpp
+++ b/tests/unit/gateway/CrashWatchTest.cpp
@@ -31,7 +31,7 @@
                const std::string &runner, AttemptOutcome outcome,
                Millis delay = Millis(50)) {
     ++Ticket;
-    watch.onSent(Ticket, Service, core::RunnerId(runner), caller);
+    watch.onSent(Ticket, Service, core::RunnerId(runner), caller, Now);
     watch.onBegun(Ticket, Now);
     Now = Now + delay;
     watch.onEnded(Ticket, outcome, Now);
@@ -46,7 +46,7 @@
   void unanswered(CrashWatch &watch, const CallerRequest &caller,
                   const std::string &runner, AttemptOutcome outcome) {
     ++Ticket;
-    watch.onSent(Ticket, Service, core::RunnerId(runner), caller);
+    watch.onSent(Ticket, Service, core::RunnerId(runner), caller, Now);
     Now = Now + Millis(50);
     watch.onEnded(Ticket, outcome, Now);
   }
@@ -121,7 +121,7 @@
             Millis(800));
     ++Ticket;
     watch.onSent(Ticket, Service, core::RunnerId("q"),
-                 request({Crashing}, 100 + n));
+                 request({Crashing}, 100 + n), Now);
     watch.onEnded(Ticket, AttemptOutcome::Broken, Now);
     letSettle(watch);
   }
@@ -134,7 +134,8 @@
   Now = Now + Millis(300);
   attempt(watch, request({Crashing}, 2), "b", AttemptOutcome::Broken);
   ++Ticket;
-  watch.onSent(Ticket, Service, core::RunnerId("c"), request({Crashing}, 3));
+  watch.onSent(Ticket, Service, core::RunnerId("c"), request({Crashing}, 3),
+               Now);
   watch.onBegun(Ticket, Now);
   watch.onEvents(Ticket, Now + Millis(100));
   EXPECT_TRUE(refusal(watch, request({Crashing}, 1), AttemptKind::Retry));
@@ -200,6 +201,25 @@
             (limits::RequestTrait{Service, 7, limits::TraitKind::Content}));
 }
 
+// Guards against requests that are all alike and are kept from all runners,
+// because a few of their answers are lost.
+TEST_F(CrashWatchTest, lostAnswersBesideOnesThatGoOnAreNoCrashes) {
+  constexpr std::uint64_t Alike = 7;
+  CrashWatch watch;
+  for (int n = 0; n < 6; ++n) {
+    const std::uint64_t beside = 100U + static_cast<unsigned>(n);
+    watch.onSent(beside, Service, core::RunnerId("r"),
+                 plainRequest(beside, 100 + n), Now);
+    unanswered(watch, plainRequest(Alike, n), "r", AttemptOutcome::Broken);
+    Now = Now + Millis(300);
+    watch.onBegun(beside, Now);
+    watch.onEnded(beside, AttemptOutcome::Served, Now);
+  }
+  letSettle(watch);
+  EXPECT_FALSE(refusal(watch, plainRequest(Alike, 50)));
+  EXPECT_FALSE(refusal(watch, plainRequest(Alike, 51), AttemptKind::Retry));
+}
+
 // Pattern: a request and its retries break within a short time at three
 // runners, and its caller sends it again.
 TEST_F(CrashWatchTest, requestThatBrokeAtThreeRunnersIsNotRetried) {
@@ -222,7 +242,7 @@
   for (int n = 0; n < 3; ++n) {
     const std::string runner = "r" + std::to_string(n);
     ++Ticket;
-    watch.onSent(Ticket, Service, core::RunnerId(runner), beside);
+    watch.onSent(Ticket, Service, core::RunnerId(runner), beside, Now);
     const std::uint64_t besideTicket = Ticket;
     unanswered(watch, crashing, runner, AttemptOutcome::Broken);
     watch.onEnded(besideTicket, AttemptOutcome::Broken, Now);
@@ -240,7 +260,7 @@
   for (int n = 0; n < 30; ++n) {
     ++Ticket;
     watch.onSent(Ticket, Service, core::RunnerId("r" + std::to_string(n % 6)),
-                 plainRequest(100U + static_cast<unsigned>(n), n));
+                 plainRequest(100U + static_cast<unsigned>(n), n), Now);
     watch.onEnded(Ticket, AttemptOutcome::Broken, Now);
   }
   letSettle(watch);
