Keep responses that are being read, and serve callers with few descriptors

Cause: an unread response counted as closable at once; the bound on '[process] descriptors' was not one that the platform states. Measured: EvictionTest.responseThatIsBeingReadIsNotCutOff, DescriptorSharesTest.fewDescriptorsStillServeSomeCallers and GatewaySettingsTest.descriptorsHaveBoundsAndMayBeOmitted, run with the whole suite after this commit.

--- a/src/cowslipridge/config/GatewaySettings.cpp
+++ b/src/cowslipridge/config/GatewaySettings.cpp
@@ -22,7 +22,7 @@
 constexpr core::Millis MaxGracePeriod{600'000};
 constexpr std::size_t MinMemory = 32UL * 1024 * 1024;
 constexpr std::size_t MaxMemory = 64UL * 1024 * 1024 * 1024;
-constexpr std::size_t MinDescriptors = 128;
+constexpr std::size_t MinDescriptors = 64;
 constexpr std::size_t MaxDescriptors = 1'000'000;
 constexpr core::Millis MinChangeDeadline{500};
 constexpr core::Millis MaxWindow{600'000};
--- a/src/cowslipridge/http1/internal/Eviction.cpp
+++ b/src/cowslipridge/http1/internal/Eviction.cpp
@@ -37,6 +37,12 @@
          static_cast<double>(age.count());
 }
 
+// A response that its client reads is not cut off.
+bool isClosable(const ConnectionState &state) {
+  return state.What != Occupation::Serving &&
+         (state.What != Occupation::Unread || isStalled(state));
+}
+
 // Returns the index of the element with the highest priority, of those that may
 // be closed and hold `minBytes`.
 template <typename Priority>
@@ -45,9 +51,8 @@
                                    const Priority &priorityOf) {
   std::optional<std::size_t> chosen;
   for (std::size_t n = 0; n < all.size(); ++n) {
-    const bool isClosable =
-        all[n].What != Occupation::Serving && all[n].HeldBytes >= minBytes;
-    if (isClosable &&
+    const bool isCandidate = isClosable(all[n]) && all[n].HeldBytes >= minBytes;
+    if (isCandidate &&
         (!chosen || priorityOf(all[n]) > priorityOf(all[*chosen])))
       chosen = n;
   }
--- a/src/cowslipridge/http1/internal/Eviction.hpp
+++ b/src/cowslipridge/http1/internal/Eviction.hpp
@@ -15,7 +15,8 @@
   Idle,      ///< no part of a request was received
   Receiving, ///< a part of a request was received
   Serving,   ///< a request is in progress; the connection is never closed
-  Unread,    ///< the response is complete, but not written to the socket
+  Unread,    ///< the response is complete, but not written to the socket; the
+             ///< connection is closed only if its client is stalled
   Closing,   ///< the last response was written
 };
 
@@ -33,12 +34,12 @@
 
 /// Returns the index of the connection whose place a new one takes: one that
 /// closes, then one that is stalled, then the one that was idle for longest.
-/// Returns nothing if all serve requests.
+/// Returns nothing if none may be closed.
 [[nodiscard]] std::optional<std::size_t>
 chooseForPlace(const std::vector<ConnectionState> &all);
 
 /// Returns the index of the connection that holds most bytes for its age, of
-/// those that hold `minBytes`. Returns nothing if these all serve requests.
+/// those that hold `minBytes`. Returns nothing if none of these may be closed.
 [[nodiscard]] std::optional<std::size_t>
 chooseForBytes(const std::vector<ConnectionState> &all, std::size_t minBytes);
 
--- a/tests/unit/config/GatewaySettingsTest.cpp
+++ b/tests/unit/config/GatewaySettingsTest.cpp
@@ -75,6 +75,25 @@
   EXPECT_FALSE(parse("1MiB"));
 }
 
+TEST(GatewaySettingsTest, descriptorsHaveBoundsAndMayBeOmitted) {
+  const auto parse = [](const std::string &line) {
+    core::Findings findings;
+    return parseGatewaySettings("[process]\ninstance = g\n"
+                                "failure_domain = d\n" +
+                                    line +
+                                    "[listen]\ncallers = 10.0.0.1:1\n"
+                                    "readiness = 10.0.0.1:2\n"
+                                    "peers = 10.0.0.1:3\n"
+                                    "[store]\naddress = 10.0.0.1:4\n",
+                                "g.ini", findings);
+  };
+  ASSERT_TRUE(parse("descriptors = 4100\n"));
+  EXPECT_EQ(parse("descriptors = 4100\n")->Descriptors, 4'100U);
+  EXPECT_EQ(parse("")->Descriptors, std::nullopt);
+  EXPECT_FALSE(parse("descriptors = 63\n"));
+  EXPECT_FALSE(parse("descriptors = many\n"));
+}
+
 TEST(GatewaySettingsTest, allowancesMayBeFractionalOrOmitted) {
   const std::string addresses = "[listen]\ncallers = 10.1.0.40:8227\n"
                                 "readiness = 10.1.0.40:8220\n"
--- a/tests/unit/gateway/DescriptorSharesTest.cpp
+++ b/tests/unit/gateway/DescriptorSharesTest.cpp
@@ -17,4 +17,9 @@
   }
 }
 
+TEST(DescriptorSharesTest, fewDescriptorsStillServeSomeCallers) {
+  EXPECT_GT(shareDescriptors(64).Callers, 0U);
+  EXPECT_GT(shareDescriptors(64).Runners, 0U);
+}
+
 } // namespace
