--- a/src/cowslipridge/http1/internal/ResponseWriter.cpp
+++ b/src/cowslipridge/http1/internal/ResponseWriter.cpp
@@ -7,7 +7,8 @@
 
 namespace cowslipridge::http1::internal {
 
-void ResponseWriter::begin(ResponseHead head, const RequestHead *request) {
+void ResponseWriter::begin(const ResponseHead &head,
+                           const RequestHead *request) {
   Begun = true;
   IsHeadRequest = request != nullptr && request->Method == "HEAD";
   BodyFraming = head.Body;
--- a/src/cowslipridge/http1/internal/ResponseWriter.hpp
+++ b/src/cowslipridge/http1/internal/ResponseWriter.hpp
@@ -18,7 +18,7 @@
   explicit ResponseWriter(Socket &peer) : Peer(peer) {}
 
   /// Starts a response. `request` is null if its head was not received.
-  void begin(ResponseHead head, const RequestHead *request);
+  void begin(const ResponseHead &head, const RequestHead *request);
   void send(std::string_view data);
   void end();
   /// Adds an interim response, ahead of the response.
--- a/src/cowslipridge/http1/internal/ServerConnection.cpp
+++ b/src/cowslipridge/http1/internal/ServerConnection.cpp
@@ -196,7 +196,7 @@
   if (head.Body == Framing::UntilClose || Context->CloseAfterResponses)
     KeepAlive = false;
   head.KeepAlive = KeepAlive;
-  Writer.begin(std::move(head), request);
+  Writer.begin(head, request);
   write();
 }
 
