Show what a retry budget results from, in the log, the metrics and the soak

Cause: of the hypotheses on BUDGET none could be told from another: no log names the requests, repeats and members of a budget, and the soak computed the fullest window without printing it. The check of windows is a file of its own. Conclusion: the soak needs less load and failures of whole services.

--- a/src/cowslipridge/gateway/Dispatcher.cpp
+++ b/src/cowslipridge/gateway/Dispatcher.cpp
@@ -23,6 +23,12 @@
 /// Lower bound on this gateway's share of a runner's connection limit.
 constexpr std::size_t MinConnectionsPerRunner = 4;
 
+std::string describe(const limits::RetryWindowState &state) {
+  return "requests=" + std::to_string(state.FirstAttempts) +
+         " repeats=" + std::to_string(state.Retries) +
+         " members=" + std::to_string(state.Members);
+}
+
 } // namespace
 
 Dispatcher::Dispatcher(const config::GatewaySettings &settings)
@@ -75,7 +81,9 @@
   const bool isRetry =
       kind == AttemptKind::Retry || kind == AttemptKind::Escalate;
   if (isRetry && !retries.tryAcquire(now))
-    return NoPlacement{"the retry budget is exhausted", MinRetryAfter};
+    return NoPlacement{"the retry budget is exhausted, " +
+                           describe(retries.state(now)),
+                       MinRetryAfter};
   OrderedAttempt ordered{kind, candidate->FirstToken, {}, {}};
   if (Settings.AdmissionOrder)
     ordered.Waiting = waitAt(*candidate, modelOf(request, tier));
@@ -252,6 +260,14 @@
   return retries;
 }
 
+std::map<core::ServiceId, limits::RetryWindowState>
+Dispatcher::retryBudgets(core::Millis now) {
+  std::map<core::ServiceId, limits::RetryWindowState> states;
+  for (auto &[service, window] : Budgets)
+    states.emplace(service, window.state(now));
+  return states;
+}
+
 void Dispatcher::recordServingVersions(core::Millis now) {
   std::map<core::ServiceId, std::set<core::VersionId>> versions;
   for (const auto &[id, server] : Servers.all())
--- a/src/cowslipridge/gateway/Dispatcher.hpp
+++ b/src/cowslipridge/gateway/Dispatcher.hpp
@@ -161,6 +161,9 @@
   /// by service.
   [[nodiscard]] std::map<core::ServiceId, double>
   remainingRetries(core::Millis now);
+  /// Returns what these numbers result from.
+  [[nodiscard]] std::map<core::ServiceId, limits::RetryWindowState>
+  retryBudgets(core::Millis now);
   /// Returns the sum of the evidence of this gateway and of its peers' reports.
   [[nodiscard]] rollout::RouteEvidenceTable pooledEvidence() const {
     return Evidence.pooled();
--- a/src/cowslipridge/gateway/GatewayGauges.cpp
+++ b/src/cowslipridge/gateway/GatewayGauges.cpp
@@ -65,6 +65,10 @@
   for (const auto &[service, left] :
        sources.RequestDispatcher.remainingRetries(sources.Now))
     set(GaugeName::RetryBudgetLeft, service, left);
+  for (const auto &[service, state] :
+       sources.RequestDispatcher.retryBudgets(sources.Now))
+    set(GaugeName::RetryBudgetMembers, service,
+        static_cast<double>(state.Members));
 }
 
 void GatewayGauges::updateTrials(const Dispatcher &dispatcher) {
--- a/src/cowslipridge/limits/RetryWindow.cpp
+++ b/src/cowslipridge/limits/RetryWindow.cpp
@@ -59,6 +59,12 @@
   return allowed - static_cast<double>(Retries.size());
 }
 
+RetryWindowState RetryWindow::state(core::Millis now) {
+  expire(now);
+  return {FirstAttempts.size(), Retries.size(),
+          fixedPart(now) > 0 ? Members : 0};
+}
+
 bool RetryWindow::tryAcquire(core::Millis now) {
   if (remaining(now) < 1)
     return false;
--- a/src/cowslipridge/limits/RetryWindow.hpp
+++ b/src/cowslipridge/limits/RetryWindow.hpp
@@ -16,6 +16,16 @@
   core::Millis Window{10'000};
 };
 
+/// What a member's budget results from, for logs and metrics.
+struct RetryWindowState {
+  std::size_t FirstAttempts = 0; ///< in the window
+  std::size_t Retries = 0;       ///< in the window
+  /// Members that share the fixed retries; 0 if this one has no part of them.
+  std::size_t Members = 0;
+  friend bool operator==(const RetryWindowState &,
+                         const RetryWindowState &) = default;
+};
+
 /// One member's part of the retry budget of a fleet. Members need no
 /// coordination: each member may retry the given ratio of its own requests and
 /// has an even part of the fixed retries.
@@ -38,6 +48,8 @@
 
   /// Returns how many retries are left in the window.
   [[nodiscard]] double remaining(core::Millis now);
+  /// Returns what the budget results from.
+  [[nodiscard]] RetryWindowState state(core::Millis now);
 
 private:
   /// A smaller number of members, which applies one window later.
--- a/src/cowslipridge/observe/Metrics.cpp
+++ b/src/cowslipridge/observe/Metrics.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 constexpr std::size_t CounterCount = 12;
-constexpr std::size_t GaugeCount = 19;
+constexpr std::size_t GaugeCount = 20;
 constexpr std::size_t HistogramCount = 4;
 constexpr double MillisPerSecond = 1'000;
 
@@ -67,6 +67,8 @@
         {"cowslipridge_runners_cold",
          "Runners whose load is limited because they are cold."},
         {"cowslipridge_buffered_bytes", "Bytes held for callers and runners."},
+        {"cowslipridge_retry_budget_members",
+         "Gateways that share the fixed repeats; 0: this one has no part."},
         {"cowslipridge_request_seconds",
          "Time from a request's arrival to the end of its answer."},
         {"cowslipridge_first_token_seconds",
--- a/src/cowslipridge/observe/Metrics.hpp
+++ b/src/cowslipridge/observe/Metrics.hpp
@@ -48,6 +48,7 @@
   DomainsEvacuated,    ///< failure domains whose runners get nothing new
   RunnersCold,         ///< runners whose load is limited as they are cold
   BufferedBytes,       ///< bytes held for callers and runners
+  RetryBudgetMembers,  ///< gateways that share the fixed retries; 0: no part
 };
 
 /// Histograms of durations.
--- a/tests/soak/Fleet.cpp
+++ b/tests/soak/Fleet.cpp
@@ -203,24 +203,63 @@
             pause(*Runners.at(it.Runner), it.For);
           },
           [this](const RunnerDeviation &it) { deviate(it); },
+          [this](const ServicePause &it) {
+            forEachRunner(it.Streams, [&](std::size_t n) {
+              pause(*Runners.at(n), it.For);
+            });
+          },
+          [this](const ServiceDeviation &it) {
+            forEachRunner(it.Streams, [&](std::size_t n) {
+              deviate({n, it.What, 1, it.For});
+            });
+          },
           [this](const LinkFault &it) { apply(it); },
           [this](const StoreFault &it) { apply(it); }},
       fault);
 }
 
-std::string Fleet::subjectOf(const Fault &fault) const {
+std::vector<std::string> Fleet::subjectsOf(const Fault &fault) const {
+  using Names = std::vector<std::string>;
+  const auto runnersOf = [this](bool streams) {
+    Names names;
+    for (std::size_t n = 0; n < Runners.size(); ++n) {
+      if (Places.Runners.at(n).Streams == streams)
+        names.push_back(Runners.at(n)->Name);
+    }
+    return names;
+  };
   return std::visit(
       core::Overloaded{
-          [this](const GatewayKill &it) { return Gateways[it.Gateway]->Name; },
-          [this](const GatewayStop &it) { return Gateways[it.Gateway]->Name; },
-          [this](const GatewayPause &it) { return Gateways[it.Gateway]->Name; },
-          [this](const CallerCrowd &it) { return Gateways[it.Gateway]->Name; },
-          [this](const LinkFault &it) { return Places.Links[it.Link].Owner; },
-          [](const StoreFault &) { return std::string(); },
-          [this](const auto &it) { return Runners[it.Runner]->Name; }},
+          [this](const GatewayKill &it) {
+            return Names{Gateways[it.Gateway]->Name};
+          },
+          [this](const GatewayStop &it) {
+            return Names{Gateways[it.Gateway]->Name};
+          },
+          [this](const GatewayPause &it) {
+            return Names{Gateways[it.Gateway]->Name};
+          },
+          [this](const CallerCrowd &it) {
+            return Names{Gateways[it.Gateway]->Name};
+          },
+          [this](const LinkFault &it) {
+            return Names{Places.Links[it.Link].Owner};
+          },
+          [](const StoreFault &) { return Names{}; },
+          [&](const ServicePause &it) { return runnersOf(it.Streams); },
+          [&](const ServiceDeviation &it) { return runnersOf(it.Streams); },
+          [this](const auto &it) { return Names{Runners[it.Runner]->Name}; }},
       fault);
 }
 
+void Fleet::forEachRunner(bool streams,
+                          const std::function<void(std::size_t)> &action) {
+  for (std::size_t n = 0; n < Runners.size(); ++n) {
+    if (Places.Runners.at(n).Streams == streams)
+      action(n);
+  }
+}
+
 void Fleet::kill(Member &member, core::Millis down,
                  std::function<void()> restart) {
   if (std::exchange(member.IsDown, true))
--- a/tests/soak/Fleet.hpp
+++ b/tests/soak/Fleet.hpp
@@ -40,9 +40,9 @@
   void publishConfiguration();
   /// Begins the fault and schedules its end.
   void apply(const Fault &fault);
-  /// Returns the name of the gateway or the runner that the fault strikes;
-  /// empty for a fault of the store.
-  [[nodiscard]] std::string subjectOf(const Fault &fault) const;
+  /// Returns the names of the gateways or runners that the fault strikes; none
+  /// for a fault of the store.
+  [[nodiscard]] std::vector<std::string> subjectsOf(const Fault &fault) const;
   /// Records gateways that ended by themselves and the memory of the others.
   void watch(History &history);
   /// Ends all processes and adds what the runners wrote to the history.
@@ -59,6 +59,8 @@
   std::string settingsOf(const GatewayPlace &place) const;
   [[nodiscard]] std::string path(const std::string &name) const;
   void later(core::Millis wait, std::function<void()> action);
+  void forEachRunner(bool streams,
+                     const std::function<void(std::size_t)> &action);
   void kill(Member &member, core::Millis down, std::function<void()> restart);
   void pause(Member &member, core::Millis length);
   void stopGateway(std::size_t n, core::Millis down);
--- a/tests/soak/Plan.cpp
+++ b/tests/soak/Plan.cpp
@@ -15,6 +15,7 @@
 constexpr std::int64_t MinFaultMs = 300;
 constexpr std::int64_t MaxFaultMs = 4'500;
 constexpr unsigned MaxDeviationEvery = 8;
+constexpr std::int64_t MaxServiceFaultMs = 15'000;
 
 constexpr std::array MoreDeviations = {Deviation::CopiedRefusal,
                                        Deviation::WrongId};
@@ -57,7 +58,22 @@
   return fault;
 }
 
+Fault drawServiceFault(Draw &draw) {
+  constexpr std::array Kinds = {Deviation::StatedRefusal,
+                                Deviation::UnstatedRefusal, Deviation::Failure,
+                                Deviation::LostAnswer};
+  const bool streams = draw.below(2) == 0;
+  const core::Millis length(static_cast<std::int64_t>(
+      draw.below(static_cast<std::uint64_t>(MaxServiceFaultMs))));
+  if (draw.below(2) == 0)
+    return ServicePause{streams, length};
+  return ServiceDeviation{streams, Kinds.at(draw.below(Kinds.size())), length};
+}
+
 Fault drawFault(Draw &draw, const PlanSettings &settings) {
+  constexpr std::uint64_t ServiceFaultOneIn = 6;
+  if (settings.ServiceFaults && draw.below(ServiceFaultOneIn) == 0)
+    return drawServiceFault(draw);
   constexpr std::uint64_t Kinds = 10;
   constexpr std::uint64_t MoreKinds = 3;
   switch (draw.below(settings.CrowdKinds != 0 ? Kinds + MoreKinds : Kinds)) {
@@ -91,6 +107,10 @@
   }
 }
 
+std::string nameOfService(bool streams) {
+  return streams ? "the streams" : "the plain service";
+}
+
 std::string lasting(core::Millis length) {
   return " for " + std::to_string(length.count()) + " ms";
 }
@@ -150,6 +170,14 @@
             return numbered("crowd of kind", it.Kind) + " at" +
                    numbered(" gateway", it.Gateway) + lasting(it.For);
           },
+          [](const ServicePause &it) {
+            return "pause all runners of " + nameOfService(it.Streams) +
+                   lasting(it.For);
+          },
+          [](const ServiceDeviation &it) {
+            return "all runners of " + nameOfService(it.Streams) + ": " +
+                   std::string(toString(it.What)) + lasting(it.For);
+          },
           [](const RunnerPause &it) {
             return numbered("pause runner", it.Runner) + lasting(it.For);
           },
--- a/tests/soak/Plan.hpp
+++ b/tests/soak/Plan.hpp
@@ -72,9 +72,23 @@
   core::Millis For;
 };
 
-using Fault = std::variant<GatewayKill, GatewayStop, GatewayPause, RunnerKill,
-                           RunnerPause, RunnerReplacement, RunnerDeviation,
-                           LinkFault, StoreFault, CallerCrowd>;
+/// All runners of the service with streams, or of the other one, deviate.
+struct ServiceDeviation {
+  bool Streams = false;
+  standins::platform::Deviation What =
+      standins::platform::Deviation::StatedRefusal;
+  core::Millis For;
+};
+/// All runners of a service stand still.
+struct ServicePause {
+  bool Streams = false;
+  core::Millis For;
+};
+
+using Fault =
+    std::variant<GatewayKill, GatewayStop, GatewayPause, RunnerKill,
+                 RunnerPause, RunnerReplacement, RunnerDeviation, LinkFault,
+                 StoreFault, CallerCrowd, ServiceDeviation, ServicePause>;
 
 /// A fault and the time since the start of the run at which it begins.
 struct PlannedFault {
@@ -93,6 +107,9 @@
   /// Number of kinds of crowds; 0: the plan has neither crowds, nor copied
   /// refusals, nor runners that take over an address.
   std::size_t CrowdKinds = 0;
+  /// Faults of whole services, which last longer than the others, are part of
+  /// the plan.
+  bool ServiceFaults = false;
 };
 
 /// Returns the faults in the order of their times. The same settings give the
--- a/tests/soak/Promises.cpp
+++ b/tests/soak/Promises.cpp
@@ -1,6 +1,7 @@
 #include "soak/Promises.hpp"
 
 #include "soak/Deadlines.hpp"
+#include "soak/RetryBudgets.hpp"
 
 #include <algorithm>
 #include <map>
@@ -18,8 +19,6 @@
 constexpr std::size_t ExcusedExtraRunners = 3;
 /// Time for which a runner may work on a stream that went on at another one.
 constexpr core::Millis MaxOverlap{400};
-/// Step in which the windows of the retry budget are moved.
-constexpr core::Millis WindowStep{100};
 /// Share of the requests after the faults that must be served.
 constexpr double MinServedShare = 0.9;
 
@@ -48,16 +47,15 @@
   std::vector<Violation> check() {
     for (const CallerAttempt &it : Seen.Attempts)
       LastAttempts.insert_or_assign(it.Id, &it);
-    for (const CallerAttempt &it : Seen.Attempts) {
-      ++AttemptCounts[it.Id];
+    for (const CallerAttempt &it : Seen.Attempts)
       checkAttempt(it);
-    }
     for (const Violation &it : findLongDeadlines(Seen))
       Found.push_back(it);
     if (TooManyRunners.size() > ExcusedExtraRunners)
       Found.insert(Found.end(), TooManyRunners.begin(), TooManyRunners.end());
     checkOverlappingRuns();
-    checkRetryBudgets();
+    for (const Violation &it : findExceededBudgets(Seen, Limits))
+      Found.push_back(it);
     checkProcesses();
     checkRecovery();
     std::ranges::stable_sort(Found, {}, &Violation::At);
@@ -88,8 +86,8 @@
     if (attempt.Answer == AnswerState::Wrong)
       add(attempt.Kind == RequestKind::Stream ? "ORDER" : "MIXED",
           attempt.EndedAt, what + ": " + attempt.Problem);
-    if (isLast &&
-        runs.Runners.size() > Limits.MaxAttempts * AttemptCounts[attempt.Id])
+    // All requests with one id are one request.
+    if (isLast && runs.Runners.size() > Limits.MaxAttempts)
       TooManyRunners.push_back(
           {"BUDGET", runs.LastAt,
            what + " on " + std::to_string(runs.Runners.size()) + " runners"});
@@ -149,74 +147,6 @@
             before.Runner + " worked on it");
   }
 
-  /// Times of the requests of a service and of their arrivals beyond the first,
-  /// both in order.
-  struct Traffic {
-    std::vector<core::Millis> Requests;
-    std::vector<core::Millis> Repeats;
-  };
-
-  static std::size_t countBetween(const std::vector<core::Millis> &times,
-                                  core::Millis begin, core::Millis end) {
-    return static_cast<std::size_t>(std::ranges::lower_bound(times, end) -
-                                    std::ranges::lower_bound(times, begin));
-  }
-
-  [[nodiscard]] std::map<std::string, Traffic> trafficByService() const {
-    std::map<std::string, Traffic> traffic;
-    for (const CallerAttempt &it : Seen.Attempts)
-      traffic[it.Service].Requests.push_back(it.SentAt);
-    std::vector<RunnerStep> arrivals;
-    std::ranges::copy_if(
-        Seen.Steps, std::back_inserter(arrivals),
-        [](const auto &it) { return it.Step == RequestStep::Arrived; });
-    std::ranges::stable_sort(arrivals, {}, &RunnerStep::At);
-    std::unordered_map<std::string, std::size_t> arrived;
-    for (const RunnerStep &it : arrivals) {
-      const auto sent = AttemptCounts.find(it.Id);
-      // The requests of a crowd share an id.
-      if (sent != AttemptCounts.end() && ++arrived[it.Id] > sent->second)
-        traffic[it.Service].Repeats.push_back(it.At);
-    }
-    for (auto &[service, it] : traffic)
-      std::ranges::sort(it.Requests);
-    return traffic;
-  }
-
-  void checkRetryBudgets() {
-    for (const auto &[service, it] : trafficByService())
-      checkRetryBudget(service, it);
-  }
-
-  // The requests are those of the window, of the one before it or of the one
-  // half a window before it, whichever has most.
-  void checkRetryBudget(const std::string &service, const Traffic &traffic) {
-    if (traffic.Requests.empty())
-      return;
-    const core::Millis window = Limits.RetryWindow;
-    for (core::Millis at = traffic.Requests.front();
-         at < traffic.Requests.back(); at = at + WindowStep) {
-      const auto requestsFrom = [&](core::Millis begin) {
-        return countBetween(traffic.Requests, begin, begin + window);
-      };
-      const std::size_t requests =
-          std::max({requestsFrom(at), requestsFrom(at - window / 2),
-                    requestsFrom(at - window)});
-      const std::size_t repeats =
-          countBetween(traffic.Repeats, at, at + window);
-      const double allowed = Limits.RetryRatio * static_cast<double>(requests) +
-                             Limits.RetryAllowance;
-      WorstBudgetShare =
-          std::max(WorstBudgetShare, static_cast<double>(repeats) / allowed);
-      if (static_cast<double>(repeats) <= allowed)
-        continue;
-      add("BUDGET", at,
-          service + " got " + std::to_string(repeats) +
-              " repeats in a window, allowed " + std::to_string(allowed));
-      return;
-    }
-  }
-
   void checkProcesses() {
     for (const UnexpectedEnd &it : Seen.Ends)
       add("ENDED", it.At,
@@ -247,10 +177,8 @@
   const PromiseLimits &Limits;
   std::unordered_map<std::string, Runs> RunsById;
   std::unordered_map<std::string, const CallerAttempt *> LastAttempts;
-  std::unordered_map<std::string, std::size_t> AttemptCounts; ///< by id
   std::vector<Violation> TooManyRunners;
   std::vector<Violation> Found;
-  double WorstBudgetShare = 0;
 };
 
 } // namespace
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,5 +1,6 @@
 #include "soak/Fleet.hpp"
 #include "soak/Promises.hpp"
+#include "soak/RetryBudgets.hpp"
 #include "soak/Roles.hpp"
 #include "soak/platform/Callers.hpp"
 #include "soak/platform/Crowds.hpp"
@@ -22,11 +23,14 @@
 DEFINE_uint64(gateways, 3, "number of gateways");
 DEFINE_uint64(runners, 3, "number of runners of each of the two services");
 DEFINE_uint64(callers, 6, "number of callers of each gateway");
+DEFINE_uint64(pause, 60, "longest pause of a caller between requests in ms");
 DEFINE_uint64(fault_gap, 700, "mean time between two faults in ms");
 DEFINE_bool(alike, false, "all requests of a kind ask for the same");
 DEFINE_bool(crowds, true,
             "callers that misbehave, copied refusals and runners that take "
             "over an address are part of the run");
+DEFINE_bool(service_faults, false,
+            "all runners of a service deviate or stand still at once");
 DEFINE_int64(memory_limit, cowslipridge::soak::GatewayMemoryKiB,
              "of a gateway, in KiB; 0: not checked");
 DEFINE_string(gateway, "", "path of the program cowslipridge-gateway");
@@ -100,8 +104,9 @@
                   {std::filesystem::read_symlink("/proc/self/exe").string(),
                    FLAGS_gateway, Folder}),
         Load(Loop, Clock, Places,
-             {FLAGS_callers, core::Millis(60), FLAGS_seed, FLAGS_alike,
-              FLAGS_crowds},
+             {FLAGS_callers,
+              core::Millis(static_cast<std::int64_t>(FLAGS_pause)), FLAGS_seed,
+              FLAGS_alike, FLAGS_crowds},
              Seen) {
     Limits.MemoryKiB = FLAGS_memory_limit;
   }
@@ -146,6 +151,7 @@
     settings.Gateways = Places.Gateways.size();
     settings.Runners = Places.Runners.size();
     settings.Links = Places.Links.size();
+    settings.ServiceFaults = FLAGS_service_faults;
     settings.CrowdKinds = FLAGS_crowds ? countCrowdKinds() : 0;
     Origin = Clock.monotonic();
     Seen.FaultsEndedAt = Origin;
@@ -154,9 +160,10 @@
       std::cout << sinceOrigin(Clock.monotonic()) << describe(it.What)
                 << std::endl;
       Processes.apply(it.What);
-      Seen.Faults.push_back({Clock.monotonic(),
-                             Clock.monotonic() + lengthOf(it.What),
-                             Processes.subjectOf(it.What)});
+      ++FaultCount;
+      for (const std::string &subject : Processes.subjectsOf(it.What))
+        Seen.Faults.push_back({Clock.monotonic(),
+                               Clock.monotonic() + lengthOf(it.What), subject});
       Seen.FaultsEndedAt =
           std::max(Seen.FaultsEndedAt, Clock.monotonic() + lengthOf(it.What));
     }
@@ -179,14 +186,19 @@
     for (const CallerAttempt &it : Seen.Attempts)
       served += it.Status == 200 && it.Answer == AnswerState::Whole ? 1 : 0;
     std::cout << "seed " << FLAGS_seed << ": " << Seen.Attempts.size()
-              << " requests, " << served << " served, " << Seen.Faults.size()
+              << " requests, " << served << " served, " << FaultCount
               << " faults, memory";
     for (const MemoryPeak &it : Seen.Memory)
       std::cout << " " << it.KiB;
     std::cout << " KiB, " << violations.size() << " violations";
     for (const auto &[rule, count] : byRule)
       std::cout << ", " << rule << " " << count;
-    std::cout << std::endl;
+    std::cout << "\n";
+    for (const FullestWindow &it : fullestWindows(Seen, Limits))
+      std::cout << it.Service << ": at most " << it.Repeats << " repeats of "
+                << it.Allowed << " allowed in a window, " << it.Requests
+                << " requests\n";
+    std::cout << std::flush;
     return violations.empty() ? 0 : 1;
   }
 
@@ -201,6 +213,7 @@
   Fleet Processes;
   Callers Load;
   core::Millis Origin;
+  std::size_t FaultCount = 0;
 };
 
 } // namespace
