Let requests with one id share the attempts of one request

Cause: a gateway knew requests only while they were in progress. An id that came again counted as a new request: its arrival at a runner, which the rule counts as a repeat, was charged to no budget, and it added to the ratio. A request whose id is known goes on where the earlier ones ended: attempts add up, each new one draws on the retry budget, and an unsafe request that may have run is answered with 502, since 503 would promise that it didn't. Event 410 names them. That the users' cases are these isn't shown.

--- a/src/cowslipridge/gateway/Gateway.cpp
+++ b/src/cowslipridge/gateway/Gateway.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/ip/address.hpp>
 
+#include <random>
 #include <utility>
 
 namespace cowslipridge::gateway {
@@ -79,18 +80,20 @@
     : Loop(loop), Clock(clock), Settings(settings), Translation(translator),
       Control(control), Log(log), Metrics(metrics), RequestDispatcher(settings),
       Descriptors(shareDescriptors(settings.Descriptors.value_or(MaxFiles))),
+      Recent(std::random_device()()),
       Runners(loop, clock, runnerLimits(Descriptors.Runners)),
       Buffers(settings.Memory / BufferShareDivisor * BufferShareFactor),
-      Flows{loop,
-            clock,
-            translator,
-            RequestDispatcher,
-            Runners,
-            log,
-            metrics,
-            Buffers,
-            [this] { Relief.schedule(); },
-            {}},
+      Flows{.Loop = loop,
+            .Clock = clock,
+            .Translation = translator,
+            .Policy = RequestDispatcher,
+            .Runners = Runners,
+            .Log = log,
+            .Counts = metrics,
+            .Buffers = Buffers,
+            .Recent = Recent,
+            .OnBuffersExceeded = [this] { Relief.schedule(); },
+            .Active = {}},
       Relief(Flows,
              [this](std::size_t minBytes) {
                return Callers.endLargest(minBytes);
--- a/src/cowslipridge/gateway/Gateway.hpp
+++ b/src/cowslipridge/gateway/Gateway.hpp
@@ -12,6 +12,7 @@
 #include "cowslipridge/gateway/GatewayGauges.hpp"
 #include "cowslipridge/gateway/PeerExchange.hpp"
 #include "cowslipridge/gateway/PeerSnapshots.hpp"
+#include "cowslipridge/gateway/RecentRequests.hpp"
 #include "cowslipridge/gateway/RequestFlow.hpp"
 #include "cowslipridge/gateway/StartupQueue.hpp"
 #include "cowslipridge/gateway/Translator.hpp"
@@ -99,6 +100,8 @@
   /// rejection.
   [[nodiscard]] std::variant<RequestContext, ErrorReply>
   resolve(const CallerRequest &caller, core::Millis begunAt) const;
+  /// Returns the attempts of earlier requests with the same id.
+  EarlierAttempts recordArrival(const RequestContext &request);
   void reportRefusal(const core::RequestId &request, const ErrorReply &refusal);
   void reject(http1::Exchange &exchange, const core::RequestId &request,
               const ErrorReply &refusal);
@@ -136,6 +139,7 @@
   observe::Metrics &Metrics;
   Dispatcher RequestDispatcher;
   const DescriptorShares Descriptors;
+  RecentRequests Recent;
   http1::Client Runners;
   const http1::BufferBudget Buffers;
   FlowContext Flows;
--- a/src/cowslipridge/gateway/GatewayRequests.cpp
+++ b/src/cowslipridge/gateway/GatewayRequests.cpp
@@ -68,6 +68,7 @@
       core::Overloaded{
           [&](const ErrorReply &it) { reject(*exchange, caller.Id, it); },
           [&](RequestContext &it) {
+            it.Earlier = recordArrival(it);
             it.Caller.Content =
                 contentDigest(it, exchange->head(), exchange->body());
             std::make_shared<RequestFlow>(Flows, exchange, std::move(it))
@@ -76,6 +77,22 @@
       resolved);
 }
 
+EarlierAttempts Gateway::recordArrival(const RequestContext &request) {
+  if (request.Caller.Id.empty())
+    return {};
+  const auto earlier = Recent.begin(request.key(), Clock.monotonic());
+  if (!earlier)
+    return {};
+  Log.report(EventNumber::RequestIdRepeated,
+             {.Request = request.Caller.Id,
+              .Version = {},
+              .Cause = {},
+              .Detail = "route=" + request.Route->Name +
+                        " attempts=" + std::to_string(earlier->Made) +
+                        (earlier->MayHaveRun ? " may-have-run" : " not-run")});
+  return *earlier;
+}
+
 std::variant<RequestContext, ErrorReply>
 Gateway::resolve(const CallerRequest &caller, core::Millis begunAt) const {
   if (!hasConfiguration())
--- a/src/cowslipridge/gateway/Placement.hpp
+++ b/src/cowslipridge/gateway/Placement.hpp
@@ -2,6 +2,7 @@
 
 #include "cowslipridge/catalogue/CatalogueIndex.hpp"
 #include "cowslipridge/gateway/CallerRequest.hpp"
+#include "cowslipridge/gateway/RecentRequests.hpp"
 #include "cowslipridge/limits/RunnerBackoff.hpp"
 #include "cowslipridge/limits/RunnerRateLimits.hpp"
 #include "cowslipridge/route/ModelCascade.hpp"
@@ -22,6 +23,14 @@
   const catalogue::Organisation *Organisation = nullptr; ///< null if public
   core::Millis ArrivedAt;
   core::Millis Deadline; ///< monotonic; the caller needs the response by then
+  /// Of earlier requests with the same id.
+  EarlierAttempts Earlier = {};
+
+  [[nodiscard]] RequestKey key() const {
+    return {Organisation == nullptr ? core::OrganisationId()
+                                    : Organisation->Name,
+            Caller.Id};
+  }
 };
 
 /// Index into the route's models; none when the caller named the model.
@@ -39,7 +48,7 @@
 
 /// How an attempt counts against the retry budget.
 enum class AttemptKind {
-  First,    ///< the first attempt of the request
+  First,    ///< the first attempt of a request
   Failover, ///< no earlier one arrived at a runner; not charged to the budget
   Retry,    ///< a runner may have the request; charged to the budget
   Escalate, ///< to a larger model on low confidence; charged to the budget
--- a/src/cowslipridge/gateway/RequestFlow.cpp
+++ b/src/cowslipridge/gateway/RequestFlow.cpp
@@ -255,6 +255,13 @@
     armTimer();
     return;
   }
+  if (!std::exchange(IsFinished, true))
+    finish();
+}
+
+void RequestFlow::finish() {
+  if (!Machine.request().Caller.Id.empty())
+    Context.Recent.end(Machine.request().key(), Machine.attempts(), now());
   HeldBytes.resize(0);
   Context.Active.erase(weak_from_this());
   cancelAttempt();
--- a/src/cowslipridge/gateway/RequestFlow.hpp
+++ b/src/cowslipridge/gateway/RequestFlow.hpp
@@ -29,6 +29,7 @@
   observe::EventLog &Log;
   observe::Metrics &Counts;
   const http1::BufferBudget &Buffers;
+  RecentRequests &Recent;
   /// Called when the budget of the buffers is exceeded.
   std::function<void()> OnBuffersExceeded;
   /// Requests in progress.
@@ -89,6 +90,8 @@
   void reportRouted(const Placement &placement, core::Millis remaining);
   void armTimer();
   void afterEvent();
+  /// Handles the end of the request, once.
+  void finish();
   void report(observe::EventNumber number, const std::string &detail);
   void count(const char *outcome);
   /// Tells the budget how many bytes this request holds now.
@@ -110,6 +113,7 @@
   std::shared_ptr<Attempt> Current;
   std::shared_ptr<http1::Call> Call;
   bool Paused = false;
+  bool IsFinished = false;
   std::optional<core::Millis> FirstByteAt;
   std::optional<core::Millis> HeadAt;   ///< of the current attempt's response
   http1::BufferBudget::Share HeldBytes; ///< without what the exchange holds
--- a/src/cowslipridge/gateway/RequestStateMachine.cpp
+++ b/src/cowslipridge/gateway/RequestStateMachine.cpp
@@ -21,9 +21,22 @@
                                          PlacementPolicy &policy,
                                          RequestActions &actions)
     : Request(std::move(request)), Policy(policy), Actions(actions),
+      AttemptsMade(Request.Earlier.Made),
+      HasArrived(Request.Earlier.HasArrived),
+      MayHaveRun(Request.Earlier.MayHaveRun),
       LastEventId(Request.Caller.LastEventId) {}
 
+EarlierAttempts RequestStateMachine::attempts() const {
+  return {HasArrived || AttemptsMade > 0, MayHaveRun,
+          MayHaveRun ? AttemptsMade : 0};
+}
+
 void RequestStateMachine::start(core::Millis now) {
+  if (HasArrived && !canRetry()) {
+    giveUp("earlier requests with this id have used its attempts up",
+           MinRetryAfter);
+    return;
+  }
   Tier = Policy.firstTier(Request, now);
   startNextAttempt("first", now);
 }
@@ -44,8 +57,8 @@
     giveUp(reason + ", too close to the deadline", MinRetryAfter);
     return;
   }
-  const bool isFirst = AttemptsMade == 0 && UnsentAttempts == 0;
   const bool isRetry = AttemptsMade > 0 || HasArrived;
+  const bool isFirst = !isRetry && UnsentAttempts == 0;
   const AttemptKind kind = isFirst   ? AttemptKind::First
                            : isRetry ? AttemptKind::Retry
                                      : AttemptKind::Failover;
@@ -137,8 +150,7 @@
 void RequestStateMachine::onCallerDisconnected(core::Millis now) {
   if (State == Phase::Done)
     return;
-  Actions.cancelAttempt();
-  endAttempt(AttemptOutcome::Cancelled, now);
+  stopAttempt(AttemptOutcome::Cancelled, now);
   finish();
 }
 
--- a/src/cowslipridge/gateway/RequestStateMachine.hpp
+++ b/src/cowslipridge/gateway/RequestStateMachine.hpp
@@ -70,6 +70,8 @@
 /// Guarantees:
 /// - A request that is not safe to retry is sent to another runner only when it
 ///   is certain that the previous one did not execute it.
+/// - A caller that sends an id again continues its request: attempts and what
+///   may have run add up.
 /// - The gateway itself responds with 503 only if no runner executed the
 ///   request.
 /// - No event of a stream is lost, duplicated or joined from parts of two
@@ -110,6 +112,8 @@
   [[nodiscard]] const RequestContext &request() const { return Request; }
   /// Returns the confidence that the answering model reported.
   [[nodiscard]] std::optional<int> confidence() const { return Confidence; }
+  /// Returns the attempts of this request and of those before it with its id.
+  [[nodiscard]] EarlierAttempts attempts() const;
   /// Returns the number of stream events that were forwarded.
   [[nodiscard]] std::size_t eventsForwarded() const { return EventsForwarded; }
 
--- a/src/cowslipridge/observe/EventCatalogue.cpp
+++ b/src/cowslipridge/observe/EventCatalogue.cpp
@@ -127,6 +127,8 @@
     CatalogueEntry{RefusalUnstated, Warning, "refusal-unstated",
                    "A runner refused a request without stating that it did not "
                    "run."},
+    CatalogueEntry{RequestIdRepeated, Warning, "request-id-repeated",
+                   "A caller sent the id of an earlier request again."},
     CatalogueEntry{RunStarted, Info, "run-started",
                    "The runner was given a request."},
     CatalogueEntry{RunEnded, Info, "run-ended", "The runner's answer ended."},
--- a/src/cowslipridge/observe/EventCatalogue.hpp
+++ b/src/cowslipridge/observe/EventCatalogue.hpp
@@ -61,6 +61,7 @@
   RequestKept = 407,
   RequestWaits = 408,
   RefusalUnstated = 409,
+  RequestIdRepeated = 410,
 
   RunStarted = 500,
   RunEnded = 501,
