Give a gateway fixed retries only while its registration is certain

Callers saw: nothing directly; the fleet repeated more than its budget allows while gateways were cut off. Cause: the parts of the fixed retries add up to the whole only if all gateways divide by the same members. One that is cut off from the store and from its peers keeps its part, and takes the whole once it no longer knows of the others; those that see its registration end divide by one less. Change: a part of the fixed retries goes with the registration. Its lease runs from the arrival of the call that renewed it; the gateway counts from when the call was sent, so that it gives its part up before the store removes it, and the others take it a window later. A registration that began anew has no part for a window; one that was renewed all along has it at once. Events 330 and 331. A real gateway whose store does not respond has no part until it does (GatewayTest.partOfTheFixedRetriesEndsWithTheRegistration). Conclusion: the price is that no gateway has fixed retries while the store is away for over 4 s; those in proportion to its requests stay.

--- a/src/cowslipridge/gateway/ControlPlane.hpp
+++ b/src/cowslipridge/gateway/ControlPlane.hpp
@@ -3,6 +3,7 @@
 #include "cowslipridge/catalogue/CatalogueIndex.hpp"
 #include "cowslipridge/core/Clock.hpp"
 #include "cowslipridge/core/Ids.hpp"
+#include "cowslipridge/limits/RetryWindow.hpp"
 #include "cowslipridge/limits/TraitQuarantine.hpp"
 #include "cowslipridge/membership/BackendServer.hpp"
 #include "cowslipridge/rollout/RolloutCommand.hpp"
@@ -89,6 +90,10 @@
 struct PeerRemoved {
   core::InstanceId Name;
 };
+/// This gateway was registered, its registration was renewed, or it has ended.
+struct RegistrationChanged {
+  limits::Registration Current;
+};
 /// A gateway has quarantined a trait of requests.
 struct QuarantineReported {
   limits::QuarantinedTrait Quarantined;
@@ -107,9 +112,9 @@
                  ServerChanged, ServerRemoved, ServersListed, EvacuationChanged,
                  EvacuationWithdrawn, EvacuationsListed, RolloutCommandChanged,
                  RolloutWithdrawn, RolloutStatusChanged, RolloutProgressChanged,
-                 RolloutsListed, PeerChanged, PeerRemoved, QuarantineReported,
-                 ControlPlaneUnavailable, ControlPlaneAvailable,
-                 ControlPlaneRestored>;
+                 RolloutsListed, PeerChanged, PeerRemoved, RegistrationChanged,
+                 QuarantineReported, ControlPlaneUnavailable,
+                 ControlPlaneAvailable, ControlPlaneRestored>;
 
 /// Interface to the store that operators and runners write to.
 class ControlPlane {
--- a/src/cowslipridge/gateway/Dispatcher.cpp
+++ b/src/cowslipridge/gateway/Dispatcher.cpp
@@ -214,7 +214,7 @@
     return known->second;
   limits::RetryWindow window({Settings.Retries.PerRequest,
                               Settings.Retries.Fixed, Settings.Retries.Window},
-                             StartedAt);
+                             Registered);
   window.setMembers(Gateways);
   return Budgets.emplace(service, std::move(window)).first->second;
 }
@@ -235,6 +235,12 @@
     window.setMembers(Gateways);
 }
 
+void Dispatcher::setRegistration(const limits::Registration &registration) {
+  Registered = registration;
+  for (auto &[service, window] : Budgets)
+    window.setRegistration(registration);
+}
+
 std::size_t Dispatcher::ejected(core::Millis now) const {
   const auto &all = Servers.all();
   return static_cast<std::size_t>(
--- a/src/cowslipridge/gateway/Dispatcher.hpp
+++ b/src/cowslipridge/gateway/Dispatcher.hpp
@@ -105,8 +105,9 @@
   [[nodiscard]] const rollout::TrialControl &trials() const { return Trials; }
   /// Handles the entry of a runner, new or changed.
   void onServerEntry(const membership::BackendServer &server, core::Millis now);
-  /// Handles the start of the process: what an earlier one sent is unknown.
-  void onStarted(core::Millis now) { StartedAt = now; }
+  /// Sets the time in which this gateway is registered for certain. Not called:
+  /// it is the only one.
+  void setRegistration(const limits::Registration &registration);
   /// Handles the first listing of a gateway that has just started beside
   /// others: it does not know which runners were out of reach.
   void onStartedBesidePeers(core::Millis now);
@@ -262,7 +263,7 @@
   EscalationPolicy Escalations;
   AdmissionOrder Order;
   std::map<core::ServiceId, limits::RetryWindow> Budgets;
-  std::optional<core::Millis> StartedAt;
+  std::optional<limits::Registration> Registered;
   std::unordered_map<std::uint64_t, ActiveAttempt> ActiveAttempts;
   std::vector<PromptPlacement> NewPrompts; ///< not yet reported to peers
   rollout::VersionEvidence Evidence;
--- a/src/cowslipridge/gateway/Gateway.cpp
+++ b/src/cowslipridge/gateway/Gateway.cpp
@@ -174,7 +174,7 @@
           Snapshots.fetch({sender.address(), sender.port()});
       });
   StartedAt = Clock.monotonic();
-  RequestDispatcher.onStarted(StartedAt);
+  RequestDispatcher.setRegistration({StartedAt, StartedAt});
   Control.start(
       self, [this](const ControlEvent &it) { onControl(it); },
       [this] { onSynced(); });
--- a/src/cowslipridge/gateway/Gateway.hpp
+++ b/src/cowslipridge/gateway/Gateway.hpp
@@ -62,6 +62,7 @@
   void on(const RolloutsListed &event);
   void on(const PeerChanged &event);
   void on(const PeerRemoved &event);
+  void on(const RegistrationChanged &event);
   void on(const QuarantineReported &event);
   void on(const ControlPlaneUnavailable &event);
   void on(const ControlPlaneAvailable &event);
@@ -156,6 +157,7 @@
   core::PauseDetector Pauses;
   core::Millis StartedAt;
   core::Millis SyncedAt;
+  bool IsRegistered = false;
   bool Synced = false;
   bool ReadyReported = false;
   DrainPolicy Drain;
--- a/src/cowslipridge/gateway/GatewayControl.cpp
+++ b/src/cowslipridge/gateway/GatewayControl.cpp
@@ -2,6 +2,7 @@
 #include "cowslipridge/gateway/Gateway.hpp"
 
 #include <string>
+#include <utility>
 
 // The events of the control plane.
 namespace cowslipridge::gateway {
@@ -140,6 +141,16 @@
   report(EventNumber::PeerRemoved, "peer=" + event.Name.str());
 }
 
+void Gateway::on(const RegistrationChanged &event) {
+  RequestDispatcher.setRegistration(event.Current);
+  const bool isRegistered = event.Current.Until > Clock.monotonic();
+  if (std::exchange(IsRegistered, isRegistered) == isRegistered)
+    return;
+  report(isRegistered ? EventNumber::RegistrationConfirmed
+                      : EventNumber::RegistrationLost,
+         {});
+}
+
 void Gateway::on(const QuarantineReported &event) {
   RequestDispatcher.crashes().adopt(event.Quarantined, Clock.monotonic());
 }
--- a/src/cowslipridge/limits/RetryWindow.cpp
+++ b/src/cowslipridge/limits/RetryWindow.cpp
@@ -13,8 +13,8 @@
 } // namespace
 
 RetryWindow::RetryWindow(RetryWindowSettings settings,
-                         std::optional<core::Millis> startedAt)
-    : Settings(settings), StartedAt(startedAt) {}
+                         std::optional<Registration> registration)
+    : Settings(settings), Registered(registration) {}
 
 void RetryWindow::setMembers(std::size_t members) {
   members = std::max<std::size_t>(1, members);
@@ -40,7 +40,10 @@
 }
 
 double RetryWindow::fixedPart(core::Millis now) const {
-  if (StartedAt && now - *StartedAt < Settings.Window)
+  const bool isShared =
+      !Registered ||
+      (now - Registered->Since >= Settings.Window && now < Registered->Until);
+  if (!isShared)
     return 0;
   return Settings.FixedRetries / static_cast<double>(Members);
 }
--- a/src/cowslipridge/limits/RetryWindow.hpp
+++ b/src/cowslipridge/limits/RetryWindow.hpp
@@ -16,6 +16,13 @@
   core::Millis Window{10'000};
 };
 
+/// The time in which a member is certain that the fleet knows of it.
+struct Registration {
+  core::Millis Since;
+  core::Millis Until; ///< unless it is renewed
+  friend auto operator<=>(const Registration &, const Registration &) = default;
+};
+
 /// What a member's budget results from, for logs and metrics.
 struct RetryWindowState {
   std::size_t FirstAttempts = 0; ///< in the window
@@ -30,18 +37,21 @@
 /// coordination: each member may retry the given ratio of its own requests and
 /// has an even part of the fixed retries.
 ///
-/// What a process retried is not known after its end, nor to others when it is
-/// out of their sight. A member therefore has no part of the fixed retries for
-/// the first window of its life, and its part grows only one window after other
-/// members were removed.
+/// The others divide the fixed retries by the members that are registered, and
+/// know nothing of what a process retried before its end. A member therefore
+/// has a part of them only while its registration is certain, and not before a
+/// window has passed since; its part grows only one window after other members
+/// were removed.
 class RetryWindow {
 public:
-  /// `startedAt` is the start of the process, if an earlier one may have
-  /// retried on the same budget.
+  /// Without a registration, the member is the only one.
   explicit RetryWindow(RetryWindowSettings settings,
-                       std::optional<core::Millis> startedAt = std::nullopt);
+                       std::optional<Registration> registration = std::nullopt);
 
   void setMembers(std::size_t members);
+  void setRegistration(const Registration &registration) {
+    Registered = registration;
+  }
   void onFirstAttempt(core::Millis now);
   /// Consumes one retry; returns false if the budget is used up.
   [[nodiscard]] bool tryAcquire(core::Millis now);
@@ -64,7 +74,7 @@
   [[nodiscard]] double fixedPart(core::Millis now) const;
 
   RetryWindowSettings Settings;
-  std::optional<core::Millis> StartedAt;
+  std::optional<Registration> Registered;
   std::size_t Members = 1;
   std::optional<Removal> Removed;
   std::deque<core::Millis> FirstAttempts;
--- a/src/cowslipridge/observe/EventCatalogue.cpp
+++ b/src/cowslipridge/observe/EventCatalogue.cpp
@@ -103,6 +103,10 @@
     CatalogueEntry{PeerDatagramsRefused, Warning, "peer-datagrams-refused",
                    "Datagrams of peers could not be decoded; they are "
                    "ignored."},
+    CatalogueEntry{RegistrationConfirmed, Info, "registration-confirmed",
+                   "This gateway is registered in the store."},
+    CatalogueEntry{RegistrationLost, Warning, "registration-lost",
+                   "The store has lost this gateway's registration."},
     CatalogueEntry{RequestReceived, Info, "request-received",
                    "A caller's request arrived."},
     CatalogueEntry{RequestRouted, Info, "request-routed",
--- a/src/cowslipridge/observe/EventCatalogue.hpp
+++ b/src/cowslipridge/observe/EventCatalogue.hpp
@@ -50,6 +50,8 @@
   RelayStarted = 327,
   RelayEnded = 328,
   PeerDatagramsRefused = 329,
+  RegistrationConfirmed = 330,
+  RegistrationLost = 331,
 
   RequestReceived = 400,
   RequestRouted = 401,
--- a/src/cowslipridge/platform/StoreControlPlane.cpp
+++ b/src/cowslipridge/platform/StoreControlPlane.cpp
@@ -83,6 +83,9 @@
                       [this] { onRestored(); }});
   Watcher.start({[this](const StoreListing &it) { applyListing(it); },
                  [this](const StoreItem &it) { applyChange(it); }});
+  Registration.setListener([this](const limits::Registration &it) {
+    report(gateway::RegistrationChanged{it});
+  });
   Registration.start(makeKey(PeerPrefix, Self.Name.str()), writePeer(Self));
 }
 
--- a/src/cowslipridge/platform/StoreRegistration.cpp
+++ b/src/cowslipridge/platform/StoreRegistration.cpp
@@ -27,6 +27,7 @@
   ++Attempt;
   Timer.cancel();
   Lease = 0;
+  invalidate();
   requestLease();
 }
 
@@ -63,15 +64,31 @@
     return;
   }
   send(StoreCallKind::Renew, renewLeaseCall(Lease),
-       [this](const StoreReply &reply) {
-         if (reply.Status == status::NotFound)
+       [this, sentAt = Store.now()](const StoreReply &reply) {
+         if (reply.Status == status::NotFound) {
            registerAgain();
-         else
-           scheduleRenewal();
+           return;
+         }
+         if (reply.Status == status::Ok)
+           confirm(sentAt);
+         scheduleRenewal();
        });
 }
 
+// The lease runs from the arrival of the call, which is not before it was sent.
+void StoreRegistration::confirm(core::Millis sentAt) {
+  if (RegisteredAt && OnChange)
+    OnChange({*RegisteredAt, sentAt + LeaseLifetime});
+}
+
+void StoreRegistration::invalidate() {
+  RegisteredAt.reset();
+  if (OnChange)
+    OnChange({Store.now(), Store.now()});
+}
+
 void StoreRegistration::requestLease() {
+  GrantSentAt = Store.now();
   send(StoreCallKind::Grant, grantLeaseCall(LeaseLifetime),
        [this](const StoreReply &reply) { onGranted(reply); });
 }
@@ -90,9 +107,13 @@
   send(StoreCallKind::Register,
        transactionCall({{}, {{Key, Value, Lease}}, {}}),
        [this](const StoreReply &reply) {
+         if (reply.Status == status::Ok) {
+           RegisteredAt = Store.now();
+           confirm(GrantSentAt);
+           return;
+         }
          // The next renewal then requests a new lease.
-         if (reply.Status != status::Ok)
-           Lease = 0;
+         Lease = 0;
        });
 }
 
--- a/tests/integration/platform/GatewayFixture.hpp
+++ b/tests/integration/platform/GatewayFixture.hpp
@@ -105,7 +105,8 @@
             text(at.Callers) + "\nreadiness = " + text(at.Readiness) +
             "\nmetrics = " + text(at.Metrics) + "\npeers = " + text(at.Peers) +
             "\n[store]\naddress = " + text(StoreAddress) +
-            "\n[promises]\nretry_ratio = " + RetryRatio + "\n");
+            "\n[promises]\nretry_ratio = " + RetryRatio +
+            "\nretry_window = " + RetryWindow + "\n");
     process.emplace(COWSLIPRIDGE_GATEWAY_PATH,
                     std::vector<std::string>{"--settings", settings},
                     Files.path(name + ".log"));
@@ -199,6 +200,7 @@
   std::string Key = "key-1";
   /// Ample from the start: a process has no fixed retries at first.
   std::string RetryRatio = "4";
+  std::string RetryWindow = "10s";
   std::string Memory = "256MiB"; ///< of a gateway
   int RequestCount = 0;
 };
--- a/tests/integration/platform/GatewayRetryBudgetTest.cpp
+++ b/tests/integration/platform/GatewayRetryBudgetTest.cpp
@@ -33,4 +33,42 @@
   EXPECT_LE(runs - RequestCount, RequestCount + FixedRetries);
 }
 
+/// Returns the gauge of the members that share the fixed retries of `service`.
+std::string membersIn(const std::string &metrics, const std::string &service) {
+  const std::string begin = "\ncowslipridge_retry_budget_members{";
+  for (std::size_t at = metrics.find(begin); at != std::string::npos;
+       at = metrics.find(begin, at + 1)) {
+    const std::string line =
+        metrics.substr(at + 1, metrics.find('\n', at + 1) - at - 1);
+    if (line.find("\"" + service + "\"") != std::string::npos)
+      return line.substr(line.rfind(' ') + 1);
+  }
+  return "none";
+}
+
+// Guards against fixed retries that are granted more than once: a gateway that
+// the store may have removed kept its part of them.
+TEST_F(GatewayTest, partOfTheFixedRetriesEndsWithTheRegistration) {
+  RetryWindow = "500ms";
+  addPlainRunner("desk-1");
+  configure();
+  startAndAwaitReady();
+  awaitResponse(sendRequest(Callers, request("GET", "/get/a")));
+  const auto members = [&] {
+    return membersIn(get(Metrics, "/metrics")->Body, "desk");
+  };
+  const auto awaitMembers = [&](const std::string &expected) {
+    const core::Millis end = Clock.monotonic() + core::Millis(20'000);
+    while (members() != expected)
+      ASSERT_LT(Clock.monotonic(), end) << members();
+  };
+  awaitMembers("1");
+  StoreFaults faults;
+  faults.Unresponsive = true;
+  Store.setFaults(faults);
+  awaitMembers("0");
+  Store.setFaults({});
+  awaitMembers("1");
+}
+
 } // namespace
--- a/tests/property/limits/RetryWindowProperty.cpp
+++ b/tests/property/limits/RetryWindowProperty.cpp
@@ -18,6 +18,7 @@
 constexpr int StepsPerWindow = 200;
 constexpr int Steps = 5 * StepsPerWindow;
 constexpr int MaxRetriesOfARequest = 2;
+constexpr Millis Lease{4'000};
 constexpr RetryWindowSettings Settings{0.9, 54, Step *StepsPerWindow};
 
 struct FleetFaults {
@@ -27,8 +28,12 @@
   int RestartSteps = 0; ///< from the kill until it serves again
   int LearnSteps = 0;   ///< from its start until it knows of its peers
   int ForgetEveryNthStep =
-      0;                   ///< all forget their peers for LearnSteps; 0: never
-  int MaxArrivalSteps = 0; ///< longest time from sending to arrival
+      0; ///< all forget their peers for LearnSteps; 0: never
+  /// One after the other, gateways are cut off from the store and from each
+  /// other for CutSteps; 0: never.
+  int CutEveryNthStep = 0;
+  int CutSteps = 0;
+  int MaxArrivalSteps = 0;    ///< longest time from sending to arrival
   double RequestsPerStep = 0; ///< of each gateway
 };
 
@@ -75,6 +80,8 @@
     RetryWindow Window{Settings};
     int ServesFrom = 0;
     int KnowsPeersFrom = 0;
+    int CutUntil = 0;
+    Registration Registered;
     double Due = 0;
   };
 
@@ -85,11 +92,34 @@
   }
 
   void start(Member &member, int step) {
-    member.Window = RetryWindow(Settings, Step * step);
+    member.Registered = {Step * step, Step * step};
+    member.Window = RetryWindow(Settings, member.Registered);
     member.ServesFrom = step;
     member.KnowsPeersFrom = step + Faults.LearnSteps;
   }
 
+  // The store removes a member when its lease has ended.
+  [[nodiscard]] static bool isListed(const Member &member, Millis now) {
+    return now < member.Registered.Until;
+  }
+
+  void renew(Member &member, int step) {
+    const Millis now = Step * step;
+    if (!isListed(member, now))
+      member.Registered.Since = now;
+    member.Registered.Until = now + Lease;
+    member.Window.setRegistration(member.Registered);
+  }
+
+  // Without its peers and the store, a gateway takes itself for the only one.
+  [[nodiscard]] std::size_t membersKnownTo(const Member &member,
+                                           int step) const {
+    if (step < member.KnowsPeersFrom || step < member.CutUntil)
+      return 1;
+    return static_cast<std::size_t>(std::ranges::count_if(
+        Members, [&](const Member &it) { return isListed(it, Step * step); }));
+  }
+
   void strike(int step) {
     const auto isDue = [&](int every) {
       return every != 0 && step % every == every - 1;
@@ -107,12 +137,17 @@
       for (Member &it : Members)
         it.KnowsPeersFrom = step + Faults.LearnSteps;
     }
+    if (isDue(Faults.CutEveryNthStep))
+      Members[static_cast<std::size_t>(step / Faults.CutEveryNthStep) %
+              Members.size()]
+          .CutUntil = step + Faults.CutSteps;
   }
 
   void serve(Member &member, int step) {
     const Millis now = Step * step;
-    member.Window.setMembers(step >= member.KnowsPeersFrom ? Members.size()
-                                                           : 1);
+    if (step >= member.CutUntil)
+      renew(member, step);
+    member.Window.setMembers(membersKnownTo(member, step));
     for (member.Due += Faults.RequestsPerStep; member.Due >= 1; --member.Due) {
       ++Requests.at(static_cast<std::size_t>(step));
       member.Window.onFirstAttempt(now);
@@ -146,6 +181,9 @@
   faults.LearnSteps = *rc::gen::inRange(0, 40);
   faults.ForgetEveryNthStep =
       *rc::gen::oneOf(rc::gen::just(0), rc::gen::inRange(50, 500));
+  faults.CutEveryNthStep =
+      *rc::gen::oneOf(rc::gen::just(0), rc::gen::inRange(20, 500));
+  faults.CutSteps = *rc::gen::inRange(20, 1'000);
   faults.MaxArrivalSteps = *rc::gen::inRange(0, 21);
   faults.RequestsPerStep = *rc::gen::inRange(1, 40) / 20.0;
   return faults;
@@ -190,6 +228,16 @@
             0);
 }
 
+// Guards against a fixed part that each gateway takes for its own while it is
+// cut off from the store and from its peers for longer than a window.
+TEST(RetryWindowFleetTest, gatewaysThatAreCutOffHaveNoPartOfTheirOwn) {
+  EXPECT_LE(excessOf({.Gateways = 4,
+                      .CutEveryNthStep = 150,
+                      .CutSteps = 700,
+                      .RequestsPerStep = 0.2}),
+            0);
+}
+
 TEST(RetryWindowFleetTest, gatewaysThatForgetEachOtherShareTheBudgetOn) {
   EXPECT_LE(excessOf({.Gateways = 26,
                       .LearnSteps = 100,
--- a/tests/unit/limits/RetryWindowTest.cpp
+++ b/tests/unit/limits/RetryWindowTest.cpp
@@ -50,4 +50,19 @@
   EXPECT_EQ(granted(window, Millis(1'001)), 0);
 }
 
+// Guards against fixed retries that are granted more than once: a member that
+// the others no longer count kept its part of them.
+TEST(RetryWindowTest, memberHasItsPartOnlyWhileItIsRegistered) {
+  const RetryWindowSettings settings{0, 10, Millis(1'000)};
+  RetryWindow window(settings, Registration{Millis(500), Millis(4'500)});
+  EXPECT_EQ(granted(window, Millis(1'499)), 0) << "within its first window";
+  EXPECT_GT(granted(window, Millis(1'500)), 0);
+  EXPECT_GT(granted(window, Millis(4'499)), 0);
+  EXPECT_EQ(granted(window, Millis(6'000)), 0) << "it may be removed";
+  window.setRegistration({Millis(500), Millis(9'000)});
+  EXPECT_GT(granted(window, Millis(6'000)), 0) << "it was registered all along";
+  window.setRegistration({Millis(8'000), Millis(12'000)});
+  EXPECT_EQ(granted(window, Millis(8'500)), 0) << "it was removed meanwhile";
+}
+
 } // namespace
--- a/tests/unit/platform/StoreTimersTest.cpp
+++ b/tests/unit/platform/StoreTimersTest.cpp
@@ -67,6 +67,30 @@
 const std::string Grant = "/v1/kv-lease";
 const std::string Write = "/v1/kv-txn";
 
+// Guards against a part of the fleet's fixed retries that a gateway keeps
+// although the others no longer know of it.
+TEST_F(StoreTimersTest, registrationIsCertainFromItsEntryToTheEndOfItsLease) {
+  constexpr core::Millis Lease{4'000};
+  std::vector<limits::Registration> changes;
+  StoreRegistration registration(Loop, Store);
+  registration.setListener(
+      [&](const limits::Registration &it) { changes.push_back(it); });
+  const core::Millis begun = Clock.monotonic();
+  registration.start("servers/a", "a");
+  runUntil([&] { return !changes.empty(); });
+  EXPECT_EQ(count(Write), 1);
+  EXPECT_GE(changes.front().Since, begun);
+  EXPECT_LE(changes.front().Until, changes.front().Since + Lease);
+
+  runUntil([&] { return changes.size() == 2; });
+  EXPECT_EQ(changes.back().Since, changes.front().Since) << "it was renewed";
+  EXPECT_GT(changes.back().Until, changes.front().Until);
+
+  Status = 404;
+  runUntil([&] { return changes.size() == 3; });
+  EXPECT_LE(changes.back().Until, Clock.monotonic()) << "its lease has ended";
+}
+
 // Guards against an entry that is written under two leases, of which only one
 // is renewed: the entry ends with the other.
 TEST_F(StoreTimersTest, registeringAgainRequestsOneLease) {
