Grant repeats by the requests of one window, not of two

Callers saw: nothing directly; after bursts the fleet repeated more than its budget allows. Cause: a retry was granted by all requests of the last window, and counted with the other retries of that window. The rule's windows slide: one that begins just after a burst holds the repeats of that burst and of the next one, and the requests of only one of them. Ruled out: a steady load; there the requests of a window and of the one before are the same number. Change: a retry is granted only if each of the windows that hold it has room, judged as the rule judges it: by its requests, those half a window before or those of the window before, whichever is most. The windows that have begun are judged in 40 groups, by what all of a group hold.

--- a/src/cowslipridge/limits/RetryWindow.cpp
+++ b/src/cowslipridge/limits/RetryWindow.cpp
@@ -9,6 +9,8 @@
 /// Share of the budget that is left unused, because the number of members
 /// changes and members do not see the window start and end at the same time.
 constexpr double ReservedShare = 0.2;
+/// The windows that have begun and not ended are judged in so many groups.
+constexpr int WindowSteps = 40;
 /// An attempt without a response counts as one that never arrives after this
 /// time.
 constexpr core::Millis MaxArrivalTime{30'000};
@@ -56,18 +58,47 @@
   FirstAttempts.push_back(now);
 }
 
+std::size_t RetryWindow::firstAttempts(core::Millis begin,
+                                       core::Millis end) const {
+  return static_cast<std::size_t>(
+      std::ranges::lower_bound(FirstAttempts, end) -
+      std::ranges::lower_bound(FirstAttempts, begin));
+}
+
+// A retry may come in a later window than the request that it repeats. A window
+// is therefore judged by its own requests or by those before it, but not by
+// both together. Only those count that are in each of the windows.
+double RetryWindow::remainingBetween(core::Millis first, core::Millis last,
+                                     core::Millis now) const {
+  const core::Millis half = Settings.Window / 2;
+  const core::Millis after = now + core::Millis(1);
+  const std::size_t requests =
+      std::max({firstAttempts(last, after),
+                firstAttempts(last - half, std::min(first + half, after)),
+                firstAttempts(last - Settings.Window, first)});
+  const auto arrived =
+      Arrivals.end() - std::ranges::lower_bound(Arrivals, first);
+  return (1 - ReservedShare) *
+             (Settings.RetriesPerRequest * static_cast<double>(requests) +
+              fixedPart(now)) -
+         static_cast<double>(Pending.size()) - static_cast<double>(arrived);
+}
+
 double RetryWindow::remaining(core::Millis now) {
   expire(now);
-  const double allowed =
-      (1 - ReservedShare) *
-      (Settings.RetriesPerRequest * static_cast<double>(FirstAttempts.size()) +
-       fixedPart(now));
-  return allowed - static_cast<double>(retries());
+  const core::Millis step = Settings.Window / WindowSteps;
+  double least = remainingBetween(now, now, now);
+  for (core::Millis it = now - Settings.Window; it < now && least >= 1;
+       it = it + step)
+    least =
+        std::min(least, remainingBetween(it, std::min(it + step, now), now));
+  return least;
 }
 
 RetryWindowState RetryWindow::state(core::Millis now) {
   expire(now);
-  return {FirstAttempts.size(), retries(), fixedPart(now) > 0 ? Members : 0};
+  return {firstAttempts(now - Settings.Window, now + core::Millis(1)),
+          retries(), fixedPart(now) > 0 ? Members : 0};
 }
 
 bool RetryWindow::tryAcquire(const Retry &retry, core::Millis now) {
@@ -118,7 +149,8 @@
 void RetryWindow::expire(core::Millis now) {
   applyRemoval(now);
   const core::Millis oldest = now - Settings.Window;
-  while (!FirstAttempts.empty() && FirstAttempts.front() < oldest)
+  while (!FirstAttempts.empty() &&
+         FirstAttempts.front() < oldest - Settings.Window)
     FirstAttempts.pop_front();
   while (!Arrivals.empty() && Arrivals.front() < oldest)
     Arrivals.pop_front();
--- a/src/cowslipridge/limits/RetryWindow.hpp
+++ b/src/cowslipridge/limits/RetryWindow.hpp
@@ -81,7 +81,8 @@
   void onResponse(const core::RunnerId &runner, core::Millis sentAt,
                   core::Millis now);
 
-  /// Returns how many retries are left in the window.
+  /// Returns how many retries are left: those that no window which holds this
+  /// time forbids. Less than one: none, by whatever difference.
   [[nodiscard]] double remaining(core::Millis now);
   /// Returns what the budget results from.
   [[nodiscard]] RetryWindowState state(core::Millis now);
@@ -110,6 +111,12 @@
   }
   void expire(core::Millis now);
   void applyRemoval(core::Millis now);
+  /// Returns how many retries are left in each window that begins between
+  /// `first` and `last`.
+  [[nodiscard]] double remainingBetween(core::Millis first, core::Millis last,
+                                        core::Millis now) const;
+  [[nodiscard]] std::size_t firstAttempts(core::Millis begin,
+                                          core::Millis end) const;
   /// Returns this member's part of the fixed retries.
   [[nodiscard]] double fixedPart(core::Millis now) const;
 
--- a/tests/property/limits/RetryWindowProperty.cpp
+++ b/tests/property/limits/RetryWindowProperty.cpp
@@ -7,6 +7,7 @@
 #include <map>
 #include <numeric>
 #include <rapidcheck.h>
+#include <utility>
 #include <vector>
 
 using namespace cowslipridge;
@@ -39,6 +40,11 @@
   int FreezeSteps = 0;
   int MaxArrivalSteps = 0;    ///< longest time from sending to arrival
   double RequestsPerStep = 0; ///< of each gateway
+  /// Requests come only in the first ActiveSteps of each BurstEveryNthStep;
+  /// 0: at any time.
+  int BurstEveryNthStep = 0;
+  int ActiveSteps = 0;
+  int FailSteps = 0; ///< from a request until its attempts have failed
 };
 
 /// Gateways of which every request fails, so that each is retried as often as
@@ -88,6 +94,7 @@
     Registration Registered;
     std::multimap<int, std::uint64_t> Unarrived; ///< attempts by their arrival
     double Due = 0;
+    std::map<int, int> Failures; ///< retries that are due, by step
   };
 
   static int sum(const std::vector<int> &counts, int begin, int end) {
@@ -100,6 +107,7 @@
     member.Registered = {Step * step, Step * step};
     member.Window = RetryWindow(Settings, member.Registered);
     member.Unarrived.clear();
+    member.Failures.clear();
     member.ServesFrom = step;
     member.KnowsPeersFrom = step + Faults.LearnSteps;
   }
@@ -160,17 +168,25 @@
     for (auto it = member.Unarrived.begin(); it != arrived; ++it)
       member.Window.onSettled(it->second, now);
     member.Unarrived.erase(member.Unarrived.begin(), arrived);
-    for (member.Due += Faults.RequestsPerStep; member.Due >= 1; --member.Due) {
+    const bool isActive = Faults.BurstEveryNthStep == 0 ||
+                          step % Faults.BurstEveryNthStep < Faults.ActiveSteps;
+    if (isActive)
+      member.Due += Faults.RequestsPerStep;
+    for (; member.Due >= 1; --member.Due) {
       ++Requests.at(static_cast<std::size_t>(step));
       member.Window.onFirstAttempt(now);
-      for (int n = 0; n < MaxRetriesOfARequest; ++n) {
-        if (!member.Window.tryAcquire({++Attempts, std::nullopt}, now))
-          continue;
-        const int arrival = arrivesAt(step);
-        ++Arrivals.at(static_cast<std::size_t>(arrival));
-        member.Unarrived.emplace(arrival, Attempts);
-      }
+      member.Failures[step + Faults.FailSteps] += MaxRetriesOfARequest;
     }
+    for (int n = std::exchange(member.Failures[step], 0); n > 0; --n)
+      retry(member, step);
+  }
+
+  void retry(Member &member, int step) {
+    if (!member.Window.tryAcquire({++Attempts, std::nullopt}, Step * step))
+      return;
+    const int arrival = arrivesAt(step);
+    ++Arrivals.at(static_cast<std::size_t>(arrival));
+    member.Unarrived.emplace(arrival, Attempts);
   }
 
   // A runner that stands still lets what was sent meanwhile arrive together.
@@ -203,6 +219,10 @@
   faults.FreezeSteps = *rc::gen::inRange(1, 400);
   faults.MaxArrivalSteps = *rc::gen::inRange(0, 21);
   faults.RequestsPerStep = *rc::gen::inRange(1, 40) / 20.0;
+  faults.BurstEveryNthStep =
+      *rc::gen::oneOf(rc::gen::just(0), rc::gen::inRange(20, 400));
+  faults.ActiveSteps = *rc::gen::inRange(1, 20);
+  faults.FailSteps = *rc::gen::inRange(0, 100);
   return faults;
 }
 
@@ -292,6 +312,17 @@
             0);
 }
 
+// Guards against repeats that are granted by the requests of two bursts, of
+// which each window of the rule holds only one.
+TEST(RetryWindowFleetTest, repeatsOfTwoBurstsStayWithinTheBudgetOfOne) {
+  EXPECT_LE(excessOf({.Gateways = 4,
+                      .RequestsPerStep = 20,
+                      .BurstEveryNthStep = 190,
+                      .ActiveSteps = 2,
+                      .FailSteps = 6}),
+            0);
+}
+
 TEST(RetryWindowFleetTest, gatewaysThatForgetEachOtherShareTheBudgetOn) {
   EXPECT_LE(excessOf({.Gateways = 26,
                       .LearnSteps = 100,
