Draw the new kinds of faults in the test of the soak's plan

Cause: PlanTest.drawsEveryKindOfFaultInOrder failed since the soak can let whole services deviate or stand still, as its settings did not ask for these.

--- a/tests/soak/Layout.cpp
+++ b/tests/soak/Layout.cpp
@@ -48,6 +48,7 @@
 
 Layout makeLayout(const LayoutSizes &sizes) {
   Layout layout;
+  layout.MaxAttempts = sizes.MaxAttempts;
   layout.Store = ownEndpoint();
   layout.StoreControl = ownEndpoint();
   layout.ProxyControl = ownEndpoint();
--- a/tests/soak/Layout.hpp
+++ b/tests/soak/Layout.hpp
@@ -42,6 +42,7 @@
   std::size_t Gateways = 3;
   std::size_t ModelRunners = 3;
   std::size_t PlainRunners = 3;
+  unsigned MaxAttempts = 2; ///< of each route
 };
 
 /// All processes of a run, with addresses that no other test process uses.
@@ -52,6 +53,7 @@
   std::vector<RunnerPlace> Runners;
   std::vector<GatewayPlace> Gateways;
   std::vector<Link> Links;
+  unsigned MaxAttempts = 2; ///< of each route
 };
 
 Layout makeLayout(const LayoutSizes &sizes);
--- a/tests/soak/Plan.cpp
+++ b/tests/soak/Plan.cpp
@@ -63,8 +63,9 @@
                                 Deviation::UnstatedRefusal, Deviation::Failure,
                                 Deviation::LostAnswer};
   const bool streams = draw.below(2) == 0;
-  const core::Millis length(static_cast<std::int64_t>(
-      draw.below(static_cast<std::uint64_t>(MaxServiceFaultMs))));
+  const core::Millis length(
+      MinFaultMs + static_cast<std::int64_t>(draw.below(
+                       static_cast<std::uint64_t>(MaxServiceFaultMs))));
   if (draw.below(2) == 0)
     return ServicePause{streams, length};
   return ServiceDeviation{streams, Kinds.at(draw.below(Kinds.size())), length};
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -22,6 +22,7 @@
 DEFINE_uint64(duration, 20, "time in which faults begin, in seconds");
 DEFINE_uint64(gateways, 3, "number of gateways");
 DEFINE_uint64(runners, 3, "number of runners of each of the two services");
+DEFINE_uint32(max_attempts, 2, "of each route");
 DEFINE_uint64(callers, 6, "number of callers of each gateway");
 DEFINE_uint64(pause, 60, "longest pause of a caller between requests in ms");
 DEFINE_uint64(fault_gap, 700, "mean time between two faults in ms");
@@ -99,7 +100,8 @@
 public:
   explicit Run(std::string folder)
       : Folder(std::move(folder)),
-        Places(makeLayout({FLAGS_gateways, FLAGS_runners, FLAGS_runners})),
+        Places(makeLayout({FLAGS_gateways, FLAGS_runners, FLAGS_runners,
+                           FLAGS_max_attempts})),
         Processes(Loop, Clock, Places,
                   {std::filesystem::read_symlink("/proc/self/exe").string(),
                    FLAGS_gateway, Folder}),
@@ -109,6 +111,7 @@
               FLAGS_alike, FLAGS_crowds},
              Seen) {
     Limits.MemoryKiB = FLAGS_memory_limit;
+    Limits.MaxAttempts = FLAGS_max_attempts;
   }
 
   int execute() {
--- a/tests/soak/platform/Callers.cpp
+++ b/tests/soak/platform/Callers.cpp
@@ -299,13 +299,20 @@
 }
 
 std::string configurationFor(const Layout &layout, std::int64_t version) {
-  const auto route = [](const std::string &prefix, const std::string &kind,
-                        const std::string &service) {
-    return json{
-        {"name", prefix},    {"host", CallersHost}, {"pathPrefix", prefix},
-        {"routeKind", kind}, {"timeoutMs", 3000},   {"targetLatencyMs", 1000},
-        {"priority", 1},     {"service", service},  {"maxAttempts", 2},
-        {"public", false},   {"targetGapMs", 1000}, {"streamResumption", true}};
+  const auto route = [&](const std::string &prefix, const std::string &kind,
+                         const std::string &service) {
+    return json{{"name", prefix},
+                {"host", CallersHost},
+                {"pathPrefix", prefix},
+                {"routeKind", kind},
+                {"timeoutMs", 3000},
+                {"targetLatencyMs", 1000},
+                {"priority", 1},
+                {"service", service},
+                {"maxAttempts", layout.MaxAttempts},
+                {"public", false},
+                {"targetGapMs", 1000},
+                {"streamResumption", true}};
   };
   std::set<std::string> names;
   for (const RunnerPlace &it : layout.Runners)
--- a/tests/unit/soak/PlanTest.cpp
+++ b/tests/unit/soak/PlanTest.cpp
@@ -16,6 +16,7 @@
   settings.Runners = 6;
   settings.Links = 12;
   settings.CrowdKinds = 2;
+  settings.ServiceFaults = true;
   return settings;
 }
 
@@ -55,4 +56,13 @@
   }
 }
 
+TEST(PlanTest, drawsFaultsOfWholeServicesOnlyIfAsked) {
+  PlanSettings settings = settingsFor(20);
+  settings.ServiceFaults = false;
+  for (const PlannedFault &it : makePlan(settings)) {
+    EXPECT_FALSE(std::holds_alternative<ServiceDeviation>(it.What));
+    EXPECT_FALSE(std::holds_alternative<ServicePause>(it.What));
+  }
+}
+
 } // namespace
