Leave half of the retries to requests that their callers send once

Cause: since requests with one id share a budget with all others, callers that send an id again and again could use up the retries of everybody's requests. Ruled out: a budget of their own; it would have to be taken from the fleet's. Change: a request whose id has arrived at a runner before draws on the budget only while half of it is left.

--- a/src/cowslipridge/gateway/Dispatcher.cpp
+++ b/src/cowslipridge/gateway/Dispatcher.cpp
@@ -78,6 +78,10 @@
   limits::RetryWindow &retries = budget(serviceOf(request));
   if (kind == AttemptKind::First)
     retries.onFirstAttempt(now);
+  if (isRetry(kind) && request.Earlier.HasArrived && retries.isHalfUsed(now))
+    return NoPlacement{"retries are left to requests that came once, " +
+                           describe(retries.state(now)),
+                       MinRetryAfter};
   limits::Retry retry{NextTicket, std::nullopt};
   if (kind == AttemptKind::RetryUnanswered && !excluded.empty())
     retry.Unanswered = excluded.back();
--- a/src/cowslipridge/limits/RetryWindow.cpp
+++ b/src/cowslipridge/limits/RetryWindow.cpp
@@ -95,6 +95,10 @@
   return least;
 }
 
+bool RetryWindow::isHalfUsed(core::Millis now) {
+  return remaining(now) <= static_cast<double>(retries() + 1);
+}
+
 RetryWindowState RetryWindow::state(core::Millis now) {
   expire(now);
   return {firstAttempts(now - Settings.Window, now + core::Millis(1)),
--- a/src/cowslipridge/limits/RetryWindow.hpp
+++ b/src/cowslipridge/limits/RetryWindow.hpp
@@ -84,6 +84,8 @@
   /// Returns how many retries are left: those that no window which holds this
   /// time forbids. Less than one: none, by whatever difference.
   [[nodiscard]] double remaining(core::Millis now);
+  /// Returns whether half of the budget is used, but for less than a retry.
+  [[nodiscard]] bool isHalfUsed(core::Millis now);
   /// Returns what the budget results from.
   [[nodiscard]] RetryWindowState state(core::Millis now);
 
