--- a/src/cowslipridge/gateway/Dispatcher.cpp
+++ b/src/cowslipridge/gateway/Dispatcher.cpp
@@ -75,20 +75,15 @@
     return NoPlacement{
         "no runner answers in time",
         std::max(MinRetryAfter, candidate->FirstToken - remaining)};
-  limits::RetryWindow &retries = budget(serviceOf(request));
   if (kind == AttemptKind::First)
-    retries.onFirstAttempt(now);
-  if (isRetry(kind) && request.Earlier.HasArrived && retries.isHalfUsed(now))
-    return NoPlacement{"retries are left to requests that came once, " +
-                           describe(retries.state(now)),
-                       MinRetryAfter};
-  limits::Retry retry{NextTicket, std::nullopt};
-  if (kind == AttemptKind::RetryUnanswered && !excluded.empty())
-    retry.Unanswered = excluded.back();
-  if (isRetry(kind) && !retries.tryAcquire(retry, now))
-    return NoPlacement{"the retry budget is exhausted, " +
-                           describe(retries.state(now)),
-                       MinRetryAfter};
+    budget(serviceOf(request)).onFirstAttempt(now);
+  if (isRetry(kind)) {
+    limits::Retry retry{NextTicket, std::nullopt};
+    if (kind == AttemptKind::RetryUnanswered && !excluded.empty())
+      retry.Unanswered = excluded.back();
+    if (auto refused = chargeRetry(request, retry, now))
+      return *std::move(refused);
+  }
   OrderedAttempt ordered{kind, candidate->FirstToken, {}, {}};
   if (Settings.AdmissionOrder)
     ordered.Waiting = waitAt(*candidate, modelOf(request, tier));
@@ -102,6 +97,22 @@
   return placement;
 }
 
+std::optional<NoPlacement>
+Dispatcher::chargeRetry(const RequestContext &request,
+                        const limits::Retry &retry, core::Millis now) {
+  limits::RetryWindow &retries = budget(serviceOf(request));
+  const auto refuse = [&](const std::string &reason) {
+    return NoPlacement{reason + ", " + describe(retries.state(now)),
+                       MinRetryAfter};
+  };
+  // Callers that send their ids again leave retries to the others.
+  if (request.Earlier.HasArrived && retries.isHalfUsed(now))
+    return refuse("half of the retry budget is used");
+  if (!retries.tryAcquire(retry, now))
+    return refuse("the retry budget is exhausted");
+  return std::nullopt;
+}
+
 core::Millis Dispatcher::waitAt(const RunnerSelection::Candidate &candidate,
                                 const std::string &model) const {
   const core::RunnerId &runner = candidate.Server->Id;
--- a/src/cowslipridge/gateway/Dispatcher.hpp
+++ b/src/cowslipridge/gateway/Dispatcher.hpp
@@ -196,6 +196,10 @@
     }
   };
 
+  /// Charges the attempt to the retry budget, or returns why it can't be.
+  std::optional<NoPlacement> chargeRetry(const RequestContext &request,
+                                         const limits::Retry &retry,
+                                         core::Millis now);
   /// Builds the placement, with its limits and timeouts.
   Placement makePlacement(const RunnerSelection::Candidate &candidate,
                           ModelTier tier, const RequestContext &request,
--- a/src/cowslipridge/gateway/GatewayRequests.cpp
+++ b/src/cowslipridge/gateway/GatewayRequests.cpp
@@ -68,9 +68,9 @@
       core::Overloaded{
           [&](const ErrorReply &it) { reject(*exchange, caller.Id, it); },
           [&](RequestContext &it) {
-            it.Earlier = recordArrival(it);
             it.Caller.Content =
                 contentDigest(it, exchange->head(), exchange->body());
+            it.Earlier = recordArrival(it);
             std::make_shared<RequestFlow>(Flows, exchange, std::move(it))
                 ->start();
           }},
@@ -78,8 +78,6 @@
 }
 
 EarlierAttempts Gateway::recordArrival(const RequestContext &request) {
-  if (request.Caller.Id.empty())
-    return {};
   const auto earlier = Recent.begin(request.key(), Clock.monotonic());
   if (!earlier)
     return {};
--- a/src/cowslipridge/gateway/RecentRequests.cpp
+++ b/src/cowslipridge/gateway/RecentRequests.cpp
@@ -26,6 +26,8 @@
 std::optional<EarlierAttempts> RecentRequests::begin(const RequestKey &request,
                                                      core::Millis now) {
   expire(now);
+  if (request.Id.empty())
+    return std::nullopt;
   const auto [it, isNew] = Entries.try_emplace(hashOf(request));
   Entry &entry = it->second;
   const bool isInProgress = entry.InProgress++ > 0;
--- a/src/cowslipridge/gateway/RecentRequests.hpp
+++ b/src/cowslipridge/gateway/RecentRequests.hpp
@@ -38,8 +38,8 @@
   explicit RecentRequests(std::uint64_t seed) : Seed(seed) {}
 
   /// Handles the arrival of a request. Returns what earlier requests with its
-  /// id did; nothing if none is known. While one of them is in progress, it
-  /// counts as one that may have run.
+  /// id did; nothing if none is known or it has no id. While one of them is in
+  /// progress, it counts as one that may have run.
   std::optional<EarlierAttempts> begin(const RequestKey &request,
                                        core::Millis now);
   /// Handles the end of a request. `attempts` are those of this request and of
--- a/src/cowslipridge/gateway/RequestFlow.cpp
+++ b/src/cowslipridge/gateway/RequestFlow.cpp
@@ -260,8 +260,7 @@
 }
 
 void RequestFlow::finish() {
-  if (!Machine.request().Caller.Id.empty())
-    Context.Recent.end(Machine.request().key(), Machine.attempts(), now());
+  Context.Recent.end(Machine.request().key(), Machine.attempts(), now());
   HeldBytes.resize(0);
   Context.Active.erase(weak_from_this());
   cancelAttempt();
--- a/tests/unit/gateway/RecentRequestsTest.cpp
+++ b/tests/unit/gateway/RecentRequestsTest.cpp
@@ -27,6 +27,12 @@
   EXPECT_EQ(Recent.begin(key("b"), Millis(0)), std::nullopt);
 }
 
+TEST_F(RecentRequestsTest, requestsWithoutAnIdHaveNothingInCommon) {
+  EXPECT_EQ(Recent.begin(key(""), Millis(0)), std::nullopt);
+  EXPECT_EQ(Recent.begin(key(""), Millis(0)), std::nullopt);
+  Recent.end(key(""), Served, Millis(0));
+}
+
 TEST_F(RecentRequestsTest, tellsWhatEarlierRequestsWithTheIdDid) {
   Recent.begin(key("a"), Millis(0));
   Recent.end(key("a"), Refused, Millis(10));
