--- a/src/cowslipridge/gateway/Gateway.hpp
+++ b/src/cowslipridge/gateway/Gateway.hpp
@@ -103,9 +103,9 @@
   resolve(const CallerRequest &caller, core::Millis begunAt) const;
   /// Returns the attempts of earlier requests with the same id.
   EarlierAttempts recordArrival(const RequestContext &request);
-  void reportRefusal(const core::RequestId &request, const ErrorReply &refusal);
-  void reject(http1::Exchange &exchange, const core::RequestId &request,
-              const ErrorReply &refusal);
+  /// Reports that the request is refused and returns the response.
+  http1::ResponseHead refuse(const core::RequestId &request,
+                             const ErrorReply &refusal);
   void onReadiness(http1::Exchange &exchange);
   void onScrape(http1::Exchange &exchange);
   /// Reports a runner's new or changed entry. When the runner has restarted,
--- a/src/cowslipridge/gateway/GatewayRequests.cpp
+++ b/src/cowslipridge/gateway/GatewayRequests.cpp
@@ -31,7 +31,7 @@
 void Gateway::onRequest(const std::shared_ptr<http1::Exchange> &exchange) {
   const auto caller = Translation.readRequest(exchange->head());
   if (!caller) {
-    reject(*exchange, {}, {BadRequest, "malformed", std::nullopt});
+    exchange->respond(refuse({}, {BadRequest, "malformed", std::nullopt}), {});
     return;
   }
   const bool holds = !hasConfiguration() &&
@@ -64,17 +64,18 @@
 void Gateway::answer(const std::shared_ptr<http1::Exchange> &exchange,
                      const CallerRequest &caller) {
   auto resolved = resolve(caller, exchange->begunAt());
-  std::visit(
-      core::Overloaded{
-          [&](const ErrorReply &it) { reject(*exchange, caller.Id, it); },
-          [&](RequestContext &it) {
-            it.Caller.Content =
-                contentDigest(it, exchange->head(), exchange->body());
-            it.Earlier = recordArrival(it);
-            std::make_shared<RequestFlow>(Flows, exchange, std::move(it))
-                ->start();
-          }},
-      resolved);
+  std::visit(core::Overloaded{[&](const ErrorReply &it) {
+                                exchange->respond(refuse(caller.Id, it), {});
+                              },
+                              [&](RequestContext &it) {
+                                it.Caller.Content = contentDigest(
+                                    it, exchange->head(), exchange->body());
+                                it.Earlier = recordArrival(it);
+                                std::make_shared<RequestFlow>(Flows, exchange,
+                                                              std::move(it))
+                                    ->start();
+                              }},
+             resolved);
 }
 
 EarlierAttempts Gateway::recordArrival(const RequestContext &request) {
@@ -127,9 +128,8 @@
 Gateway::rejectForLackOfRoom(const http1::RequestHead &head) {
   Relief.report();
   const auto caller = Translation.readRequest(head);
-  const core::RequestId request = caller ? caller->Id : core::RequestId();
-  reportRefusal(request, {Unavailable, "no room for the body", std::nullopt});
-  return Translation.localReply(Unavailable, request, NoRoomRetryAfter);
+  return refuse(caller ? caller->Id : core::RequestId(),
+                {Unavailable, "no room for the body", NoRoomRetryAfter});
 }
 
 std::optional<http1::ResponseHead>
@@ -143,20 +143,11 @@
   const auto *refusal = std::get_if<ErrorReply>(&resolved);
   if (refusal == nullptr)
     return std::nullopt;
-  const core::RequestId request = caller ? caller->Id : core::RequestId();
-  reportRefusal(request, *refusal);
-  return Translation.localReply(refusal->Status, request, refusal->RetryAfter);
+  return refuse(caller ? caller->Id : core::RequestId(), *refusal);
 }
 
-void Gateway::reject(http1::Exchange &exchange, const core::RequestId &request,
-                     const ErrorReply &refusal) {
-  reportRefusal(request, refusal);
-  exchange.respond(
-      Translation.localReply(refusal.Status, request, refusal.RetryAfter), {});
-}
-
-void Gateway::reportRefusal(const core::RequestId &request,
-                            const ErrorReply &refusal) {
+http1::ResponseHead Gateway::refuse(const core::RequestId &request,
+                                    const ErrorReply &refusal) {
   Log.report(EventNumber::RequestRefused,
              {.Request = request,
               .Version = {},
@@ -165,6 +156,7 @@
                         refusal.Reason});
   Metrics.add(observe::CounterName::Requests,
               {.Service = {}, .Version = {}, .Outcome = "refused"});
+  return Translation.localReply(refusal.Status, request, refusal.RetryAfter);
 }
 
 } // namespace cowslipridge::gateway
--- a/src/cowslipridge/http1/Client.cpp
+++ b/src/cowslipridge/http1/Client.cpp
@@ -115,9 +115,11 @@
     if (idle == Idle.end())
       return nullptr;
     std::vector<Connection> &all = idle->second;
+    const auto request = internal::CarriedRequest::of(spec);
     const auto chosen =
-        std::find_if(all.rbegin(), all.rend(),
-                     [&](const Connection &it) { return it->mayCarry(spec); });
+        std::find_if(all.rbegin(), all.rend(), [&](const Connection &it) {
+          return !request || it->mayCarry(*request);
+        });
     if (chosen == all.rend())
       return nullptr;
     Connection taken = *chosen;
--- a/src/cowslipridge/http1/internal/ClientConnection.cpp
+++ b/src/cowslipridge/http1/internal/ClientConnection.cpp
@@ -26,10 +26,6 @@
 /// their hashes.
 constexpr std::size_t MaxCarriedRequests = 1024;
 
-std::size_t hashOf(std::string_view echoValue) {
-  return std::hash<std::string_view>()(echoValue);
-}
-
 /// Returns the `timeout` parameter of the Keep-Alive field, if there is one.
 std::optional<core::Millis> keepAliveTimeout(const HeaderFields &fields) {
   constexpr std::string_view Key = "timeout=";
@@ -48,6 +44,12 @@
 
 } // namespace
 
+std::optional<CarriedRequest> CarriedRequest::of(const CallSpec &spec) {
+  if (spec.EchoField.empty())
+    return std::nullopt;
+  return CarriedRequest(std::hash<std::string>()(spec.EchoValue));
+}
+
 ClientConnection::ClientConnection(boost::asio::io_context &loop,
                                    const core::Clock &clock,
                                    const ClientLimits &limits, std::uint64_t id,
@@ -90,8 +92,8 @@
 ClientConnection::start(CallSpec spec, std::shared_ptr<CallEvents> events) {
   auto handle = std::make_shared<Handle>(shared_from_this(), ++CallNumber);
   Spec = std::move(spec);
-  if (!Spec.EchoField.empty())
-    CarriedRequests.push_back(hashOf(Spec.EchoValue));
+  if (const auto request = CarriedRequest::of(Spec))
+    Carried.push_back(*request);
   Events = std::move(events);
   StartedAt = Clock.monotonic();
   Progress = {};
@@ -117,14 +119,11 @@
 
 bool ClientConnection::isUsable(core::Millis now) {
   return State == Phase::Idle && now < UsableUntil &&
-         CarriedRequests.size() < MaxCarriedRequests && isQuiet(Peer);
+         Carried.size() < MaxCarriedRequests && isQuiet(Peer);
 }
 
-// Two requests whose hashes are equal only need one connection more.
-bool ClientConnection::mayCarry(const CallSpec &spec) const {
-  return spec.EchoField.empty() ||
-         std::ranges::find(CarriedRequests, hashOf(spec.EchoValue)) ==
-             CarriedRequests.end();
+bool ClientConnection::mayCarry(const CarriedRequest &request) const {
+  return std::ranges::find(Carried, request) == Carried.end();
 }
 
 void ClientConnection::shutDown() { close(); }
--- a/src/cowslipridge/http1/internal/ClientConnection.hpp
+++ b/src/cowslipridge/http1/internal/ClientConnection.hpp
@@ -5,6 +5,8 @@
 #include "cowslipridge/http1/ResponseParser.hpp"
 
 #include <array>
+#include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -14,6 +16,21 @@
 
 namespace cowslipridge::http1::internal {
 
+/// Identifies a request among those of one connection: the hash of the value
+/// that its response repeats. Two requests whose hashes are equal only need one
+/// connection more.
+class CarriedRequest {
+public:
+  /// Returns nothing for a call whose response repeats no value.
+  static std::optional<CarriedRequest> of(const CallSpec &spec);
+  friend auto operator<=>(const CarriedRequest &,
+                          const CarriedRequest &) = default;
+
+private:
+  explicit CarriedRequest(std::size_t hash) : Hash(hash) {}
+  std::size_t Hash;
+};
+
 /// A persistent connection to a server. Carries at most one call at a time.
 class ClientConnection final
     : public std::enable_shared_from_this<ClientConnection> {
@@ -38,7 +55,7 @@
   /// Returns whether the call may go out on this connection. A connection never
   /// carries the same request twice: its server may send the response of the
   /// first time once more, and nothing would tell it from the second one's.
-  [[nodiscard]] bool mayCarry(const CallSpec &spec) const;
+  [[nodiscard]] bool mayCarry(const CarriedRequest &request) const;
   void shutDown();
 
 private:
@@ -80,7 +97,7 @@
   LoopTimer Timer;
   Phase State = Phase::Unconnected;
   std::uint64_t CallNumber = 0;
-  std::vector<std::size_t> CarriedRequests; ///< hashes of their echo values
+  std::vector<CarriedRequest> Carried;
   CallSpec Spec;
   std::shared_ptr<CallEvents> Events;
   core::Millis StartedAt; ///< of the call
