Forward accepted requests in a function of their own

Cause: reading the diff: a visitor of fifteen lines held all that happens to an accepted request, and a comment named half of what a member says. Ruled out: - Change: Gateway::forward; the comment on RequestStateMachine::HasArrived. Conclusion: no behaviour changed.

--- a/src/cowslipridge/gateway/Gateway.hpp
+++ b/src/cowslipridge/gateway/Gateway.hpp
@@ -101,6 +101,9 @@
   /// rejection.
   [[nodiscard]] std::variant<RequestContext, ErrorReply>
   resolve(const CallerRequest &caller, core::Millis begunAt) const;
+  /// Sends an accepted request to a runner.
+  void forward(const std::shared_ptr<http1::Exchange> &exchange,
+               RequestContext request);
   /// Returns the attempts of earlier requests with the same id.
   EarlierAttempts recordArrival(const RequestContext &request);
   /// Reports that the request is refused and returns the response.
--- a/src/cowslipridge/gateway/GatewayRequests.cpp
+++ b/src/cowslipridge/gateway/GatewayRequests.cpp
@@ -64,20 +64,22 @@
 void Gateway::answer(const std::shared_ptr<http1::Exchange> &exchange,
                      const CallerRequest &caller) {
   auto resolved = resolve(caller, exchange->begunAt());
-  std::visit(core::Overloaded{[&](const ErrorReply &it) {
-                                exchange->respond(refuse(caller.Id, it), {});
-                              },
-                              [&](RequestContext &it) {
-                                it.Caller.Content = contentDigest(
-                                    it, exchange->head(), exchange->body());
-                                it.Earlier = recordArrival(it);
-                                std::make_shared<RequestFlow>(Flows, exchange,
-                                                              std::move(it))
-                                    ->start();
-                              }},
+  std::visit(core::Overloaded{
+                 [&](const ErrorReply &it) {
+                   exchange->respond(refuse(caller.Id, it), {});
+                 },
+                 [&](RequestContext &it) { forward(exchange, std::move(it)); }},
              resolved);
 }
 
+void Gateway::forward(const std::shared_ptr<http1::Exchange> &exchange,
+                      RequestContext request) {
+  request.Caller.Content =
+      contentDigest(request, exchange->head(), exchange->body());
+  request.Earlier = recordArrival(request);
+  std::make_shared<RequestFlow>(Flows, exchange, std::move(request))->start();
+}
+
 EarlierAttempts Gateway::recordArrival(const RequestContext &request) {
   const auto earlier = Recent.begin(request.key(), Clock.monotonic());
   if (!earlier)
--- a/src/cowslipridge/gateway/RequestStateMachine.hpp
+++ b/src/cowslipridge/gateway/RequestStateMachine.hpp
@@ -174,7 +174,9 @@
   std::vector<core::RunnerId> Excluded;
   unsigned AttemptsMade = 0;   ///< runners that may have received the request
   unsigned UnsentAttempts = 0; ///< attempts that reached no runner
-  bool HasArrived = false;     ///< at a runner that it was not meant for
+  /// At a runner; also at one that it was not meant for, which counts as no
+  /// attempt.
+  bool HasArrived = false;
   bool MayHaveRun = false;
   /// Of the current runner, unless it also responds with a success.
   std::optional<NotRunStatement> Rejection;
