--- a/tests/unit/limits/RetryWindowTest.cpp
+++ b/tests/unit/limits/RetryWindowTest.cpp
@@ -10,10 +10,10 @@
 
 /// Acquires a retry that arrives at once.
 bool acquire(RetryWindow &window, Millis now) {
-  static std::uint64_t Attempts = 0;
-  if (!window.tryAcquire({++Attempts, std::nullopt}, now))
+  static std::uint64_t attempts = 0;
+  if (!window.tryAcquire({++attempts, std::nullopt}, now))
     return false;
-  window.onSettled(Attempts, now);
+  window.onSettled(attempts, now);
   return true;
 }
 
