Let the stand-in end a stream that is resumed after its last event

Cause: its runner was killed between the last event and the end of the stream. The gateway asked another runner for what follows event 8, and the stand-in sent an event 9, which no stream of it has, before it ended. Ruled out: the gateway: it forwards what continues the stream; a runner of the protocol has nothing to add there. Change: the stand-in ends such a stream at once. Measured: PlatformRunnerTest.streamResumedAfterItsLastEventHasNothingToAdd: got event 4 of a stream of 3, now nothing; all 8 of PlatformRunnerTest hold.

--- a/src/standins/platform/StreamingRunner.cpp
+++ b/src/standins/platform/StreamingRunner.cpp
@@ -50,6 +50,11 @@
     responseHead.Body = http1::Framing::Chunked;
     exchange.begin(std::move(responseHead));
   }
+  if (run.NextEvent > traits().Events) {
+    exchange.end();
+    run.HasEnded = true;
+    return;
+  }
   if (traits().AbortsAfterEvents && run.Sent >= *traits().AbortsAfterEvents) {
     exchange.send("id: " + std::to_string(run.NextEvent) + "\nda");
     exchange.abort();
--- a/tests/integration/platform/PlatformRunnerTest.cpp
+++ b/tests/integration/platform/PlatformRunnerTest.cpp
@@ -171,4 +171,16 @@
   runUntil([&] { return runner.active() == 0; });
 }
 
+// Guards against a stand-in that adds an event to a stream that a caller has
+// complete: the soak took it for a fault of the gateway.
+TEST_F(PlatformRunnerTest, streamResumedAfterItsLastEventHasNothingToAdd) {
+  RunnerTraits traits;
+  traits.Events = 3;
+  StreamingRunner runner(Loop, Clock, traits);
+  runner.listen(Address);
+  const auto reply = awaitResponse(send("/stream/x", "Last-Event-Id: 3\r\n"));
+  EXPECT_EQ(reply->Head.Status, 200);
+  EXPECT_EQ(reply->Body, "");
+}
+
 } // namespace
