--- a/review/7/case.py
+++ b/review/7/case.py
@@ -39,7 +39,7 @@
         leases = asyncio.ensure_future(store.expire_leases())
         runners = [Runner(record, store, f"i-draft-{n}", "draftsmen", work_s=0.8, version="v1")
                    for n in range(2)]
-        runners += [Runner(record, store, f"i-desk-{n}", "clubdesk") for n in range(2)]
+        runners += [Runner(record, store, f"i-desk-{n}", "clubdesk", version="v2") for n in range(2)]
         for it in runners:
             await it.open()
             await it.register()
