--- a/review/support-2/standins.py
+++ b/review/support-2/standins.py
@@ -11,7 +11,9 @@
 import re
 import signal
 import socket
+import sys
 import time
+import traceback
 import urllib.parse
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
@@ -515,6 +517,25 @@
         return status, body, True, close
 
 
+def run_case(main):
+    """Runs a case and ends the process with its code; 2 if it could not run.
+
+    SIGTERM cancels the case, which then ends the processes that it started.
+    """
+    async def cancellable():
+        task = asyncio.ensure_future(main())
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        return await task
+
+    try:
+        code = asyncio.run(cancellable())
+    except (Exception, asyncio.CancelledError):  # pylint: disable=broad-except
+        traceback.print_exc()
+        print("could not run: an unexpected error")
+        code = 2
+    sys.exit(code)
+
+
 def route(name, prefix, kind, service, attempts=2, timeout_ms=4000, resume=False, **more):
     it = {"name": name, "host": "desk.example", "pathPrefix": prefix, "routeKind": kind,
           "timeoutMs": timeout_ms, "targetLatencyMs": 500, "priority": 1, "service": service,
