--- a/review/support-2/standins.py
+++ b/review/support-2/standins.py
@@ -151,10 +151,11 @@
         if self.server:
             self.server.close()
         for writer in list(self.writers):
-            sock = writer.get_extra_info("socket")
-            if sock is not None:
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
-                                b"\x01\x00\x00\x00\x00\x00\x00\x00")
+            try:
+                writer.get_extra_info("socket").setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, b"\x01\x00\x00\x00\x00\x00\x00\x00")
+            except (AttributeError, OSError):
+                pass  # closed already
             writer.transport.abort()
 
 
