Take no response whose status is none

Cause: the parser library takes any three digits for a status, and nothing behind it asked more of them. A status below 500 that is no success was "served": its head and body went to the caller as they were. In a FetchResult, 0 stands for "no response", so that such an answer of the store counted as a call that was never sent.

Ruled out: statuses of two or four digits, with other signs, and 101 were refused before; their tests stay.

Change: the parser refuses statuses outside 100 to 599 (RFC 9110, 15). All responses that a gateway reads come through it: runners, store, peers.

--- a/src/cowslipridge/http1/internal/PushParser.hpp
+++ b/src/cowslipridge/http1/internal/PushParser.hpp
@@ -21,7 +21,7 @@
   std::string Target;
   std::string Reason;
   int Status = 0;
-  int Version = 11; ///< of a request: 10 (HTTP/1.0) or 11 (HTTP/1.1)
+  int Version = 11; ///< 10 (HTTP/1.0) or 11 (HTTP/1.1)
   HeaderFields Fields;
   std::string Body;
 
@@ -29,6 +29,11 @@
   static std::string_view toStdView(View text) {
     return {text.data(), text.size()};
   }
+  static bool isStatus(int code) {
+    constexpr int First = 100;
+    constexpr int Last = 599;
+    return code >= First && code <= Last;
+  }
 
   void on_request_impl(boost::beast::http::verb /*verb*/, View method,
                        View target, int version, Code & /*ec*/) override {
@@ -36,10 +41,12 @@
     Method = toStdView(method);
     Target = toStdView(target);
   }
-  void on_response_impl(int code, View reason, int /*version*/,
-                        Code & /*ec*/) override {
+  void on_response_impl(int code, View reason, int version, Code &ec) override {
+    Version = version;
     Status = code;
     Reason = toStdView(reason);
+    if (!isStatus(code))
+      ec = boost::beast::http::error::bad_status;
   }
   void on_field_impl(boost::beast::http::field /*field*/, View name, View value,
                      Code & /*ec*/) override {
--- /dev/null
+++ b/tests/integration/platform/GatewayBrokenAnswerTest.cpp
@@ -0,0 +1,94 @@
+#include "integration/platform/GatewayFixture.hpp"
+
+#include "support/BrokenAnswers.hpp"
+#include "support/RawServer.hpp"
+
+#include <algorithm>
+#include <map>
+
+using namespace cowslipridge;
+using namespace cowslipridge::integration;
+using support::RawBehaviour;
+using support::RawServer;
+
+namespace {
+
+/// Callers of a service with a runner whose answers are none.
+class GatewayBrokenAnswerTest : public GatewayTest {
+protected:
+  /// Returns lines of the head that a sound answer has as well.
+  static std::string fieldsFor(const std::string &head) {
+    return "Attempt-Id: " + support::fieldIn(head, "Attempt-Id") +
+           "\r\nResponse-Signature: signed\r\n";
+  }
+
+  void addFaultyRunner(RawBehaviour behaviour, RawServer::Answer answer) {
+    Faulty.emplace(Loop, ownAddress(), behaviour, std::move(answer));
+    Store.store().put("servers/faulty",
+                      json{{"service", "desk"},
+                           {"address", text(Faulty->address())},
+                           {"zone", "zone-1"},
+                           {"version", "v1"},
+                           {"slots", 8},
+                           {"state", "available"},
+                           {"coldRemainingMs", 0},
+                           {"sequenceNumber", 1},
+                           {"born", Clock.wall().count()}}
+                          .dump());
+  }
+
+  std::optional<RawServer> Faulty;
+};
+
+class GatewayBrokenFormTest
+    : public GatewayBrokenAnswerTest,
+      public testing::WithParamInterface<support::BrokenAnswer> {
+protected:
+  void addFaultyRunner() {
+    GatewayBrokenAnswerTest::addFaultyRunner(
+        RawBehaviour::AnswersAndCloses, [](const std::string &head) {
+          const auto all = support::brokenAnswers(fieldsFor(head));
+          return std::ranges::find(all, GetParam().Name,
+                                   &support::BrokenAnswer::Name)
+              ->Bytes;
+        });
+  }
+};
+
+// Guards against callers that get an answer that is none.
+TEST_P(GatewayBrokenFormTest, unsafeRequestFailsAndRunsOnce) {
+  addFaultyRunner();
+  configure();
+  startAndAwaitReady();
+  const auto reply =
+      awaitResponse(sendRequest(Callers, request("POST", "/post/a")));
+  EXPECT_EQ(reply->Status, 502);
+  EXPECT_EQ(reply->Body, "");
+  EXPECT_EQ(Faulty->requests(), 1);
+}
+
+TEST_P(GatewayBrokenFormTest, safeRequestsAreServedByAnotherRunner) {
+  constexpr int Requests = 6;
+  addFaultyRunner();
+  addPlainRunner("desk-1").traits().ServiceTime = core::Millis(20);
+  configure();
+  startAndAwaitReady();
+  // Together, so that the load spreads over both runners.
+  std::map<std::string, std::shared_ptr<CallRecorder>> replies;
+  for (int n = 0; n < Requests; ++n) {
+    const auto reply = sendRequest(Callers, request("GET", "/get/a"));
+    replies.emplace(lastRequestId(), reply);
+  }
+  for (const auto &[id, reply] : replies) {
+    awaitResponse(reply);
+    EXPECT_EQ(reply->Status, 200);
+    EXPECT_EQ(reply->Body, "answer to " + id);
+  }
+  EXPECT_GE(Faulty->requests(), 1);
+}
+
+INSTANTIATE_TEST_SUITE_P(Forms, GatewayBrokenFormTest,
+                         testing::ValuesIn(support::brokenAnswers("")),
+                         [](const auto &it) { return it.param.Name; });
+
+} // namespace
--- a/tests/unit/gateway/PeerSnapshotsTest.cpp
+++ b/tests/unit/gateway/PeerSnapshotsTest.cpp
@@ -1,6 +1,8 @@
 #include "cowslipridge/gateway/PeerSnapshots.hpp"
 
+#include "support/BrokenAnswers.hpp"
 #include "support/LoopFixture.hpp"
+#include "support/RawServer.hpp"
 
 using namespace cowslipridge;
 using namespace cowslipridge::gateway;
@@ -88,4 +90,29 @@
   EXPECT_FALSE(Starting.Control.Snapshot);
 }
 
+/// A peer whose answer is none.
+class BrokenPeerAnswerTest
+    : public PeerSnapshotsTest,
+      public testing::WithParamInterface<support::BrokenAnswer> {};
+
+TEST_P(BrokenPeerAnswerTest, isNoSnapshot) {
+  int answered = 0;
+  const support::RawServer peer(Loop, anyPort(),
+                                support::RawBehaviour::AnswersAndCloses,
+                                [&](const std::string &) {
+                                  ++answered;
+                                  return GetParam().Bytes;
+                                });
+  // Another fetch begins only once the one before has ended.
+  runUntil([&] {
+    Starting.Snapshots.fetch(peer.address());
+    return answered == 2;
+  });
+  EXPECT_EQ(Starting.Control.AdoptCalls, 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(Forms, BrokenPeerAnswerTest,
+                         testing::ValuesIn(support::brokenAnswers("")),
+                         [](const auto &it) { return it.param.Name; });
+
 } // namespace
--- a/tests/unit/http1/ResponseParserTest.cpp
+++ b/tests/unit/http1/ResponseParserTest.cpp
@@ -2,7 +2,10 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <cstdio>
 #include <string>
+#include <vector>
 
 using namespace cowslipridge::http1;
 
@@ -71,4 +74,50 @@
   }
 }
 
+/// Returns the status of a parser that got the text at once, or byte by byte.
+/// The connection ends behind the text.
+ResponseStatus parseWhole(const std::string &text) {
+  std::string input = text;
+  ResponseParser parser(false);
+  const ResponseStatus status = parser.parse(input);
+  return status == ResponseStatus::NeedMore ? parser.finish() : status;
+}
+ResponseStatus parseByteByByte(const std::string &text) {
+  std::string input;
+  ResponseParser parser(false);
+  for (const char it : text) {
+    input += it;
+    const ResponseStatus status = parser.parse(input);
+    if (status != ResponseStatus::NeedMore)
+      return status;
+  }
+  return parser.finish();
+}
+
+void expectStatus(const std::string &text, ResponseStatus expected) {
+  EXPECT_EQ(parseWhole(text), expected) << text;
+  EXPECT_EQ(parseByteByByte(text), expected) << text;
+}
+
+// Guards against callers that get an answer whose status is no status, as 000.
+TEST(ResponseParserTest, acceptsExactlyTheStatusesOfFinalResponses) {
+  constexpr int FirstFinal = 200;
+  constexpr int EndOfStatuses = 600;
+  constexpr int NumbersOfThreeDigits = 1'000;
+  const auto isInterim = [](int status) {
+    return status >= 100 && status < FirstFinal && status != 101;
+  };
+  for (int status = 0; status < NumbersOfThreeDigits; ++status) {
+    if (isInterim(status))
+      continue;
+    std::string digits(4, '\0');
+    digits.resize(static_cast<std::size_t>(
+        std::snprintf(digits.data(), digits.size(), "%03d", status)));
+    expectStatus("HTTP/1.1 " + digits + " Text\r\nContent-Length: 0\r\n\r\n",
+                 status >= FirstFinal && status < EndOfStatuses
+                     ? ResponseStatus::Complete
+                     : ResponseStatus::Malformed);
+  }
+}
+
 } // namespace
