Take no part of an answer for the whole after a reset

A runner answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written.

Cause: a connection has one pending error, and the event loop hands it to the write if one is in progress. The read behind it sees an orderly end, which completes a response without a length. onSent() dropped the error and even counted the request as sent.

Ruled out: a reset after the request was written, or with nothing being written, is reported to the read and was no answer before (CutHeadTest); responses with a length or in chunks were broken before.

Change: the end of the connection completes a response only if the request was written without an error. If it is still being written, its outcome is awaited: a server that reads on gets all of it, and the answer counts; one whose process has ended resets the connection.

--- a/src/cowslipridge/http1/internal/ClientConnection.cpp
+++ b/src/cowslipridge/http1/internal/ClientConnection.cpp
@@ -99,7 +99,8 @@
   Progress = {};
   Progress.Connection = Id;
   Parser.emplace(Spec.HeadRequest);
-  Paused = RequestSent = HeadDelivered = Mismatched = false;
+  Paused = RequestSent = WriteFailed = EndPending = false;
+  HeadDelivered = Mismatched = false;
   SkippedBytes = 0;
   if (State == Phase::Unconnected) {
     connect();
@@ -204,15 +205,18 @@
 void ClientConnection::onSent(const boost::system::error_code &ec) {
   if (State != Phase::Busy)
     return;
-  RequestSent = true;
-  // The server may have responded before it closed the connection; reading
-  // returns either that response or the error.
-  if (ec)
+  RequestSent = !ec;
+  WriteFailed = ec.failed();
+  if (EndPending)
+    endResponse();
+  else if (ec)
+    // The server may have responded before it closed the connection; reading
+    // returns either that response or the error.
     read();
 }
 
 void ClientConnection::read() {
-  if (ReadPending || Paused || State != Phase::Busy)
+  if (ReadPending || Paused || EndPending || State != Phase::Busy)
     return;
   ReadPending = true;
   Peer.async_read_some(boost::asio::buffer(Chunk),
@@ -226,9 +230,8 @@
                               std::size_t n) {
   if (State != Phase::Busy)
     return;
-  if (ec == boost::asio::error::eof && Parser->headDone() && !Mismatched &&
-      Parser->finish() == ResponseStatus::Complete) {
-    complete();
+  if (ec == boost::asio::error::eof) {
+    onPeerEnd();
     return;
   }
   if (ec) {
@@ -240,6 +243,27 @@
   read();
 }
 
+void ClientConnection::onPeerEnd() {
+  const bool isWhole = Parser->headDone() && !Mismatched &&
+                       Parser->finish() == ResponseStatus::Complete;
+  if (!isWhole)
+    failBroken();
+  else if (RequestSent || WriteFailed)
+    endResponse();
+  else
+    EndPending = true;
+}
+
+// A reset is reported to the write if one is in progress; the read then sees an
+// orderly end. So the end of the connection completes a response only if the
+// request was written without an error.
+void ClientConnection::endResponse() {
+  if (WriteFailed)
+    failBroken();
+  else
+    complete();
+}
+
 void ClientConnection::parse() {
   while (State == Phase::Busy) {
     const std::size_t before = Input.size();
--- a/src/cowslipridge/http1/internal/ClientConnection.hpp
+++ b/src/cowslipridge/http1/internal/ClientConnection.hpp
@@ -76,6 +76,8 @@
   void onSent(const boost::system::error_code &ec);
   void read();
   void onRead(const boost::system::error_code &ec, std::size_t n);
+  void onPeerEnd();
+  void endResponse();
   void parse();
   bool deliver();
   bool isMismatched() const;
@@ -107,7 +109,10 @@
   std::array<char, 8192> Chunk{};
   bool ReadPending = false;
   bool Paused = false;
-  bool RequestSent = false;
+  bool RequestSent = false; ///< all of it was written
+  bool WriteFailed = false;
+  /// The response ended with its connection; the request is still written.
+  bool EndPending = false;
   bool HeadDelivered = false;
   bool Mismatched = false;      ///< the response belongs to another call
   std::size_t SkippedBytes = 0; ///< of responses that belong to other calls
--- a/tests/integration/platform/GatewayBrokenAnswerTest.cpp
+++ b/tests/integration/platform/GatewayBrokenAnswerTest.cpp
@@ -40,6 +40,30 @@
   std::optional<RawServer> Faulty;
 };
 
+// Guards against a part of an answer that callers get as the whole: a runner
+// answers a long upload at once, without a length, and resets the connection.
+TEST_F(GatewayBrokenAnswerTest, cutAnswerToAnUploadIsNoAnswer) {
+  constexpr int Uploads = 10;
+  constexpr std::size_t BodyBytes = 4'000'000;
+  addFaultyRunner(RawBehaviour::AnswersEarlyAndResets,
+                  [](const std::string &head) {
+                    return "HTTP/1.1 200 OK\r\n" + fieldsFor(head) +
+                           "\r\npart of an answer";
+                  });
+  configure();
+  startAndAwaitReady();
+  const std::string body(BodyBytes, 'x');
+  const std::string length =
+      "Content-Length: " + std::to_string(BodyBytes) + "\r\n";
+  for (int n = 0; n < Uploads; ++n) {
+    const auto reply = awaitResponse(
+        sendRequest(Callers, request("POST", "/post/a", length) + body));
+    EXPECT_NE(reply->Status, 200);
+    EXPECT_EQ(reply->Body, "");
+  }
+  EXPECT_GE(Faulty->requests(), 1);
+}
+
 class GatewayBrokenFormTest
     : public GatewayBrokenAnswerTest,
       public testing::WithParamInterface<support::BrokenAnswer> {
