Read no trailer as a field of the head

A signature or "Not-Executed" behind the body counted as the runner's, and was passed on; the same response in two reads gave another result. Requests of callers were read in this way, too: a key behind the body counted.

Cause: the library reports trailers as fields, and head, body and trailers were parsed before the head was taken out.

Change: a response's head is parsed by itself; fields behind a head are dropped.

--- a/src/cowslipridge/http1/RequestParser.cpp
+++ b/src/cowslipridge/http1/RequestParser.cpp
@@ -11,7 +11,6 @@
 class RequestParser::Impl {
 public:
   explicit Impl(RequestLimits limits) : MaxHeaderBytes(limits.MaxHeaderBytes) {
-    Parser.eager(true);
     Parser.header_limit(static_cast<std::uint32_t>(limits.MaxHeaderBytes));
     Parser.body_limit(limits.MaxBodyBytes);
   }
--- a/src/cowslipridge/http1/ResponseParser.cpp
+++ b/src/cowslipridge/http1/ResponseParser.cpp
@@ -20,23 +20,18 @@
   explicit Impl(bool headRequest) : HeadRequest(headRequest) { restart(); }
 
   ResponseStatus parse(std::string &input) {
-    for (;;) {
-      const auto ec = internal::feed(*Parser, input);
-      if (ec)
+    while (!HeadExtracted) {
+      if (internal::feedHead(*Parser, input))
+        return ResponseStatus::Malformed;
+      if (!Parser->is_header_done())
+        return ResponseStatus::NeedMore;
+      if (!(isInterim() ? skipInterim() : extractHead()))
         return ResponseStatus::Malformed;
-      if (Parser->is_header_done() && !HeadExtracted) {
-        if (isInterim()) {
-          if (++InterimResponses > MaxInterimResponses)
-            return ResponseStatus::Malformed;
-          restart();
-          continue;
-        }
-        if (!extractHead())
-          return ResponseStatus::Malformed;
-      }
-      return Parser->is_done() ? ResponseStatus::Complete
-                               : ResponseStatus::NeedMore;
     }
+    if (internal::feed(*Parser, input))
+      return ResponseStatus::Malformed;
+    return Parser->is_done() ? ResponseStatus::Complete
+                             : ResponseStatus::NeedMore;
   }
 
   ResponseStatus finish() {
@@ -54,7 +49,6 @@
 private:
   void restart() {
     Parser.emplace();
-    Parser->eager(true);
     Parser->header_limit(MaxResponseHeaderBytes);
     // The maximum stands for no limit: with boost::none, this version of
     // Boost.Beast rejects every body.
@@ -68,6 +62,11 @@
            Parser->Status != 101;
   }
 
+  bool skipInterim() {
+    restart();
+    return ++InterimResponses <= MaxInterimResponses;
+  }
+
   bool extractHead() {
     HeadExtracted = true;
     Head.Status = Parser->Status;
--- a/src/cowslipridge/http1/internal/PushParser.hpp
+++ b/src/cowslipridge/http1/internal/PushParser.hpp
@@ -21,8 +21,8 @@
   std::string Target;
   std::string Reason;
   int Status = 0;
-  int Version = 11; ///< 10 (HTTP/1.0) or 11 (HTTP/1.1)
-  HeaderFields Fields;
+  int Version = 11;    ///< 10 (HTTP/1.0) or 11 (HTTP/1.1)
+  HeaderFields Fields; ///< of the head; trailers are dropped
   std::string Body;
 
 private:
@@ -50,9 +50,10 @@
   }
   void on_field_impl(boost::beast::http::field /*field*/, View name, View value,
                      Code & /*ec*/) override {
-    Fields.add(toStdView(name), toStdView(value));
+    if (!HeadDone)
+      Fields.add(toStdView(name), toStdView(value));
   }
-  void on_header_impl(Code & /*ec*/) override {}
+  void on_header_impl(Code & /*ec*/) override { HeadDone = true; }
   void on_body_init_impl(const boost::optional<std::uint64_t> & /*length*/,
                          Code & /*ec*/) override {}
   std::size_t on_body_impl(View body, Code & /*ec*/) override {
@@ -67,17 +68,19 @@
     return body.size();
   }
   void on_finish_impl(Code & /*ec*/) override {}
+
+  bool HeadDone = false;
 };
 
-/// Parses as much of `input` as the parser accepts and removes the parsed
-/// bytes.
-template <bool IsRequest>
-boost::beast::error_code feed(PushParser<IsRequest> &parser,
-                              std::string &input) {
+/// Parses as much of `input` as the parser accepts, until `isDone` returns
+/// true, and removes the parsed bytes.
+template <bool IsRequest, typename Predicate>
+boost::beast::error_code feedUntil(PushParser<IsRequest> &parser,
+                                   std::string &input, Predicate isDone) {
   namespace http = boost::beast::http;
   boost::beast::error_code ec;
   std::size_t consumed = 0;
-  while (consumed < input.size() && !parser.is_done()) {
+  while (consumed < input.size() && !isDone()) {
     const std::size_t n =
         parser.put(boost::asio::const_buffer(input.data() + consumed,
                                              input.size() - consumed),
@@ -92,4 +95,20 @@
   return ec;
 }
 
+/// Parses the head, if all of it has arrived, and nothing behind it.
+template <bool IsRequest>
+boost::beast::error_code feedHead(PushParser<IsRequest> &parser,
+                                  std::string &input) {
+  parser.eager(false);
+  return feedUntil(parser, input, [&] { return parser.is_header_done(); });
+}
+
+/// Parses all that belongs to the message.
+template <bool IsRequest>
+boost::beast::error_code feed(PushParser<IsRequest> &parser,
+                              std::string &input) {
+  parser.eager(true);
+  return feedUntil(parser, input, [&] { return parser.is_done(); });
+}
+
 } // namespace cowslipridge::http1::internal
--- a/tests/unit/http1/RequestParserTest.cpp
+++ b/tests/unit/http1/RequestParserTest.cpp
@@ -41,6 +41,18 @@
   EXPECT_EQ(parser.body(), "abc");
 }
 
+// Guards against fields behind a body that count as those of the head if they
+// come with it.
+TEST(RequestParserTest, trailersAreNoFieldsOfTheHead) {
+  std::string input = "POST / HTTP/1.1\r\nHost: h\r\n"
+                      "Transfer-Encoding: chunked\r\n\r\n"
+                      "1\r\na\r\n0\r\nKey: x\r\n\r\n";
+  RequestParser parser({});
+  EXPECT_EQ(parser.parse(input), ParseStatus::Complete);
+  EXPECT_EQ(parser.body(), "a");
+  EXPECT_FALSE(parser.head().Fields.find("Key"));
+}
+
 // Guards against request smuggling: with ambiguous framing, a second request
 // can be hidden in the body of the first.
 TEST(RequestParserTest, rejectsAmbiguousFraming) {
--- a/tests/unit/http1/ResponseParserTest.cpp
+++ b/tests/unit/http1/ResponseParserTest.cpp
@@ -120,4 +120,18 @@
   }
 }
 
+// Guards against a statement or signature behind a body, which was taken for
+// one of the head if it came with the head.
+TEST(ResponseParserTest, trailersAreNoFieldsOfTheHead) {
+  const std::string text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                           "\r\n2\r\nok\r\n0\r\nSignature: x\r\n"
+                           "Connection: close\r\n\r\n";
+  std::string input = text;
+  ResponseParser parser(false);
+  EXPECT_EQ(parser.parse(input), ResponseStatus::Complete);
+  EXPECT_EQ(parser.takeBody(), "ok");
+  EXPECT_FALSE(parser.head().Fields.find("Signature"));
+  EXPECT_TRUE(parser.head().KeepAlive);
+}
+
 } // namespace
