Refuse lines of a response's head that continue another

A runner's head with a line that began with a blank reached callers as an answer: the line was joined to the value before it.

Cause: the parser library joins such lines (obsolete folding, RFC 9112, 5.2) and reports one field.

Ruled out, with tests that passed before on this machine (arm64): a blank, a tab, a control byte or NUL within or behind a name, no name, no colon. The check of all 256 bytes in each place of a name is now the product's own, so that it holds whatever the library does on another processor.

Change: the bytes of a head are looked through for lines that begin with a blank; names must be tokens, values free of control bytes.

Tests, before: ResponseParserTest.acceptsExactlyTheBytesOfTokensInNames and linesThatContinueAnotherAreMalformed failed, and the forms LineContinued, LineContinuedByTab and LengthInContinuedLine: 6 of 38 GatewayBrokenFormTest, 6 of 38 BrokenAnswerTest, 3 of 19 BrokenStoreAnswerTest, 3 of 19 BrokenPeerAnswerTest. After: all pass, unit_http1 181 of 181.

--- a/src/cowslipridge/http1/ResponseParser.cpp
+++ b/src/cowslipridge/http1/ResponseParser.cpp
@@ -21,7 +21,7 @@
 
   ResponseStatus parse(std::string &input) {
     while (!HeadExtracted) {
-      if (internal::feedHead(*Parser, input))
+      if (internal::feedHead(*Parser, HeadLines, input))
         return ResponseStatus::Malformed;
       if (!Parser->is_header_done())
         return ResponseStatus::NeedMore;
@@ -49,6 +49,7 @@
 private:
   void restart() {
     Parser.emplace();
+    HeadLines = {};
     Parser->header_limit(MaxResponseHeaderBytes);
     // The maximum stands for no limit: with boost::none, this version of
     // Boost.Beast rejects every body.
@@ -93,6 +94,7 @@
   }
 
   bool HeadRequest;
+  internal::ContinuedLines HeadLines;
   unsigned InterimResponses = 0;
 };
 
--- a/src/cowslipridge/http1/internal/PushParser.hpp
+++ b/src/cowslipridge/http1/internal/PushParser.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "cowslipridge/http1/Message.hpp"
+#include "cowslipridge/http1/internal/FieldSyntax.hpp"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/basic_parser.hpp>
@@ -15,6 +16,7 @@
   using Base = boost::beast::http::basic_parser<IsRequest>;
   using View = boost::beast::string_view;
   using Code = boost::beast::error_code;
+  using Error = boost::beast::http::error;
 
 public:
   std::string Method;
@@ -46,11 +48,15 @@
     Status = code;
     Reason = toStdView(reason);
     if (!isStatus(code))
-      ec = boost::beast::http::error::bad_status;
+      ec = Error::bad_status;
   }
   void on_field_impl(boost::beast::http::field /*field*/, View name, View value,
-                     Code & /*ec*/) override {
-    if (!HeadDone)
+                     Code &ec) override {
+    if (!isToken(toStdView(name)))
+      ec = Error::bad_field;
+    else if (!isFieldValue(toStdView(value)))
+      ec = Error::bad_value;
+    else if (!HeadDone)
       Fields.add(toStdView(name), toStdView(value));
   }
   void on_header_impl(Code & /*ec*/) override { HeadDone = true; }
@@ -73,12 +79,10 @@
 };
 
 /// Parses as much of `input` as the parser accepts, until `isDone` returns
-/// true, and removes the parsed bytes.
+/// true. Returns the number of bytes that were parsed.
 template <bool IsRequest, typename Predicate>
-boost::beast::error_code feedUntil(PushParser<IsRequest> &parser,
-                                   std::string &input, Predicate isDone) {
-  namespace http = boost::beast::http;
-  boost::beast::error_code ec;
+std::size_t put(PushParser<IsRequest> &parser, std::string_view input,
+                Predicate isDone, boost::beast::error_code &ec) {
   std::size_t consumed = 0;
   while (consumed < input.size() && !isDone()) {
     const std::size_t n =
@@ -89,26 +93,35 @@
     if (ec || n == 0)
       break;
   }
-  input.erase(0, consumed);
-  if (ec == http::error::need_more)
+  if (ec == boost::beast::http::error::need_more)
     ec = {};
-  return ec;
+  return consumed;
 }
 
-/// Parses the head, if all of it has arrived, and nothing behind it.
-template <bool IsRequest>
-boost::beast::error_code feedHead(PushParser<IsRequest> &parser,
-                                  std::string &input) {
+/// Parses the head of a response, if all of it has arrived, and nothing behind
+/// it. Removes the parsed bytes.
+inline boost::beast::error_code
+feedHead(PushParser<false> &parser, ContinuedLines &lines, std::string &input) {
+  boost::beast::error_code ec;
   parser.eager(false);
-  return feedUntil(parser, input, [&] { return parser.is_header_done(); });
+  const std::size_t consumed = put(
+      parser, input, [&] { return parser.is_header_done(); }, ec);
+  if (!ec && lines.contains(std::string_view(input).substr(0, consumed)))
+    ec = boost::beast::http::error::bad_obs_fold;
+  input.erase(0, consumed);
+  return ec;
 }
 
-/// Parses all that belongs to the message.
+/// Parses all that belongs to the message and removes the parsed bytes.
 template <bool IsRequest>
 boost::beast::error_code feed(PushParser<IsRequest> &parser,
                               std::string &input) {
+  boost::beast::error_code ec;
   parser.eager(true);
-  return feedUntil(parser, input, [&] { return parser.is_done(); });
+  const std::size_t consumed = put(
+      parser, input, [&] { return parser.is_done(); }, ec);
+  input.erase(0, consumed);
+  return ec;
 }
 
 } // namespace cowslipridge::http1::internal
--- a/tests/unit/http1/ResponseParserTest.cpp
+++ b/tests/unit/http1/ResponseParserTest.cpp
@@ -99,6 +99,11 @@
   EXPECT_EQ(parseByteByByte(text), expected) << text;
 }
 
+/// Returns a response with a body of two bytes and these lines in its head.
+std::string responseWith(const std::string &lines) {
+  return "HTTP/1.1 200 OK\r\n" + lines + "Content-Length: 2\r\n\r\nok";
+}
+
 // Guards against callers that get an answer whose status is no status, as 000.
 TEST(ResponseParserTest, acceptsExactlyTheStatusesOfFinalResponses) {
   constexpr int FirstFinal = 200;
@@ -120,6 +125,41 @@
   }
 }
 
+// Guards against a field that is passed on although its name is none.
+TEST(ResponseParserTest, acceptsExactlyTheBytesOfTokensInNames) {
+  const std::string others = "!#$%&'*+-.^_`|~";
+  for (int byte = 0; byte < 256; ++byte) {
+    const char it = static_cast<char>(byte);
+    const bool isToken = (it >= '0' && it <= '9') || (it >= 'a' && it <= 'z') ||
+                         (it >= 'A' && it <= 'Z') ||
+                         others.find(it) != std::string::npos;
+    const auto expected =
+        isToken ? ResponseStatus::Complete : ResponseStatus::Malformed;
+    const std::string first(1, it);
+    expectStatus(responseWith(first + "ab: v\r\n"), expected);
+    expectStatus(responseWith("A: v\r\n" + first + "ab: v\r\n"), expected);
+    if (it == ':')
+      continue; // ends the name
+    expectStatus(responseWith("a" + first + "b: v\r\n"), expected);
+    expectStatus(responseWith("ab" + first + ": v\r\n"), expected);
+  }
+}
+
+// Guards against a length that is read as a part of the line before it, so that
+// the body goes on with what follows it.
+TEST(ResponseParserTest, linesThatContinueAnotherAreMalformed) {
+  for (const char *blank : {" ", "\t"}) {
+    expectStatus(responseWith(std::string("A: v\r\n") + blank + "b: w\r\n"),
+                 ResponseStatus::Malformed);
+    expectStatus(std::string("HTTP/1.1 200 OK\r\nA: v\r\n") + blank +
+                     "Content-Length: 2\r\n\r\nok",
+                 ResponseStatus::Malformed);
+    expectStatus(std::string("HTTP/1.1 100 Continue\r\nA: v\r\n") + blank +
+                     "w\r\n\r\n" + responseWith(""),
+                 ResponseStatus::Malformed);
+  }
+}
+
 // Guards against a statement or signature behind a body, which was taken for
 // one of the head if it came with the head.
 TEST(ResponseParserTest, trailersAreNoFieldsOfTheHead) {
