Refuse responses whose body has no certain length or another coding

A runner's response with another transfer coding than chunked reached callers as an answer: gzip without its coding, or chunk sizes as if they were text, up to the end of the connection. So did one in chunks under HTTP/1.0 and one with two equal lengths in one field.

Cause: the library reads such heads; requests were checked behind it, responses only for more than one field.

Change: one check for both, isFramingUnambiguous, taken out of RequestParser.

The other forms of values, versions, chunks and lengths were refused before and keep their tests.

--- a/src/cowslipridge/http1/RequestParser.cpp
+++ b/src/cowslipridge/http1/RequestParser.cpp
@@ -1,5 +1,6 @@
 #include "cowslipridge/http1/RequestParser.hpp"
 
+#include "cowslipridge/http1/internal/FramingFields.hpp"
 #include "cowslipridge/http1/internal/PushParser.hpp"
 
 #include <utility>
@@ -63,24 +64,8 @@
                                                     : Framing::None;
   }
 
-  static bool isNumber(std::string_view text) {
-    return !text.empty() &&
-           text.find_first_not_of("0123456789") == std::string_view::npos;
-  }
-
-  // Boost.Beast treats a request with an unknown transfer coding as one without
-  // a body.
   [[nodiscard]] bool isUnambiguous() const {
-    const std::size_t codings = Head.Fields.count("Transfer-Encoding");
-    const std::size_t lengths = Head.Fields.count("Content-Length");
-    if (codings + lengths > 1)
-      return false;
-    if (codings == 1 &&
-        (!Head.IsHttp11OrLater ||
-         !sameName(*Head.Fields.find("Transfer-Encoding"), "chunked")))
-      return false;
-    // Boost.Beast also accepts a list of equal lengths.
-    if (lengths == 1 && !isNumber(*Head.Fields.find("Content-Length")))
+    if (!internal::isFramingUnambiguous(Head.Fields, Parser.Version))
       return false;
     if (Head.IsHttp11OrLater && Head.Fields.count("Host") != 1)
       return false;
--- a/src/cowslipridge/http1/ResponseParser.cpp
+++ b/src/cowslipridge/http1/ResponseParser.cpp
@@ -1,5 +1,6 @@
 #include "cowslipridge/http1/ResponseParser.hpp"
 
+#include "cowslipridge/http1/internal/FramingFields.hpp"
 #include "cowslipridge/http1/internal/PushParser.hpp"
 
 #include <limits>
@@ -74,18 +75,17 @@
     Head.Reason = std::move(Parser->Reason);
     Head.Fields = std::move(Parser->Fields);
     Head.KeepAlive = Parser->keep_alive();
-    const std::size_t codings = Head.Fields.count("Transfer-Encoding");
-    const std::size_t lengths = Head.Fields.count("Content-Length");
-    if (codings + lengths > 1 || Head.Status == 101)
+    if (!internal::isFramingUnambiguous(Head.Fields, Parser->Version) ||
+        Head.Status == 101)
       return false;
-    Head.Body = framing(lengths);
+    Head.Body = framing();
     return true;
   }
 
-  Framing framing(std::size_t lengths) {
+  Framing framing() {
     if (Parser->chunked())
       return Framing::Chunked;
-    if (lengths == 1) {
+    if (Head.Fields.count("Content-Length") != 0) {
       const auto length = Parser->content_length();
       Head.Length = length ? *length : 0;
       return Framing::Length;
--- /dev/null
+++ b/src/cowslipridge/http1/internal/FramingFields.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+#include "cowslipridge/http1/HeaderFields.hpp"
+
+namespace cowslipridge::http1::internal {
+
+/// Returns whether the fields of a head name one way at most in which the
+/// length of its body is determined: the coding `chunked` and no other one, or
+/// one number of bytes. The parser library accepts more, and leaves it to the
+/// reader to decode the body. `version` is 10 (HTTP/1.0) or 11 (HTTP/1.1).
+bool isFramingUnambiguous(const HeaderFields &fields, int version);
+
+} // namespace cowslipridge::http1::internal
--- a/tests/unit/http1/ResponseParserTest.cpp
+++ b/tests/unit/http1/ResponseParserTest.cpp
@@ -160,6 +160,30 @@
   }
 }
 
+// Guards against a coded body that is passed on without its coding, and against
+// a body whose chunks are passed on as if they were its text.
+TEST(ResponseParserTest, transferCodingsOtherThanChunkedAreMalformed) {
+  const std::string chunks = "2\r\nok\r\n0\r\n\r\n";
+  for (const char *coding :
+       {"gzip", "identity", "xchunked", "gzip, chunked", "chunked, gzip",
+        "chunked, chunked", ", chunked", "chunked;q=1", "\"chunked\"", ""})
+    expectStatus(std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: ") +
+                     coding + "\r\n\r\n" + chunks,
+                 ResponseStatus::Malformed);
+  expectStatus("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks,
+               ResponseStatus::Malformed);
+  expectStatus("HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n" + chunks,
+               ResponseStatus::Complete);
+}
+
+TEST(ResponseParserTest, lengthsThatAreNoNumberAreMalformed) {
+  for (const char *length : {"", "2,2", "2, 2", "2 2", "+2", "-2", "0x2", "2.0",
+                             "2;", "two", "18446744073709551618"})
+    expectStatus(std::string("HTTP/1.1 200 OK\r\nContent-Length: ") + length +
+                     "\r\n\r\nok",
+                 ResponseStatus::Malformed);
+}
+
 // Guards against a statement or signature behind a body, which was taken for
 // one of the head if it came with the head.
 TEST(ResponseParserTest, trailersAreNoFieldsOfTheHead) {
