Refuse responses without a body that announce one

A 204 that announced a body reached callers as an answer, with the length or the chunks of a body that did not follow; in an interim response (1xx) its bytes could be taken for the final one. A 304 was passed on as one whose body has the length that it names.

Cause: the library ends such a response with its head, whatever the head announces.

Change: 204 and 1xx that announce a body are refused (RFC 9110, 8.6); the fields of a 304 describe no body of its own.

--- a/src/cowslipridge/http1/ResponseParser.cpp
+++ b/src/cowslipridge/http1/ResponseParser.cpp
@@ -12,6 +12,9 @@
 namespace {
 
 constexpr std::uint32_t MaxResponseHeaderBytes = 64 * 1024;
+constexpr int SwitchingProtocols = 101;
+constexpr int NoContent = 204;
+constexpr int NotModified = 304;
 constexpr unsigned MaxInterimResponses = 16;
 
 } // namespace
@@ -61,10 +64,12 @@
 
   [[nodiscard]] bool isInterim() const {
     return Parser->Status >= 100 && Parser->Status < 200 &&
-           Parser->Status != 101;
+           Parser->Status != SwitchingProtocols;
   }
 
   bool skipInterim() {
+    if (internal::announcesBody(Parser->Fields))
+      return false;
     restart();
     return ++InterimResponses <= MaxInterimResponses;
   }
@@ -75,14 +80,24 @@
     Head.Reason = std::move(Parser->Reason);
     Head.Fields = std::move(Parser->Fields);
     Head.KeepAlive = Parser->keep_alive();
-    if (!internal::isFramingUnambiguous(Head.Fields, Parser->Version) ||
-        Head.Status == 101)
+    if (!isAcceptable())
       return false;
     Head.Body = framing();
     return true;
   }
 
+  [[nodiscard]] bool isAcceptable() const {
+    if (Head.Status == SwitchingProtocols)
+      return false;
+    if (Head.Status == NoContent && internal::announcesBody(Head.Fields))
+      return false;
+    return internal::isFramingUnambiguous(Head.Fields, Parser->Version);
+  }
+
   Framing framing() {
+    // What its fields say of a body belongs to the response without condition.
+    if (Head.Status == NotModified || Head.Status == NoContent)
+      return Framing::None;
     if (Parser->chunked())
       return Framing::Chunked;
     if (Head.Fields.count("Content-Length") != 0) {
--- a/src/cowslipridge/http1/internal/FramingFields.cpp
+++ b/src/cowslipridge/http1/internal/FramingFields.cpp
@@ -24,4 +24,9 @@
   return lengths == 0 || isNumber(*fields.find("Content-Length"));
 }
 
+bool announcesBody(const HeaderFields &fields) {
+  return fields.count("Transfer-Encoding") != 0 ||
+         fields.find("Content-Length").value_or("0") != "0";
+}
+
 } // namespace cowslipridge::http1::internal
--- a/src/cowslipridge/http1/internal/FramingFields.hpp
+++ b/src/cowslipridge/http1/internal/FramingFields.hpp
@@ -10,4 +10,9 @@
 /// reader to decode the body. `version` is 10 (HTTP/1.0) or 11 (HTTP/1.1).
 bool isFramingUnambiguous(const HeaderFields &fields, int version);
 
+/// Returns whether the fields announce a body that is not empty. A response
+/// that never has one must not do so: its bytes would be taken for the next
+/// response.
+bool announcesBody(const HeaderFields &fields);
+
 } // namespace cowslipridge::http1::internal
--- a/tests/support/BrokenAnswers.cpp
+++ b/tests/support/BrokenAnswers.cpp
@@ -24,6 +24,7 @@
   const auto withChunks = [&](const std::string &chunks) {
     return withFraming("Transfer-Encoding: chunked\r\n", chunks);
   };
+  const std::string sound = Ok + fields + Rest;
   return {
       {"StatusZero", withStatus("000 ")},
       {"StatusBelowAll", withStatus("099 Text")},
@@ -103,6 +104,14 @@
       {"ChunkLongerThanItsSize", withChunks("2\r\nok!\r\n0\r\n\r\n")},
       {"ChunkEndsWithLineFeed", withChunks("2\nok\n0\n\n")},
       {"TrailerWithoutColon", withChunks("2\r\nok\r\n0\r\nName\r\n\r\n")},
+      {"BodyOfNoContent", "HTTP/1.1 204 No Content\r\n" + fields + Rest},
+      {"ChunksOfNoContent", "HTTP/1.1 204 No Content\r\n" + fields +
+                                "Transfer-Encoding: chunked\r\n\r\n" + Chunks},
+      {"BodyOfInterimResponse",
+       "HTTP/1.1 100 Continue\r\nContent-Length: 2\r\n\r\nok" + sound},
+      {"LengthOfInterimResponse",
+       "HTTP/1.1 100 Continue\r\nContent-Length: 2\r\n\r\n" + sound},
+      {"InterimResponseAlone", "HTTP/1.1 100 Continue\r\n\r\n"},
   };
 }
 
--- a/tests/unit/http1/ResponseParserTest.cpp
+++ b/tests/unit/http1/ResponseParserTest.cpp
@@ -184,6 +184,26 @@
                  ResponseStatus::Malformed);
 }
 
+// The body that is announced would be taken for the next response.
+TEST(ResponseParserTest, bodiesOfResponsesThatHaveNoneAreMalformed) {
+  for (const char *status : {"204 No Content", "100 Continue"}) {
+    const std::string begin = std::string("HTTP/1.1 ") + status + "\r\n";
+    expectStatus(begin + "Content-Length: 2\r\n\r\nok",
+                 ResponseStatus::Malformed);
+    expectStatus(begin + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+                 ResponseStatus::Malformed);
+  }
+  expectStatus("HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n",
+               ResponseStatus::Complete);
+}
+
+TEST(ResponseParserTest, notModifiedHasNoBodyWhateverLengthItNames) {
+  std::string input = "HTTP/1.1 304 Not Modified\r\nContent-Length: 2\r\n\r\n";
+  ResponseParser parser(false);
+  EXPECT_EQ(parser.parse(input), ResponseStatus::Complete);
+  EXPECT_EQ(parser.head().Body, Framing::None);
+}
+
 // Guards against a statement or signature behind a body, which was taken for
 // one of the head if it came with the head.
 TEST(ResponseParserTest, trailersAreNoFieldsOfTheHead) {
