Take no answer whose signature is empty or comes twice

Found while asking where else a head is believed: a success with an empty signature, or with two, reached callers as the runner's answer. The protocol counts a success only if it comes with its runner's signature; a second one is that of another answer.

Cause: the translator asked only whether the field is there.

Tests, before: HeaderTranslatorTest.answersCarryExactlyOneSignature failed; SignatureEmpty and SignatureTwice of GatewayBrokenFormTest reached callers (4 of 4). SignatureMissing was refused before, SignatureBehindBody since trailers are dropped. After: all pass.

--- a/src/cowslipridge/platform/HeaderTranslator.cpp
+++ b/src/cowslipridge/platform/HeaderTranslator.cpp
@@ -77,6 +77,11 @@
   return std::string(fields.find(name).value_or(""));
 }
 
+// A second signature would be that of another answer.
+bool isAuthentic(const http1::HeaderFields &fields) {
+  return fields.count(Signature) == 1 && !fields.find(Signature)->empty();
+}
+
 void parseTokenUsage(std::string_view text, gateway::CallerRequest &request) {
   const std::size_t comma = text.find(',');
   request.PromptTokens = parseNumber(text.substr(0, comma)).value_or(0);
@@ -187,7 +192,7 @@
 HeaderTranslator::readResponse(const http1::ResponseHead &head) const {
   gateway::ResponseAttributes attributes;
   attributes.Status = head.Status;
-  attributes.Authentic = head.Fields.find(Signature).has_value();
+  attributes.Authentic = isAuthentic(head.Fields);
   if (head.Fields.find(NotExecuted))
     attributes.NotRun = notRunStatement();
   if (const auto confidence = numberIn(head.Fields, EstimateConfidence))
--- a/tests/integration/platform/GatewayBrokenAnswerTest.cpp
+++ b/tests/integration/platform/GatewayBrokenAnswerTest.cpp
@@ -4,7 +4,9 @@
 #include "support/RawServer.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
+#include <vector>
 
 using namespace cowslipridge;
 using namespace cowslipridge::integration;
@@ -64,6 +66,33 @@
   EXPECT_GE(Faulty->requests(), 1);
 }
 
+/// Returns valid responses that are no answers of a runner to the request with
+/// this head.
+std::vector<support::BrokenAnswer> unusableAnswers(const std::string &head) {
+  const std::string id =
+      "Attempt-Id: " + support::fieldIn(head, "Attempt-Id") + "\r\n";
+  const std::string signature = "Response-Signature: signed\r\n";
+  const std::string begin = "HTTP/1.1 200 OK\r\n" + id;
+  const std::string rest = "Content-Length: 2\r\n\r\nok";
+  const std::string chunks =
+      "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n";
+  return {
+      {"SignatureMissing", begin + rest},
+      {"SignatureEmpty", begin + "Response-Signature:\r\n" + rest},
+      {"SignatureTwice", begin + signature + signature + rest},
+      {"SignatureBehindBody", begin + chunks + signature + "\r\n"},
+  };
+}
+
+/// Returns all answers that a caller must not get.
+std::vector<support::BrokenAnswer> allAnswers(const std::string &head) {
+  auto all = support::brokenAnswers(
+      "Attempt-Id: " + support::fieldIn(head, "Attempt-Id") +
+      "\r\nResponse-Signature: signed\r\n");
+  std::ranges::copy(unusableAnswers(head), std::back_inserter(all));
+  return all;
+}
+
 class GatewayBrokenFormTest
     : public GatewayBrokenAnswerTest,
       public testing::WithParamInterface<support::BrokenAnswer> {
@@ -71,7 +100,7 @@
   void addFaultyRunner() {
     GatewayBrokenAnswerTest::addFaultyRunner(
         RawBehaviour::AnswersAndCloses, [](const std::string &head) {
-          const auto all = support::brokenAnswers(fieldsFor(head));
+          const auto all = allAnswers(head);
           return std::ranges::find(all, GetParam().Name,
                                    &support::BrokenAnswer::Name)
               ->Bytes;
@@ -112,7 +141,7 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Forms, GatewayBrokenFormTest,
-                         testing::ValuesIn(support::brokenAnswers("")),
+                         testing::ValuesIn(allAnswers("")),
                          [](const auto &it) { return it.param.Name; });
 
 } // namespace
--- a/tests/unit/platform/HeaderTranslatorTest.cpp
+++ b/tests/unit/platform/HeaderTranslatorTest.cpp
@@ -95,6 +95,17 @@
   EXPECT_EQ(attributes.Id.str(), "9c41");
 }
 
+TEST(HeaderTranslatorTest, answersCarryExactlyOneSignature) {
+  http1::ResponseHead head;
+  EXPECT_FALSE(HeaderTranslator().readResponse(head).Authentic);
+  head.Fields.add("Response-Signature", "");
+  EXPECT_FALSE(HeaderTranslator().readResponse(head).Authentic);
+  head.Fields.set("Response-Signature", "3e.1b");
+  EXPECT_TRUE(HeaderTranslator().readResponse(head).Authentic);
+  head.Fields.add("Response-Signature", "3e.1b");
+  EXPECT_FALSE(HeaderTranslator().readResponse(head).Authentic);
+}
+
 // Guards against unsafe requests that run twice, as their runner has run them
 // and answers with a status that other runners use for a rejection.
 TEST(HeaderTranslatorTest,
