Take no success that is a part, encoded or said not to have run

Found while asking where else a head is believed. These reached callers as whole answers: a 206 to a request that asked for no part, a body in a content coding that the caller had not asked for ("a response that has a Content-Encoding is not the runner's body"), and a success that states that it did not run.

Cause: any success with a signature was an answer.

Change: ResponseFlaws compares the head of a success with that of its request; one function names what is wrong with a success, and the attempt counts as broken.

--- a/src/cowslipridge/gateway/CallerRequest.hpp
+++ b/src/cowslipridge/gateway/CallerRequest.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cowslipridge::gateway {
@@ -61,6 +62,9 @@
   int Status = 0;
   bool Authentic = false; ///< carries the runner's valid signature
   std::optional<NotRunStatement> NotRun;
+  /// Why a success is no answer to its request, for the log; empty if it is
+  /// one.
+  std::string_view Flaw;
   /// The model's confidence in its answer, 0..100.
   std::optional<int> Confidence;
   core::RequestId Id; ///< of the request that was answered; may be empty
--- a/src/cowslipridge/gateway/RequestFlow.cpp
+++ b/src/cowslipridge/gateway/RequestFlow.cpp
@@ -1,6 +1,7 @@
 #include "cowslipridge/gateway/RequestFlow.hpp"
 
 #include "cowslipridge/gateway/EventDetails.hpp"
+#include "cowslipridge/gateway/ResponseFlaws.hpp"
 
 #include <boost/asio/ip/address.hpp>
 
@@ -221,7 +222,8 @@
 void RequestFlow::onHead(const http1::ResponseHead &head) {
   HeadAt = now();
   AnsweredCall = Call->progress();
-  const ResponseAttributes response = Context.Translation.readResponse(head);
+  ResponseAttributes response = Context.Translation.readResponse(head);
+  response.Flaw = findFlaw(Exchange->head(), head);
   if (promisesNotRun(head.Status))
     countRefusal(head.Status, response.NotRun.has_value());
   Machine.onHead(head, response, now());
--- a/src/cowslipridge/gateway/RequestStateMachine.hpp
+++ b/src/cowslipridge/gateway/RequestStateMachine.hpp
@@ -135,6 +135,9 @@
   /// Cancels the attempt because of its response.
   void breakAttempt(const std::string &reason, core::Millis now);
   bool updateLastEventId(const StreamEvent &event);
+  [[nodiscard]] std::string_view
+  flawOf(const http1::ResponseHead &head,
+         const ResponseAttributes &response) const;
   [[nodiscard]] bool continuesStream(const http1::ResponseHead &head) const;
   /// Returns whether events before this one are missing.
   bool isAfterGap(const StreamEvent &event);
--- a/src/cowslipridge/gateway/RequestStateMachineResponses.cpp
+++ b/src/cowslipridge/gateway/RequestStateMachineResponses.cpp
@@ -37,20 +37,12 @@
   if (!isSuccess(head.Status))
     Rejection = response.NotRun;
   MayHaveRun = MayHaveRun || !Rejection;
-  if (isSuccess(head.Status) && !response.Authentic) {
-    Actions.cancelAttempt();
-    failAttempt(AttemptOutcome::Broken,
-                "the response carries no valid signature", now);
-    return;
-  }
-  if (isSuccess(head.Status) && !continuesStream(head)) {
-    Actions.cancelAttempt();
-    failAttempt(AttemptOutcome::Broken,
-                "the response does not continue the stream", now);
-    return;
-  }
   if (isSuccess(head.Status)) {
-    onSuccess(head, response, now);
+    const std::string_view flaw = flawOf(head, response);
+    if (flaw.empty())
+      onSuccess(head, response, now);
+    else
+      breakAttempt(std::string(flaw), now);
     return;
   }
   Head = head;
@@ -58,6 +50,19 @@
   State = Phase::Buffering;
 }
 
+// Returns why a success is no answer, or an empty text.
+std::string_view
+RequestStateMachine::flawOf(const http1::ResponseHead &head,
+                            const ResponseAttributes &response) const {
+  if (!response.Authentic)
+    return "the response carries no valid signature";
+  if (response.NotRun)
+    return "a success states that it did not run";
+  if (!continuesStream(head))
+    return "the response does not continue the stream";
+  return response.Flaw;
+}
+
 // Returns false for a successful response to the resumption of a stream that is
 // no stream of the same type.
 bool RequestStateMachine::continuesStream(
--- /dev/null
+++ b/src/cowslipridge/gateway/ResponseFlaws.cpp
@@ -0,0 +1,46 @@
+#include "cowslipridge/gateway/ResponseFlaws.hpp"
+
+#include <algorithm>
+
+namespace cowslipridge::gateway {
+
+namespace {
+
+constexpr int PartialContent = 206;
+
+std::string_view trim(std::string_view text) {
+  constexpr std::string_view Blanks = " \t";
+  const std::size_t begin =
+      std::min(text.find_first_not_of(Blanks), text.size());
+  text.remove_prefix(begin);
+  return text.substr(0, text.find_last_not_of(Blanks) + 1);
+}
+
+// Returns whether the caller accepts the content coding. A weight of zero is
+// not told from others: such a list is rare and only makes this more lenient.
+bool accepts(const http1::HeaderFields &fields, std::string_view coding) {
+  std::string_view list = fields.find("Accept-Encoding").value_or("");
+  while (!list.empty()) {
+    const std::string_view item = list.substr(0, list.find(','));
+    const std::string_view name = trim(item.substr(0, item.find(';')));
+    if (name == "*" || http1::sameName(name, coding))
+      return true;
+    list.remove_prefix(std::min(item.size() + 1, list.size()));
+  }
+  return false;
+}
+
+} // namespace
+
+std::string_view findFlaw(const http1::RequestHead &request,
+                          const http1::ResponseHead &response) {
+  if (response.Status == PartialContent && !request.Fields.find("Range"))
+    return "the response is a part that was not asked for";
+  const auto coding = response.Fields.find("Content-Encoding");
+  const bool isEncoded = coding && !http1::sameName(*coding, "identity");
+  if (isEncoded && !accepts(request.Fields, *coding))
+    return "the response is encoded in a way that was not asked for";
+  return {};
+}
+
+} // namespace cowslipridge::gateway
--- a/tests/integration/platform/GatewayBrokenAnswerTest.cpp
+++ b/tests/integration/platform/GatewayBrokenAnswerTest.cpp
@@ -81,6 +81,12 @@
       {"SignatureEmpty", begin + "Response-Signature:\r\n" + rest},
       {"SignatureTwice", begin + signature + signature + rest},
       {"SignatureBehindBody", begin + chunks + signature + "\r\n"},
+      {"ContentEncoded",
+       begin + signature + "Content-Encoding: gzip\r\n" + rest},
+      {"PartOfABody", "HTTP/1.1 206 Partial Content\r\n" + id + signature +
+                          "Content-Range: bytes 0-1/9\r\n" + rest},
+      {"SuccessThatDidNotRun",
+       begin + signature + "Not-Executed: 1\r\n" + rest},
   };
 }
 
