Take no answer that names two requests

Found while asking where else a head is believed: an answer with two ids, this request's first and another one's behind it, reached its caller.

Cause: the client compared the first of the fields that echo the id.

Change: a response with two such fields is malformed, whatever their values; its connection is closed.

--- a/src/cowslipridge/http1/Client.hpp
+++ b/src/cowslipridge/http1/Client.hpp
@@ -64,8 +64,8 @@
   bool HeadRequest = false;
   /// Name of a header field that the server copies into its response. A
   /// response with another value than EchoValue does not belong to this call
-  /// and is skipped. No connection carries the same EchoValue twice. Empty: not
-  /// checked.
+  /// and is skipped; one with two such fields is malformed. No connection
+  /// carries the same EchoValue twice. Empty: not checked.
   std::string EchoField;
   std::string EchoValue; ///< empty: the response must not have the field
   core::Millis Timeout;  ///< for the entire call, connecting included
--- a/src/cowslipridge/http1/internal/ClientConnection.cpp
+++ b/src/cowslipridge/http1/internal/ClientConnection.cpp
@@ -296,6 +296,10 @@
 // Returns false if the call ended in an event handler.
 bool ClientConnection::deliver() {
   if (Parser->headDone() && !HeadDelivered && !Mismatched) {
+    if (namesTwoRequests()) {
+      fail(CallFailure::Malformed);
+      return false;
+    }
     Mismatched = isMismatched();
     if (!Mismatched) {
       HeadDelivered = true;
@@ -313,6 +317,11 @@
   return State == Phase::Busy;
 }
 
+bool ClientConnection::namesTwoRequests() const {
+  return !Spec.EchoField.empty() &&
+         Parser->head().Fields.count(Spec.EchoField) > 1;
+}
+
 bool ClientConnection::isMismatched() const {
   if (Spec.EchoField.empty())
     return false;
--- a/src/cowslipridge/http1/internal/ClientConnection.hpp
+++ b/src/cowslipridge/http1/internal/ClientConnection.hpp
@@ -80,7 +80,8 @@
   void endResponse();
   void parse();
   bool deliver();
-  bool isMismatched() const;
+  [[nodiscard]] bool namesTwoRequests() const;
+  [[nodiscard]] bool isMismatched() const;
   void skipMismatched();
   void complete();
   void releaseOrClose();
--- a/tests/integration/platform/GatewayBrokenAnswerTest.cpp
+++ b/tests/integration/platform/GatewayBrokenAnswerTest.cpp
@@ -81,6 +81,9 @@
       {"SignatureEmpty", begin + "Response-Signature:\r\n" + rest},
       {"SignatureTwice", begin + signature + signature + rest},
       {"SignatureBehindBody", begin + chunks + signature + "\r\n"},
+      {"TwoIds", begin + "Attempt-Id: another\r\n" + signature + rest},
+      {"TwoIdsAnotherFirst",
+       "HTTP/1.1 200 OK\r\nAttempt-Id: another\r\n" + id + signature + rest},
       {"ContentEncoded",
        begin + signature + "Content-Encoding: gzip\r\n" + rest},
       {"PartOfABody", "HTTP/1.1 206 Partial Content\r\n" + id + signature +
--- a/tests/unit/http1/ClientTest.cpp
+++ b/tests/unit/http1/ClientTest.cpp
@@ -52,6 +52,20 @@
   EXPECT_EQ(events->Body, "one");
 }
 
+// Guards against an answer to another request that names this one, too.
+TEST_F(ClientTest, responseThatNamesTwoRequestsIsMalformed) {
+  for (const char *other : {"a", "b"}) {
+    const std::string second = std::string("Id: ") + other + "\r\n";
+    for (const std::string &ids :
+         {"Id: a\r\n" + second, second + "Id: a\r\n"}) {
+      Scripts = {{"HTTP/1.1 200 OK\r\n" + ids + "Content-Length: 2\r\n\r\nok"}};
+      const auto events = callAndWait("a");
+      EXPECT_EQ(events->Failure, CallFailure::Malformed) << ids;
+      EXPECT_EQ(events->Status, 0) << ids;
+    }
+  }
+}
+
 TEST_F(ClientTest, closesConnectionAfterUnsolicitedBytes) {
   Scripts = {{response("a", "one") + response("a", "one")},
              {response("b", "two")}};
