Take nothing but events for a stream

Found while asking where else a head is believed: a success without a body (204), of another type (an error page), or without a single event reached callers of streams as a whole stream.

Cause: on a route of streams any success with a signature was one, and its end complete if no event was cut.

Change: a success that names another type or can have no body ends the attempt as broken; so does a stream without an event, unless it is the rest of a stream that the caller resumes. Streams that may be resumed go on at another runner, others are visibly broken off.

Tests: 4 of 6 BrokenStreamTest failed before; unit_gateway 281 of 281 after, and 228 of 228 tests of gateways as processes (without the crowds).

--- a/src/cowslipridge/gateway/RequestStateMachineResponses.cpp
+++ b/src/cowslipridge/gateway/RequestStateMachineResponses.cpp
@@ -14,6 +14,7 @@
 constexpr int MisdirectedRequest = 421;
 constexpr std::string_view ContentType = "Content-Type";
 
+constexpr int NoContent = 204;
 constexpr int RequestTimeout = 408;
 constexpr int TooManyRequests = 429;
 constexpr int ServiceUnavailable = 503;
@@ -21,6 +22,15 @@
 bool isFailure(int status) { return status >= 500; }
 bool isSuccess(int status) { return status >= 200 && status < 300; }
 
+// A stream need not name its type.
+bool isStreamHead(const http1::ResponseHead &head) {
+  constexpr std::string_view EventStream = "text/event-stream";
+  const auto type = head.Fields.find(ContentType);
+  return head.Status != NoContent &&
+         (!type ||
+          http1::sameName(type->substr(0, EventStream.size()), EventStream));
+}
+
 } // namespace
 
 bool promisesNotRun(int status) {
@@ -60,6 +70,8 @@
     return "a success states that it did not run";
   if (!continuesStream(head))
     return "the response does not continue the stream";
+  if (catalogue::isStream(Request.Route->Kind) && !isStreamHead(head))
+    return "the response is no stream";
   return response.Flaw;
 }
 
--- a/src/cowslipridge/gateway/RequestStateMachineStreams.cpp
+++ b/src/cowslipridge/gateway/RequestStateMachineStreams.cpp
@@ -105,16 +105,19 @@
 }
 
 void RequestStateMachine::endStream(core::Millis now) {
-  const bool cut =
-      catalogue::isStream(Request.Route->Kind) && Events.hasPartial();
-  if (cut) {
+  const bool isStream = catalogue::isStream(Request.Route->Kind);
+  if (isStream && Events.hasPartial()) {
     failAttempt(AttemptOutcome::Broken, "the stream ended within an event",
                 now);
     return;
   }
-  const bool isUncertain =
-      catalogue::isStream(Request.Route->Kind) && EndsWithConnection;
-  if (isUncertain && canRetry()) {
+  // The rest of a stream that is resumed may be empty.
+  if (isStream && EventsForwarded == 0 && !LastEventId) {
+    failAttempt(AttemptOutcome::Broken, "the stream ended without an event",
+                now);
+    return;
+  }
+  if (isStream && EndsWithConnection && canRetry()) {
     confirmEnd(now);
     return;
   }
