Accept continued values and repeated lengths of sound responses

Change: only lines that continue another and read as a field of their own are refused (HiddenFields): they are what hid a length or a name with a blank. Responses may repeat an equal length; requests may not, as before.

--- a/src/cowslipridge/http/Client.cpp
+++ b/src/cowslipridge/http/Client.cpp
@@ -76,8 +76,8 @@
 
 Client::~Client() = default;
 
-std::shared_ptr<Exchange> Client::send(const Request &request,
-                                       ResponseEvents events, Resend resend) {
+std::shared_ptr<Exchange> Client::send(Request request, ResponseEvents events,
+                                       Resend resend) {
   if (!Internals->Server || !internal::isTarget(request.Target)) {
     events.OnEnd(core::Errc::Malformed, SendStage::NotConnected);
     return std::make_shared<EndedExchange>();
@@ -85,12 +85,12 @@
   const bool mayResend =
       resend == Resend::IfSafe && isSafeToRepeat(request.Method);
   auto exchange = std::make_shared<internal::ClientExchange>(
-      Internals->Server, request, mayResend, std::move(events));
+      Internals->Server, std::move(request), mayResend, std::move(events));
   exchange->start();
   return exchange;
 }
 
-void Client::fetchAsync(const Request &request,
+void Client::fetchAsync(Request request,
                         std::function<void(core::Result<Response>)> done) {
   auto collector = std::make_shared<Collector>(std::move(done));
   ResponseEvents events;
@@ -103,12 +103,12 @@
   events.OnEnd = [collector](std::error_code ec, SendStage) {
     collector->end(ec);
   };
-  send(request, std::move(events));
+  send(std::move(request), std::move(events));
 }
 
-core::Result<Response> Client::fetch(const Request &request) {
+core::Result<Response> Client::fetch(Request request) {
   auto promise = std::make_shared<std::promise<core::Result<Response>>>();
-  fetchAsync(request, [promise](core::Result<Response> result) {
+  fetchAsync(std::move(request), [promise](core::Result<Response> result) {
     promise->set_value(std::move(result));
   });
   return promise->get_future().get();
--- a/src/cowslipridge/http/Client.hpp
+++ b/src/cowslipridge/http/Client.hpp
@@ -53,15 +53,15 @@
   Client &operator=(const Client &) = delete;
 
   /// Sends without blocking and reports progress through `events`.
-  std::shared_ptr<Exchange> send(const Request &request, ResponseEvents events,
+  std::shared_ptr<Exchange> send(Request request, ResponseEvents events,
                                  Resend resend = Resend::IfSafe);
   /// Sends without blocking and calls `done` with the complete response or the
   /// error.
-  void fetchAsync(const Request &request,
+  void fetchAsync(Request request,
                   std::function<void(core::Result<Response>)> done);
   /// Sends and blocks until the response is complete. Must not be called
   /// from a callback.
-  core::Result<Response> fetch(const Request &request);
+  core::Result<Response> fetch(Request request);
 
 private:
   class Impl;
--- a/src/cowslipridge/http/internal/ClientExchange.cpp
+++ b/src/cowslipridge/http/internal/ClientExchange.cpp
@@ -59,12 +59,12 @@
 };
 
 ClientExchange::ClientExchange(std::shared_ptr<ServerConnections> server,
-                               const Request &request, bool mayResend,
+                               Request request, bool mayResend,
                                ResponseEvents events)
     : Server(std::move(server)), MayResend(mayResend),
       IsHeadRequest(request.Method == "HEAD"),
       Head(writeHeadOf(request, Server->base(), mayResend)),
-      Body(std::make_shared<const std::string>(request.Body)),
+      Body(std::make_shared<const std::string>(std::move(request.Body))),
       Events(std::move(events)), Timer(clientLoop()) {}
 
 void ClientExchange::start() {
--- a/src/cowslipridge/http/internal/ClientExchange.hpp
+++ b/src/cowslipridge/http/internal/ClientExchange.hpp
@@ -17,8 +17,8 @@
 public:
   /// `mayResend`: the request may be sent again if the server closed the reused
   /// connection that it was sent on.
-  ClientExchange(std::shared_ptr<ServerConnections> server,
-                 const Request &request, bool mayResend, ResponseEvents events);
+  ClientExchange(std::shared_ptr<ServerConnections> server, Request request,
+                 bool mayResend, ResponseEvents events);
 
   void start();
   void cancel() override;
--- a/src/cowslipridge/http1/RequestParser.cpp
+++ b/src/cowslipridge/http1/RequestParser.cpp
@@ -64,8 +64,17 @@
                                                     : Framing::None;
   }
 
+  // Callers have no need to repeat a length, and runners may read two of them
+  // in another way.
+  [[nodiscard]] bool repeatsLength() const {
+    constexpr std::string_view ContentLength = "Content-Length";
+    return Head.Fields.count(ContentLength) > 1 ||
+           !internal::isNumber(Head.Fields.find(ContentLength).value_or("0"));
+  }
+
   [[nodiscard]] bool isUnambiguous() const {
-    if (!internal::isFramingUnambiguous(Head.Fields, Parser.Version))
+    if (!internal::isFramingUnambiguous(Head.Fields, Parser.Version) ||
+        repeatsLength())
       return false;
     if (Head.IsHttp11OrLater && Head.Fields.count("Host") != 1)
       return false;
--- a/src/cowslipridge/http1/ResponseParser.cpp
+++ b/src/cowslipridge/http1/ResponseParser.cpp
@@ -25,7 +25,7 @@
 
   ResponseStatus parse(std::string &input) {
     while (!HeadExtracted) {
-      if (internal::feedHead(*Parser, HeadLines, input))
+      if (internal::feedHead(*Parser, Hidden, input))
         return ResponseStatus::Malformed;
       if (!Parser->is_header_done())
         return ResponseStatus::NeedMore;
@@ -53,7 +53,7 @@
 private:
   void restart() {
     Parser.emplace();
-    HeadLines = {};
+    Hidden = {};
     Parser->header_limit(MaxResponseHeaderBytes);
     // The maximum stands for no limit: with boost::none, this version of
     // Boost.Beast rejects every body.
@@ -109,7 +109,7 @@
   }
 
   bool HeadRequest;
-  internal::ContinuedLines HeadLines;
+  internal::HiddenFields Hidden;
   unsigned InterimResponses = 0;
 };
 
--- a/src/cowslipridge/http1/internal/FieldSyntax.cpp
+++ b/src/cowslipridge/http1/internal/FieldSyntax.cpp
@@ -11,6 +11,8 @@
          (c >= '0' && c <= '9');
 }
 
+bool isBlank(char c) { return c == ' ' || c == '\t'; }
+
 bool isTokenByte(char c) {
   constexpr std::string_view Others = "!#$%&'*+-.^_`|~";
   return isLetterOrDigit(c) || Others.find(c) != std::string_view::npos;
@@ -33,10 +35,34 @@
       text, [](unsigned char c) { return isControlByte(c) && c != '\t'; });
 }
 
-bool ContinuedLines::contains(std::string_view bytes) {
+HiddenFields::Part HiddenFields::partBehind(Part part, char byte) {
+  if (byte == '\n')
+    return Part::LineBegin;
+  switch (part) {
+  case Part::LineBegin:
+    return isBlank(byte) ? Part::Blanks : Part::Rest;
+  case Part::Blanks:
+    if (isBlank(byte))
+      return Part::Blanks;
+    return isTokenByte(byte) ? Part::Name : Part::Rest;
+  case Part::Name:
+    if (isTokenByte(byte))
+      return Part::Name;
+    return isBlank(byte) ? Part::BlanksBehindName : Part::Rest;
+  case Part::BlanksBehindName:
+    return isBlank(byte) ? Part::BlanksBehindName : Part::Rest;
+  case Part::Rest:
+    break;
+  }
+  return Part::Rest;
+}
+
+bool HiddenFields::areIn(std::string_view bytes) {
   for (const char it : bytes) {
-    Found = Found || (AtLineBegin && (it == ' ' || it == '\t'));
-    AtLineBegin = it == '\n';
+    const bool isBehindName =
+        Current == Part::Name || Current == Part::BlanksBehindName;
+    Found = Found || (isBehindName && it == ':');
+    Current = partBehind(Current, it);
   }
   return Found;
 }
--- a/src/cowslipridge/http1/internal/FieldSyntax.hpp
+++ b/src/cowslipridge/http1/internal/FieldSyntax.hpp
@@ -13,16 +13,27 @@
 bool isFieldValue(std::string_view text);
 
 /// Finds lines of a head that continue the one before them (obsolete line
-/// folding; RFC 9112, 5.2). A parser joins them, so that a field may hide in
-/// another one's value.
-class ContinuedLines {
+/// folding; RFC 9112, 5.2) and that read as a field of their own. A parser
+/// joins them, so that the field hides in another one's value.
+class HiddenFields {
 public:
-  /// Takes the next bytes of the head. Returns whether a line that has begun in
-  /// these or earlier ones continues another.
-  bool contains(std::string_view bytes);
+  /// Takes the next bytes of the head. Returns whether there is such a line in
+  /// these or earlier ones.
+  bool areIn(std::string_view bytes);
 
 private:
-  bool AtLineBegin = true;
+  /// The part of a line that a byte belongs to.
+  enum class Part {
+    LineBegin,
+    Blanks, ///< at the begin of a line that continues another
+    Name,   ///< what may be one, behind these blanks
+    BlanksBehindName,
+    Rest
+  };
+
+  static Part partBehind(Part part, char byte);
+
+  Part Current = Part::LineBegin;
   bool Found = false;
 };
 
--- a/src/cowslipridge/http1/internal/PushParser.hpp
+++ b/src/cowslipridge/http1/internal/PushParser.hpp
@@ -101,12 +101,12 @@
 /// Parses the head of a response, if all of it has arrived, and nothing behind
 /// it. Removes the parsed bytes.
 inline boost::beast::error_code
-feedHead(PushParser<false> &parser, ContinuedLines &lines, std::string &input) {
+feedHead(PushParser<false> &parser, HiddenFields &hidden, std::string &input) {
   boost::beast::error_code ec;
   parser.eager(false);
   const std::size_t consumed = put(
       parser, input, [&] { return parser.is_header_done(); }, ec);
-  if (!ec && lines.contains(std::string_view(input).substr(0, consumed)))
+  if (!ec && hidden.areIn(std::string_view(input).substr(0, consumed)))
     ec = boost::beast::http::error::bad_obs_fold;
   input.erase(0, consumed);
   return ec;
--- a/src/cowslipridge/runner/EngineRunner.cpp
+++ b/src/cowslipridge/runner/EngineRunner.cpp
@@ -133,8 +133,8 @@
 
 } // namespace
 
-EngineRunner::EngineRunner(std::string base, core::Millis timeout)
-    : Engine(std::move(base), timeout) {}
+EngineRunner::EngineRunner(const std::string &base, core::Millis timeout)
+    : Engine(base, timeout) {}
 
 std::shared_ptr<RunningCall> EngineRunner::start(const Call &call,
                                                  CallEvents events) {
--- a/src/cowslipridge/runner/EngineRunner.hpp
+++ b/src/cowslipridge/runner/EngineRunner.hpp
@@ -12,7 +12,7 @@
 public:
   /// `base` is a URL such as `http://127.0.0.1:7000`. `timeout` is the idle
   /// timeout, the longest wait for the next bytes.
-  EngineRunner(std::string base, core::Millis timeout);
+  EngineRunner(const std::string &base, core::Millis timeout);
 
   std::shared_ptr<RunningCall> start(const Call &call,
                                      CallEvents events) override;
--- a/src/cowslipridge/runner/PlainRunner.cpp
+++ b/src/cowslipridge/runner/PlainRunner.cpp
@@ -50,8 +50,8 @@
   return endToEnd;
 }
 
-PlainRunner::PlainRunner(std::string base, core::Millis timeout)
-    : Backend(std::move(base), timeout) {}
+PlainRunner::PlainRunner(const std::string &base, core::Millis timeout)
+    : Backend(base, timeout) {}
 
 std::shared_ptr<RunningCall> PlainRunner::start(const Call &call,
                                                 CallEvents events) {
--- a/src/cowslipridge/runner/PlainRunner.hpp
+++ b/src/cowslipridge/runner/PlainRunner.hpp
@@ -11,7 +11,7 @@
 /// for hop-by-hop headers.
 class PlainRunner final : public Runner {
 public:
-  PlainRunner(std::string base, core::Millis timeout);
+  PlainRunner(const std::string &base, core::Millis timeout);
 
   std::shared_ptr<RunningCall> start(const Call &call,
                                      CallEvents events) override;
