Pass on no refusal that its runner did not state

A safe request that its last runner ran and refused with 408, 421, 429 or 503, without stating that it did not run, ended with that status. Callers take these for the promise that the request has not run and never will.

Cause: the status of the last failure was passed on as it came.

Ruled out: to pass on 408, 429 and 503 and not 421. A caller loses the runner's Retry-After, and may try a safe request again after 502 as after any failure.

Change: such a request ends with the gateway's 502, as unsafe ones do.

--- a/src/cowslipridge/gateway/RequestStateMachine.cpp
+++ b/src/cowslipridge/gateway/RequestStateMachine.cpp
@@ -102,7 +102,7 @@
   finish();
   if (ResponseStarted)
     endStartedResponse(reason);
-  else if (FailedHead)
+  else if (FailedHead && !promisesNotRun(FailedHead->Status))
     Actions.respond(*FailedHead, FailedBody);
   else if (MayHaveRun)
     Actions.replyWithError({502, reason, std::nullopt});
--- a/src/cowslipridge/gateway/RequestStateMachine.hpp
+++ b/src/cowslipridge/gateway/RequestStateMachine.hpp
@@ -184,7 +184,8 @@
   /// Of the current runner, unless it also responds with a success.
   std::optional<NotRunStatement> Rejection;
   bool ResponseStarted = false;
-  /// A runner's error response, forwarded if no later attempt succeeds.
+  /// A runner's error response, forwarded if no later attempt succeeds and its
+  /// status promises nothing that the runner did not state.
   std::optional<http1::ResponseHead> FailedHead;
   std::string FailedBody;
   http1::ResponseHead Head; ///< of the response that is being buffered
--- a/tests/integration/platform/GatewayRefusalTest.cpp
+++ b/tests/integration/platform/GatewayRefusalTest.cpp
@@ -40,6 +40,16 @@
   }
 }
 
+// Guards against callers that are told that a request did not run although it
+// did.
+TEST_F(GatewayRefusalTest, refusalWithoutAStatementIsNoPromiseToItsCaller) {
+  addRefusingRunners(Deviation::UnstatedRefusal);
+  for (int n = 0; n < 2 * Statuses; ++n)
+    EXPECT_EQ(
+        awaitResponse(sendRequest(Callers, request("GET", "/get/a")))->Status,
+        502);
+}
+
 TEST_F(GatewayRefusalTest, statedRefusalOfAnUnsafeRequestMeansNotRun) {
   addRefusingRunners(Deviation::StatedRefusal);
   for (int n = 0; n < 2 * Statuses; ++n) {
