Take no answer that describes itself in two ways

A field that decides what an answer is, named twice with two values, was believed in its first form: the type, the coding or the range of the body, the version of the weights, the confidence. Daemons also took parts and encoded bodies that had not been asked for.

Cause: fields were looked up by their first occurrence; http::Client asked nothing of the head of a success.

Change: HeaderFields::hasConflict; findFlaw moves to http1 and serves both clients; the translator names the fields of the platform.

--- a/src/cowslipridge/gateway/RequestFlow.cpp
+++ b/src/cowslipridge/gateway/RequestFlow.cpp
@@ -1,7 +1,7 @@
 #include "cowslipridge/gateway/RequestFlow.hpp"
 
 #include "cowslipridge/gateway/EventDetails.hpp"
-#include "cowslipridge/gateway/ResponseFlaws.hpp"
+#include "cowslipridge/http1/ResponseFlaws.hpp"
 
 #include <boost/asio/ip/address.hpp>
 
@@ -223,7 +223,8 @@
   HeadAt = now();
   AnsweredCall = Call->progress();
   ResponseAttributes response = Context.Translation.readResponse(head);
-  response.Flaw = findFlaw(Exchange->head(), head);
+  if (response.Flaw.empty())
+    response.Flaw = http1::findFlaw(Exchange->head(), head);
   if (promisesNotRun(head.Status))
     countRefusal(head.Status, response.NotRun.has_value());
   Machine.onHead(head, response, now());
--- a/src/cowslipridge/http/internal/ClientExchange.cpp
+++ b/src/cowslipridge/http/internal/ClientExchange.cpp
@@ -2,6 +2,7 @@
 
 #include "cowslipridge/core/Error.hpp"
 #include "cowslipridge/http/internal/FieldFilter.hpp"
+#include "cowslipridge/http1/ResponseFlaws.hpp"
 
 #include <boost/asio/post.hpp>
 
@@ -20,8 +21,10 @@
          request.Method == "PUT" || request.Method == "PATCH";
 }
 
-std::string writeHeadOf(const Request &request, const BaseUrl &base,
-                        bool keepsConnection) {
+bool isSuccess(int status) { return status >= 200 && status < 300; }
+
+http1::RequestHead makeHead(const Request &request, const BaseUrl &base,
+                            bool keepsConnection) {
   http1::RequestHead head;
   head.Method = request.Method;
   head.Target = base.Path + request.Target;
@@ -34,7 +37,7 @@
   if (!keepsConnection)
     head.Fields.add("Connection", "close");
   head.Body = hasBody(request) ? http1::Framing::Length : http1::Framing::None;
-  return http1::writeRequestHead(head, request.Body.size());
+  return head;
 }
 
 } // namespace
@@ -62,8 +65,7 @@
                                Request request, bool mayResend,
                                ResponseEvents events)
     : Server(std::move(server)), MayResend(mayResend),
-      IsHeadRequest(request.Method == "HEAD"),
-      Head(writeHeadOf(request, Server->base(), mayResend)),
+      Head(makeHead(request, Server->base(), mayResend)),
       Body(std::make_shared<const std::string>(std::move(request.Body))),
       Events(std::move(events)), Timer(clientLoop()) {}
 
@@ -100,9 +102,9 @@
 void ClientExchange::call() {
   http1::CallSpec spec;
   spec.Server = Target;
-  spec.Bytes = Head;
+  spec.Bytes = http1::writeRequestHead(Head, Body->size());
   spec.Body = Body;
-  spec.HeadRequest = IsHeadRequest;
+  spec.HeadRequest = Head.Method == "HEAD";
   spec.Timeout = NoCallTimeout;
   spec.MaxConnections = std::numeric_limits<std::size_t>::max();
   Call = Server->client(MayResend).call(
@@ -112,6 +114,10 @@
 void ClientExchange::onHead(const http1::ResponseHead &head) {
   startTimer();
   recordProgress();
+  if (isSuccess(head.Status) && !http1::findFlaw(Head, head).empty()) {
+    end(core::Errc::RunnerFailed);
+    return;
+  }
   Headers fields;
   for (const http1::HeaderField it : head.Fields)
     fields.push_back({std::string(it.Name), std::string(it.Value)});
--- a/src/cowslipridge/http/internal/ClientExchange.hpp
+++ b/src/cowslipridge/http/internal/ClientExchange.hpp
@@ -42,8 +42,7 @@
 
   const std::shared_ptr<ServerConnections> Server;
   const bool MayResend;
-  const bool IsHeadRequest;
-  std::string Head;
+  const http1::RequestHead Head;
   std::shared_ptr<const std::string> Body;
   ResponseEvents Events;
   http1::LoopTimer Timer;
--- a/src/cowslipridge/http1/HeaderFields.cpp
+++ b/src/cowslipridge/http1/HeaderFields.cpp
@@ -85,6 +85,13 @@
       }));
 }
 
+bool HeaderFields::hasConflict(std::string_view name) const {
+  const auto first = find(name);
+  return std::any_of(begin(), end(), [&](const HeaderField &it) {
+    return sameName(it.Name, name) && it.Value != first;
+  });
+}
+
 bool HeaderFields::hasToken(std::string_view name,
                             std::string_view token) const {
   return std::any_of(begin(), end(), [&](const HeaderField &it) {
--- a/src/cowslipridge/http1/HeaderFields.hpp
+++ b/src/cowslipridge/http1/HeaderFields.hpp
@@ -74,6 +74,8 @@
   [[nodiscard]] std::optional<std::string_view>
   find(std::string_view name) const;
   [[nodiscard]] std::size_t count(std::string_view name) const;
+  /// Returns whether fields of this name have different values.
+  [[nodiscard]] bool hasConflict(std::string_view name) const;
   /// Returns whether a comma-separated list field contains `token`, ignoring
   /// case.
   [[nodiscard]] bool hasToken(std::string_view name,
--- a/src/cowslipridge/http1/ResponseFlaws.cpp
+++ b/src/cowslipridge/http1/ResponseFlaws.cpp
@@ -1,12 +1,15 @@
-#include "cowslipridge/gateway/ResponseFlaws.hpp"
+#include "cowslipridge/http1/ResponseFlaws.hpp"
 
 #include <algorithm>
+#include <array>
 
-namespace cowslipridge::gateway {
+namespace cowslipridge::http1 {
 
 namespace {
 
 constexpr int PartialContent = 206;
+constexpr std::array<std::string_view, 3> FieldsOfTheBody = {
+    "Content-Type", "Content-Encoding", "Content-Range"};
 
 std::string_view trim(std::string_view text) {
   constexpr std::string_view Blanks = " \t";
@@ -18,12 +21,12 @@
 
 // Returns whether the caller accepts the content coding. A weight of zero is
 // not told from others: such a list is rare and only makes this more lenient.
-bool accepts(const http1::HeaderFields &fields, std::string_view coding) {
+bool accepts(const HeaderFields &fields, std::string_view coding) {
   std::string_view list = fields.find("Accept-Encoding").value_or("");
   while (!list.empty()) {
     const std::string_view item = list.substr(0, list.find(','));
     const std::string_view name = trim(item.substr(0, item.find(';')));
-    if (name == "*" || http1::sameName(name, coding))
+    if (name == "*" || sameName(name, coding))
       return true;
     list.remove_prefix(std::min(item.size() + 1, list.size()));
   }
@@ -32,15 +35,19 @@
 
 } // namespace
 
-std::string_view findFlaw(const http1::RequestHead &request,
-                          const http1::ResponseHead &response) {
+std::string_view findFlaw(const RequestHead &request,
+                          const ResponseHead &response) {
+  for (const std::string_view name : FieldsOfTheBody) {
+    if (response.Fields.hasConflict(name))
+      return "the response describes its body in two ways";
+  }
   if (response.Status == PartialContent && !request.Fields.find("Range"))
     return "the response is a part that was not asked for";
   const auto coding = response.Fields.find("Content-Encoding");
-  const bool isEncoded = coding && !http1::sameName(*coding, "identity");
+  const bool isEncoded = coding && !sameName(*coding, "identity");
   if (isEncoded && !accepts(request.Fields, *coding))
     return "the response is encoded in a way that was not asked for";
   return {};
 }
 
-} // namespace cowslipridge::gateway
+} // namespace cowslipridge::http1
--- a/src/cowslipridge/http1/ResponseFlaws.hpp
+++ b/src/cowslipridge/http1/ResponseFlaws.hpp
@@ -4,11 +4,12 @@
 
 #include <string_view>
 
-namespace cowslipridge::gateway {
+namespace cowslipridge::http1 {
 
 /// Returns why a successful response is no answer to the request, or an empty
-/// text: a part of a body, or an encoded one, that the caller did not ask for.
-std::string_view findFlaw(const http1::RequestHead &request,
-                          const http1::ResponseHead &response);
+/// text: a part of a body, or an encoded one, that the caller did not ask for,
+/// or a body that is described in two ways.
+std::string_view findFlaw(const RequestHead &request,
+                          const ResponseHead &response);
 
-} // namespace cowslipridge::gateway
+} // namespace cowslipridge::http1
--- a/src/cowslipridge/platform/HeaderTranslator.cpp
+++ b/src/cowslipridge/platform/HeaderTranslator.cpp
@@ -30,6 +30,7 @@
 constexpr std::string_view RequestPriority = "Request-Priority";
 constexpr std::string_view Signature = "Response-Signature";
 constexpr std::string_view NotExecuted = "Not-Executed";
+constexpr std::string_view WeightVersions = "Weight-Versions";
 constexpr std::string_view EstimateConfidence = "Estimate-Confidence";
 // "IP:PORT" of the runner that has the prefix.
 constexpr std::string_view KvFetch = "Kv-Fetch";
@@ -193,6 +194,9 @@
   gateway::ResponseAttributes attributes;
   attributes.Status = head.Status;
   attributes.Authentic = isAuthentic(head.Fields);
+  if (head.Fields.hasConflict(WeightVersions) ||
+      head.Fields.hasConflict(EstimateConfidence))
+    attributes.Flaw = "the response names two versions or two confidences";
   if (head.Fields.find(NotExecuted))
     attributes.NotRun = notRunStatement();
   if (const auto confidence = numberIn(head.Fields, EstimateConfidence))
--- a/tests/integration/platform/GatewayBrokenAnswerTest.cpp
+++ b/tests/integration/platform/GatewayBrokenAnswerTest.cpp
@@ -88,6 +88,10 @@
        begin + signature + "Content-Encoding: gzip\r\n" + rest},
       {"PartOfABody", "HTTP/1.1 206 Partial Content\r\n" + id + signature +
                           "Content-Range: bytes 0-1/9\r\n" + rest},
+      {"TwoTypes", begin + signature + "Content-Type: text/html\r\n" +
+                       "Content-Type: text/plain\r\n" + rest},
+      {"TwoVersions", begin + signature + "Weight-Versions: 7\r\n" +
+                          "Weight-Versions: 8\r\n" + rest},
       {"SuccessThatDidNotRun",
        begin + signature + "Not-Executed: 1\r\n" + rest},
   };
--- a/tests/unit/http/BrokenAnswerTest.cpp
+++ b/tests/unit/http/BrokenAnswerTest.cpp
@@ -31,8 +31,20 @@
   EXPECT_EQ(seen.Stage, SendStage::MayBeSent);
 }
 
+std::vector<support::BrokenAnswer> allAnswers() {
+  auto all = support::brokenAnswers("");
+  const std::string rest = "Content-Length: 2\r\n\r\nok";
+  all.push_back({"PartOfABody", "HTTP/1.1 206 Partial Content\r\n" + rest});
+  all.push_back({"ContentEncoded",
+                 "HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\n" + rest});
+  all.push_back({"TwoTypes", "HTTP/1.1 200 OK\r\nContent-Type: text/html\r\n"
+                             "Content-Type: application/json\r\n" +
+                                 rest});
+  return all;
+}
+
 INSTANTIATE_TEST_SUITE_P(Forms, BrokenAnswerTest,
-                         testing::ValuesIn(support::brokenAnswers("")),
+                         testing::ValuesIn(allAnswers()),
                          [](const auto &it) { return it.param.Name; });
 
 /// An answer that ends with its connection.
--- a/tests/unit/http1/ResponseFlawsTest.cpp
+++ b/tests/unit/http1/ResponseFlawsTest.cpp
@@ -1,8 +1,8 @@
-#include "cowslipridge/gateway/ResponseFlaws.hpp"
+#include "cowslipridge/http1/ResponseFlaws.hpp"
 
 #include <gtest/gtest.h>
 
-using namespace cowslipridge::gateway;
+using namespace cowslipridge::http1;
 using namespace cowslipridge::http1;
 
 namespace {
@@ -34,4 +34,16 @@
   EXPECT_TRUE(isAnswer({"X", "y"}, 200, {"Content-Encoding", "identity"}));
 }
 
+TEST(ResponseFlawsTest, fieldsThatDescribeTheBodyHaveOneValue) {
+  for (const char *name :
+       {"Content-Type", "Content-Encoding", "Content-Range"}) {
+    ResponseHead response;
+    response.Fields.add(name, "identity");
+    response.Fields.add(name, "identity");
+    EXPECT_TRUE(findFlaw({}, response).empty()) << name;
+    response.Fields.add(name, "another");
+    EXPECT_FALSE(findFlaw({}, response).empty()) << name;
+  }
+}
+
 } // namespace
--- a/tests/unit/platform/HeaderTranslatorTest.cpp
+++ b/tests/unit/platform/HeaderTranslatorTest.cpp
@@ -106,6 +106,17 @@
   EXPECT_FALSE(HeaderTranslator().readResponse(head).Authentic);
 }
 
+TEST(HeaderTranslatorTest, answersStateTheirVersionAndConfidenceOnce) {
+  for (const char *name : {"Estimate-Confidence", "Weight-Versions"}) {
+    http1::ResponseHead head;
+    head.Fields.add(name, "7");
+    head.Fields.add(name, "7");
+    EXPECT_TRUE(HeaderTranslator().readResponse(head).Flaw.empty()) << name;
+    head.Fields.add(name, "8");
+    EXPECT_FALSE(HeaderTranslator().readResponse(head).Flaw.empty()) << name;
+  }
+}
+
 // Guards against unsafe requests that run twice, as their runner has run them
 // and answers with a status that other runners use for a rejection.
 TEST(HeaderTranslatorTest,
