Log which runner sent an answer that is none, and what is wrong with it

An operator saw 402 or 404 with "malformed", or a caller's 502, and had to look for the runner in 401.

Change: event 411 answer-broken names runner, version and defect of each answer that is no response or can't be passed on; counter cowslipridge_broken_answers_total; "defect=" in 402 and 404; 603 names the defect of the store's answer. The call in progress holds the collector of a fetch, which needs its call to the end: it no longer depends on the caller keeping the handle.

--- a/src/cowslipridge/gateway/EventDetails.cpp
+++ b/src/cowslipridge/gateway/EventDetails.cpp
@@ -137,7 +137,8 @@
   return "connection=" + std::to_string(call.Connection) +
          " reused=" + yesNo(call.Reused) +
          " connected=" + yesNo(call.Connected) + " sent=" + yesNo(call.Sent) +
-         " call_ms=" + std::to_string(call.Age.count());
+         " call_ms=" + std::to_string(call.Age.count()) +
+         (call.Defect.empty() ? "" : " defect=" + call.Defect);
 }
 
 std::string describe(const rollout::RolloutCommand &order) {
--- a/src/cowslipridge/gateway/RequestFlow.cpp
+++ b/src/cowslipridge/gateway/RequestFlow.cpp
@@ -135,6 +135,7 @@
   // Only a fallback: the deadline of the request cancels the attempt before.
   spec.Timeout = remaining + core::Millis(1'000);
   spec.MaxConnections = placement.MaxConnections;
+  Runner = placement.Runner;
   Service = placement.Service;
   Version = placement.Version;
   reportRouted(placement, remaining);
@@ -246,6 +247,8 @@
 void RequestFlow::onFailure(http1::CallFailure failure) {
   if (Call)
     AnsweredCall = Call->progress();
+  if (AnsweredCall && !AnsweredCall->Defect.empty())
+    onBrokenAnswer(AnsweredCall->Defect);
   Current = nullptr;
   Call = nullptr;
   Machine.onFailure(failure, now());
--- a/src/cowslipridge/gateway/RequestFlow.hpp
+++ b/src/cowslipridge/gateway/RequestFlow.hpp
@@ -66,6 +66,7 @@
   void end() override;
   void abort(const std::string &reason) override;
   void replyWithError(const ErrorReply &reply) override;
+  void onBrokenAnswer(const std::string &reason) override;
   void onRetry(AttemptOutcome outcome, const std::string &reason) override;
   void onEscalation(const LowConfidenceAnswer &answer) override;
   void onKeepWaiting(const std::string &reason) override;
@@ -120,7 +121,8 @@
   std::size_t SentBytes = 0; ///< of the current attempt, without the body
   /// Of the current attempt, when its response began or it failed.
   std::optional<http1::CallProgress> AnsweredCall;
-  core::ServiceId Service; ///< of the last attempt
+  core::RunnerId Runner; ///< of the last attempt
+  core::ServiceId Service;
   core::VersionId Version;
 };
 
--- a/src/cowslipridge/gateway/RequestFlowReports.cpp
+++ b/src/cowslipridge/gateway/RequestFlowReports.cpp
@@ -54,6 +54,13 @@
   return text;
 }
 
+void RequestFlow::onBrokenAnswer(const std::string &reason) {
+  report(observe::EventNumber::AnswerBroken,
+         "runner=" + Runner.str() + " version=" + Version.str() + " " + reason);
+  Context.Counts.add(observe::CounterName::BrokenAnswers,
+                     {.Service = Service, .Version = Version, .Outcome = {}});
+}
+
 void RequestFlow::onRetry(AttemptOutcome outcome, const std::string &reason) {
   report(observe::EventNumber::RequestRetried, reason + attemptDetail());
   Context.Counts.add(observe::CounterName::Retries,
--- a/src/cowslipridge/gateway/RequestStateMachine.hpp
+++ b/src/cowslipridge/gateway/RequestStateMachine.hpp
@@ -53,6 +53,8 @@
   virtual void abort(const std::string &reason) = 0;
   /// Responds with an error of the gateway itself.
   virtual void replyWithError(const ErrorReply &reply) = 0;
+  /// The runner's answer is none, or one that can't be passed on.
+  virtual void onBrokenAnswer(const std::string &reason) = 0;
   /// The request is retried after an attempt with this outcome.
   virtual void onRetry(AttemptOutcome outcome, const std::string &reason) = 0;
   /// A larger model is queried instead.
@@ -132,7 +134,7 @@
   void forwardEvents(std::string_view bytes, core::Millis now);
   bool acceptEvent(const StreamEvent &event);
   [[nodiscard]] bool hasTooManyEvents() const;
-  /// Cancels the attempt because of its response.
+  /// Cancels the attempt because of its response, which is no answer.
   void breakAttempt(const std::string &reason, core::Millis now);
   bool updateLastEventId(const StreamEvent &event);
   [[nodiscard]] std::string_view
--- a/src/cowslipridge/gateway/RequestStateMachineResponses.cpp
+++ b/src/cowslipridge/gateway/RequestStateMachineResponses.cpp
@@ -201,11 +201,13 @@
     return;
   Events.clear();
   Body.clear();
-  breakAttempt("the buffers are full", now);
+  Actions.cancelAttempt();
+  failAttempt(AttemptOutcome::Broken, "the buffers are full", now);
 }
 
 void RequestStateMachine::breakAttempt(const std::string &reason,
                                        core::Millis now) {
+  Actions.onBrokenAnswer(reason);
   Actions.cancelAttempt();
   failAttempt(AttemptOutcome::Broken, reason, now);
 }
--- a/src/cowslipridge/gateway/RequestStateMachineStreams.cpp
+++ b/src/cowslipridge/gateway/RequestStateMachineStreams.cpp
@@ -107,14 +107,12 @@
 void RequestStateMachine::endStream(core::Millis now) {
   const bool isStream = catalogue::isStream(Request.Route->Kind);
   if (isStream && Events.hasPartial()) {
-    failAttempt(AttemptOutcome::Broken, "the stream ended within an event",
-                now);
+    breakAttempt("the stream ended within an event", now);
     return;
   }
   // The rest of a stream that is resumed may be empty.
   if (isStream && EventsForwarded == 0 && !LastEventId) {
-    failAttempt(AttemptOutcome::Broken, "the stream ended without an event",
-                now);
+    breakAttempt("the stream ended without an event", now);
     return;
   }
   if (isStream && EndsWithConnection && canRetry()) {
--- a/src/cowslipridge/http1/Client.cpp
+++ b/src/cowslipridge/http1/Client.cpp
@@ -8,6 +8,7 @@
 #include <iterator>
 #include <map>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace cowslipridge::http1 {
@@ -46,8 +47,8 @@
   explicit RejectedCall(std::shared_ptr<CallEvents> events)
       : Events(std::move(events)) {}
   void deliver() {
-    if (Events)
-      Events->onFailure(CallFailure::ConnectionLimitReached);
+    if (const auto events = std::exchange(Events, nullptr))
+      events->onFailure(CallFailure::ConnectionLimitReached);
   }
   void cancel() override { Events = nullptr; }
   void pause() override {}
--- a/src/cowslipridge/http1/Client.hpp
+++ b/src/cowslipridge/http1/Client.hpp
@@ -81,6 +81,8 @@
   bool Connected = false;       ///< the connection was established
   bool Sent = false;            ///< bytes of the request may have left
   core::Millis Age;             ///< since the start of the call
+  /// What is wrong with bytes that are no response; empty for other ends.
+  std::string Defect;
 
   friend bool operator==(const CallProgress &, const CallProgress &) = default;
 };
--- a/src/cowslipridge/http1/Fetch.cpp
+++ b/src/cowslipridge/http1/Fetch.cpp
@@ -22,19 +22,32 @@
     Result.Body += data;
     if (Result.Body.size() <= MaxBodyBytes)
       return;
-    if (const auto call = Handle.lock())
-      call->cancel();
-    onFailure(CallFailure::Broken);
+    const auto call = Handle;
+    call->cancel();
+    fail(CallFailure::Broken, "the body is too long");
+  }
+  void onEnd() override {
+    Handle = nullptr;
+    OnDone(std::move(Result));
   }
-  void onEnd() override { OnDone(std::move(Result)); }
   void onFailure(CallFailure failure) override {
-    OnDone({.Status = 0, .Fields = {}, .Body = {}, .Failure = failure});
+    fail(failure, Handle->progress().Defect);
   }
 
-  void setHandle(const std::shared_ptr<Call> &call) { Handle = call; }
+  void setHandle(std::shared_ptr<Call> call) { Handle = std::move(call); }
 
 private:
-  std::weak_ptr<Call> Handle;
+  void fail(CallFailure failure, std::string defect) {
+    Handle = nullptr;
+    OnDone({.Status = 0,
+            .Fields = {},
+            .Body = {},
+            .Failure = failure,
+            .Defect = std::move(defect)});
+  }
+
+  /// Set until the end of the call, which holds this object.
+  std::shared_ptr<Call> Handle;
   std::function<void(FetchResult)> OnDone;
   FetchResult Result;
 };
--- a/src/cowslipridge/http1/Fetch.hpp
+++ b/src/cowslipridge/http1/Fetch.hpp
@@ -15,6 +15,7 @@
   HeaderFields Fields;
   std::string Body;
   CallFailure Failure = CallFailure::NotConnected; ///< valid if Status is 0
+  std::string Defect; ///< what is wrong with bytes that are no response
 };
 
 /// Makes one call and collects its response. Calls `onDone` once, or not at all
--- a/src/cowslipridge/http1/ResponseParser.cpp
+++ b/src/cowslipridge/http1/ResponseParser.cpp
@@ -20,19 +20,24 @@
 } // namespace
 
 class ResponseParser::Impl {
+  using Code = boost::beast::error_code;
+  using Error = boost::beast::http::error;
+
 public:
   explicit Impl(bool headRequest) : HeadRequest(headRequest) { restart(); }
 
   ResponseStatus parse(std::string &input) {
     while (!HeadExtracted) {
-      if (internal::feedHead(*Parser, Hidden, input))
-        return ResponseStatus::Malformed;
-      if (!Parser->is_header_done())
+      Defect = internal::feedHead(*Parser, Hidden, input);
+      if (!Defect && !Parser->is_header_done())
         return ResponseStatus::NeedMore;
-      if (!(isInterim() ? skipInterim() : extractHead()))
+      if (!Defect)
+        Defect = isInterim() ? skipInterim() : extractHead();
+      if (Defect)
         return ResponseStatus::Malformed;
     }
-    if (internal::feed(*Parser, input))
+    Defect = internal::feed(*Parser, input);
+    if (Defect)
       return ResponseStatus::Malformed;
     return Parser->is_done() ? ResponseStatus::Complete
                              : ResponseStatus::NeedMore;
@@ -48,6 +53,7 @@
 
   std::optional<internal::PushParser<false>> Parser;
   ResponseHead Head;
+  Code Defect;
   bool HeadExtracted = false;
 
 private:
@@ -67,31 +73,30 @@
            Parser->Status != SwitchingProtocols;
   }
 
-  bool skipInterim() {
+  Code skipInterim() {
     if (internal::announcesBody(Parser->Fields))
-      return false;
+      return Error::bad_content_length;
     restart();
-    return ++InterimResponses <= MaxInterimResponses;
+    return ++InterimResponses <= MaxInterimResponses ? Code()
+                                                     : Error::bad_status;
   }
 
-  bool extractHead() {
+  Code extractHead() {
     HeadExtracted = true;
     Head.Status = Parser->Status;
     Head.Reason = std::move(Parser->Reason);
     Head.Fields = std::move(Parser->Fields);
     Head.KeepAlive = Parser->keep_alive();
-    if (!isAcceptable())
-      return false;
-    Head.Body = framing();
-    return true;
-  }
-
-  [[nodiscard]] bool isAcceptable() const {
     if (Head.Status == SwitchingProtocols)
-      return false;
+      return Error::bad_status;
     if (Head.Status == NoContent && internal::announcesBody(Head.Fields))
-      return false;
-    return internal::isFramingUnambiguous(Head.Fields, Parser->Version);
+      return Error::bad_content_length;
+    if (!internal::isFramingUnambiguous(Head.Fields, Parser->Version))
+      return Head.Fields.count("Transfer-Encoding") != 0
+                 ? Error::bad_transfer_encoding
+                 : Error::bad_content_length;
+    Head.Body = framing();
+    return {};
   }
 
   Framing framing() {
@@ -123,6 +128,9 @@
 ResponseStatus ResponseParser::finish() { return Internals->finish(); }
 bool ResponseParser::headDone() const { return Internals->HeadExtracted; }
 const ResponseHead &ResponseParser::head() const { return Internals->Head; }
+std::string ResponseParser::defect() const {
+  return Internals->Defect.message();
+}
 std::string ResponseParser::takeBody() {
   return std::exchange(Internals->Parser->Body, {});
 }
--- a/src/cowslipridge/http1/ResponseParser.hpp
+++ b/src/cowslipridge/http1/ResponseParser.hpp
@@ -26,6 +26,8 @@
   [[nodiscard]] const ResponseHead &head() const;
   /// Returns the part of the body that was read since the last call.
   std::string takeBody();
+  /// Returns what is wrong with a malformed response, for the log.
+  [[nodiscard]] std::string defect() const;
 
 private:
   class Impl;
--- a/src/cowslipridge/http1/internal/ClientConnection.cpp
+++ b/src/cowslipridge/http1/internal/ClientConnection.cpp
@@ -77,7 +77,7 @@
   [[nodiscard]] CallProgress progress() const override {
     // Nothing is known any more of a call that ended: it may have been sent.
     return isCurrent() ? Connection->progress()
-                       : CallProgress{0, false, false, true, {}};
+                       : CallProgress{0, false, false, true, {}, {}};
   }
 
 private:
@@ -127,7 +127,10 @@
   return std::ranges::find(Carried, request) == Carried.end();
 }
 
-void ClientConnection::shutDown() { close(); }
+void ClientConnection::shutDown() {
+  Events = nullptr;
+  close();
+}
 
 void ClientConnection::cancel() {
   Events = nullptr;
@@ -258,19 +261,24 @@
 // orderly end. So the end of the connection completes a response only if the
 // request was written without an error.
 void ClientConnection::endResponse() {
-  if (WriteFailed)
-    failBroken();
-  else
+  if (!WriteFailed) {
     complete();
+    return;
+  }
+  Progress.Defect = "the connection failed before the request was sent";
+  failBroken();
 }
 
 void ClientConnection::parse() {
   while (State == Phase::Busy) {
     const std::size_t before = Input.size();
     const ResponseStatus status = Parser->parse(Input);
-    if (status == ResponseStatus::Malformed ||
-        Input.size() > MaxUnparsedBytes) {
-      fail(HeadDelivered ? CallFailure::Broken : CallFailure::Malformed);
+    if (status == ResponseStatus::Malformed) {
+      failMalformed(Parser->defect());
+      return;
+    }
+    if (Input.size() > MaxUnparsedBytes) {
+      failMalformed("a line does not end");
       return;
     }
     if (!deliver())
@@ -297,7 +305,7 @@
 bool ClientConnection::deliver() {
   if (Parser->headDone() && !HeadDelivered && !Mismatched) {
     if (namesTwoRequests()) {
-      fail(CallFailure::Malformed);
+      failMalformed("the response names two requests");
       return false;
     }
     Mismatched = isMismatched();
@@ -382,6 +390,11 @@
   fail(HeadDelivered ? CallFailure::Broken : CallFailure::BrokenBeforeResponse);
 }
 
+void ClientConnection::failMalformed(std::string defect) {
+  Progress.Defect = std::move(defect);
+  fail(HeadDelivered ? CallFailure::Broken : CallFailure::Malformed);
+}
+
 void ClientConnection::fail(CallFailure failure) {
   const auto events = std::exchange(Events, nullptr);
   reset(Peer);
--- a/src/cowslipridge/http1/internal/ClientConnection.hpp
+++ b/src/cowslipridge/http1/internal/ClientConnection.hpp
@@ -88,6 +88,7 @@
   void watch();
   void fail(CallFailure failure);
   void failBroken();
+  void failMalformed(std::string defect);
   void armTimer(core::Millis limit);
   void onTimeout();
   void close();
--- a/src/cowslipridge/observe/EventCatalogue.cpp
+++ b/src/cowslipridge/observe/EventCatalogue.cpp
@@ -133,6 +133,9 @@
                    "run."},
     CatalogueEntry{RequestIdRepeated, Warning, "request-id-repeated",
                    "A caller sent the id of an earlier request again."},
+    CatalogueEntry{AnswerBroken, Warning, "answer-broken",
+                   "A runner sent bytes that are no answer, or an answer that "
+                   "can't be passed on."},
     CatalogueEntry{RunStarted, Info, "run-started",
                    "The runner was given a request."},
     CatalogueEntry{RunEnded, Info, "run-ended", "The runner's answer ended."},
--- a/src/cowslipridge/observe/EventCatalogue.hpp
+++ b/src/cowslipridge/observe/EventCatalogue.hpp
@@ -64,6 +64,7 @@
   RequestWaits = 408,
   RefusalUnstated = 409,
   RequestIdRepeated = 410,
+  AnswerBroken = 411,
 
   RunStarted = 500,
   RunEnded = 501,
--- a/src/cowslipridge/observe/Metrics.cpp
+++ b/src/cowslipridge/observe/Metrics.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr std::size_t CounterCount = 12;
+constexpr std::size_t CounterCount = 13;
 constexpr std::size_t GaugeCount = 20;
 constexpr std::size_t HistogramCount = 4;
 constexpr double MillisPerSecond = 1'000;
@@ -29,6 +29,8 @@
         {"cowslipridge_retries_total", "Requests sent to another runner."},
         {"cowslipridge_attempts_total", "Requests sent to a runner."},
         {"cowslipridge_runner_refusals_total", "Requests refused by runners."},
+        {"cowslipridge_broken_answers_total",
+         "Answers of runners that are none or can't be passed on."},
         {"cowslipridge_prompt_tokens_total", "Prompt tokens run."},
         {"cowslipridge_cached_tokens_total",
          "Prompt tokens found in a runner's cache."},
--- a/src/cowslipridge/observe/Metrics.hpp
+++ b/src/cowslipridge/observe/Metrics.hpp
@@ -19,6 +19,7 @@
   Retries,         ///< requests retried, by service and previous outcome
   Attempts,        ///< attempts at a runner, by service, version and kind
   RunnerRefusals,  ///< refusals of runners, by service, version and statement
+  BrokenAnswers,   ///< of runners, by service and version
   PromptTokens,    ///< prompt tokens processed, by service and version
   CachedTokens,    ///< prompt tokens found in a runner's cache
   AnswerTokens,    ///< answer tokens generated, by service and version
--- a/src/cowslipridge/platform/MonitoredStoreClient.cpp
+++ b/src/cowslipridge/platform/MonitoredStoreClient.cpp
@@ -30,10 +30,11 @@
 }
 
 std::string describe(StoreCallKind kind, const StoreReply &reply) {
-  const std::string result = reply.Status != 0
-                                 ? "status " + std::to_string(reply.Status)
-                                 : std::string(http1::toString(reply.Failure));
-  return std::string(toString(kind)) + ": " + result;
+  std::string text = std::string(toString(kind)) + ": ";
+  if (reply.Status != 0)
+    return text + "status " + std::to_string(reply.Status);
+  text += http1::toString(reply.Failure);
+  return reply.Defect.empty() ? text : text + ", " + reply.Defect;
 }
 
 CallOutcome outcomeOf(const StoreReply &reply) {
--- a/tests/integration/platform/GatewayBrokenAnswerTest.cpp
+++ b/tests/integration/platform/GatewayBrokenAnswerTest.cpp
@@ -39,9 +39,49 @@
                           .dump());
   }
 
+  /// Waits until the gateway has logged what was wrong with an answer.
+  bool logs(const std::string &detail) {
+    const core::Millis end = Clock.monotonic() + core::Millis(10'000);
+    while (Clock.monotonic() < end) {
+      const std::string log = Gateway->log();
+      const std::size_t event = log.find("answer-broken");
+      if (event != std::string::npos &&
+          log.find("runner=faulty") != std::string::npos &&
+          log.find(detail, event) != std::string::npos)
+        return true;
+      runUntil([] { return true; });
+    }
+    return false;
+  }
+
   std::optional<RawServer> Faulty;
 };
 
+// Operators see which runner sent what, also if no caller notices.
+TEST_F(GatewayBrokenAnswerTest, answerThatIsNoResponseIsLogged) {
+  addFaultyRunner(RawBehaviour::AnswersAndCloses, [](const std::string &head) {
+    return "HTTP/1.1 000 \r\n" + fieldsFor(head) + "\r\n";
+  });
+  configure();
+  startAndAwaitReady();
+  awaitResponse(sendRequest(Callers, request("POST", "/post/a")));
+  EXPECT_TRUE(logs("bad status")) << Gateway->log();
+  EXPECT_NE(
+      get(Metrics, "/metrics")->Body.find("cowslipridge_broken_answers_total{"),
+      std::string::npos);
+}
+
+TEST_F(GatewayBrokenAnswerTest, answerThatCannotBePassedOnIsLogged) {
+  addFaultyRunner(RawBehaviour::AnswersAndCloses, [](const std::string &head) {
+    return "HTTP/1.1 200 OK\r\nAttempt-Id: " +
+           support::fieldIn(head, "Attempt-Id") + "\r\n\r\n";
+  });
+  configure();
+  startAndAwaitReady();
+  awaitResponse(sendRequest(Callers, request("POST", "/post/a")));
+  EXPECT_TRUE(logs("the response carries no valid signature"));
+}
+
 // Guards against a part of an answer that callers get as the whole: a runner
 // answers a long upload at once, without a length, and resets the connection.
 TEST_F(GatewayBrokenAnswerTest, cutAnswerToAnUploadIsNoAnswer) {
@@ -64,6 +104,7 @@
     EXPECT_EQ(reply->Body, "");
   }
   EXPECT_GE(Faulty->requests(), 1);
+  EXPECT_TRUE(logs("the connection failed before the request was sent"));
 }
 
 /// Returns valid responses that are no answers of a runner to the request with
--- a/tests/support/ScriptedPlacementPolicy.hpp
+++ b/tests/support/ScriptedPlacementPolicy.hpp
@@ -109,6 +109,9 @@
     Status = reply.Status;
     RetryAfter = reply.RetryAfter;
   }
+  void onBrokenAnswer(const std::string &reason) override {
+    BrokenAnswers.push_back(reason);
+  }
   void onRetry(gateway::AttemptOutcome outcome,
                const std::string & /*reason*/) override {
     Retried.push_back(outcome);
@@ -128,6 +131,7 @@
   int Begins = 0;
   int Escalations = 0;
   int Waits = 0;
+  std::vector<std::string> BrokenAnswers; ///< what was wrong with them
   std::vector<gateway::AttemptOutcome> Retried;
   std::string AcceptedReason; ///< empty: no low-confidence answer was accepted
   int Responses = 0;
--- a/tests/unit/gateway/BrokenStreamTest.cpp
+++ b/tests/unit/gateway/BrokenStreamTest.cpp
@@ -86,6 +86,8 @@
   Machine->onData(": a comment\n\n", Millis(11));
   Machine->onEnd(Millis(12));
   EXPECT_TRUE(Actions.Aborted);
+  EXPECT_EQ(Actions.BrokenAnswers,
+            std::vector<std::string>{"the stream ended without an event"});
 }
 
 TEST_F(BrokenStreamTest, resumableStreamWithoutAnEventGoesOnAtAnotherRunner) {
--- a/tests/unit/gateway/EventDetailsTest.cpp
+++ b/tests/unit/gateway/EventDetailsTest.cpp
@@ -39,6 +39,9 @@
   call.Connected = call.Sent = true;
   EXPECT_EQ(describe(call),
             "connection=0 reused=no connected=yes sent=yes call_ms=431");
+  call.Defect = "bad status";
+  EXPECT_EQ(describe(call), "connection=0 reused=no connected=yes sent=yes "
+                            "call_ms=431 defect=bad status");
 }
 
 TEST(EventDetailsTest, describesALowConfidenceAnswerWithTheLargerForecast) {
--- a/tests/unit/http1/ClientTest.cpp
+++ b/tests/unit/http1/ClientTest.cpp
@@ -233,6 +233,24 @@
   expectGivesUp(CallFailure::Broken);
 }
 
+// Guards against a fetch that ends more than once, as nobody else holds its
+// call.
+TEST_F(ClientTest, fetchOfABodyThatIsTooLongEndsOnce) {
+  Scripts = {{"HTTP/1.1 200 OK\r\n\r\n", false, "x"}};
+  CallSpec spec;
+  spec.Server = Address;
+  spec.Bytes = requestBytes("a");
+  spec.Timeout = core::Millis(60'000);
+  std::vector<FetchResult> results;
+  fetch(HttpClient, std::move(spec),
+        [&](FetchResult it) { results.push_back(std::move(it)); });
+  runUntil([&] { return !results.empty(); });
+  stall(core::Millis(20));
+  runUntil([] { return true; });
+  EXPECT_EQ(results.size(), 1U);
+  EXPECT_EQ(results.front().Defect, "the body is too long");
+}
+
 TEST_F(ClientTest, fetchGivesUpOnABodyWithoutEnd) {
   Scripts = {{"HTTP/1.1 200 OK\r\n\r\n", false, "bytes"}};
   CallSpec spec;
--- a/tests/unit/platform/BrokenStoreAnswerTest.cpp
+++ b/tests/unit/platform/BrokenStoreAnswerTest.cpp
@@ -41,6 +41,8 @@
   EXPECT_FALSE(http1::isUnsent(reply->Failure));
   EXPECT_FALSE(isProcessed(*reply));
   EXPECT_FALSE(Store.hasStoreResponded());
+  EXPECT_EQ(reply->Defect.empty(),
+            reply->Failure != http1::CallFailure::Malformed);
 }
 
 INSTANTIATE_TEST_SUITE_P(Forms, BrokenStoreAnswerTest,
