--- a/src/cowslipridge/http1/internal/ClientConnection.cpp
+++ b/src/cowslipridge/http1/internal/ClientConnection.cpp
@@ -1,18 +1,17 @@
 #include "cowslipridge/http1/internal/ClientConnection.hpp"
 
+#include "cowslipridge/http1/internal/KeepAlive.hpp"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
-#include <charconv>
-#include <functional>
 #include <utility>
 
 namespace cowslipridge::http1::internal {
 
 namespace {
 
-constexpr std::int64_t MillisPerSecond = 1000;
 /// Subtracted from the server's Keep-Alive timeout, since the server starts its
 /// timer before the response reaches this client.
 constexpr core::Millis KeepAliveMargin{500};
@@ -26,30 +25,8 @@
 /// their hashes.
 constexpr std::size_t MaxCarriedRequests = 1024;
 
-/// Returns the `timeout` parameter of the Keep-Alive field, if there is one.
-std::optional<core::Millis> keepAliveTimeout(const HeaderFields &fields) {
-  constexpr std::string_view Key = "timeout=";
-  const auto value = fields.find("Keep-Alive");
-  const auto at = value ? value->find(Key) : std::string_view::npos;
-  if (at == std::string_view::npos)
-    return std::nullopt;
-  const std::string_view digits = value->substr(at + Key.size());
-  std::int64_t seconds = 0;
-  const auto end =
-      std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
-  if (end.ec != std::errc())
-    return std::nullopt;
-  return core::Millis(seconds * MillisPerSecond);
-}
-
 } // namespace
 
-std::optional<CarriedRequest> CarriedRequest::of(const CallSpec &spec) {
-  if (spec.EchoField.empty())
-    return std::nullopt;
-  return CarriedRequest(std::hash<std::string>()(spec.EchoValue));
-}
-
 ClientConnection::ClientConnection(boost::asio::io_context &loop,
                                    const core::Clock &clock,
                                    const ClientLimits &limits, std::uint64_t id,
--- a/src/cowslipridge/http1/internal/ClientConnection.hpp
+++ b/src/cowslipridge/http1/internal/ClientConnection.hpp
@@ -3,9 +3,9 @@
 #include "cowslipridge/http1/Client.hpp"
 #include "cowslipridge/http1/LoopTimer.hpp"
 #include "cowslipridge/http1/ResponseParser.hpp"
+#include "cowslipridge/http1/internal/CarriedRequest.hpp"
 
 #include <array>
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -16,21 +16,6 @@
 
 namespace cowslipridge::http1::internal {
 
-/// Identifies a request among those of one connection: the hash of the value
-/// that its response repeats. Two requests whose hashes are equal only need one
-/// connection more.
-class CarriedRequest {
-public:
-  /// Returns nothing for a call whose response repeats no value.
-  static std::optional<CarriedRequest> of(const CallSpec &spec);
-  friend auto operator<=>(const CarriedRequest &,
-                          const CarriedRequest &) = default;
-
-private:
-  explicit CarriedRequest(std::size_t hash) : Hash(hash) {}
-  std::size_t Hash;
-};
-
 /// A persistent connection to a server. Carries at most one call at a time.
 class ClientConnection final
     : public std::enable_shared_from_this<ClientConnection> {
