Let the soak's runners send answers that are none

Runners answer with the status 000, a name with a blank or a control byte, a line that hides a field, a coded or an encoded body, or two ids. Callers report bytes that are no response as MIXED. A status is written with three digits.

--- a/src/cowslipridge/http1/Message.cpp
+++ b/src/cowslipridge/http1/Message.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/beast/http/status.hpp>
 
+#include <algorithm>
 #include <array>
 #include <charconv>
 #include <ostream>
@@ -19,6 +20,13 @@
   }
 }
 
+// A status has three digits.
+std::string statusCode(int status) {
+  constexpr std::size_t Digits = 3;
+  const std::string text = std::to_string(status);
+  return std::string(Digits - std::min(Digits, text.size()), '0') + text;
+}
+
 bool needsLength(const RequestHead &head, std::size_t bodyLength) {
   return bodyLength != 0 || head.Body != Framing::None;
 }
@@ -51,7 +59,7 @@
 }
 
 std::string writeHead(const ResponseHead &head) {
-  std::string text = "HTTP/1.1 " + std::to_string(head.Status) + " ";
+  std::string text = "HTTP/1.1 " + statusCode(head.Status) + " ";
   text += head.Reason.empty() ? std::string(reasonPhrase(head.Status))
                               : head.Reason;
   text += "\r\n";
--- a/src/standins/platform/Deviation.cpp
+++ b/src/standins/platform/Deviation.cpp
@@ -13,9 +13,17 @@
 constexpr std::size_t CutBodyLength = 1'000;
 /// Written at once by streams without an end.
 constexpr std::size_t BlockBytes = 32UL * 1024;
+constexpr std::string_view BrokenBody = "no answer";
 constexpr std::string_view NotExecuted = "Not-Executed";
 
-constexpr std::array<std::pair<std::string_view, Deviation>, 11> Names = {{
+constexpr std::array<std::pair<std::string_view, Deviation>, 18> Names = {{
+    {"no-status", Deviation::NoStatus},
+    {"name-with-blank", Deviation::NameWithBlank},
+    {"name-with-control", Deviation::NameWithControl},
+    {"hidden-field", Deviation::HiddenField},
+    {"coded-body", Deviation::CodedBody},
+    {"encoded-body", Deviation::EncodedBody},
+    {"two-ids", Deviation::TwoIds},
     {"stated-refusal", Deviation::StatedRefusal},
     {"copied-refusal", Deviation::CopiedRefusal},
     {"unstated-refusal", Deviation::UnstatedRefusal},
@@ -82,6 +90,10 @@
          deviation == Deviation::OldEvents;
 }
 
+bool isBrokenAnswer(Deviation deviation) {
+  return deviation >= Deviation::NoStatus && deviation <= Deviation::TwoIds;
+}
+
 void answerDeviating(const std::shared_ptr<http1::Exchange> &exchange,
                      Deviation deviation, http1::ResponseHead head,
                      unsigned n) {
@@ -111,6 +123,34 @@
     head.Fields.set("Attempt-Id", "another");
     exchange->respond(std::move(head), "answer to another");
     return;
+  case Deviation::NoStatus:
+    head.Status = 0;
+    exchange->respond(std::move(head), BrokenBody);
+    return;
+  case Deviation::NameWithBlank:
+    head.Fields.add("Some Name", "1");
+    exchange->respond(std::move(head), BrokenBody);
+    return;
+  case Deviation::NameWithControl:
+    head.Fields.add("Na\x01me", "1");
+    exchange->respond(std::move(head), BrokenBody);
+    return;
+  case Deviation::HiddenField:
+    head.Fields.add("Name", "1\r\n Other: 2");
+    exchange->respond(std::move(head), BrokenBody);
+    return;
+  case Deviation::CodedBody:
+    head.Fields.add("Transfer-Encoding", "gzip");
+    exchange->respond(std::move(head), BrokenBody);
+    return;
+  case Deviation::EncodedBody:
+    head.Fields.add("Content-Encoding", "gzip");
+    exchange->respond(std::move(head), BrokenBody);
+    return;
+  case Deviation::TwoIds:
+    head.Fields.add("Attempt-Id", "another");
+    exchange->respond(std::move(head), BrokenBody);
+    return;
   case Deviation::EndlessEvent:
     sendWithoutEnd(exchange, std::move(head), "data: no end");
     return;
--- a/src/standins/platform/Deviation.hpp
+++ b/src/standins/platform/Deviation.hpp
@@ -22,6 +22,14 @@
   LostAnswer,      ///< runs it and resets the connection
   CutBody,         ///< runs it and resets within the body of the response
   WrongId,         ///< runs it and answers under the id of another request
+  // Runs it and answers with a head that is none, or is no answer's:
+  NoStatus,        ///< the status 000
+  NameWithBlank,   ///< a field whose name holds a blank
+  NameWithControl, ///< a field whose name holds a control byte
+  HiddenField,     ///< a field in a line that continues another
+  CodedBody,       ///< a transfer coding beside a length
+  EncodedBody,     ///< a content coding
+  TwoIds,          ///< its own id and another one
   // Streams without an end, as fast as they are read:
   EndlessEvent, ///< an event that doesn't end
   EmptyLines,
@@ -36,6 +44,9 @@
 /// Returns whether the runner runs the request.
 [[nodiscard]] bool runsRequest(Deviation deviation);
 
+/// Returns whether the answer of the deviation is none.
+[[nodiscard]] bool isBrokenAnswer(Deviation deviation);
+
 /// Returns whether only runners that answer with streams deviate so.
 [[nodiscard]] bool needsStream(Deviation deviation);
 
--- a/tests/soak/Plan.cpp
+++ b/tests/soak/Plan.cpp
@@ -19,6 +19,11 @@
 
 constexpr std::array MoreDeviations = {Deviation::CopiedRefusal,
                                        Deviation::WrongId};
+constexpr std::array BrokenAnswers = {
+    Deviation::NoStatus,    Deviation::NameWithBlank,
+    Deviation::HiddenField, Deviation::NameWithControl,
+    Deviation::CodedBody,   Deviation::EncodedBody,
+    Deviation::TwoIds};
 constexpr std::array Deviations = {
     Deviation::StatedRefusal, Deviation::UnstatedRefusal,
     Deviation::Failure,       Deviation::LostAnswer,
@@ -53,6 +58,8 @@
   const bool drawsMore = settings.CrowdKinds != 0 && draw.below(2) == 0;
   fault.What = drawsMore ? MoreDeviations.at(draw.below(MoreDeviations.size()))
                          : Deviations.at(draw.below(Deviations.size()));
+  if (settings.BrokenAnswers && draw.below(2) == 0)
+    fault.What = BrokenAnswers.at(draw.below(BrokenAnswers.size()));
   fault.Every = 1 + static_cast<unsigned>(draw.below(MaxDeviationEvery));
   fault.For = draw.length();
   return fault;
--- a/tests/soak/Plan.hpp
+++ b/tests/soak/Plan.hpp
@@ -107,6 +107,8 @@
   /// Number of kinds of crowds; 0: the plan has neither crowds, nor copied
   /// refusals, nor runners that take over an address.
   std::size_t CrowdKinds = 0;
+  /// Runners also send answers that are none.
+  bool BrokenAnswers = false;
   /// Faults of whole services, which last longer than the others, are part of
   /// the plan.
   bool ServiceFaults = false;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -30,6 +30,9 @@
 DEFINE_bool(crowds, true,
             "callers that misbehave, copied refusals and runners that take "
             "over an address are part of the run");
+DEFINE_bool(broken_answers, true,
+            "runners send answers that are none; false, or no crowds: the plan "
+            "of a seed is the one of the time before");
 DEFINE_bool(service_faults, false,
             "all runners of a service deviate or stand still at once");
 DEFINE_int64(memory_limit, cowslipridge::soak::GatewayMemoryKiB,
@@ -155,6 +158,7 @@
     settings.Runners = Places.Runners.size();
     settings.Links = Places.Links.size();
     settings.ServiceFaults = FLAGS_service_faults;
+    settings.BrokenAnswers = FLAGS_crowds && FLAGS_broken_answers;
     settings.CrowdKinds = FLAGS_crowds ? countCrowdKinds() : 0;
     Origin = Clock.monotonic();
     Seen.FaultsEndedAt = Origin;
--- a/tests/soak/platform/Callers.cpp
+++ b/tests/soak/platform/Callers.cpp
@@ -93,11 +93,15 @@
     IsComplete = true;
     finish();
   }
-  void onFailure(http1::CallFailure /*failure*/) override { finish(); }
+  void onFailure(http1::CallFailure failure) override {
+    IsMalformed = failure == http1::CallFailure::Malformed;
+    finish();
+  }
 
   std::optional<http1::ResponseHead> Head;
   std::string Body;
   bool IsComplete = false;
+  bool IsMalformed = false; ///< what came is no response
 
 private:
   void finish() {
@@ -109,6 +113,10 @@
 
 /// Judges the answer of a request and stores it in `attempt`.
 void judge(const Collector &response, CallerAttempt &attempt) {
+  if (response.IsMalformed) {
+    attempt.Answer = AnswerState::Wrong;
+    attempt.Problem = "bytes that are no response";
+  }
   if (!response.Head)
     return;
   const http1::ResponseHead &head = *response.Head;
