--- a/src/cowslipridge/http1/ResponseFlaws.cpp
+++ b/src/cowslipridge/http1/ResponseFlaws.cpp
@@ -1,5 +1,7 @@
 #include "cowslipridge/http1/ResponseFlaws.hpp"
 
+#include "cowslipridge/http1/internal/FieldSyntax.hpp"
+
 #include <algorithm>
 #include <array>
 
@@ -11,21 +13,14 @@
 constexpr std::array<std::string_view, 3> FieldsOfTheBody = {
     "Content-Type", "Content-Encoding", "Content-Range"};
 
-std::string_view trim(std::string_view text) {
-  constexpr std::string_view Blanks = " \t";
-  const std::size_t begin =
-      std::min(text.find_first_not_of(Blanks), text.size());
-  text.remove_prefix(begin);
-  return text.substr(0, text.find_last_not_of(Blanks) + 1);
-}
-
 // Returns whether the caller accepts the content coding. A weight of zero is
 // not told from others: such a list is rare and only makes this more lenient.
 bool accepts(const HeaderFields &fields, std::string_view coding) {
   std::string_view list = fields.find("Accept-Encoding").value_or("");
   while (!list.empty()) {
     const std::string_view item = list.substr(0, list.find(','));
-    const std::string_view name = trim(item.substr(0, item.find(';')));
+    const std::string_view name =
+        internal::withoutBlanks(item.substr(0, item.find(';')));
     if (name == "*" || sameName(name, coding))
       return true;
     list.remove_prefix(std::min(item.size() + 1, list.size()));
--- a/src/cowslipridge/http1/internal/FieldSyntax.cpp
+++ b/src/cowslipridge/http1/internal/FieldSyntax.cpp
@@ -35,6 +35,12 @@
       text, [](unsigned char c) { return isControlByte(c) && c != '\t'; });
 }
 
+std::string_view withoutBlanks(std::string_view text) {
+  constexpr std::string_view Blanks = " \t";
+  text.remove_prefix(std::min(text.find_first_not_of(Blanks), text.size()));
+  return text.substr(0, text.find_last_not_of(Blanks) + 1);
+}
+
 HiddenFields::Part HiddenFields::partBehind(Part part, char byte) {
   if (byte == '\n')
     return Part::LineBegin;
--- a/src/cowslipridge/http1/internal/FieldSyntax.hpp
+++ b/src/cowslipridge/http1/internal/FieldSyntax.hpp
@@ -12,6 +12,9 @@
 /// byte but the tab.
 bool isFieldValue(std::string_view text);
 
+/// Returns the text without the blanks and tabs around it.
+std::string_view withoutBlanks(std::string_view text);
+
 /// Finds lines of a head that continue the one before them (obsolete line
 /// folding; RFC 9112, 5.2) and that read as a field of their own. A parser
 /// joins them, so that the field hides in another one's value.
--- a/src/cowslipridge/http1/internal/FramingFields.cpp
+++ b/src/cowslipridge/http1/internal/FramingFields.cpp
@@ -1,5 +1,7 @@
 #include "cowslipridge/http1/internal/FramingFields.hpp"
 
+#include "cowslipridge/http1/internal/FieldSyntax.hpp"
+
 #include <algorithm>
 
 namespace cowslipridge::http1::internal {
@@ -11,12 +13,6 @@
 constexpr std::string_view TransferEncoding = "Transfer-Encoding";
 constexpr std::string_view ContentLength = "Content-Length";
 
-std::string_view withoutBlanks(std::string_view text) {
-  constexpr std::string_view Blanks = " \t";
-  text.remove_prefix(std::min(text.find_first_not_of(Blanks), text.size()));
-  return text.substr(0, text.find_last_not_of(Blanks) + 1);
-}
-
 // Returns whether each item of the list is this number.
 bool lists(std::string_view list, std::string_view number) {
   for (;;) {
