--- a/tests/unit/gateway/BrokenStreamTest.cpp
+++ b/tests/unit/gateway/BrokenStreamTest.cpp
@@ -22,7 +22,7 @@
     Machine->start(Millis(0));
   }
 
-  void head(http1::ResponseHead head) {
+  void head(const http1::ResponseHead &head) {
     ResponseAttributes attributes;
     attributes.Status = head.Status;
     attributes.Authentic = true;
--- a/tests/unit/http1/ResponseParserTest.cpp
+++ b/tests/unit/http1/ResponseParserTest.cpp
@@ -171,16 +171,17 @@
 
 // Nothing of these is refused: sound servers send them.
 TEST(ResponseParserTest, acceptsUnusualResponsesThatAreSound) {
-  for (const std::string &text : std::vector<std::string>{
-           "HTTP/1.1 200 \r\nContent-Length: 2\r\n\r\nok",
-           "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" + responseWith(""),
-           responseWith("A:\r\n"), responseWith("A: b\tc\r\n"),
-           responseWith("A: \x80\xff\r\n"), responseWith("A:v \r\n"),
-           responseWith("Content-Length: 2\r\n"),
-           "HTTP/1.1 200 OK\r\nContent-Length: 2, 2\r\n\r\nok",
-           "HTTP/1.0 200 OK\r\n\r\nok",
-           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-           "2;a=b\r\nok\r\n0\r\nC: d\r\n\r\n"})
+  const std::string begin = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = begin + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string hints = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+  for (const std::string &text :
+       {std::string("HTTP/1.1 200 \r\nContent-Length: 2\r\n\r\nok"),
+        std::string("HTTP/1.0 200 OK\r\n\r\nok"), hints + responseWith(""),
+        responseWith("A:\r\n"), responseWith("A: b\tc\r\n"),
+        responseWith("A: \x80\xff\r\n"), responseWith("A:v \r\n"),
+        responseWith("Content-Length: 2\r\n"),
+        begin + "Content-Length: 2, 2\r\n\r\nok",
+        chunked + "2;a=b\r\nok\r\n0\r\nC: d\r\n\r\n"})
     expectStatus(text, ResponseStatus::Complete);
 }
 
