Say once what this change said twice, and drop what it left dead

Found in reading the whole change again; behaviour stays as it is.

- PushParser kept a flag for what is_header_done() of the library tells.
- Six deviations of the stand-in differed in one field; isBrokenAnswer() was not used.
- ClientExchange::end() ignores a second end, so that its callers need not ask, and a start can't follow a cancellation.
The lines that a sound answer has stood in three places of GatewayBrokenAnswerTest.
- Comments in plainer words.

No assertion has changed.

--- a/src/cowslipridge/http/internal/ClientExchange.cpp
+++ b/src/cowslipridge/http/internal/ClientExchange.cpp
@@ -71,8 +71,6 @@
 
 void ClientExchange::start() {
   boost::asio::post(clientLoop(), [self = shared_from_this()] {
-    if (self->Ended)
-      return;
     self->startTimer();
     self->Server->resolve([self](std::error_code ec, const auto &endpoints) {
       self->onResolved(ec, endpoints);
@@ -81,8 +79,9 @@
 }
 
 void ClientExchange::cancel() {
-  boost::asio::post(clientLoop(),
-                    [self = shared_from_this()] { self->onCancel(); });
+  boost::asio::post(clientLoop(), [self = shared_from_this()] {
+    self->end(core::Errc::Cancelled);
+  });
 }
 
 void ClientExchange::onResolved(std::error_code ec,
@@ -149,18 +148,12 @@
   end(Sent ? core::Errc::RunnerFailed : core::Errc::RunnerUnavailable);
 }
 
-void ClientExchange::onCancel() {
-  if (!Ended)
-    end(core::Errc::Cancelled);
-}
-
 void ClientExchange::startTimer() {
-  Timer.start(Server->timeout(),
-              [self = shared_from_this()] { self->onTimeout(); });
+  Timer.start(Server->timeout(), [self = shared_from_this()] {
+    self->end(core::Errc::DeadlineExceeded);
+  });
 }
 
-void ClientExchange::onTimeout() { end(core::Errc::DeadlineExceeded); }
-
 void ClientExchange::end(std::error_code ec) {
   if (std::exchange(Ended, true))
     return;
--- a/src/cowslipridge/http/internal/ClientExchange.hpp
+++ b/src/cowslipridge/http/internal/ClientExchange.hpp
@@ -32,9 +32,7 @@
   void onHead(const http1::ResponseHead &head);
   void onData(std::string_view data);
   void onFailure(http1::CallFailure failure);
-  void onCancel();
   void startTimer();
-  void onTimeout();
   void end(std::error_code ec);
   [[nodiscard]] SendStage stage() const;
   /// Notes how far the call has come.
--- a/src/cowslipridge/http1/ResponseFlaws.cpp
+++ b/src/cowslipridge/http1/ResponseFlaws.cpp
@@ -13,8 +13,8 @@
 constexpr std::array<std::string_view, 3> FieldsOfTheBody = {
     "Content-Type", "Content-Encoding", "Content-Range"};
 
-// Returns whether the caller accepts the content coding. A weight of zero is
-// not told from others: such a list is rare and only makes this more lenient.
+// Returns whether the caller accepts the content coding. Weights are ignored,
+// so that a coding with the weight of zero counts as accepted.
 bool accepts(const HeaderFields &fields, std::string_view coding) {
   std::string_view list = fields.find("Accept-Encoding").value_or("");
   while (!list.empty()) {
--- a/src/cowslipridge/http1/internal/ClientConnection.cpp
+++ b/src/cowslipridge/http1/internal/ClientConnection.cpp
@@ -187,11 +187,11 @@
     return;
   RequestSent = !ec;
   WriteFailed = ec.failed();
+  // The server may have responded before it closed the connection; reading
+  // returns either that response or the error.
   if (EndPending)
     endResponse();
   else if (ec)
-    // The server may have responded before it closed the connection; reading
-    // returns either that response or the error.
     read();
 }
 
--- a/src/cowslipridge/http1/internal/PushParser.hpp
+++ b/src/cowslipridge/http1/internal/PushParser.hpp
@@ -56,10 +56,10 @@
       ec = Error::bad_field;
     else if (!isFieldValue(toStdView(value)))
       ec = Error::bad_value;
-    else if (!HeadDone)
+    else if (!this->is_header_done())
       Fields.add(toStdView(name), toStdView(value));
   }
-  void on_header_impl(Code & /*ec*/) override { HeadDone = true; }
+  void on_header_impl(Code & /*ec*/) override {}
   void on_body_init_impl(const boost::optional<std::uint64_t> & /*length*/,
                          Code & /*ec*/) override {}
   std::size_t on_body_impl(View body, Code & /*ec*/) override {
@@ -74,8 +74,6 @@
     return body.size();
   }
   void on_finish_impl(Code & /*ec*/) override {}
-
-  bool HeadDone = false;
 };
 
 /// Parses as much of `input` as the parser accepts, until `isDone` returns
--- a/src/standins/platform/Deviation.cpp
+++ b/src/standins/platform/Deviation.cpp
@@ -46,6 +46,13 @@
   exchange.send(part);
 }
 
+// Sends a response whose head has one field more than a sound one.
+void respondWith(http1::Exchange &exchange, http1::ResponseHead head,
+                 const http1::HeaderField &field) {
+  head.Fields.add(field.Name, field.Value);
+  exchange.respond(std::move(head), BrokenBody);
+}
+
 std::string blockOf(std::string_view part) {
   std::string block;
   while (block.size() < BlockBytes)
@@ -90,10 +97,6 @@
          deviation == Deviation::OldEvents;
 }
 
-bool isBrokenAnswer(Deviation deviation) {
-  return deviation >= Deviation::NoStatus && deviation <= Deviation::TwoIds;
-}
-
 void answerDeviating(const std::shared_ptr<http1::Exchange> &exchange,
                      Deviation deviation, http1::ResponseHead head,
                      unsigned n) {
@@ -128,28 +131,22 @@
     exchange->respond(std::move(head), BrokenBody);
     return;
   case Deviation::NameWithBlank:
-    head.Fields.add("Some Name", "1");
-    exchange->respond(std::move(head), BrokenBody);
+    respondWith(*exchange, std::move(head), {"Some Name", "1"});
     return;
   case Deviation::NameWithControl:
-    head.Fields.add("Na\x01me", "1");
-    exchange->respond(std::move(head), BrokenBody);
+    respondWith(*exchange, std::move(head), {"Na\x01me", "1"});
     return;
   case Deviation::HiddenField:
-    head.Fields.add("Name", "1\r\n Other: 2");
-    exchange->respond(std::move(head), BrokenBody);
+    respondWith(*exchange, std::move(head), {"Name", "1\r\n Other: 2"});
     return;
   case Deviation::CodedBody:
-    head.Fields.add("Transfer-Encoding", "gzip");
-    exchange->respond(std::move(head), BrokenBody);
+    respondWith(*exchange, std::move(head), {"Transfer-Encoding", "gzip"});
     return;
   case Deviation::EncodedBody:
-    head.Fields.add("Content-Encoding", "gzip");
-    exchange->respond(std::move(head), BrokenBody);
+    respondWith(*exchange, std::move(head), {"Content-Encoding", "gzip"});
     return;
   case Deviation::TwoIds:
-    head.Fields.add("Attempt-Id", "another");
-    exchange->respond(std::move(head), BrokenBody);
+    respondWith(*exchange, std::move(head), {"Attempt-Id", "another"});
     return;
   case Deviation::EndlessEvent:
     sendWithoutEnd(exchange, std::move(head), "data: no end");
--- a/src/standins/platform/Deviation.hpp
+++ b/src/standins/platform/Deviation.hpp
@@ -44,9 +44,6 @@
 /// Returns whether the runner runs the request.
 [[nodiscard]] bool runsRequest(Deviation deviation);
 
-/// Returns whether the answer of the deviation is none.
-[[nodiscard]] bool isBrokenAnswer(Deviation deviation);
-
 /// Returns whether only runners that answer with streams deviate so.
 [[nodiscard]] bool needsStream(Deviation deviation);
 
--- a/tests/integration/BrokenRunnerAnswerTest.cpp
+++ b/tests/integration/BrokenRunnerAnswerTest.cpp
@@ -28,8 +28,8 @@
 const std::string SoundAnswer =
     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
-/// A plain runner that answers each request with the same bytes, until it is
-/// told others, and closes the connection.
+/// A plain runner that answers each request with the bytes that were set last,
+/// and closes the connection.
 class RawRunner {
 public:
   RawRunner() : Worker([this] { run(); }) {}
--- a/tests/integration/platform/GatewayBrokenAnswerTest.cpp
+++ b/tests/integration/platform/GatewayBrokenAnswerTest.cpp
@@ -15,15 +15,21 @@
 
 namespace {
 
+const std::string Signature = "Response-Signature: signed\r\n";
+
+/// Returns the line with the id of the request with this head.
+std::string idFor(const std::string &head) {
+  return "Attempt-Id: " + support::fieldIn(head, "Attempt-Id") + "\r\n";
+}
+
+/// Returns lines of the head that a sound answer has as well.
+std::string fieldsFor(const std::string &head) {
+  return idFor(head) + Signature;
+}
+
 /// Callers of a service with a runner whose answers are none.
 class GatewayBrokenAnswerTest : public GatewayTest {
 protected:
-  /// Returns lines of the head that a sound answer has as well.
-  static std::string fieldsFor(const std::string &head) {
-    return "Attempt-Id: " + support::fieldIn(head, "Attempt-Id") +
-           "\r\nResponse-Signature: signed\r\n";
-  }
-
   void addFaultyRunner(RawBehaviour behaviour, RawServer::Answer answer) {
     Faulty.emplace(Loop, ownAddress(), behaviour, std::move(answer));
     Store.store().put("servers/faulty",
@@ -73,8 +79,7 @@
 
 TEST_F(GatewayBrokenAnswerTest, answerThatCannotBePassedOnIsLogged) {
   addFaultyRunner(RawBehaviour::AnswersAndCloses, [](const std::string &head) {
-    return "HTTP/1.1 200 OK\r\nAttempt-Id: " +
-           support::fieldIn(head, "Attempt-Id") + "\r\n\r\n";
+    return "HTTP/1.1 200 OK\r\n" + idFor(head) + "\r\n";
   });
   configure();
   startAndAwaitReady();
@@ -110,9 +115,7 @@
 /// Returns valid responses that are no answers of a runner to the request with
 /// this head.
 std::vector<support::BrokenAnswer> unusableAnswers(const std::string &head) {
-  const std::string id =
-      "Attempt-Id: " + support::fieldIn(head, "Attempt-Id") + "\r\n";
-  const std::string signature = "Response-Signature: signed\r\n";
+  const std::string id = idFor(head);
   const std::string begin = "HTTP/1.1 200 OK\r\n" + id;
   const std::string rest = "Content-Length: 2\r\n\r\nok";
   const std::string chunks =
@@ -120,29 +123,27 @@
   return {
       {"SignatureMissing", begin + rest},
       {"SignatureEmpty", begin + "Response-Signature:\r\n" + rest},
-      {"SignatureTwice", begin + signature + signature + rest},
-      {"SignatureBehindBody", begin + chunks + signature + "\r\n"},
-      {"TwoIds", begin + "Attempt-Id: another\r\n" + signature + rest},
+      {"SignatureTwice", begin + Signature + Signature + rest},
+      {"SignatureBehindBody", begin + chunks + Signature + "\r\n"},
+      {"TwoIds", begin + "Attempt-Id: another\r\n" + Signature + rest},
       {"TwoIdsAnotherFirst",
-       "HTTP/1.1 200 OK\r\nAttempt-Id: another\r\n" + id + signature + rest},
+       "HTTP/1.1 200 OK\r\nAttempt-Id: another\r\n" + id + Signature + rest},
       {"ContentEncoded",
-       begin + signature + "Content-Encoding: gzip\r\n" + rest},
-      {"PartOfABody", "HTTP/1.1 206 Partial Content\r\n" + id + signature +
+       begin + Signature + "Content-Encoding: gzip\r\n" + rest},
+      {"PartOfABody", "HTTP/1.1 206 Partial Content\r\n" + id + Signature +
                           "Content-Range: bytes 0-1/9\r\n" + rest},
-      {"TwoTypes", begin + signature + "Content-Type: text/html\r\n" +
+      {"TwoTypes", begin + Signature + "Content-Type: text/html\r\n" +
                        "Content-Type: text/plain\r\n" + rest},
-      {"TwoVersions", begin + signature + "Weight-Versions: 7\r\n" +
+      {"TwoVersions", begin + Signature + "Weight-Versions: 7\r\n" +
                           "Weight-Versions: 8\r\n" + rest},
       {"SuccessThatDidNotRun",
-       begin + signature + "Not-Executed: 1\r\n" + rest},
+       begin + Signature + "Not-Executed: 1\r\n" + rest},
   };
 }
 
 /// Returns all answers that a caller must not get.
 std::vector<support::BrokenAnswer> allAnswers(const std::string &head) {
-  auto all = support::brokenAnswers(
-      "Attempt-Id: " + support::fieldIn(head, "Attempt-Id") +
-      "\r\nResponse-Signature: signed\r\n");
+  auto all = support::brokenAnswers(fieldsFor(head));
   std::ranges::copy(unusableAnswers(head), std::back_inserter(all));
   return all;
 }
--- a/tests/unit/http1/BrokenAnswerTest.cpp
+++ b/tests/unit/http1/BrokenAnswerTest.cpp
@@ -1,7 +1,5 @@
 #include "unit/http1/ClientFixture.hpp"
 
-#include "cowslipridge/http1/Fetch.hpp"
-
 #include "support/BrokenAnswers.hpp"
 
 using namespace cowslipridge;
@@ -25,16 +23,9 @@
 // Guards against a call that counts as not sent: a status of 0 stands for no
 // response, and its reason had not been set.
 TEST_P(BrokenAnswerTest, isNoResponseToAFetchAndItsRequestMayHaveBeenSent) {
-  CallSpec spec;
-  spec.Server = Address;
-  spec.Bytes = requestBytes("a");
-  spec.Timeout = CallTimeout;
-  std::optional<FetchResult> result;
-  fetch(HttpClient, std::move(spec),
-        [&](FetchResult it) { result = std::move(it); });
-  runUntil([&] { return result.has_value(); });
-  EXPECT_EQ(result->Status, 0);
-  EXPECT_FALSE(isUnsent(result->Failure));
+  const FetchResult result = fetchAndWait();
+  EXPECT_EQ(result.Status, 0);
+  EXPECT_FALSE(isUnsent(result.Failure));
 }
 
 INSTANTIATE_TEST_SUITE_P(Forms, BrokenAnswerTest,
--- a/tests/unit/http1/ClientFixture.hpp
+++ b/tests/unit/http1/ClientFixture.hpp
@@ -3,6 +3,7 @@
 #include "support/LoopFixture.hpp"
 
 #include "cowslipridge/http1/Client.hpp"
+#include "cowslipridge/http1/Fetch.hpp"
 
 #include <deque>
 #include <vector>
@@ -112,6 +113,18 @@
     return events;
   }
 
+  FetchResult fetchAndWait() {
+    CallSpec spec;
+    spec.Server = Address;
+    spec.Bytes = requestBytes("a");
+    spec.Timeout = CallTimeout;
+    std::optional<FetchResult> result;
+    fetch(HttpClient, std::move(spec),
+          [&](FetchResult it) { result = std::move(it); });
+    runUntil([&] { return result.has_value(); });
+    return result.value_or(FetchResult());
+  }
+
   static std::string response(const std::string &id, const std::string &body) {
     return "HTTP/1.1 200 OK\r\nId: " + id +
            "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
--- a/tests/unit/http1/CutHeadTest.cpp
+++ b/tests/unit/http1/CutHeadTest.cpp
@@ -1,7 +1,5 @@
 #include "unit/http1/ClientFixture.hpp"
 
-#include "cowslipridge/http1/Fetch.hpp"
-
 using namespace cowslipridge;
 using namespace cowslipridge::http1;
 
@@ -44,16 +42,9 @@
 
 TEST_F(CutHeadTest, isNoResponseOfTheStore) {
   forEachCut([&](const std::string &sent) {
-    CallSpec spec;
-    spec.Server = Address;
-    spec.Bytes = requestBytes("a");
-    spec.Timeout = CallTimeout;
-    std::optional<FetchResult> result;
-    fetch(HttpClient, std::move(spec),
-          [&](FetchResult it) { result = std::move(it); });
-    runUntil([&] { return result.has_value(); });
-    EXPECT_EQ(result->Status, 0) << sent;
-    EXPECT_EQ(result->Failure, CallFailure::BrokenBeforeResponse) << sent;
+    const FetchResult result = fetchAndWait();
+    EXPECT_EQ(result.Status, 0) << sent;
+    EXPECT_EQ(result.Failure, CallFailure::BrokenBeforeResponse) << sent;
   });
 }
 
--- a/tests/unit/http1/ResponseParserTest.cpp
+++ b/tests/unit/http1/ResponseParserTest.cpp
@@ -74,8 +74,8 @@
   }
 }
 
-/// Returns the status of a parser that got the text at once, or byte by byte.
-/// The connection ends behind the text.
+/// Returns the status of a parser that is given the whole text, or byte by
+/// byte. The connection ends behind the text.
 ResponseStatus parseWhole(const std::string &text) {
   std::string input = text;
   ResponseParser parser(false);
