Expect no events in the response to a HEAD

Cause: whether a stream has events was asked of every success on such a route. The parser framed the response to a HEAD as that to the GET.

Change: a response to a HEAD is framed as one without a body, whatever its fields say; the state machine expects events only where a body follows.

--- a/src/cowslipridge/gateway/RequestStateMachine.hpp
+++ b/src/cowslipridge/gateway/RequestStateMachine.hpp
@@ -199,6 +199,8 @@
   std::optional<std::uint64_t> LastEventId; ///< that the caller has received
   http1::ResponseHead StreamHead;           ///< of the first part of the stream
   bool IsResumed = false; ///< the current attempt resumes the stream
+  /// The current attempt's response has a body: it is not one to a HEAD.
+  bool HasBody = true;
   /// The end of the connection ends the current attempt's response.
   bool EndsWithConnection = false;
   /// The stream ended with its connection and nothing followed since.
--- a/src/cowslipridge/gateway/RequestStateMachineResponses.cpp
+++ b/src/cowslipridge/gateway/RequestStateMachineResponses.cpp
@@ -96,6 +96,7 @@
   if (!ResponseStarted && escalate(response, now))
     return;
   State = Phase::Streaming;
+  HasBody = head.Body != http1::Framing::None;
   EndsWithConnection = head.Body == http1::Framing::UntilClose;
   Events.clear();
   PaddingBytes = 0;
--- a/src/cowslipridge/gateway/RequestStateMachineStreams.cpp
+++ b/src/cowslipridge/gateway/RequestStateMachineStreams.cpp
@@ -111,7 +111,7 @@
     return;
   }
   // The rest of a stream that is resumed may be empty.
-  if (isStream && EventsForwarded == 0 && !LastEventId) {
+  if (isStream && HasBody && EventsForwarded == 0 && !LastEventId) {
     breakAttempt("the stream ended without an event", now);
     return;
   }
--- a/src/cowslipridge/http1/ResponseParser.cpp
+++ b/src/cowslipridge/http1/ResponseParser.cpp
@@ -100,8 +100,9 @@
   }
 
   Framing framing() {
-    // What its fields say of a body belongs to the response without condition.
-    if (Head.Status == NotModified || Head.Status == NoContent)
+    // What its fields say of a body belongs to another response: that to a GET,
+    // or to one without condition.
+    if (HeadRequest || Head.Status == NotModified || Head.Status == NoContent)
       return Framing::None;
     if (Parser->chunked())
       return Framing::Chunked;
--- a/tests/unit/gateway/BrokenStreamTest.cpp
+++ b/tests/unit/gateway/BrokenStreamTest.cpp
@@ -100,6 +100,17 @@
   expectComplete();
 }
 
+// Guards against runners that are ejected because callers ask for heads only.
+TEST_F(BrokenStreamTest, responseToAHeadRequestHasNoEvents) {
+  begin(RouteKind::Stream);
+  http1::ResponseHead alone = sound();
+  alone.Body = http1::Framing::None;
+  head(alone);
+  Machine->onEnd(Millis(12));
+  EXPECT_EQ(Policy.Outcomes.at(1), AttemptOutcome::Served);
+  expectComplete();
+}
+
 // A caller that has all events, but not the end, resumes the stream.
 TEST_F(BrokenStreamTest, restOfAStreamMayBeEmpty) {
   begin(RouteKind::ResumableStream, 20);
--- a/tests/unit/http1/ResponseParserTest.cpp
+++ b/tests/unit/http1/ResponseParserTest.cpp
@@ -57,6 +57,17 @@
   EXPECT_EQ(parser.parse(input), ResponseStatus::Complete);
 }
 
+// Whatever its fields say of the body of a GET.
+TEST(ResponseParserTest, responseToHeadRequestIsFramedAsOneWithoutABody) {
+  for (const char *field :
+       {"Content-Length: 5\r\n", "Transfer-Encoding: chunked\r\n", ""}) {
+    std::string input = std::string("HTTP/1.1 200 OK\r\n") + field + "\r\n";
+    ResponseParser parser(true);
+    EXPECT_EQ(parser.parse(input), ResponseStatus::Complete) << field;
+    EXPECT_EQ(parser.head().Body, Framing::None) << field;
+  }
+}
+
 TEST(ResponseParserTest, rejectsInvalidResponses) {
   const std::string twoLengths = std::string("HTTP/1.1 200 OK\r\n") +
                                  "Content-Length: 2\r\n" +
