Send no last chunk behind the head of a response to a HEAD

Found beside the fix before: a HEAD on a route of streams was answered with a head and then the last chunk of a body, five bytes that belong to no response and that the caller reads where the next one is due.

Cause: the writer left out the chunks of such a response, but not their end.

Tests: ServerTest.responseToAHeadRequestHasNoLastChunk failed before; it passes, with the whole of unit_http1.

--- a/src/cowslipridge/http1/internal/ResponseWriter.cpp
+++ b/src/cowslipridge/http1/internal/ResponseWriter.cpp
@@ -26,7 +26,7 @@
 
 void ResponseWriter::end() {
   Ended = true;
-  if (BodyFraming == Framing::Chunked)
+  if (BodyFraming == Framing::Chunked && !IsHeadRequest)
     Pending += LastChunk;
 }
 
--- a/tests/unit/http1/ServerTest.cpp
+++ b/tests/unit/http1/ServerTest.cpp
@@ -35,6 +35,18 @@
   runUntil([&] { return Received.ends_with("3\r\nabc\r\n0\r\n\r\n"); });
 }
 
+// Guards against bytes behind a head that belong to no response.
+TEST_F(ServerTest, responseToAHeadRequestHasNoLastChunk) {
+  write("HEAD /x HTTP/1.1\r\nHost: h\r\n\r\n");
+  runUntil([&] { return !Exchanges.empty(); });
+  Exchanges.back()->begin(ok(Framing::Chunked));
+  Exchanges.back()->end();
+  request();
+  Exchanges.back()->respond(ok(), "next");
+  runUntil([&] { return Received.ends_with("next"); });
+  EXPECT_EQ(Received.find("0\r\n\r\n"), std::string::npos) << Received;
+}
+
 TEST_F(ServerTest, abortedResponseHasNoLastChunk) {
   request();
   Exchanges.back()->begin(ok(Framing::Chunked));
